Serve a request from end to end through separate processes

Callers' HTTP/1 requests go through dotterelsill-entry to an upstream stand-in; the configuration comes from the store stand-in, changed by the dotterelsill command line through any entry. No decision is in place yet: upstreams are chosen at random, limits are not enforced, a change is reported as stored only.

--- /dev/null
+++ b/crates/dotterelsill_cli/src/args.rs
@@ -0,0 +1,119 @@
+//! Arguments of the command line.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf, //
+};
+
+use argh::FromArgs;
+
+/// Operates a fleet: configuration, keys and data centres.
+///
+/// Exit code 0: done, a change is in force; 1: refused; 2: usage, or an entry
+/// instance cannot be reached; 3: stored, not yet in force; 4: not known.
+#[derive(FromArgs)]
+pub(crate) struct Args {
+    /// socket address of an entry instance's peer port
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 7071))")]
+    pub(crate) entry: SocketAddr,
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+/// Subcommands.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Apply(Apply),
+    Check(Check),
+    Dc(Dc),
+    Key(Key),
+    Status(Status),
+}
+
+/// Replaces the operators' text.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub(crate) struct Apply {
+    /// file with the operators' text
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+    /// print what would change and store nothing
+    #[argh(switch)]
+    pub(crate) dry_run: bool,
+}
+
+/// Checks a text without applying it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct Check {
+    /// file with the operators' text
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+}
+
+/// Takes a data centre out or brings it back.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "dc")]
+pub(crate) struct Dc {
+    /// out or in
+    #[argh(positional)]
+    pub(crate) direction: Direction,
+    /// name of the data centre
+    #[argh(positional)]
+    pub(crate) data_centre: String,
+}
+
+/// Whether a data centre is taken out or brought back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Direction {
+    Out,
+    In,
+}
+
+impl std::str::FromStr for Direction {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "out" => Ok(Self::Out),
+            "in" => Ok(Self::In),
+            _ => Err(format!("{text:?} is neither out nor in")),
+        }
+    }
+}
+
+/// Gives and withdraws keys.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "key")]
+pub(crate) struct Key {
+    #[argh(subcommand)]
+    pub(crate) command: KeyCommand,
+}
+
+/// Subcommands of `key`.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum KeyCommand {
+    Give(KeyGive),
+    Withdraw(KeyWithdraw),
+}
+
+/// Makes a key for a team and prints it once.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "give")]
+pub(crate) struct KeyGive {
+    /// name of the team
+    #[argh(positional)]
+    pub(crate) team: String,
+}
+
+/// Withdraws a key, read from standard input.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "withdraw")]
+pub(crate) struct KeyWithdraw {}
+
+/// Prints revision, freshness and registered instances.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct Status {}
--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -1,2 +1,54 @@
-//! Placeholder.
-fn main() {}
+//! Entry daemon: takes callers' requests, admits, routes and forwards them.
+
+mod callers;
+mod change;
+mod daemon;
+mod forward;
+mod operator;
+mod outcome;
+mod peer;
+mod shared;
+mod snapshot;
+mod sync;
+
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+use argh::FromArgs;
+use dotterelsill_proto::settings::EntrySettings;
+use dotterelsill_telemetry::{
+    init_logs,
+    load_settings, //
+};
+use snafu::{
+    ResultExt,
+    Whatever, //
+};
+
+/// Takes callers' requests, admits, routes and forwards them.
+#[derive(FromArgs)]
+struct Args {
+    /// settings file in YAML
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match start(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dotterelsill-entry: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(args: &Args) -> Result<(), Whatever> {
+    let settings: EntrySettings = load_settings(&args.settings).whatever_context("settings")?;
+    init_logs(&settings.log_level).whatever_context("log")?;
+    dotterelsill_rpc::run(settings.threads, |tasks| daemon::run(settings, tasks))
+        .whatever_context("entry")
+}
--- /dev/null
+++ b/crates/dotterelsill_entry/src/operator.rs
@@ -0,0 +1,170 @@
+//! Calls of the operators' command line.
+
+use std::sync::Arc;
+
+use dotterelsill_proto::{
+    config::{
+        Document,
+        Fleet,
+        Key, //
+    },
+    peer::{
+        operator_server::Operator,
+        ApplyRequest,
+        ChangeResponse,
+        ChangeState,
+        GiveKeyRequest,
+        SetDataCentreRequest,
+        StatusRequest,
+        StatusResponse,
+        WithdrawKeyRequest, //
+    }, //
+};
+use tonic::{
+    Request,
+    Response,
+    Status, //
+};
+
+use crate::{
+    change::{
+        self,
+        ChangeError, //
+    },
+    shared::Shared, //
+};
+
+/// Implements `Operator`.
+pub(crate) struct Service {
+    shared: Arc<Shared>,
+}
+
+impl Service {
+    /// Creates the service.
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn change(
+        &self,
+        write_id: &str,
+        edit: impl Fn(&mut Document) -> Result<(), String>,
+    ) -> Result<Response<ChangeResponse>, Status> {
+        let response = match change::make(&self.shared, write_id, edit).await {
+            Ok(revision) => ChangeResponse {
+                state: ChangeState::Stored.into(),
+                revision,
+                ..ChangeResponse::default()
+            },
+            Err(error) => failed(&error),
+        };
+        log::info!(
+            write_id,
+            state = response.state().as_str_name(),
+            revision = response.revision;
+            "configuration_change"
+        );
+        Ok(Response::new(response))
+    }
+}
+
+fn failed(error: &ChangeError) -> ChangeResponse {
+    let state = match error {
+        ChangeError::Write { .. } => ChangeState::Unknown,
+        _ => ChangeState::Refused,
+    };
+    ChangeResponse {
+        state: state.into(),
+        reason: error.to_string(),
+        ..ChangeResponse::default()
+    }
+}
+
+#[tonic::async_trait]
+impl Operator for Service {
+    async fn apply(
+        &self,
+        request: Request<ApplyRequest>,
+    ) -> Result<Response<ChangeResponse>, Status> {
+        let ApplyRequest { write_id, text } = request.into_inner();
+        self.change(&write_id, |document| {
+            serde_saphyr::from_str::<Fleet>(&text).map_err(|error| error.to_string())?;
+            document.text.clone_from(&text);
+            Ok(())
+        })
+        .await
+    }
+
+    async fn give_key(
+        &self,
+        request: Request<GiveKeyRequest>,
+    ) -> Result<Response<ChangeResponse>, Status> {
+        let GiveKeyRequest {
+            write_id,
+            team,
+            sha256,
+        } = request.into_inner();
+        self.change(&write_id, |document| {
+            if document.keys.iter().any(|key| key.sha256 == sha256) {
+                return Err("this key is already given; make a new one".to_owned());
+            }
+            document.keys.push(Key {
+                team: team.clone(),
+                sha256: sha256.clone(),
+            });
+            Ok(())
+        })
+        .await
+    }
+
+    async fn withdraw_key(
+        &self,
+        request: Request<WithdrawKeyRequest>,
+    ) -> Result<Response<ChangeResponse>, Status> {
+        let WithdrawKeyRequest { write_id, sha256 } = request.into_inner();
+        self.change(&write_id, |document| {
+            let before = document.keys.len();
+            document.keys.retain(|key| key.sha256 != sha256);
+            if document.keys.len() == before {
+                return Err("no such key is given; see `dotterelsill status`".to_owned());
+            }
+            Ok(())
+        })
+        .await
+    }
+
+    async fn set_data_centre(
+        &self,
+        request: Request<SetDataCentreRequest>,
+    ) -> Result<Response<ChangeResponse>, Status> {
+        let SetDataCentreRequest {
+            write_id,
+            data_centre,
+            out,
+        } = request.into_inner();
+        self.change(&write_id, |document| {
+            document
+                .data_centres_out
+                .retain(|name| *name != data_centre);
+            if out {
+                document.data_centres_out.push(data_centre.clone());
+            }
+            Ok(())
+        })
+        .await
+    }
+
+    async fn status(
+        &self,
+        _request: Request<StatusRequest>,
+    ) -> Result<Response<StatusResponse>, Status> {
+        let snapshot = self.shared.snapshot.load_full();
+        Ok(Response::new(StatusResponse {
+            instance: self.shared.settings.instance.clone(),
+            revision: snapshot.revision,
+            data_centres_out: snapshot.document.data_centres_out.clone(),
+            store_calls: self.shared.store.calls(),
+            ..StatusResponse::default()
+        }))
+    }
+}
--- a/crates/dotterelsill_rpc/src/lib.rs
+++ b/crates/dotterelsill_rpc/src/lib.rs
@@ -6,6 +6,7 @@
 mod channel;
 mod http1;
 mod listener;
+mod pair;
 mod runtime;
 mod tasks;
 
@@ -23,6 +24,7 @@
     ListenError,
     Listener, //
 };
+pub use pair::Pair;
 pub use runtime::{
     run,
     termination_signal, //
--- /dev/null
+++ b/crates/dotterelsill_rpc/src/pair.rs
@@ -0,0 +1,56 @@
+//! Two gRPC services behind one listener.
+
+use std::{
+    convert::Infallible,
+    task::{
+        Context,
+        Poll, //
+    }, //
+};
+
+use futures_util::future::Either;
+use hyper::{
+    body::Incoming,
+    Request,
+    Response, //
+};
+use tonic::server::NamedService;
+use tower_service::Service;
+
+/// Two gRPC services; the path of a call tells which one is meant.
+#[derive(Clone)]
+pub struct Pair<A, B> {
+    first: A,
+    second: B,
+}
+
+impl<A, B> Pair<A, B> {
+    /// Creates the pair; calls that are not for the first go to the second.
+    pub fn new(first: A, second: B) -> Self {
+        Self { first, second }
+    }
+}
+
+impl<A, B> Service<Request<Incoming>> for Pair<A, B>
+where
+    A: NamedService
+        + Service<Request<Incoming>, Response = Response<tonic::body::Body>, Error = Infallible>,
+    B: Service<Request<Incoming>, Response = Response<tonic::body::Body>, Error = Infallible>,
+{
+    type Response = Response<tonic::body::Body>;
+    type Error = Infallible;
+    type Future = Either<A::Future, B::Future>;
+
+    fn poll_ready(&mut self, _context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        let service = request.uri().path().split('/').nth(1);
+        if service == Some(A::NAME) {
+            Either::Left(self.first.call(request))
+        } else {
+            Either::Right(self.second.call(request))
+        }
+    }
+}
--- a/crates/dotterelsill_standin_store/src/main.rs
+++ b/crates/dotterelsill_standin_store/src/main.rs
@@ -1,2 +1,77 @@
-//! Placeholder.
-fn main() {}
+//! Stand-in of the platform's key-value service for tests.
+//!
+//! Keeps everything in memory. Delay, outage and lost answers of writes are set
+//! through the `StandinControl` service.
+
+mod control;
+mod faults;
+mod service;
+mod state;
+
+use std::{
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc, //
+};
+
+use argh::FromArgs;
+use dotterelsill_proto::{
+    settings::StandinStoreSettings,
+    store::{
+        standin_control_server::StandinControlServer,
+        store_server::StoreServer, //
+    }, //
+};
+use dotterelsill_rpc::{
+    serve_grpc,
+    termination_signal,
+    Listener,
+    Pair,
+    Tasks, //
+};
+use dotterelsill_telemetry::{
+    init_logs,
+    load_settings, //
+};
+use snafu::{
+    ResultExt,
+    Whatever, //
+};
+
+/// Stand-in of the platform's key-value service, for tests only.
+#[derive(FromArgs)]
+struct Args {
+    /// settings file in YAML
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match dotterelsill_rpc::run(1, |tasks| serve(args, tasks)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dotterelsill-standin-store: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(args: Args, tasks: Tasks) -> Result<(), Whatever> {
+    let settings: StandinStoreSettings =
+        load_settings(&args.settings).whatever_context("settings")?;
+    init_logs(&settings.log_level).whatever_context("log")?;
+    let listener = Listener::bind(&settings.listen).whatever_context("listen")?;
+    log::info!(address:% = listener.address(); "listening");
+
+    let shared = Arc::new(service::Shared::new(settings.delay_ms));
+    let services = Pair::new(
+        StoreServer::new(service::Service::new(shared.clone())),
+        StandinControlServer::new(control::Control::new(shared)),
+    );
+    tasks.spawn(serve_grpc(listener, tasks.clone(), services));
+    termination_signal().await.whatever_context("signal")?;
+    tasks.stop();
+    tasks.join().await;
+    Ok(())
+}
--- a/crates/dotterelsill_standin_upstream/src/main.rs
+++ b/crates/dotterelsill_standin_upstream/src/main.rs
@@ -1,2 +1,63 @@
-//! Placeholder.
-fn main() {}
+//! Stand-in of an upstream for tests: runs a fixed number of requests at once.
+
+mod service;
+
+use std::{
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc, //
+};
+
+use argh::FromArgs;
+use dotterelsill_proto::settings::StandinUpstreamSettings;
+use dotterelsill_rpc::{
+    serve_http1,
+    termination_signal,
+    Listener,
+    Tasks, //
+};
+use dotterelsill_telemetry::{
+    init_logs,
+    load_settings, //
+};
+use snafu::{
+    ResultExt,
+    Whatever, //
+};
+
+/// Stand-in of an upstream, for tests only.
+#[derive(FromArgs)]
+struct Args {
+    /// settings file in YAML
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match dotterelsill_rpc::run(1, |tasks| serve(args, tasks)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dotterelsill-standin-upstream: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(args: Args, tasks: Tasks) -> Result<(), Whatever> {
+    let settings: StandinUpstreamSettings =
+        load_settings(&args.settings).whatever_context("settings")?;
+    init_logs(&settings.log_level).whatever_context("log")?;
+    let listener = Listener::bind(&settings.listen).whatever_context("listen")?;
+    log::info!(address:% = listener.address(); "listening");
+
+    let upstream = Arc::new(service::Upstream::new(&settings));
+    tasks.spawn(serve_http1(listener, tasks.clone(), move |request| {
+        let upstream = upstream.clone();
+        async move { upstream.answer(request).await }
+    }));
+    termination_signal().await.whatever_context("signal")?;
+    tasks.stop();
+    tasks.join().await;
+    Ok(())
+}
