Add metrics, health, readiness and a shutdown that finishes requests

On SIGTERM readiness goes off, the listener closes after balancer_grace_ms, requests in flight finish within shutdown_timeout_ms, and every task is joined. Metrics of a queue are looked up once for each revision, so that the request path takes no lock of the registry.

--- a/crates/dotterelsill_entry/src/callers.rs
+++ b/crates/dotterelsill_entry/src/callers.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use bytes::Bytes;
@@ -51,19 +54,34 @@
     shared: Arc<Shared>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    run(&shared, request)
-        .await
-        .unwrap_or_else(Outcome::NotRun)
-        .into_response()
+    shared.metrics.in_flight.inc();
+    let begin = Instant::now();
+    let snapshot = shared.snapshot.load_full();
+    let outcome = match queue_plan(&snapshot, request.uri().path()) {
+        Ok(plan) => {
+            let outcome = run(&shared, &snapshot, plan, request)
+                .await
+                .unwrap_or_else(Outcome::NotRun);
+            plan.metrics
+                .observe(&outcome, begin.elapsed().as_secs_f64());
+            outcome
+        }
+        Err(reason) => Outcome::NotRun(reason),
+    };
+    shared.metrics.in_flight.dec();
+    outcome.into_response()
 }
 
-async fn run(shared: &Shared, request: Request<Incoming>) -> Result<Outcome, Reason> {
+async fn run(
+    shared: &Shared,
+    snapshot: &Snapshot,
+    plan: &QueuePlan,
+    request: Request<Incoming>,
+) -> Result<Outcome, Reason> {
     let (head, body) = request.into_parts();
     let body = read_body(body).await?;
-    let snapshot = shared.snapshot.load_full();
-    let plan = queue_plan(&snapshot, head.uri.path())?;
-    authorize(&snapshot, plan, &head.headers)?;
-    let upstream = choose(&snapshot, plan)?;
+    authorize(snapshot, plan, &head.headers)?;
+    let upstream = choose(snapshot, plan)?;
 
     let mut forwarded = Request::new(Full::new(body));
     *forwarded.method_mut() = head.method;
--- a/crates/dotterelsill_entry/src/daemon.rs
+++ b/crates/dotterelsill_entry/src/daemon.rs
@@ -1,6 +1,17 @@
 //! Starts and stops the parts of the daemon.
 
-use std::net::SocketAddr;
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
+    time::Duration, //
+};
+
+use async_io::Timer;
+use bytes::Bytes;
 
 use dotterelsill_proto::{
     peer::{
@@ -13,19 +24,28 @@
     serve_grpc,
     serve_http1,
     termination_signal,
+    timeout,
     ListenError,
     Listener,
     Pair,
     Tasks, //
 };
 use dotterelsill_store::Client;
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    Request,
+    Response, //
+};
 use snafu::{
     ResultExt,
     Snafu, //
 };
 
 use crate::{
+    admin,
     callers,
+    metrics::Metrics,
     operator,
     peer,
     shared::Shared,
@@ -45,6 +65,8 @@
         address: String,
         source: std::net::AddrParseError,
     },
+    #[snafu(display("metrics: {source}"))]
+    Metrics { source: prometheus::Error },
     #[snafu(display("signal handlers: {source}"))]
     Signal { source: std::io::Error },
 }
@@ -55,8 +77,10 @@
     let store: SocketAddr = address.parse().context(StoreAddressSnafu { address })?;
     let callers = bind("listen_callers", &settings.listen_callers)?;
     let peers = bind("listen_peers", &settings.listen_peers)?;
+    let admin = bind("listen_admin", &settings.listen_admin)?;
     let store = Client::new(store, &tasks);
-    let shared = Shared::new(settings, store, tasks.clone());
+    let metrics = Metrics::new().context(MetricsSnafu)?;
+    let shared = Shared::new(settings, store, tasks.clone(), metrics);
 
     tasks.spawn_until_stop(sync::run(shared.clone()));
     let services = Pair::new(
@@ -64,15 +88,43 @@
         PeerServer::new(peer::Service::new(shared.clone())),
     );
     tasks.spawn(serve_grpc(peers, tasks.clone(), services));
-    tasks.spawn(serve_http1(callers, tasks.clone(), move |request| {
-        callers::serve(shared.clone(), request)
-    }));
+    let requests = tasks.new_group();
+    spawn_http(&requests, callers, &shared, callers::serve);
+    spawn_http(&tasks, admin, &shared, admin::serve);
     termination_signal().await.context(SignalSnafu)?;
+    drain(&shared, &requests).await;
     tasks.stop();
     tasks.join().await;
     Ok(())
 }
 
+fn spawn_http<F>(
+    tasks: &Tasks,
+    listener: Listener,
+    shared: &Arc<Shared>,
+    serve: impl Fn(Arc<Shared>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+) where
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let shared = shared.clone();
+    tasks.spawn(serve_http1(listener, tasks.clone(), move |request| {
+        serve(shared.clone(), request)
+    }));
+}
+
+/// Lets the balancer go elsewhere, then finishes all requests in flight.
+async fn drain(shared: &Shared, requests: &Tasks) {
+    shared.is_leaving.store(true, Ordering::SeqCst);
+    log::info!("leaving");
+    let grace_ms = shared.settings.balancer_grace_ms;
+    Timer::after(Duration::from_millis(grace_ms.into())).await;
+    requests.stop();
+    let limit = Duration::from_millis(shared.settings.shutdown_timeout_ms.into());
+    if let Err(elapsed) = timeout(limit, requests.join()).await {
+        log::error!(reason:% = elapsed; "requests_cut_by_shutdown");
+    }
+}
+
 fn bind(name: &'static str, address: &str) -> Result<Listener, StartError> {
     let listener = Listener::bind(address).context(ListenSnafu { name })?;
     log::info!(name, address:% = listener.address(); "listening");
--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -1,9 +1,11 @@
 //! Entry daemon: takes callers' requests, admits, routes and forwards them.
 
+mod admin;
 mod callers;
 mod change;
 mod daemon;
 mod forward;
+mod metrics;
 mod operator;
 mod outcome;
 mod peer;
--- a/crates/dotterelsill_entry/src/snapshot.rs
+++ b/crates/dotterelsill_entry/src/snapshot.rs
@@ -19,7 +19,13 @@
     Snafu, //
 };
 
-use crate::forward::Upstream;
+use crate::{
+    forward::Upstream,
+    metrics::{
+        Metrics,
+        QueueMetrics, //
+    }, //
+};
 
 /// A document cannot be used.
 #[derive(Debug, Snafu)]
@@ -37,6 +43,7 @@
 pub(crate) struct QueuePlan {
     pub(crate) queue: Queue,
     pub(crate) upstreams: Vec<Arc<Upstream>>,
+    pub(crate) metrics: QueueMetrics,
 }
 
 /// One revision of the configuration; never changed after it was built.
@@ -67,6 +74,7 @@
         revision: u64,
         document: Document,
         previous: &Snapshot,
+        metrics: &Metrics,
     ) -> Result<Self, SnapshotError> {
         let fleet: Fleet = serde_saphyr::from_str(&document.text).context(TextSnafu)?;
         let mut services = HashMap::new();
@@ -90,7 +98,12 @@
             .into_iter()
             .map(|queue| {
                 let upstreams = services.get(&queue.service).cloned().unwrap_or_default();
-                (queue.name.clone(), QueuePlan { queue, upstreams })
+                let plan = QueuePlan {
+                    metrics: metrics.queue(&queue.name),
+                    queue,
+                    upstreams,
+                };
+                (plan.queue.name.clone(), plan)
             })
             .collect();
         let teams_by_key = document
--- a/crates/dotterelsill_entry/src/sync.rs
+++ b/crates/dotterelsill_entry/src/sync.rs
@@ -77,9 +77,10 @@
     }
     let document = read_document(shared, &head.write_id).await?;
     let revision = head.revision;
-    let snapshot =
-        Snapshot::build(revision, document, &current).context(BuildSnafu { revision })?;
+    let snapshot = Snapshot::build(revision, document, &current, &shared.metrics)
+        .context(BuildSnafu { revision })?;
     shared.snapshot.store(Arc::new(snapshot));
+    shared.metrics.revision.set(revision as i64);
     log::info!(revision; "revision_in_force");
     Ok(())
 }
