Test the whole path with real processes on loopback

The harness starts the daemons and stand-ins, puts a link that can be cut or go silent before the store, every peer and every upstream, and freezes or kills processes by their identifier.

--- /dev/null
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -0,0 +1,298 @@
+//! A small fleet: the store, upstreams and entries.
+
+use std::{
+    fmt::Write as _,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use async_io::Timer;
+use dotterelsill_proto::{
+    peer::{
+        operator_client::OperatorClient,
+        ApplyRequest,
+        ChangeResponse,
+        GiveKeyRequest,
+        SetDataCentreRequest,
+        StatusRequest,
+        StatusResponse,
+        WithdrawKeyRequest, //
+    },
+    store::{
+        standin_control_client::StandinControlClient,
+        CountsRequest,
+        CountsResponse,
+        SetFaultsRequest, //
+    }, //
+};
+use dotterelsill_rpc::{
+    Channel,
+    Tasks, //
+};
+use sha2::{
+    Digest as _,
+    Sha256, //
+};
+
+use crate::{
+    Caller,
+    Link,
+    Process, //
+};
+
+/// Longest time to wait for a state that must come.
+const AWAIT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// An entry with the links through which it reaches the store, and through
+/// which its peers reach it.
+pub struct Entry {
+    /// The process.
+    pub process: Process,
+    /// Link from this entry to the store.
+    pub store_link: Link,
+    /// Link from the peers to this entry.
+    pub peer_link: Link,
+}
+
+/// A small fleet on loopback.
+pub struct Fleet {
+    /// Entries, one for each data centre: `a`, `b` and so on.
+    pub entries: Vec<Entry>,
+    /// Upstreams, one for each data centre.
+    pub upstreams: Vec<Process>,
+    /// Links from all entries to the upstreams.
+    pub upstream_links: Vec<Link>,
+    /// The store.
+    pub store: Process,
+    /// Group of the tasks of callers and operators.
+    pub tasks: Tasks,
+    next_write: u64,
+}
+
+impl Fleet {
+    /// Starts a fleet with one entry and one upstream in each data centre.
+    pub fn start(data_centres: usize, service_time_ms: u32, tasks: &Tasks) -> Self {
+        let store = Process::start(
+            "dotterelsill-standin-store",
+            "{ listen: \"127.0.0.1:0\" }",
+            1,
+        );
+        let mut fleet = Self {
+            entries: Vec::new(),
+            upstreams: Vec::new(),
+            upstream_links: Vec::new(),
+            store,
+            tasks: tasks.clone(),
+            next_write: 0,
+        };
+        for index in 0..data_centres {
+            let upstream = start_upstream(service_time_ms);
+            fleet.upstream_links.push(Link::new(upstream.address("")));
+            fleet.upstreams.push(upstream);
+            let entry = fleet.start_entry(index);
+            fleet.entries.push(entry);
+        }
+        fleet
+    }
+
+    /// Starts an entry in the data centre of an index; its name is the one of
+    /// the entry that it replaces.
+    pub fn start_entry(&self, index: usize) -> Entry {
+        let store_link = Link::new(self.store.address(""));
+        // The port is known only after the start, so one is set aside first.
+        let reserved = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let peers = reserved.local_addr().expect("the socket is bound");
+        drop(reserved);
+        let peer_link = Link::new(peers);
+        let name = data_centre(index);
+        let settings = format!(
+            "instance: entry-{name}\ndata_centre: {name}\n\
+             listen_callers: \"127.0.0.1:0\"\nlisten_peers: \"{peers}\"\n\
+             listen_admin: \"127.0.0.1:0\"\nstore: \"{}\"\n\
+             advertise_peers: \"{}\"\nthreads: 2\nbalancer_grace_ms: 100\n\
+             shutdown_timeout_ms: 15000\n",
+            store_link.address(),
+            peer_link.address(),
+        );
+        Entry {
+            process: Process::start("dotterelsill-entry", &settings, 3),
+            store_link,
+            peer_link,
+        }
+    }
+
+    /// Returns the operators' text of the fleet: the service `work` with all
+    /// upstreams; the queues `open`, `keyed` (repeatable) and `once` (not
+    /// repeatable); the teams `red` (limit 4) and `blue` (limit 8).
+    pub fn text(&self, isolation_limit_s: u32) -> String {
+        let mut text = format!("isolation_limit_s: {isolation_limit_s}\ndata_centres:\n");
+        for index in 0..self.upstreams.len() {
+            let _ = writeln!(
+                text,
+                "  - {{ name: {}, region: north }}",
+                data_centre(index)
+            );
+        }
+        text.push_str(
+            "teams:\n\
+             \x20 - { name: red, share_percent: 30, floor_requests: 1, limit_requests: 4 }\n\
+             \x20 - { name: blue, share_percent: 70, floor_requests: 1, limit_requests: 8 }\n\
+             services:\n  - name: work\n    depends_on: []\n\
+             \x20   availability_floor_percent: 50\n    upstreams:\n",
+        );
+        for (index, link) in self.upstream_links.iter().enumerate() {
+            let name = data_centre(index);
+            let _ = writeln!(
+                text,
+                "      - {{ name: work-{name}, address: \"{}\", data_centre: {name}, \
+                 rack: {name}1, slots: 8, connections: 64 }}",
+                link.address(),
+            );
+        }
+        text.push_str("queues:\n");
+        for (name, open, repeatable) in [
+            ("open", true, true),
+            ("keyed", false, true),
+            ("once", false, false),
+        ] {
+            let _ = writeln!(
+                text,
+                "  - {{ name: {name}, service: work, urgency: 0, open: {open}, \
+                 repeatable: {repeatable}, timeout_ms: 4000, max_run_ms: 4000 }}",
+            );
+        }
+        text
+    }
+
+    /// Returns a caller at the entry of an index.
+    pub fn caller(&self, index: usize, key: Option<&str>) -> Caller {
+        Caller {
+            address: self.entries[index].process.address("listen_callers"),
+            key: key.map(str::to_owned),
+            tasks: self.tasks.clone(),
+        }
+    }
+
+    /// Applies a text through the entry of an index.
+    pub async fn apply(&mut self, index: usize, text: &str) -> ChangeResponse {
+        let request = ApplyRequest {
+            write_id: self.write_id(),
+            text: text.to_owned(),
+        };
+        let mut operator = self.operator(index);
+        answer(operator.apply(request).await)
+    }
+
+    /// Gives a key to a team through the entry of an index.
+    pub async fn give_key(&mut self, index: usize, team: &str, key: &str) -> ChangeResponse {
+        let request = GiveKeyRequest {
+            write_id: self.write_id(),
+            team: team.to_owned(),
+            sha256: Sha256::digest(key).to_vec(),
+        };
+        let mut operator = self.operator(index);
+        answer(operator.give_key(request).await)
+    }
+
+    /// Withdraws a key through the entry of an index.
+    pub async fn withdraw_key(&mut self, index: usize, key: &str) -> ChangeResponse {
+        let request = WithdrawKeyRequest {
+            write_id: self.write_id(),
+            sha256: Sha256::digest(key).to_vec(),
+        };
+        let mut operator = self.operator(index);
+        answer(operator.withdraw_key(request).await)
+    }
+
+    /// Takes a data centre out or brings it back through the entry of an index.
+    pub async fn set_data_centre(&mut self, index: usize, name: &str, out: bool) -> ChangeResponse {
+        let request = SetDataCentreRequest {
+            write_id: self.write_id(),
+            data_centre: name.to_owned(),
+            out,
+        };
+        let mut operator = self.operator(index);
+        answer(operator.set_data_centre(request).await)
+    }
+
+    /// Returns the status of the entry of an index.
+    pub async fn status(&self, index: usize) -> StatusResponse {
+        answer(self.operator(index).status(StatusRequest {}).await)
+    }
+
+    /// Waits until the entries of all indexes have a revision in force.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it takes longer than 20 s.
+    pub async fn await_revision(&self, revision: u64) {
+        let begin = Instant::now();
+        for index in 0..self.entries.len() {
+            while self.status(index).await.revision < revision {
+                assert!(
+                    begin.elapsed() < AWAIT_TIMEOUT,
+                    "entry {index} has not reached revision {revision}"
+                );
+                Timer::after(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// Sets the faults of the store.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the stand-in does not answer.
+    pub async fn set_store_faults(&self, faults: SetFaultsRequest) {
+        self.store_control()
+            .set_faults(faults)
+            .await
+            .expect("the stand-in answers");
+    }
+
+    /// Returns the calls that the store has counted.
+    pub async fn store_counts(&self) -> CountsResponse {
+        answer(self.store_control().counts(CountsRequest {}).await)
+    }
+
+    fn store_control(&self) -> StandinControlClient<Channel> {
+        let channel = self.channel(self.store.address(""));
+        StandinControlClient::with_origin(
+            channel,
+            tonic::codegen::http::Uri::from_static("http://store"),
+        )
+    }
+
+    fn operator(&self, index: usize) -> OperatorClient<Channel> {
+        let address = self.entries[index].process.address("listen_peers");
+        let origin = tonic::codegen::http::Uri::from_static("http://entry");
+        OperatorClient::with_origin(self.channel(address), origin)
+    }
+
+    fn channel(&self, address: std::net::SocketAddr) -> Channel {
+        Channel::new(address, Duration::from_secs(2), &self.tasks)
+    }
+
+    fn write_id(&mut self) -> String {
+        self.next_write += 1;
+        format!("write-{}", self.next_write)
+    }
+}
+
+fn start_upstream(service_time_ms: u32) -> Process {
+    let settings = format!(
+        "{{ listen: \"127.0.0.1:0\", slots: 8, connections: 64, service_time_us: {} }}",
+        service_time_ms * 1000
+    );
+    Process::start("dotterelsill-standin-upstream", &settings, 1)
+}
+
+fn data_centre(index: usize) -> char {
+    char::from(b'a' + index as u8)
+}
+
+fn answer<T>(result: Result<tonic::Response<T>, tonic::Status>) -> T {
+    result.expect("the process answers").into_inner()
+}
--- /dev/null
+++ b/crates/dotterelsill_e2e/src/lib.rs
@@ -0,0 +1,24 @@
+//! Runs the daemons and stand-ins as processes on loopback for tests of failures.
+//!
+//! Every process listens on ports chosen by the system and is ended by its
+//! identifier when its handle is dropped. The harness starts processes; the
+//! system itself never does.
+
+mod caller;
+mod fleet;
+mod link;
+mod process;
+
+pub use caller::{
+    Answer,
+    Caller, //
+};
+pub use fleet::{
+    Entry,
+    Fleet, //
+};
+pub use link::{
+    Link,
+    Mode, //
+};
+pub use process::Process;
--- /dev/null
+++ b/crates/dotterelsill_e2e/src/link.rs
@@ -0,0 +1,185 @@
+//! A network link that tests can cut.
+
+use std::{
+    io::{
+        Read as _,
+        Write as _, //
+    },
+    net::{
+        Shutdown,
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    sync::{
+        atomic::{
+            AtomicBool,
+            AtomicU8,
+            Ordering, //
+        },
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    thread,
+    time::Duration, //
+};
+
+/// Time after which a blocked read looks at the mode again.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What a link does with connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum Mode {
+    /// Carries all bytes.
+    Pass = 0,
+    /// Closes all connections and refuses new ones.
+    Cut = 1,
+    /// Accepts connections and carries no bytes in either direction.
+    Silent = 2,
+}
+
+struct Shared {
+    target: SocketAddr,
+    mode: AtomicU8,
+    /// Connections numbered below this carry no bytes, whatever the mode.
+    silenced_below: AtomicU8,
+    ended: AtomicBool,
+    threads: Mutex<Vec<thread::JoinHandle<()>>>,
+}
+
+/// Forwards TCP connections to a target.
+pub struct Link {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    acceptor: Option<thread::JoinHandle<()>>,
+}
+
+impl Link {
+    /// Opens a link to a target on a port of its own.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no loopback port is free.
+    pub fn new(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let address = listener.local_addr().expect("the socket is bound");
+        let shared = Arc::new(Shared {
+            target,
+            mode: AtomicU8::new(Mode::Pass as u8),
+            silenced_below: AtomicU8::new(0),
+            ended: AtomicBool::new(false),
+            threads: Mutex::default(),
+        });
+        let accepting = shared.clone();
+        let acceptor = thread::spawn(move || accept(&listener, &accepting));
+        Self {
+            address,
+            shared,
+            acceptor: Some(acceptor),
+        }
+    }
+
+    /// Returns the address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what the link does with open and new connections.
+    pub fn set(&self, mode: Mode) {
+        self.shared.mode.store(mode as u8, Ordering::SeqCst);
+    }
+
+    /// Lets all connections that are open now go silent for good, while new
+    /// ones work.
+    pub fn silence_open_connections(&self) {
+        self.shared.silenced_below.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.shared.ended.store(true, Ordering::SeqCst);
+        // Wakes the acceptor.
+        let _ = TcpStream::connect(self.address);
+        if let Some(acceptor) = self.acceptor.take() {
+            let _ = acceptor.join();
+        }
+        let mut threads = self
+            .shared
+            .threads
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for thread in threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
+    while let Ok((near, _)) = listener.accept() {
+        if shared.ended.load(Ordering::SeqCst) {
+            return;
+        }
+        if shared.mode.load(Ordering::SeqCst) == Mode::Cut as u8 {
+            continue;
+        }
+        let Ok(far) = TcpStream::connect(shared.target) else {
+            continue;
+        };
+        // A socket that cannot be set up is closed, as a broken link would do.
+        let _ = connect(near, far, shared);
+    }
+}
+
+fn connect(near: TcpStream, far: TcpStream, shared: &Arc<Shared>) -> std::io::Result<()> {
+    for stream in [&near, &far] {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(POLL_INTERVAL))?;
+    }
+    let generation = shared.silenced_below.load(Ordering::SeqCst);
+    let back = (far.try_clone()?, near.try_clone()?);
+    let mut threads = shared
+        .threads
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    for (from, to) in [(near, far), back] {
+        let shared = shared.clone();
+        threads.push(thread::spawn(move || {
+            carry(&from, &to, &shared, generation);
+            let _ = from.shutdown(Shutdown::Both);
+            let _ = to.shutdown(Shutdown::Both);
+        }));
+    }
+    Ok(())
+}
+
+fn carry(mut from: &TcpStream, mut to: &TcpStream, shared: &Shared, generation: u8) {
+    let mut buffer = [0; 16 * 1024];
+    loop {
+        if shared.ended.load(Ordering::SeqCst) {
+            return;
+        }
+        let mode = shared.mode.load(Ordering::SeqCst);
+        if mode == Mode::Cut as u8 {
+            return;
+        }
+        let length = match from.read(&mut buffer) {
+            Ok(0) => return,
+            Ok(length) => length,
+            Err(error) if is_timeout(&error) => continue,
+            Err(_) => return,
+        };
+        let is_silenced = shared.silenced_below.load(Ordering::SeqCst) != generation;
+        let is_silent = shared.mode.load(Ordering::SeqCst) == Mode::Silent as u8;
+        if !is_silenced && !is_silent && to.write_all(&buffer[..length]).is_err() {
+            return;
+        }
+    }
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind;
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+}
--- /dev/null
+++ b/crates/dotterelsill_e2e/src/process.rs
@@ -0,0 +1,201 @@
+//! One process of the system.
+
+use std::{
+    collections::HashMap,
+    env,
+    fs,
+    io::{
+        BufRead as _,
+        BufReader, //
+    },
+    net::SocketAddr,
+    path::PathBuf,
+    process::{
+        Child,
+        Command,
+        ExitStatus,
+        Stdio, //
+    },
+    sync::{
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+        mpsc,
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::Duration, //
+};
+
+use rustix::process::{
+    kill_process,
+    Pid,
+    Signal, //
+};
+
+/// Longest time that a process may take to listen.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+static NEXT_FILE: AtomicU32 = AtomicU32::new(0);
+
+/// A process that is killed when its handle is dropped.
+pub struct Process {
+    child: Child,
+    addresses: HashMap<String, SocketAddr>,
+    log: Arc<Mutex<Vec<String>>>,
+    reader: Option<JoinHandle<()>>,
+    settings: PathBuf,
+}
+
+impl Process {
+    /// Starts a binary of the workspace and waits until it listens on as many
+    /// addresses as named.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process does not listen in time.
+    pub fn start(binary: &str, settings: &str, listeners: usize) -> Self {
+        let path = settings_file(settings);
+        let mut child = Command::new(binary_path(binary))
+            .arg("--settings")
+            .arg(&path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("start {binary}: {error}; run `cargo build --bins`"));
+        let stderr = child.stderr.take().expect("standard error is piped");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let (sender, listening) = mpsc::channel();
+        let lines = log.clone();
+        let reader = thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                if let Some(address) = listening_address(&line) {
+                    // The test may have stopped waiting.
+                    let _ = sender.send(address);
+                }
+                lines
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(line);
+            }
+        });
+        let mut process = Self {
+            child,
+            addresses: HashMap::new(),
+            log,
+            reader: Some(reader),
+            settings: path,
+        };
+        for _ in 0..listeners {
+            let Ok((name, address)) = listening.recv_timeout(START_TIMEOUT) else {
+                panic!("{binary} does not listen: {:?}", process.log());
+            };
+            process.addresses.insert(name, address);
+        }
+        process
+    }
+
+    /// Returns the address of a listener by the name in its log line.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no listener of that name.
+    pub fn address(&self, listener: &str) -> SocketAddr {
+        self.addresses[listener]
+    }
+
+    /// Returns the log lines so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops the process from running until [`Self::resume`].
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process run again.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to shut down.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process cannot be waited for.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the process is a child")
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("the process is a child that was not waited for");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.join();
+        }
+        let _ = fs::remove_file(&self.settings);
+        if thread::panicking() {
+            for line in self.log() {
+                eprintln!("{}: {line}", self.settings.display());
+            }
+        }
+    }
+}
+
+fn settings_file(settings: &str) -> PathBuf {
+    let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+    let name = format!("dotterelsill-{}-{number}.yaml", std::process::id());
+    let path = env::temp_dir().join(name);
+    fs::write(&path, settings).expect("the temporary directory can be written");
+    path
+}
+
+/// Returns the path of a binary next to the directory of the test binary.
+fn binary_path(binary: &str) -> PathBuf {
+    let test = env::current_exe().expect("the test binary has a path");
+    let profile = test
+        .parent()
+        .and_then(|deps| deps.parent())
+        .expect("test binaries lie in target/<profile>/deps");
+    profile.join(binary)
+}
+
+/// Reads name and address from the log line of a listener.
+fn listening_address(line: &str) -> Option<(String, SocketAddr)> {
+    if !line.contains("event=listening") {
+        return None;
+    }
+    let value = |key: &str| {
+        line.split(' ')
+            .find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
+    };
+    let name = value("name").unwrap_or_default().to_owned();
+    Some((name, value("address")?.parse().ok()?))
+}
