--- a/crates/dotterelsill_e2e/tests/whole_path.rs
+++ b/crates/dotterelsill_e2e/tests/whole_path.rs
@@ -36,7 +36,7 @@
         fleet.await_revision(1).await;
 
         let caller = fleet.caller(0, None);
-        let (answer, _) = futures_lite::future::zip(caller.send("/q/open/x", "scan 17"), async {
+        let (answer, ()) = futures_lite::future::zip(caller.send("/q/open/x", "scan 17"), async {
             async_io::Timer::after(std::time::Duration::from_millis(500)).await;
             fleet.entries[0].process.terminate();
         })
