Add freshness proofs and their relay

An instance has to know whether the revision that it works under can be outdated. Proofs are the pair of revision and the instant at which the read was sent; merging takes the highest revision and the latest instant; a relayed proof is set back by its age and the drift margin, rounded up to the next nanosecond.

A proof is fresh strictly before its end, so that an end can be stored as "holds until". Ruled out: a lower revision that still extends the instant. It would be a valid proof for linearizable reads, but an old replica cannot be told from a late answer, so it proves nothing and is counted. Ruled out too: counting a peer that lags behind as a stale read of the store.

--- a/crates/dotterelsill_freshness/src/lib.rs
+++ b/crates/dotterelsill_freshness/src/lib.rs
@@ -1,1 +1,44 @@
 //! Proofs that a revision was current at an instant.
+//!
+//! A linearizable read of the store that returns revision r proves that every
+//! write completed before the read was sent has a revision of at most r. The
+//! reader keeps the revision with the instant of sending, from its own
+//! monotonic clock, and passes the proof to peers together with its age.
+//!
+//! The crate does no I/O and reads no clock: the caller passes in every instant.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::time::{
+//!     Duration,
+//!     Instant, //
+//! };
+//!
+//! use dotterelsill_freshness::{
+//!     Freshness,
+//!     Limits, //
+//! };
+//!
+//! let sent_at = Instant::now();
+//! let mut freshness = Freshness::new(Limits::default());
+//! freshness.on_store_read(sent_at, 7);
+//! assert!(freshness.is_fresh(sent_at + Duration::from_millis(2_999)));
+//! assert!(!freshness.is_fresh(sent_at + Duration::from_secs(3)));
+//! ```
+
+mod drift;
+mod freshness;
+mod limits;
+mod proof;
+
+pub use drift::Drift;
+pub use freshness::{
+    Freshness,
+    Observation, //
+};
+pub use limits::Limits;
+pub use proof::{
+    Proof,
+    RelayedProof, //
+};
