Put revisions in force by proof, and report changes as in force only when they are

Entries register with a lease, read the head each second, ask peers when their own proof is old, and have peers renew the lease when the store is cut off. A request starts only under a verdict taken at dispatch. A change is reported as in force after every registered instance has confirmed it or can start nothing more.

Faults found by the new tests with processes and links on loopback: an entry asked itself over the network and never confirmed when its own address was cut off (it now answers itself); a registration made before the first document was read had no isolation limit (the limit in force is registered anew, and the earlier incarnation is fenced by its own process); a head that cannot be decoded must not count as missing, or the next change would revert to revision 1 (it is an error now).

--- a/crates/dotterelsill_e2e/src/fleet.rs
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -265,7 +265,8 @@
         )
     }
 
-    fn operator(&self, index: usize) -> OperatorClient<Channel> {
+    /// Returns a client for the operators' calls of the entry of an index.
+    pub fn operator(&self, index: usize) -> OperatorClient<Channel> {
         let address = self.entries[index].process.address("listen_peers");
         let origin = tonic::codegen::http::Uri::from_static("http://entry");
         OperatorClient::with_origin(self.channel(address), origin)
--- /dev/null
+++ b/crates/dotterelsill_entry/src/acceptance.rs
@@ -0,0 +1,112 @@
+//! Waits until a stored change is in force everywhere.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use async_io::Timer;
+use dotterelsill_proto::peer;
+use dotterelsill_revision::{
+    Acceptance,
+    Acknowledgement,
+    Incarnation,
+    Limits,
+    Member,
+    MemberState, //
+};
+use futures_util::future::join_all;
+
+use crate::{
+    members,
+    peers,
+    shared::Shared, //
+};
+
+/// Longest time that the command line waits for a change to be in force.
+const WAIT_LIMIT: Duration = Duration::from_secs(9);
+
+/// Time between two rounds of questions.
+const ROUND_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time between two lists of the registered instances.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Waits until a stored change is in force, or the time is over.
+pub(crate) async fn wait(shared: &Shared, revision: u64) -> Acknowledgement {
+    let stored_at = Instant::now();
+    let mut acceptance = Acceptance::new(revision, stored_at, false, Limits::default());
+    let mut listed: Vec<peer::Member> = Vec::new();
+    let mut list_at = stored_at;
+    loop {
+        if Instant::now() >= list_at {
+            list_at = Instant::now() + LIST_INTERVAL;
+            if let Some(members) = observe(shared, &mut acceptance).await {
+                listed = members;
+            }
+        }
+        ask(shared, &mut acceptance, &listed).await;
+        let acknowledgement = acceptance.acknowledgement(Instant::now());
+        let is_over = stored_at.elapsed() >= WAIT_LIMIT;
+        if is_over || matches!(acknowledgement, Acknowledgement::InForce { .. }) {
+            return acknowledgement;
+        }
+        Timer::after(ROUND_INTERVAL).await;
+    }
+}
+
+/// Reads the registered instances and their leases.
+async fn observe(shared: &Shared, acceptance: &mut Acceptance) -> Option<Vec<peer::Member>> {
+    let sent_at = Instant::now();
+    let listed = members::list(shared).await.ok()?;
+    let members: Vec<Member> = listed.iter().filter_map(member_of).collect();
+    let alive_sent_at = Instant::now();
+    let alive = members::list_alive(shared).await.ok()?;
+    // Both reads are sent after the change was stored, so neither is refused.
+    acceptance.on_members(sent_at, &members).ok()?;
+    acceptance
+        .on_leases(alive_sent_at, Instant::now(), &alive)
+        .ok()?;
+    Some(listed)
+}
+
+/// Asks every instance that has not confirmed.
+async fn ask(shared: &Shared, acceptance: &mut Acceptance, listed: &[peer::Member]) {
+    // This instance needs no network to confirm.
+    if let Some(instance) = shared.authority.update().as_ref() {
+        let own = instance.relay(Instant::now());
+        acceptance.on_answer(own.incarnation, own.in_force);
+    }
+    let to_ask: Vec<String> = acceptance
+        .to_ask()
+        .map(|member| member.incarnation.to_string())
+        .collect();
+    let asked = listed
+        .iter()
+        .filter(|member| to_ask.contains(&member.incarnation))
+        .map(|member| peers::relay(shared, member, 0));
+    for answer in join_all(asked).await.into_iter().flatten() {
+        if let Some(answer) = peers::relay_answer(&answer) {
+            acceptance.on_answer(answer.incarnation, answer.in_force);
+        }
+    }
+}
+
+/// Returns a registered instance in the form that the decision takes.
+pub(crate) fn member_of(member: &peer::Member) -> Option<Member> {
+    let incarnation = u128::from_str_radix(&member.incarnation, 16).ok()?;
+    let state = match member.state.as_str() {
+        "fenced" => MemberState::Fenced,
+        "leaving" => MemberState::Leaving,
+        _ => MemberState::Live,
+    };
+    Some(Member {
+        incarnation: Incarnation(incarnation),
+        instance: Arc::from(member.instance.as_str()),
+        isolation_limit: Duration::from_millis(member.isolation_limit_ms),
+        state,
+    })
+}
--- /dev/null
+++ b/crates/dotterelsill_entry/src/authority.rs
@@ -0,0 +1,132 @@
+//! What this incarnation may do, published for the path of a request.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Instant, //
+};
+
+use arc_swap::{
+    ArcSwap,
+    ArcSwapOption, //
+};
+use dotterelsill_proto::config;
+use dotterelsill_revision::{
+    Decision,
+    Head,
+    Instance,
+    Mode,
+    Snapshot,
+    WhenIsolated,
+    WriteId, //
+};
+use event_listener::Event;
+
+/// The state of this incarnation behind a mutex, and what requests need of it.
+///
+/// Requests read the published snapshot only and take no lock.
+#[derive(Default)]
+pub(crate) struct Published {
+    instance: Mutex<Option<Instance>>,
+    snapshot: ArcSwapOption<Snapshot>,
+    /// Newest head with its digest.
+    head: ArcSwap<config::Head>,
+    changed: Event,
+}
+
+/// The state for one change; it is published when this is dropped.
+pub(crate) struct Update<'a> {
+    published: &'a Published,
+    guard: MutexGuard<'a, Option<Instance>>,
+}
+
+impl Published {
+    /// Starts a change of the state.
+    pub(crate) fn update(&self) -> Update<'_> {
+        let guard = self.instance.lock().unwrap_or_else(PoisonError::into_inner);
+        Update {
+            published: self,
+            guard,
+        }
+    }
+
+    /// Returns what may be done with work of a queue, or `None` before the
+    /// first registration.
+    pub(crate) fn decide(&self, when_isolated: WhenIsolated, now: Instant) -> Option<Decision> {
+        let snapshot = self.snapshot.load();
+        Some(snapshot.as_ref()?.decide(when_isolated, now))
+    }
+
+    /// Returns the mode of this incarnation.
+    pub(crate) fn mode(&self, now: Instant) -> Mode {
+        let snapshot = self.snapshot.load();
+        snapshot
+            .as_ref()
+            .map_or(Mode::Lapsed, |snapshot| snapshot.verdict(now).mode)
+    }
+
+    /// Returns a listener that is notified after the next change.
+    pub(crate) fn listen(&self) -> event_listener::EventListener {
+        self.changed.listen()
+    }
+
+    /// Returns the newest head.
+    pub(crate) fn head(&self) -> Arc<config::Head> {
+        self.head.load_full()
+    }
+
+    /// Keeps a head for its digest, if it is newer than the one kept.
+    pub(crate) fn keep_head(&self, head: &config::Head) {
+        self.head.rcu(|kept| {
+            if head.revision > kept.revision {
+                Arc::new(head.clone())
+            } else {
+                kept.clone()
+            }
+        });
+    }
+}
+
+impl std::ops::Deref for Update<'_> {
+    type Target = Option<Instance>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.guard
+    }
+}
+
+impl std::ops::DerefMut for Update<'_> {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        &mut self.guard
+    }
+}
+
+impl Drop for Update<'_> {
+    fn drop(&mut self) {
+        let snapshot = self.guard.as_ref().map(Instance::snapshot).map(Arc::new);
+        self.published.snapshot.store(snapshot);
+        self.published.changed.notify(usize::MAX);
+    }
+}
+
+/// Returns the identity of a head without its digest.
+pub(crate) fn head_of(head: &config::Head) -> Head {
+    Head {
+        revision: head.revision,
+        write_id: WriteId::new(&head.write_id),
+    }
+}
+
+/// Returns the mode's word in `status` and metrics.
+pub(crate) fn mode_name(mode: Mode) -> &'static str {
+    match mode {
+        Mode::Fresh => "fresh",
+        Mode::Isolated => "isolated",
+        Mode::Lapsed => "lapsed",
+        Mode::Stale => "stale",
+    }
+}
--- a/crates/dotterelsill_entry/src/callers.rs
+++ b/crates/dotterelsill_entry/src/callers.rs
@@ -41,6 +41,7 @@
         QueuePlan,
         Snapshot, //
     }, //
+    start,
 };
 
 /// Longest body of a request, in bytes.
@@ -80,14 +81,19 @@
 ) -> Result<Outcome, Reason> {
     let (head, body) = request.into_parts();
     let body = read_body(body).await?;
+    let deadline = Instant::now() + Duration::from_millis(plan.queue.timeout_ms.into());
     authorize(snapshot, plan, &head.headers)?;
-    let upstream = choose(snapshot, plan)?;
+    let snapshot = start::permit(shared, plan, deadline).await?;
+    // The revision in force may be newer than the one read above.
+    let plan = queue_plan(&snapshot, head.uri.path())?;
+    authorize(&snapshot, plan, &head.headers)?;
+    let upstream = choose(&snapshot, plan)?;
 
     let mut forwarded = Request::new(Full::new(body));
     *forwarded.method_mut() = head.method;
     *forwarded.uri_mut() = head.uri;
     *forwarded.headers_mut() = forwarded_headers(head.headers);
-    let limit = Duration::from_millis(plan.queue.timeout_ms.into());
+    let limit = deadline.saturating_duration_since(Instant::now());
     match timeout(limit, upstream.exchange(forwarded, &shared.tasks)).await {
         Ok(Ok(answer)) => Ok(answered(answer)),
         Ok(Err(error)) if error.is_unsent() => Err(Reason::new(
--- a/crates/dotterelsill_entry/src/change.rs
+++ b/crates/dotterelsill_entry/src/change.rs
@@ -1,9 +1,26 @@
 //! Changes of the configuration.
 
+use std::time::{
+    Duration,
+    Instant, //
+};
+
 use dotterelsill_proto::config::{
     Document,
     Head, //
 };
+use dotterelsill_revision::{
+    Action,
+    Base,
+    BodyAnswer,
+    Change,
+    HeadRead,
+    Outcome,
+    Predecessor,
+    SwapAnswer,
+    UnknownReason,
+    WriteId, //
+};
 use prost::Message as _;
 use sha2::{
     Digest as _,
@@ -15,18 +32,28 @@
 };
 
 use crate::{
+    authority::head_of,
     shared::Shared,
     sync::{
+        self,
         body_key,
         read_document,
+        DecodeSnafu,
+        StoreSnafu,
         SyncError,
         HEAD_KEY, //
     }, //
 };
 
+/// Longest time that storing a change may take.
+const STORE_LIMIT: Duration = Duration::from_secs(5);
+
 /// Number of times that a change is tried again after another change came first.
 const CONFLICT_RETRIES: usize = 8;
 
+/// Pause before a call is made again that got no answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// A change was not made, or is not known to be made.
 #[derive(Debug, Snafu)]
 pub(crate) enum ChangeError {
@@ -34,91 +61,173 @@
     Refused { reason: String },
     #[snafu(display("{source}"))]
     Read { source: SyncError },
-    #[snafu(display("{source}"))]
-    Write { source: dotterelsill_store::Error },
+    #[snafu(display("the store did not take the change in time; nothing was changed"))]
+    NotSent,
+    #[snafu(display("{reason}"))]
+    NotKnown { reason: UnknownReason },
     #[snafu(display("other changes came first {CONFLICT_RETRIES} times; try again"))]
     Conflict,
 }
 
 /// Applies an edit to the newest document and stores it as the next revision.
 ///
-/// Returns the new revision.
+/// Returns the new revision. An attempt that another change overtook is made
+/// again on the newer document, under the write identifier with a suffix.
 pub(crate) async fn make(
     shared: &Shared,
     write_id: &str,
     edit: impl Fn(&mut Document) -> Result<(), String>,
 ) -> Result<u64, ChangeError> {
-    for _ in 0..CONFLICT_RETRIES {
-        if let Some(revision) = try_once(shared, write_id, &edit).await? {
-            return Ok(revision);
+    for attempt in 0..CONFLICT_RETRIES {
+        let write_id = match attempt {
+            0 => write_id.to_owned(),
+            n => format!("{write_id}.{n}"),
+        };
+        match attempt_once(shared, &write_id, &edit).await? {
+            Outcome::Stored { revision } => {
+                // The change is in force here at once, not with the next read.
+                if let Err(error) = sync::load(shared).await {
+                    log::warn!(error:%; "revision_not_loaded");
+                }
+                return Ok(revision);
+            }
+            Outcome::Overtaken => {}
+            Outcome::NotSent => return NotSentSnafu.fail(),
+            Outcome::Unknown { reason } => return NotKnownSnafu { reason }.fail(),
         }
     }
     ConflictSnafu.fail()
 }
 
-async fn try_once(
+async fn attempt_once(
     shared: &Shared,
     write_id: &str,
     edit: impl Fn(&mut Document) -> Result<(), String>,
-) -> Result<Option<u64>, ChangeError> {
-    let (head, version) = read_head(shared).await?;
-    let mut document = if head.revision == 0 {
-        Document::default()
-    } else {
-        read_document(shared, &head.write_id)
+) -> Result<Outcome, ChangeError> {
+    let (version, head) = read_head(shared).await.context(ReadSnafu)?;
+    let mut document = match &head {
+        Some(head) => read_document(shared, &head.write_id)
             .await
-            .context(ReadSnafu)?
+            .context(ReadSnafu)?,
+        None => Document::default(),
     };
     edit(&mut document).map_err(|reason| ChangeError::Refused { reason })?;
     document.previous_write_id = std::mem::replace(&mut document.write_id, write_id.to_owned());
-    let body = document.encode_to_vec();
-    let next = Head {
-        revision: head.revision + 1,
-        write_id: write_id.to_owned(),
-        document_sha256: Sha256::digest(&body).to_vec(),
+    let base = Base {
+        version,
+        head: head.as_ref().map(head_of),
     };
-    write_body(shared, write_id, body).await?;
-    let put = shared
-        .store
-        .put(HEAD_KEY, next.encode_to_vec(), version, 0)
-        .await
-        .context(WriteSnafu)?;
-    Ok(put.written.then_some(next.revision))
+    let deadline = Instant::now() + STORE_LIMIT;
+    let change = Change::new(WriteId::new(write_id), base, deadline);
+    Ok(store(shared, change, &document.encode_to_vec()).await)
+}
+
+/// Makes the calls that store a change.
+async fn store(shared: &Shared, mut change: Change, body: &[u8]) -> Outcome {
+    loop {
+        let action = change.next();
+        let result = match &action {
+            Action::WriteBody => write_body(shared, &mut change, body).await,
+            Action::SwapHead {
+                expected_version, ..
+            } => swap_head(shared, &mut change, *expected_version, body).await,
+            Action::ReadHead => read_back_head(shared, &mut change).await,
+            Action::ReadBody { write_id } => read_predecessor(shared, &mut change, write_id).await,
+            Action::Done(outcome) => return outcome.clone(),
+        };
+        if let Err(error) = result {
+            log::debug!(error:%; "change_call_failed");
+            change.on_lost(Instant::now());
+            async_io::Timer::after(RETRY_PAUSE).await;
+        }
+    }
 }
 
-async fn read_head(shared: &Shared) -> Result<(Head, u64), ChangeError> {
-    let entry = shared
+async fn write_body(shared: &Shared, change: &mut Change, body: &[u8]) -> Result<(), SyncError> {
+    let key = body_key(change.head().write_id.as_str());
+    let put = shared
         .store
-        .get(HEAD_KEY)
+        .put(&key, body.to_vec(), 0, 0)
         .await
-        .map_err(|source| SyncError::Store { source })
-        .context(ReadSnafu)?;
-    let Some(entry) = entry else {
-        return Ok((Head::default(), 0));
+        .context(StoreSnafu)?;
+    let answer = if put.written {
+        BodyAnswer::Written
+    } else {
+        let stored = shared.store.get(&key).await.context(StoreSnafu)?;
+        let is_same = stored.is_some_and(|entry| entry.value == body);
+        if is_same {
+            BodyAnswer::Written
+        } else {
+            BodyAnswer::Different
+        }
     };
-    let head = Head::decode(entry.value.as_slice())
-        .map_err(|source| SyncError::Decode {
-            key: HEAD_KEY.to_owned(),
-            source,
-        })
-        .context(ReadSnafu)?;
-    Ok((head, entry.version))
+    change.on_body(answer, Instant::now());
+    Ok(())
 }
 
-/// Writes the document of a change; an older attempt's document is replaced.
-async fn write_body(shared: &Shared, write_id: &str, body: Vec<u8>) -> Result<(), ChangeError> {
-    let key = body_key(write_id);
+async fn swap_head(
+    shared: &Shared,
+    change: &mut Change,
+    expected_version: u64,
+    body: &[u8],
+) -> Result<(), SyncError> {
+    let next = change.head();
+    let head = Head {
+        revision: next.revision,
+        write_id: next.write_id.as_str().to_owned(),
+        document_sha256: Sha256::digest(body).to_vec(),
+    };
+    let value = head.encode_to_vec();
     let put = shared
         .store
-        .put(&key, body.clone(), 0, 0)
+        .put(HEAD_KEY, value, expected_version, 0)
         .await
-        .context(WriteSnafu)?;
-    if !put.written {
-        shared
-            .store
-            .put(&key, body, put.version, 0)
-            .await
-            .context(WriteSnafu)?;
+        .context(StoreSnafu)?;
+    if put.written {
+        shared.authority.keep_head(&head);
+        change.on_swap(SwapAnswer::Swapped, Instant::now());
+    } else {
+        change.on_swap(SwapAnswer::Mismatch, Instant::now());
     }
     Ok(())
 }
+
+async fn read_back_head(shared: &Shared, change: &mut Change) -> Result<(), SyncError> {
+    let (version, head) = read_head(shared).await?;
+    if let Some(head) = &head {
+        shared.authority.keep_head(head);
+    }
+    let read = HeadRead {
+        version,
+        head: head.as_ref().map(head_of),
+    };
+    change.on_head(&read, Instant::now());
+    Ok(())
+}
+
+async fn read_predecessor(
+    shared: &Shared,
+    change: &mut Change,
+    write_id: &WriteId,
+) -> Result<(), SyncError> {
+    let key = body_key(write_id.as_str());
+    let entry = shared.store.get(&key).await.context(StoreSnafu)?;
+    let document = entry.and_then(|entry| Document::decode(entry.value.as_slice()).ok());
+    let predecessor = match document {
+        None => Predecessor::BodyMissing,
+        Some(document) if document.previous_write_id.is_empty() => Predecessor::None,
+        Some(document) => Predecessor::Write(WriteId::new(&document.previous_write_id)),
+    };
+    change.on_predecessor(write_id, predecessor, Instant::now());
+    Ok(())
+}
+
+/// Reads the head and its version.
+async fn read_head(shared: &Shared) -> Result<(u64, Option<Head>), SyncError> {
+    let entry = shared.store.get(HEAD_KEY).await.context(StoreSnafu)?;
+    let Some(entry) = entry else {
+        return Ok((0, None));
+    };
+    let head = Head::decode(entry.value.as_slice()).context(DecodeSnafu { key: HEAD_KEY })?;
+    Ok((entry.version, Some(head)))
+}
--- a/crates/dotterelsill_entry/src/daemon.rs
+++ b/crates/dotterelsill_entry/src/daemon.rs
@@ -45,9 +45,11 @@
 use crate::{
     admin,
     callers,
+    members,
     metrics::Metrics,
     operator,
     peer,
+    register,
     shared::Shared,
     sync, //
 };
@@ -80,9 +82,15 @@
     let admin = bind("listen_admin", &settings.listen_admin)?;
     let store = Client::new(store, &tasks);
     let metrics = Metrics::new().context(MetricsSnafu)?;
-    let shared = Shared::new(settings, store, tasks.clone(), metrics);
+    let peer_address = match settings.advertise_peers.as_str() {
+        "" => peers.address().to_string(),
+        address => address.to_owned(),
+    };
+    let shared = Shared::new(settings, peer_address, store, tasks.clone(), metrics);
 
+    tasks.spawn_until_stop(register::run(shared.clone()));
     tasks.spawn_until_stop(sync::run(shared.clone()));
+    tasks.spawn_until_stop(members::run(shared.clone()));
     let services = Pair::new(
         OperatorServer::new(operator::Service::new(shared.clone())),
         PeerServer::new(peer::Service::new(shared.clone())),
@@ -93,6 +101,7 @@
     spawn_http(&tasks, admin, &shared, admin::serve);
     termination_signal().await.context(SignalSnafu)?;
     drain(&shared, &requests).await;
+    register::deregister(&shared).await;
     tasks.stop();
     tasks.join().await;
     Ok(())
--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -1,16 +1,22 @@
 //! Entry daemon: takes callers' requests, admits, routes and forwards them.
 
+mod acceptance;
 mod admin;
+mod authority;
 mod callers;
 mod change;
 mod daemon;
 mod forward;
+mod members;
 mod metrics;
 mod operator;
 mod outcome;
 mod peer;
+mod peers;
+mod register;
 mod shared;
 mod snapshot;
+mod start;
 mod sync;
 
 use std::{
--- a/crates/dotterelsill_entry/src/operator.rs
+++ b/crates/dotterelsill_entry/src/operator.rs
@@ -1,6 +1,9 @@
 //! Calls of the operators' command line.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Instant, //
+};
 
 use dotterelsill_proto::{
     config::{
@@ -17,9 +20,11 @@
         SetDataCentreRequest,
         StatusRequest,
         StatusResponse,
+        Unconfirmed,
         WithdrawKeyRequest, //
     }, //
 };
+use dotterelsill_revision::Acknowledgement;
 use tonic::{
     Request,
     Response,
@@ -27,6 +32,8 @@
 };
 
 use crate::{
+    acceptance,
+    authority::mode_name,
     change::{
         self,
         ChangeError, //
@@ -45,17 +52,23 @@
         Self { shared }
     }
 
+    /// Returns the age of the proof in milliseconds; without a proof, the
+    /// largest number.
+    fn proof_age_ms(&self) -> u64 {
+        let update = self.shared.authority.update();
+        update
+            .as_ref()
+            .and_then(|instance| instance.freshness().age(Instant::now()))
+            .map_or(u64::MAX, |age| age.as_millis() as u64)
+    }
+
     async fn change(
         &self,
         write_id: &str,
         edit: impl Fn(&mut Document) -> Result<(), String>,
     ) -> Result<Response<ChangeResponse>, Status> {
         let response = match change::make(&self.shared, write_id, edit).await {
-            Ok(revision) => ChangeResponse {
-                state: ChangeState::Stored.into(),
-                revision,
-                ..ChangeResponse::default()
-            },
+            Ok(revision) => acknowledged(acceptance::wait(&self.shared, revision).await),
             Err(error) => failed(&error),
         };
         log::info!(
@@ -68,9 +81,37 @@
     }
 }
 
+fn acknowledged(acknowledgement: Acknowledgement) -> ChangeResponse {
+    match acknowledgement {
+        Acknowledgement::InForce { revision } => ChangeResponse {
+            state: ChangeState::InForce.into(),
+            revision,
+            ..ChangeResponse::default()
+        },
+        Acknowledgement::Stored {
+            revision,
+            unconfirmed,
+            ..
+        } => ChangeResponse {
+            state: ChangeState::Stored.into(),
+            revision,
+            unconfirmed: unconfirmed.iter().map(unconfirmed_message).collect(),
+            ..ChangeResponse::default()
+        },
+    }
+}
+
+fn unconfirmed_message(unconfirmed: &dotterelsill_revision::Unconfirmed) -> Unconfirmed {
+    Unconfirmed {
+        instance: unconfirmed.instance.to_string(),
+        reason: unconfirmed.reason.to_string(),
+        at_most_s: unconfirmed.at_most.as_secs().saturating_add(1) as u32,
+    }
+}
+
 fn failed(error: &ChangeError) -> ChangeResponse {
     let state = match error {
-        ChangeError::Write { .. } => ChangeState::Unknown,
+        ChangeError::NotKnown { .. } => ChangeState::Unknown,
         _ => ChangeState::Refused,
     };
     ChangeResponse {
@@ -163,8 +204,10 @@
             instance: self.shared.settings.instance.clone(),
             revision: snapshot.revision,
             data_centres_out: snapshot.document.data_centres_out.clone(),
+            authority: mode_name(self.shared.authority.mode(Instant::now())).to_owned(),
+            proof_age_ms: self.proof_age_ms(),
+            members: self.shared.peers.members().to_vec(),
             store_calls: self.shared.store.calls(),
-            ..StatusResponse::default()
         }))
     }
 }
--- a/crates/dotterelsill_entry/src/peer.rs
+++ b/crates/dotterelsill_entry/src/peer.rs
@@ -1,6 +1,12 @@
 //! Calls of other entry instances.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
 
 use dotterelsill_proto::peer::{
     peer_server::Peer,
@@ -17,6 +23,11 @@
 
 use crate::shared::Shared;
 
+/// Returns an age in microseconds, rounded up so that it is never too low.
+fn age_us(age: Duration) -> u64 {
+    age.as_nanos().div_ceil(1000) as u64
+}
+
 /// Implements `Peer`.
 pub(crate) struct Service {
     shared: Arc<Shared>,
@@ -33,9 +44,29 @@
 impl Peer for Service {
     async fn relay(
         &self,
-        _request: Request<RelayRequest>,
+        request: Request<RelayRequest>,
     ) -> Result<Response<RelayResponse>, Status> {
-        Ok(Response::new(RelayResponse::default()))
+        let lease = request.into_inner().lease;
+        let lease_renewed = match lease {
+            0 => false,
+            lease => matches!(self.shared.store.lease_keep_alive(lease).await, Ok(true)),
+        };
+        let update = self.shared.authority.update();
+        let Some(instance) = update.as_ref() else {
+            return Err(Status::unavailable("not registered yet"));
+        };
+        let relay = instance.relay(Instant::now());
+        let head = self.shared.authority.head();
+        let known = relay.head.map_or(0, |head| head.revision);
+        Ok(Response::new(RelayResponse {
+            // The digest is kept beside the decision and may be newer by one.
+            head: (head.revision > 0 && head.revision >= known).then(|| (*head).clone()),
+            proof_age_us: relay.proof_age.map_or(0, age_us),
+            has_proof: relay.proof_age.is_some(),
+            incarnation: relay.incarnation.to_string(),
+            revision_in_force: relay.in_force.unwrap_or(0),
+            lease_renewed,
+        }))
     }
 
     async fn document(
--- /dev/null
+++ b/crates/dotterelsill_entry/src/peers.rs
@@ -0,0 +1,175 @@
+//! Other entry instances: who they are, and questions to them.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use arc_swap::ArcSwap;
+use dotterelsill_proto::{
+    config::Document,
+    peer::{
+        peer_client::PeerClient,
+        DocumentRequest,
+        Member,
+        RelayRequest,
+        RelayResponse, //
+    }, //
+};
+use dotterelsill_revision::{
+    Incarnation,
+    RelayAnswer, //
+};
+use dotterelsill_rpc::{
+    timeout,
+    Channel,
+    Tasks, //
+};
+use futures_util::future::join_all;
+use tonic::codegen::http::Uri;
+
+use crate::{
+    authority::head_of,
+    register,
+    shared::Shared, //
+};
+
+/// Longest time that a call to a peer may take.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest message of a peer: a document of 1 MB.
+const MESSAGE_LIMIT_BYTES: usize = 2 * 1024 * 1024;
+
+/// Registered instances as listed last, and connections to them.
+#[derive(Default)]
+pub(crate) struct Peers {
+    members: ArcSwap<Vec<Member>>,
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+}
+
+impl Peers {
+    /// Returns the registered instances as listed last, this one included.
+    pub(crate) fn members(&self) -> Arc<Vec<Member>> {
+        self.members.load_full()
+    }
+
+    /// Replaces the registered instances and drops connections to others.
+    pub(crate) fn set_members(&self, members: Vec<Member>) {
+        let addresses: Vec<SocketAddr> = members
+            .iter()
+            .filter_map(|member| member.peer_address.parse().ok())
+            .collect();
+        self.channels()
+            .retain(|address, _| addresses.contains(address));
+        self.members.store(Arc::new(members));
+    }
+
+    /// Returns a client for a registered instance, or `None` when its address
+    /// cannot be read.
+    pub(crate) fn client(&self, member: &Member, tasks: &Tasks) -> Option<PeerClient<Channel>> {
+        let address: SocketAddr = member.peer_address.parse().ok()?;
+        let channel = self
+            .channels()
+            .entry(address)
+            .or_insert_with(|| Channel::new(address, CALL_TIMEOUT, tasks))
+            .clone();
+        let origin = Uri::from_static("http://peer");
+        let client = PeerClient::with_origin(channel, origin);
+        Some(client.max_decoding_message_size(MESSAGE_LIMIT_BYTES))
+    }
+
+    fn channels(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Channel>> {
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the registered instances other than this one.
+fn others(shared: &Shared) -> Vec<Member> {
+    let name = &shared.settings.instance;
+    let members = shared.peers.members();
+    let others = members.iter().filter(|member| member.instance != *name);
+    others.cloned().collect()
+}
+
+/// Asks all peers for their proofs, and to renew a lease unless it is 0.
+pub(crate) async fn ask_all(shared: &Shared, lease: u64) {
+    let others = others(shared);
+    join_all(others.iter().map(|peer| ask(shared, peer, lease))).await;
+}
+
+async fn ask(shared: &Shared, peer: &Member, lease: u64) {
+    let asked_at = Instant::now();
+    let Some(answer) = relay(shared, peer, lease).await else {
+        return;
+    };
+    if answer.lease_renewed {
+        register::on_renewal(shared, asked_at, true);
+    }
+    let Some(relayed) = relay_answer(&answer) else {
+        return;
+    };
+    if let Some(head) = &answer.head {
+        shared.authority.keep_head(head);
+    }
+    if let Some(instance) = shared.authority.update().as_mut() {
+        instance.on_relay(asked_at, &relayed);
+    }
+}
+
+/// Sends one question to a peer; `None` when there is no answer.
+pub(crate) async fn relay(shared: &Shared, peer: &Member, lease: u64) -> Option<RelayResponse> {
+    let mut client = shared.peers.client(peer, &shared.tasks)?;
+    let request = RelayRequest {
+        instance: shared.settings.instance.clone(),
+        lease,
+    };
+    match timeout(CALL_TIMEOUT, client.relay(request)).await {
+        Ok(Ok(answer)) => Some(answer.into_inner()),
+        Ok(Err(status)) => {
+            log::debug!(peer = peer.instance, error = status.message(); "relay_failed");
+            None
+        }
+        Err(elapsed) => {
+            log::debug!(peer = peer.instance, error:% = elapsed; "relay_failed");
+            None
+        }
+    }
+}
+
+/// Returns a peer's answer in the form that the decision takes; `None` when it
+/// names no incarnation.
+pub(crate) fn relay_answer(answer: &RelayResponse) -> Option<RelayAnswer> {
+    let incarnation = u128::from_str_radix(&answer.incarnation, 16).ok()?;
+    let proof_age = Duration::from_micros(answer.proof_age_us);
+    Some(RelayAnswer {
+        head: answer.head.as_ref().map(head_of),
+        in_force: (answer.revision_in_force > 0).then_some(answer.revision_in_force),
+        incarnation: Incarnation(incarnation),
+        proof_age: answer.has_proof.then_some(proof_age),
+    })
+}
+
+/// Asks the peers for the document of a revision.
+pub(crate) async fn document(shared: &Shared, revision: u64) -> Option<Document> {
+    for peer in others(shared) {
+        let Some(mut client) = shared.peers.client(&peer, &shared.tasks) else {
+            continue;
+        };
+        let request = DocumentRequest { revision };
+        if let Ok(Ok(answer)) = timeout(CALL_TIMEOUT, client.document(request)).await {
+            if let Some(document) = answer.into_inner().document {
+                return Some(document);
+            }
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/dotterelsill_entry/src/register.rs
@@ -0,0 +1,237 @@
+//! Registration of this incarnation and the renewal of its lease.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use async_io::Timer;
+use dotterelsill_proto::peer::Member;
+use dotterelsill_revision::{
+    Incarnation,
+    Instance,
+    Limits,
+    Registration,
+    RegistrationError,
+    LEASE,
+    MAX_ISOLATION_LIMIT, //
+};
+use prost::Message as _;
+use snafu::{
+    ensure,
+    ResultExt,
+    Snafu, //
+};
+
+use crate::{
+    peers,
+    shared::Shared,
+    sync, //
+};
+
+/// Time between two renewals of the lease.
+const RENEW_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Prefix of the keys of registered incarnations.
+pub(crate) const MEMBER_PREFIX: &str = "member/";
+
+/// Prefix of the leased keys that show which incarnations are alive.
+pub(crate) const ALIVE_PREFIX: &str = "alive/";
+
+/// This incarnation cannot be registered.
+#[derive(Debug, Snafu)]
+pub(crate) enum RegisterError {
+    #[snafu(display("{source}"))]
+    Store { source: dotterelsill_store::Error },
+    #[snafu(display("{key} exists already; an identifier was drawn twice"))]
+    Exists { key: String },
+    #[snafu(display("{source}"))]
+    Registration { source: RegistrationError },
+}
+
+/// Returns the end of the keys of an incarnation.
+pub(crate) fn key_suffix(instance: &str, incarnation: Incarnation) -> String {
+    format!("{instance}/{incarnation}")
+}
+
+/// Registers this incarnation and renews its lease until the program stops.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut lease = 0;
+    loop {
+        if must_register(&shared) {
+            // The isolation limit of the newest configuration is registered.
+            sync::refresh(&shared).await;
+            match register(&shared).await {
+                Ok(granted) => {
+                    lease = granted;
+                    // Only a proof from after the registration counts.
+                    sync::refresh(&shared).await;
+                }
+                Err(error) => log::warn!(error:%; "registration_failed"),
+            }
+        } else {
+            renew(&shared, lease).await;
+        }
+        Timer::after(RENEW_INTERVAL).await;
+    }
+}
+
+/// Returns whether this instance has no registration that it can keep: none
+/// yet, an ended one, or one with a shorter isolation limit than configured.
+fn must_register(shared: &Shared) -> bool {
+    let update = shared.authority.update();
+    let Some(instance) = update.as_ref() else {
+        return true;
+    };
+    let authority = instance.authority();
+    let wanted = wanted_isolation_limit(shared);
+    authority.must_register_again(Instant::now())
+        || wanted > authority.registration().isolation_limit
+}
+
+fn wanted_isolation_limit(shared: &Shared) -> Duration {
+    shared
+        .snapshot
+        .load()
+        .isolation_limit
+        .min(MAX_ISOLATION_LIMIT)
+}
+
+/// Registers a new incarnation and returns its lease.
+async fn register(shared: &Shared) -> Result<u64, RegisterError> {
+    let incarnation = Incarnation(rand::random());
+    if let Some(earlier) = resign(shared) {
+        fence(shared, earlier).await?;
+    }
+    let suffix = key_suffix(&shared.settings.instance, incarnation);
+    let isolation_limit = wanted_isolation_limit(shared);
+    let lease_sent_at = Instant::now();
+    let lease = shared.store.lease_grant(LEASE).await.context(StoreSnafu)?;
+    put_new(shared, format!("{ALIVE_PREFIX}{suffix}"), Vec::new(), lease).await?;
+    let member = Member {
+        instance: shared.settings.instance.clone(),
+        incarnation: incarnation.to_string(),
+        data_centre: shared.settings.data_centre.clone(),
+        peer_address: shared.peer_address.clone(),
+        state: "live".to_owned(),
+        isolation_limit_ms: isolation_limit.as_millis() as u64,
+    };
+    let member = member.encode_to_vec();
+    put_new(shared, format!("{MEMBER_PREFIX}{suffix}"), member, 0).await?;
+    let registration = Registration {
+        lease_sent_at,
+        registered_at: Instant::now(),
+        isolation_limit,
+    };
+    adopt(shared, incarnation, registration)?;
+    log::info!(incarnation:%, lease, isolation_limit_s = isolation_limit.as_secs(); "registered");
+    Ok(lease)
+}
+
+fn adopt(
+    shared: &Shared,
+    incarnation: Incarnation,
+    registration: Registration,
+) -> Result<(), RegisterError> {
+    let mut update = shared.authority.update();
+    match update.as_mut() {
+        Some(instance) => instance
+            .register_again(incarnation, registration)
+            .context(RegistrationSnafu),
+        None => {
+            let instance = Instance::new(
+                incarnation,
+                registration,
+                Limits::default(),
+                dotterelsill_freshness::Limits::default(),
+            );
+            *update = Some(instance.context(RegistrationSnafu)?);
+            Ok(())
+        }
+    }
+}
+
+async fn put_new(
+    shared: &Shared,
+    key: String,
+    value: Vec<u8>,
+    lease: u64,
+) -> Result<(), RegisterError> {
+    let put = shared
+        .store
+        .put(&key, value, 0, lease)
+        .await
+        .context(StoreSnafu)?;
+    ensure!(put.written, ExistsSnafu { key });
+    Ok(())
+}
+
+/// Gives up the authority; this incarnation starts nothing more.
+fn resign(shared: &Shared) -> Option<Incarnation> {
+    let mut update = shared.authority.update();
+    let instance = update.as_mut()?;
+    instance.authority_mut().resign();
+    Some(instance.incarnation())
+}
+
+/// Marks an incarnation that starts nothing more, so that a change need not wait
+/// for it; what it still holds is reclaimed as from one that died.
+async fn fence(shared: &Shared, incarnation: Incarnation) -> Result<(), RegisterError> {
+    let suffix = key_suffix(&shared.settings.instance, incarnation);
+    let key = format!("{MEMBER_PREFIX}{suffix}");
+    let Some(entry) = shared.store.get(&key).await.context(StoreSnafu)? else {
+        return Ok(());
+    };
+    let mut member = Member::decode(entry.value.as_slice()).unwrap_or_default();
+    member.state = "fenced".to_owned();
+    let value = member.encode_to_vec();
+    // When another instance was faster, it has fenced the incarnation as well.
+    shared
+        .store
+        .put(&key, value, entry.version, 0)
+        .await
+        .context(StoreSnafu)?;
+    Ok(())
+}
+
+/// Renews the lease, through a peer when the store does not answer.
+async fn renew(shared: &Shared, lease: u64) {
+    let sent_at = Instant::now();
+    match shared.store.lease_keep_alive(lease).await {
+        Ok(alive) => on_renewal(shared, sent_at, alive),
+        Err(error) => {
+            log::debug!(error:%; "renewal_failed");
+            peers::ask_all(shared, lease).await;
+        }
+    }
+}
+
+/// Adds the answer to a renewal that this instance sent or asked a peer for.
+pub(crate) fn on_renewal(shared: &Shared, sent_at: Instant, alive: bool) {
+    if let Some(instance) = shared.authority.update().as_mut() {
+        let now = Instant::now();
+        instance.authority_mut().on_renewal(sent_at, alive, now);
+    }
+}
+
+/// Deletes the registration after the last piece of work has ended.
+pub(crate) async fn deregister(shared: &Shared) {
+    let Some(incarnation) = resign(shared) else {
+        return;
+    };
+    let suffix = key_suffix(&shared.settings.instance, incarnation);
+    for prefix in [MEMBER_PREFIX, ALIVE_PREFIX] {
+        let key = format!("{prefix}{suffix}");
+        let deleted = async {
+            let entry = shared.store.get(&key).await?;
+            let version = entry.map_or(0, |entry| entry.version);
+            shared.store.delete(&key, version).await
+        };
+        if let Err(error) = deleted.await {
+            log::warn!(key, error:%; "registration_not_deleted");
+        }
+    }
+}
--- a/crates/dotterelsill_entry/src/shared.rs
+++ b/crates/dotterelsill_entry/src/shared.rs
@@ -11,7 +11,9 @@
 use dotterelsill_store::Client;
 
 use crate::{
+    authority::Published,
     metrics::Metrics,
+    peers::Peers,
     snapshot::Snapshot, //
 };
 
@@ -20,6 +22,11 @@
     pub(crate) settings: EntrySettings,
     /// Revision in force; requests load it once and keep it to their end.
     pub(crate) snapshot: ArcSwap<Snapshot>,
+    /// What this incarnation may do.
+    pub(crate) authority: Published,
+    pub(crate) peers: Peers,
+    /// Socket address at which peers reach this instance.
+    pub(crate) peer_address: String,
     pub(crate) store: Client,
     pub(crate) tasks: Tasks,
     pub(crate) metrics: Metrics,
@@ -31,6 +38,7 @@
     /// Creates the state with the empty revision in force.
     pub(crate) fn new(
         settings: EntrySettings,
+        peer_address: String,
         store: Client,
         tasks: Tasks,
         metrics: Metrics,
@@ -38,6 +46,9 @@
         Arc::new(Self {
             settings,
             snapshot: ArcSwap::from_pointee(Snapshot::empty()),
+            authority: Published::default(),
+            peers: Peers::default(),
+            peer_address,
             store,
             tasks,
             metrics,
--- a/crates/dotterelsill_entry/src/snapshot.rs
+++ b/crates/dotterelsill_entry/src/snapshot.rs
@@ -6,14 +6,21 @@
         HashSet, //
     },
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use dotterelsill_proto::config::{
+    self,
     Document,
     Fleet,
     Queue, //
 };
+use dotterelsill_revision::{
+    Head,
+    WhenIsolated,
+    WriteId, //
+};
 use snafu::{
     ResultExt,
     Snafu, //
@@ -46,9 +53,23 @@
     pub(crate) metrics: QueueMetrics,
 }
 
+impl QueuePlan {
+    /// Returns what the queue does while this instance is isolated.
+    pub(crate) fn when_isolated(&self) -> WhenIsolated {
+        match self.queue.when_isolated() {
+            config::WhenIsolated::Serve => WhenIsolated::Serve,
+            config::WhenIsolated::Refuse => WhenIsolated::Refuse,
+            config::WhenIsolated::Default if self.queue.repeatable => WhenIsolated::Serve,
+            config::WhenIsolated::Default => WhenIsolated::Refuse,
+        }
+    }
+}
+
 /// One revision of the configuration; never changed after it was built.
 pub(crate) struct Snapshot {
     pub(crate) revision: u64,
+    /// Longest time that an instance without contact goes on.
+    pub(crate) isolation_limit: Duration,
     pub(crate) document: Document,
     pub(crate) queues: HashMap<String, QueuePlan>,
     pub(crate) teams_by_key: HashMap<[u8; 32], String>,
@@ -61,6 +82,7 @@
     pub(crate) fn empty() -> Self {
         Self {
             revision: 0,
+            isolation_limit: Duration::ZERO,
             document: Document::default(),
             queues: HashMap::new(),
             teams_by_key: HashMap::new(),
@@ -113,6 +135,7 @@
             .collect();
         Ok(Self {
             revision,
+            isolation_limit: Duration::from_secs(fleet.isolation_limit_s.into()),
             data_centres_out: document.data_centres_out.iter().cloned().collect(),
             document,
             queues,
@@ -120,6 +143,14 @@
         })
     }
 
+    /// Returns the head of this revision.
+    pub(crate) fn head(&self) -> Head {
+        Head {
+            revision: self.revision,
+            write_id: WriteId::new(&self.document.write_id),
+        }
+    }
+
     fn reuse(
         &self,
         wanted: &dotterelsill_proto::config::Upstream,
--- a/crates/dotterelsill_entry/src/sync.rs
+++ b/crates/dotterelsill_entry/src/sync.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use async_io::Timer;
@@ -14,13 +17,20 @@
     DecodeError,
     Message as _, //
 };
+use sha2::{
+    Digest as _,
+    Sha256, //
+};
 use snafu::{
+    ensure,
     OptionExt,
     ResultExt,
     Snafu, //
 };
 
 use crate::{
+    authority::head_of,
+    peers,
     shared::Shared,
     snapshot::{
         Snapshot,
@@ -36,6 +46,7 @@
 
 /// The newest revision cannot be put in force.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub(crate) enum SyncError {
     #[snafu(display("{source}"))]
     Store { source: dotterelsill_store::Error },
@@ -43,6 +54,8 @@
     Decode { key: String, source: DecodeError },
     #[snafu(display("{key}: missing in the store"))]
     Missing { key: String },
+    #[snafu(display("document {write_id}: its digest differs from the head's"))]
+    Digest { write_id: String },
     #[snafu(display("revision {revision}: {source}"))]
     Build {
         revision: u64,
@@ -58,33 +71,116 @@
 /// Reads the head each second until the program stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
     loop {
-        if let Err(error) = refresh(&shared).await {
-            log::warn!(error:%; "config_refresh_failed");
-        }
-        Timer::after(READ_INTERVAL).await;
+        let begin = Instant::now();
+        refresh(&shared).await;
+        Timer::at(begin + READ_INTERVAL).await;
+    }
+}
+
+/// Reads the head, asks the peers if that gives no fresh proof, and puts the
+/// newest revision known in force.
+pub(crate) async fn refresh(shared: &Shared) {
+    if let Err(error) = read_head(shared).await {
+        log::warn!(error:%; "head_not_read");
+    }
+    let asks_peers = match shared.authority.update().as_ref() {
+        Some(instance) => instance.freshness().should_ask_peer(Instant::now()),
+        None => false,
+    };
+    if asks_peers {
+        peers::ask_all(shared, 0).await;
+    }
+    if let Err(error) = load(shared).await {
+        log::warn!(error:%; "revision_not_loaded");
     }
 }
 
-/// Reads the head and puts a newer revision in force.
-pub(crate) async fn refresh(shared: &Shared) -> Result<(), SyncError> {
-    let Some(entry) = shared.store.get(HEAD_KEY).await.context(StoreSnafu)? else {
-        return Ok(());
+async fn read_head(shared: &Shared) -> Result<(), SyncError> {
+    let sent_at = Instant::now();
+    let entry = shared.store.get(HEAD_KEY).await.context(StoreSnafu)?;
+    let head = match &entry {
+        Some(entry) => {
+            let head = Head::decode(entry.value.as_slice());
+            Some(head.context(DecodeSnafu { key: HEAD_KEY })?)
+        }
+        None => None,
     };
-    let head = Head::decode(entry.value.as_slice()).context(DecodeSnafu { key: HEAD_KEY })?;
+    if let Some(head) = &head {
+        shared.authority.keep_head(head);
+    }
+    if let Some(instance) = shared.authority.update().as_mut() {
+        instance.on_store_read(sent_at, head.as_ref().map(head_of).as_ref());
+    }
+    Ok(())
+}
+
+/// Loads the document of the newest head and puts it in force.
+///
+/// The configuration is replaced before its revision counts as in force, so a
+/// request that sees the revision sees the configuration too.
+pub(crate) async fn load(shared: &Shared) -> Result<(), SyncError> {
+    let head = shared.authority.head();
     let current = shared.snapshot.load_full();
-    if head.revision <= current.revision {
-        return Ok(());
+    if head.revision > current.revision {
+        let document = fetch(shared, &head).await?;
+        let revision = head.revision;
+        let snapshot = Snapshot::build(revision, document, &current, &shared.metrics)
+            .context(BuildSnafu { revision })?;
+        replace(shared, snapshot);
+        log::info!(revision; "revision_in_force");
     }
-    let document = read_document(shared, &head.write_id).await?;
-    let revision = head.revision;
-    let snapshot = Snapshot::build(revision, document, &current, &shared.metrics)
-        .context(BuildSnafu { revision })?;
-    shared.snapshot.store(Arc::new(snapshot));
-    shared.metrics.revision.set(revision as i64);
-    log::info!(revision; "revision_in_force");
+    confirm(shared);
     Ok(())
 }
 
+/// Puts a configuration in force unless a newer one is.
+fn replace(shared: &Shared, snapshot: Snapshot) {
+    let snapshot = Arc::new(snapshot);
+    shared.snapshot.rcu(|current| {
+        if current.revision < snapshot.revision {
+            snapshot.clone()
+        } else {
+            current.clone()
+        }
+    });
+    let revision = shared.snapshot.load().revision;
+    shared.metrics.revision.set(revision as i64);
+}
+
+/// Tells the authority which revision is in force.
+fn confirm(shared: &Shared) {
+    let snapshot = shared.snapshot.load_full();
+    if snapshot.revision == 0 {
+        return;
+    }
+    if let Some(instance) = shared.authority.update().as_mut() {
+        let head = snapshot.head();
+        instance.on_head(&head);
+        instance.on_body(&head);
+        let limit = snapshot.isolation_limit;
+        let now = Instant::now();
+        instance.authority_mut().on_isolation_limit(limit, now);
+    }
+}
+
+/// Reads the document of a head from the store, or else from a peer.
+async fn fetch(shared: &Shared, head: &Head) -> Result<Document, SyncError> {
+    let write_id = &head.write_id;
+    let document = match read_document(shared, write_id).await {
+        Ok(document) => document,
+        Err(error) => match peers::document(shared, head.revision).await {
+            Some(document) => document,
+            None => return Err(error),
+        },
+    };
+    let digest = Sha256::digest(document.encode_to_vec());
+    ensure!(
+        digest.as_slice() == head.document_sha256,
+        DigestSnafu { write_id }
+    );
+    Ok(document)
+}
+
 /// Reads a document by its write identifier.
 pub(crate) async fn read_document(shared: &Shared, write_id: &str) -> Result<Document, SyncError> {
     let key = body_key(write_id);
