Add the choice of upstreams, ejection and attempts

The routing crate was empty. It now holds the state of upstreams in atomics, the choice by power of two choices with the local data centre first, slots that are returned on drop, outlier ejection with the availability floor, the retry budget, deadlines, the hedging decision and the generations of connections.

Ejection is decided by a review that sees all upstreams at once. Counting ejections in an atomic was ruled out: upstreams that leave or are taken out while others are ejected also lower the number in use, and a counter cannot choose the worst. The review takes a lock that the request path only tries.

Several entries share the slots of an upstream. A refusal before running lowers this entry's limit to three quarters of what it has running, and time raises it by one slot per 100 ms. Dividing the slots among the entries was ruled out: 8 slots over 7 entries leave 1 each, whatever the demand. Refusals alone were ruled out: each freed slot would be tried by every entry with a queue.

The retry budget sums later seconds as well and never recycles a bucket of a later second; a thread paused between its clock reading and its use would otherwise wipe the counts of the others.

--- /dev/null
+++ b/crates/dotterelsill_routing/src/learned_limit.rs
@@ -0,0 +1,103 @@
+//! Limit of one entry's own use of an upstream that other entries share.
+//!
+//! An upstream with free slots is not told apart from a full one by what this
+//! entry has running, because other entries use it too. A refusal before
+//! running lowers the limit below the number that this entry still has running;
+//! after that the limit rises by one slot per [`RAISE_INTERVAL`] while demand
+//! reaches it. An entry thus wastes at most one round trip per interval and
+//! upstream. The cost is that a slot which another entry gives up stays unused
+//! until some entry's next raise.
+
+use std::{
+    sync::atomic::{
+        AtomicU32,
+        AtomicU64,
+        Ordering, //
+    },
+    time::Duration, //
+};
+
+use crate::clock::duration_ms;
+
+/// Time between two raises of the limit by one slot.
+pub const RAISE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Number of slots that this entry uses of an upstream at most.
+#[derive(Debug)]
+pub(crate) struct LearnedLimit {
+    slots: AtomicU32,
+    limit: AtomicU32,
+    raise_at_ms: AtomicU64,
+}
+
+impl LearnedLimit {
+    /// Creates a limit of all `slots`.
+    pub(crate) fn new(slots: u32) -> Self {
+        Self {
+            slots: AtomicU32::new(slots),
+            limit: AtomicU32::new(slots),
+            raise_at_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the number of slots that the upstream has.
+    pub(crate) fn slots(&self) -> u32 {
+        self.slots.load(Ordering::Relaxed)
+    }
+
+    /// Sets the number of slots; the limit starts from all of them again.
+    pub(crate) fn resize(&self, slots: u32) {
+        if self.slots.swap(slots, Ordering::Relaxed) != slots {
+            self.limit.store(slots, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the limit without any raise that is due.
+    pub(crate) fn get(&self) -> u32 {
+        self.limit.load(Ordering::Relaxed)
+    }
+
+    /// Returns the limit with the raise that is due at `now_ms`.
+    pub(crate) fn at(&self, now_ms: u64) -> u32 {
+        let limit = self.get();
+        if limit < self.slots() && now_ms >= self.raise_at_ms.load(Ordering::Relaxed) {
+            limit + 1
+        } else {
+            limit
+        }
+    }
+
+    /// Raises the limit by one slot when a raise is due.
+    ///
+    /// Only one of several threads that ask at once raises it.
+    pub(crate) fn raise(&self, now_ms: u64) -> bool {
+        let due_ms = self.raise_at_ms.load(Ordering::Relaxed);
+        if now_ms < due_ms || self.get() >= self.slots() {
+            return false;
+        }
+        let next_ms = now_ms + duration_ms(RAISE_INTERVAL);
+        let won = self
+            .raise_at_ms
+            .compare_exchange(due_ms, next_ms, Ordering::Relaxed, Ordering::Relaxed)
+            .is_ok();
+        won && self.add_one()
+    }
+
+    /// Lowers the limit after a refusal, with `running` requests still running.
+    ///
+    /// A quarter less than what runs lets entries that hold many slots and
+    /// entries that hold few converge.
+    pub(crate) fn lower(&self, running: u32, now_ms: u64) {
+        let next_ms = now_ms + duration_ms(RAISE_INTERVAL);
+        self.raise_at_ms.store(next_ms, Ordering::Relaxed);
+        self.limit
+            .fetch_min(running - running / 4, Ordering::Relaxed);
+    }
+
+    fn add_one(&self) -> bool {
+        let raised = |limit: u32| (limit < self.slots()).then_some(limit + 1);
+        self.limit
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, raised)
+            .is_ok()
+    }
+}
--- a/crates/dotterelsill_routing/src/lib.rs
+++ b/crates/dotterelsill_routing/src/lib.rs
@@ -1,1 +1,63 @@
 //! Choice of the upstream that runs a request.
+//!
+//! The crate does no I/O, starts nothing and reads no clock. The request path
+//! (choice, reservation, report, retry budget, hedge) uses atomics only; a lock
+//! guards nothing but the review of ejections, which the request path only
+//! tries and never waits for.
+//!
+//! A driver keeps one [`UpstreamSet`] per service behind a read-copy-update
+//! pointer and replaces it by [`UpstreamSet::rebuild`] on a new configuration.
+
+mod answer;
+mod choice;
+mod clock;
+mod connections;
+mod deadline;
+mod ejection;
+mod hedge;
+mod latency;
+mod learned_limit;
+mod retry;
+mod review;
+mod set;
+mod slot;
+mod upstream;
+mod window;
+
+pub use answer::Answer;
+pub use choice::Work;
+pub use connections::{
+    may_reuse_for_unrepeatable,
+    Connection,
+    Connections,
+    UNREPEATABLE_REUSE, //
+};
+pub use deadline::Deadline;
+pub use ejection::{
+    EJECTION_FIRST,
+    EJECTION_LONGEST, //
+};
+pub use hedge::{
+    Hedge,
+    HedgeRequest, //
+};
+pub use latency::Latency;
+pub use learned_limit::RAISE_INTERVAL;
+pub use retry::{
+    RetryBudget,
+    RETRY_PERCENT, //
+};
+pub use set::{
+    ServiceSpec,
+    UpstreamSet, //
+};
+pub use slot::Slot;
+pub use upstream::{
+    Upstream,
+    UpstreamSpec,
+    LEAVING_HOLD, //
+};
+pub use window::{
+    FAILURES_LEAST,
+    WINDOW_ANSWERS, //
+};
--- /dev/null
+++ b/crates/dotterelsill_routing/tests/ejection.rs
@@ -0,0 +1,162 @@
+//! Tests of outlier ejection.
+
+mod common;
+
+use std::time::Instant;
+
+use common::{
+    in_use,
+    ms,
+    random,
+    run,
+    s,
+    service,
+    take_all,
+    REPEATABLE, //
+};
+use dotterelsill_routing::{
+    Answer,
+    UpstreamSet,
+    Work, //
+};
+
+/// Guards against an ejection on too few failures, and against an upstream that
+/// fails everything and keeps getting work.
+#[test]
+fn upstream_that_fails_everything_is_ejected() {
+    let now = Instant::now();
+    let set = UpstreamSet::new(&service(4, &["a"], 50), now);
+    let bad = set.upstreams()[0].clone();
+    let mut slots = take_all(&set, now);
+    slots.retain(|slot| slot.upstream().name() == "a0");
+    for number in 0..5 {
+        assert!(!bad.is_ejected(), "after {number} failures");
+        set.report(slots.pop().unwrap(), Answer::Failure, now);
+    }
+    assert!(bad.is_ejected());
+    drop(slots);
+    assert_eq!(take_all(&set, now).len(), 24);
+}
+
+/// Guards against an ejection at a success rate of at least 50%.
+#[test]
+fn half_of_the_answers_is_good_enough() {
+    let now = Instant::now();
+    let set = UpstreamSet::new(&service(2, &["a"], 0), now);
+    let mut random = random(5);
+    let retry = Work {
+        repeatable: true,
+        avoid: Some("a1"),
+    };
+    for number in 0..100 {
+        let slot = set.choose(retry, now, &mut random).unwrap();
+        let answer = if number % 2 == 0 {
+            Answer::Success
+        } else {
+            Answer::Failure
+        };
+        set.report(slot, answer, now);
+    }
+    assert_eq!(in_use(&set), 2);
+}
+
+/// Guards against ejection below the floor when all upstreams fail at the same
+/// moment in many threads.
+#[test]
+fn floor_holds_when_all_fail_at_once() {
+    let now = Instant::now();
+    for seed in 0..50 {
+        let set = UpstreamSet::new(&service(12, &["a"], 70), now);
+        std::thread::scope(|scope| {
+            for thread in 0..4 {
+                let set = &set;
+                scope.spawn(move || {
+                    let mut random = random(seed * 4 + thread);
+                    for _ in 0..100 {
+                        let slot = set.choose(REPEATABLE, now, &mut random).unwrap();
+                        set.report(slot, Answer::Failure, now);
+                        assert!(in_use(set) >= 9);
+                    }
+                });
+            }
+        });
+        set.review(now);
+        assert_eq!(in_use(&set), 9);
+    }
+}
+
+/// Guards against ejection of the better upstreams at the floor.
+#[test]
+fn least_bad_upstreams_stay() {
+    let now = Instant::now();
+    let spec = service(4, &["a"], 100);
+    let set = UpstreamSet::new(&spec, now);
+    run(&set, now, 400, |name| name == "a1" || name == "a2");
+    assert_eq!(in_use(&set), 4);
+    let mut lower = spec;
+    lower.availability_floor_percent = 75;
+    let set = set.rebuild(&lower, now);
+    assert_eq!(in_use(&set), 3);
+    assert!(!set.upstreams()[0].is_ejected() && !set.upstreams()[3].is_ejected());
+}
+
+/// Guards against a service below its floor when upstreams leave while others
+/// are ejected.
+#[test]
+fn ejected_upstream_returns_when_others_leave() {
+    let now = Instant::now();
+    let set = UpstreamSet::new(&service(4, &["a"], 50), now);
+    run(&set, now, 200, |name| name == "a0" || name == "a1");
+    assert_eq!(in_use(&set), 2);
+    set.on_list("a3", true, now);
+    assert_eq!(in_use(&set), 3);
+}
+
+/// Guards against more than one probe at a time, and against an ejection that
+/// does not grow.
+#[test]
+fn one_probe_ends_the_ejection_and_failures_double_it() {
+    let start = Instant::now();
+    let set = UpstreamSet::new(&service(2, &["a"], 50), start);
+    run(&set, start, 40, |name| name == "a0");
+    let mut now = start;
+    for length in [10, 20, 40, 80, 160, 300, 300] {
+        let early = take_all(&set, now + s(length) - ms(1));
+        assert!(!early.iter().any(|slot| slot.is_probe()), "{length} s");
+        drop(early);
+        now += s(length);
+        let (probes, rest): (Vec<_>, Vec<_>) = take_all(&set, now)
+            .into_iter()
+            .partition(|slot| slot.is_probe());
+        assert_eq!((probes.len(), rest.len()), (1, 8), "{length} s");
+        for probe in probes {
+            set.report(probe, Answer::Failure, now);
+        }
+    }
+    now += s(300);
+    let mut random = random(6);
+    let probe = std::iter::repeat_with(|| set.choose(REPEATABLE, now, &mut random).unwrap());
+    let probe = probe.take(50).find(|slot| slot.is_probe()).unwrap();
+    set.report(probe, Answer::Success, now);
+    assert_eq!(in_use(&set), 2);
+}
+
+/// Guards against a probe that is lost with its caller, and against work that
+/// may not be repeated as a probe while repeatable work may come.
+#[test]
+fn abandoned_probe_is_sent_again() {
+    let now = Instant::now();
+    let set = UpstreamSet::new(&service(2, &["a"], 50), now);
+    run(&set, now, 40, |name| name == "a0");
+    let unrepeatable = Work::default();
+    let probe_of = |work, seconds| {
+        let mut random = random(7);
+        let slots: Vec<_> =
+            std::iter::from_fn(|| set.choose(work, now + s(seconds), &mut random)).collect();
+        slots.into_iter().find(|slot| slot.is_probe())
+    };
+    assert!(probe_of(unrepeatable, 10).is_none());
+    drop(probe_of(REPEATABLE, 10).unwrap());
+    assert!(probe_of(REPEATABLE, 10).is_some());
+    assert!(probe_of(unrepeatable, 20).is_some());
+}
