Add keys, the slot gate and the fair queue

The admission crate was empty. A gate admits requests with one atomic word while slots are free; a plain queue orders the requests that wait by urgency and by the slot time that each team has really used.

Slot time counts as it passes, for requests that still run as well, so neither many short nor few long requests move a share. What running requests are expected to use yet (the observed mean) orders teams when many slots become free at once. Accounts start anew whenever nothing waits, and a team that comes later starts at the mean of the others: borrowing is no debt, idling no credit.

Tried and replaced: - A tenth of the slots for lower urgencies, rounded up: an instance with one slot gave all of it to the least urgent work. Urgency counts while a team is at most 2 s ahead.

A key is looked up by comparing all hashes in constant time, without an early exit.

--- /dev/null
+++ b/crates/dotterelsill_admission/src/gate.rs
@@ -0,0 +1,143 @@
+//! Slots of a service that this entry may use, and whether anybody waits.
+
+use std::{
+    array,
+    sync::{
+        atomic::{
+            AtomicU32,
+            AtomicU64,
+            Ordering, //
+        },
+        Arc, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use crate::{
+    team::level_of,
+    usage::Usage,
+    Running,
+    Team,
+    URGENCY_LEVELS, //
+};
+
+/// Bit position of the number of waiting requests; slots in use lie below.
+const WAITING_SHIFT: u32 = 32;
+
+/// Slots in use and the number of waiting requests, in one atomic word.
+///
+/// The end of a request and a push change the same word. Either the push sees
+/// the free slot, or the end sees the waiting request; no wakeup is lost.
+#[derive(Debug)]
+pub struct Gate {
+    word: AtomicU64,
+    capacity: AtomicU32,
+    levels: [Usage; URGENCY_LEVELS],
+}
+
+impl Gate {
+    /// Creates a gate with `capacity` slots that counts time from `origin`.
+    pub fn new(capacity: u32, origin: Instant) -> Self {
+        Self {
+            word: AtomicU64::new(0),
+            capacity: AtomicU32::new(capacity),
+            levels: array::from_fn(|_| Usage::new(origin)),
+        }
+    }
+
+    /// Starts a request when a slot is free and nobody waits.
+    ///
+    /// Takes no lock. The driver has taken a credit of the team's upper limit
+    /// before, and gives it back on `None`.
+    pub fn try_start(
+        self: &Arc<Self>,
+        team: &Arc<Team>,
+        urgency: u32,
+        now: Instant,
+    ) -> Option<Running> {
+        let taken = self.take(|waiting| waiting == 0);
+        taken.then(|| Running::start(self, team, level_of(urgency), now))
+    }
+
+    /// Ends a request that ran until `now` and returns its slot; returns
+    /// whether requests wait for it.
+    pub fn finish(&self, running: Running, now: Instant) -> bool {
+        running.end(now);
+        self.is_waiting()
+    }
+
+    /// Sets the number of slots, as the upstreams come and go; returns whether
+    /// requests wait for a slot.
+    pub fn set_capacity(&self, capacity: u32) -> bool {
+        self.capacity.store(capacity, Ordering::SeqCst);
+        self.is_waiting()
+    }
+
+    /// Returns the number of slots.
+    pub fn capacity(&self) -> u32 {
+        self.capacity.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of slots in use.
+    pub fn in_use(&self) -> u32 {
+        unpack(self.word.load(Ordering::SeqCst)).1
+    }
+
+    /// Takes a slot for a request that waits.
+    pub(crate) fn take_for_waiting(&self) -> bool {
+        self.take(|_| true)
+    }
+
+    pub(crate) fn release(&self) {
+        self.word.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    pub(crate) fn set_waiting(&self, waiting: usize) {
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let _ = self
+            .word
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |word| {
+                Some(pack(waiting, unpack(word).1))
+            });
+    }
+
+    /// Returns the slot time used by requests of a level, in microseconds.
+    pub(crate) fn used_us(&self, level: usize, now: Instant) -> u64 {
+        self.levels[level].used_us(now)
+    }
+
+    pub(crate) fn on_start(&self, level: usize, now: Instant) {
+        self.levels[level].start(now);
+    }
+
+    pub(crate) fn on_end(&self, level: usize, started: Instant, used: Duration) {
+        self.levels[level].finish(started, used);
+        self.release();
+    }
+
+    fn is_waiting(&self) -> bool {
+        unpack(self.word.load(Ordering::SeqCst)).0 > 0
+    }
+
+    fn take(&self, allowed: impl Fn(u32) -> bool) -> bool {
+        let one_more = |word| {
+            let (waiting, in_use) = unpack(word);
+            let free = in_use < self.capacity() && allowed(waiting);
+            free.then(|| pack(waiting, in_use + 1))
+        };
+        self.word
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_more)
+            .is_ok()
+    }
+}
+
+fn pack(waiting: u32, in_use: u32) -> u64 {
+    (u64::from(waiting) << WAITING_SHIFT) | u64::from(in_use)
+}
+
+fn unpack(word: u64) -> (u32, u32) {
+    ((word >> WAITING_SHIFT) as u32, word as u32)
+}
--- a/crates/dotterelsill_admission/src/lib.rs
+++ b/crates/dotterelsill_admission/src/lib.rs
@@ -1,1 +1,51 @@
 //! Keys, shares, urgency and queues of callers.
+//!
+//! The crate does no I/O, starts nothing and reads no clock. A driver keeps one
+//! [`Gate`] per service, which admits requests with atomics alone while slots
+//! are free, and one [`FairQueue`] behind a mutex for the requests that wait.
+//!
+//! A driver follows three rules. A request that [`Gate::try_start`] does not
+//! start is pushed under the lock. After each push, and whenever
+//! [`Gate::finish`] or [`Gate::set_capacity`] returns `true`, it calls
+//! [`FairQueue::pop_next`] under the lock until that returns `None`. It calls
+//! [`FairQueue::expire`] at [`FairQueue::next_expiry`].
+
+mod admit;
+mod gate;
+mod guarantee;
+mod keys;
+mod lane;
+mod queue;
+mod refusal;
+mod request;
+mod run_time;
+mod running;
+mod select;
+mod team;
+mod usage;
+mod waits;
+
+pub use gate::Gate;
+pub use guarantee::LOWER_URGENCY_PERCENT;
+pub use keys::{
+    bearer,
+    hash_key,
+    KeyHash,
+    KeyTable, //
+};
+pub use queue::FairQueue;
+pub use refusal::Refusal;
+pub use request::{
+    Pushed,
+    Request,
+    Started,
+    Ticket, //
+};
+pub use running::Running;
+pub use select::URGENT_AHEAD;
+pub use team::{
+    Team,
+    TeamShare,
+    Teams,
+    URGENCY_LEVELS, //
+};
--- /dev/null
+++ b/crates/dotterelsill_admission/tests/common/mod.rs
@@ -0,0 +1,140 @@
+//! A driver in virtual time that the tests share.
+#![allow(dead_code)]
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use dotterelsill_admission::{
+    FairQueue,
+    Gate,
+    Pushed,
+    Refusal,
+    Request,
+    Running,
+    Team,
+    TeamShare,
+    Teams, //
+};
+
+/// Queue of one team: index of the team and urgency.
+pub(crate) type Source = (usize, u32);
+
+pub(crate) struct Service {
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) teams: Teams,
+    pub(crate) queue: FairQueue<Source>,
+    pub(crate) now: Instant,
+    running: BTreeMap<(Instant, u64), Running>,
+    started: u64,
+}
+
+impl Service {
+    /// Creates a service with a team per share.
+    pub(crate) fn new(slots: u32, shares_percent: &[u32], most_per_team: usize) -> Self {
+        let now = Instant::now();
+        let gate = Arc::new(Gate::new(slots, now));
+        let teams = Teams::new(&shares(shares_percent), now);
+        Self {
+            queue: FairQueue::new(&gate, &teams, most_per_team),
+            gate,
+            teams,
+            now,
+            running: BTreeMap::new(),
+            started: 0,
+        }
+    }
+
+    pub(crate) fn team(&self, index: usize) -> &Arc<Team> {
+        self.teams
+            .iter()
+            .nth(index)
+            .expect("the team is configured")
+    }
+
+    /// Adds a request that has `timeout`.
+    pub(crate) fn push(
+        &mut self,
+        source: Source,
+        timeout: Duration,
+    ) -> Result<Pushed<Source>, Refusal> {
+        let request = Request {
+            team: Arc::clone(self.team(source.0)),
+            urgency: source.1,
+            deadline: self.now + timeout,
+            payload: source,
+        };
+        let pushed = self.queue.push(request, self.now);
+        pushed.map_err(|(refusal, _)| refusal)
+    }
+
+    /// Starts waiting requests while slots are free; returns their sources.
+    pub(crate) fn start(&mut self, run_time: impl Fn(Source) -> Duration) -> Vec<Source> {
+        let mut refused = Vec::new();
+        let mut sources = Vec::new();
+        while let Some(started) = self.queue.pop_next(self.now, |_| true, &mut refused) {
+            let end = self.now + run_time(started.payload);
+            self.started += 1;
+            self.running.insert((end, self.started), started.running);
+            sources.push(started.payload);
+        }
+        sources
+    }
+
+    /// Lets time go on to the next end of a request.
+    pub(crate) fn end_one(&mut self) {
+        let ((end, _), running) = self.running.pop_first().expect("a request runs");
+        self.now = end;
+        self.queue.finish(running, end);
+    }
+
+    /// Runs for `duration` with requests of each source always waiting, and
+    /// returns the part of the slot time that each team used, in percent.
+    pub(crate) fn overload(
+        &mut self,
+        duration: Duration,
+        sources: &[Source],
+        run_time: impl Fn(Source) -> Duration,
+    ) -> Vec<f64> {
+        let before = self.used();
+        let end = self.now + duration;
+        for source in sources {
+            for _ in 0..self.gate.capacity() + 2 {
+                self.push(*source, NO_DEADLINE).expect("the queue has room");
+            }
+        }
+        while self.now < end {
+            for source in self.start(&run_time) {
+                self.push(source, NO_DEADLINE).expect("the queue has room");
+            }
+            self.end_one();
+        }
+        let used: Vec<f64> = self.used().iter().zip(before).map(|(u, b)| u - b).collect();
+        let total: f64 = used.iter().sum();
+        used.iter().map(|used| used * 100.0 / total).collect()
+    }
+
+    fn used(&self) -> Vec<f64> {
+        let used = |team: &Arc<Team>| team.used(self.now).as_secs_f64();
+        self.teams.iter().map(used).collect()
+    }
+}
+
+pub(crate) const NO_DEADLINE: Duration = Duration::from_secs(1_000_000);
+
+pub(crate) fn shares(percents: &[u32]) -> Vec<TeamShare> {
+    let share = |(index, percent): (usize, &u32)| TeamShare {
+        name: format!("team{index}"),
+        share_percent: *percent,
+    };
+    percents.iter().enumerate().map(share).collect()
+}
+
+pub(crate) fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
--- /dev/null
+++ b/crates/dotterelsill_admission/tests/keys.rs
@@ -0,0 +1,48 @@
+//! Tests of the key table.
+
+use dotterelsill_admission::{
+    bearer,
+    hash_key,
+    KeyTable, //
+};
+
+/// Guards against work for a team whose key was not sent or was withdrawn.
+#[test]
+fn only_a_key_in_force_is_known() {
+    let table = KeyTable::new([(hash_key("one"), "a"), (hash_key("two"), "b")]);
+    assert_eq!(table.team_of(&hash_key("two")).unwrap().as_ref(), "b");
+    assert!(table.team_of(&hash_key("three")).is_none());
+    let withdrawn = KeyTable::new([(hash_key("one"), "a")]);
+    assert!(withdrawn.team_of(&hash_key("two")).is_none());
+    assert!(KeyTable::default().team_of(&hash_key("one")).is_none());
+}
+
+/// Guards against a lookup that ends at the first match: the last of several
+/// equal hashes is found only by one that compares all of them.
+#[test]
+fn lookup_compares_all_hashes() {
+    let hash = hash_key("one");
+    let other = hash_key("two");
+    let table = KeyTable::new([(hash, "first"), (other, "other"), (hash, "last")]);
+    assert_eq!(table.team_of(&hash).unwrap().as_ref(), "last");
+}
+
+/// Guards against a hash that differs from SHA-256 of the text.
+#[test]
+fn hash_is_sha256() {
+    let hex: String = hash_key("abc").iter().map(|b| format!("{b:02x}")).collect();
+    assert_eq!(
+        hex,
+        "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"
+    );
+}
+
+/// Guards against other schemes and empty keys.
+#[test]
+fn header_carries_a_bearer_key() {
+    assert_eq!(bearer("Bearer abc"), Some("abc"));
+    assert_eq!(bearer("bearer  abc "), Some("abc"));
+    assert_eq!(bearer("Basic abc"), None);
+    assert_eq!(bearer("Bearer "), None);
+    assert_eq!(bearer("Bearer"), None);
+}
