Check the operators' text and report all findings at once

Operators need every fault of a text in one run, with its position and its fix. The deserializer stops at the first key that it refuses and knows no paths, so the text is read twice: saphyr-parser builds an index of paths and positions within limits on size, depth, keys and aliases, and serde-saphyr reads the fleet. When serde-saphyr refuses the text, its parts are written again from the index and read alone, lists by halving, so that one refused key hides no other. An accepted text always comes from one whole read. Rules are silent about values that were refused and left at their defaults.

Ruled out: a deserializer of our own over the index (a second reading of YAML scalars); blanking refused keys in the text (invalid in flow style); refusing all aliases (small ones are harmless and are bounded by expanded size); strongly connected components from pathfinding, which recurse once per service and would exhaust the stack on a chain of thousands.

Failed first tries: a text refused for a duplicate key also showed the deserializer's own error; the parser reports an end of the text without a line break as a line that does not exist, found by random texts and now cut to the end of the text.

Two warnings go beyond the schema's needs: a missing region or rack merges failure domains.

--- a/crates/dotterelsill_config/src/lib.rs
+++ b/crates/dotterelsill_config/src/lib.rs
@@ -1,1 +1,32 @@
 //! Reads and checks the operators' text.
+//!
+//! [`parse`] turns the YAML text into a [`Checked`] fleet or into all findings
+//! of the text. The crate does no I/O and reads no clock.
+
+mod checked;
+mod emit;
+mod finding;
+mod index;
+mod limits;
+mod place;
+mod read;
+mod rules;
+mod suggest;
+
+pub use crate::{
+    checked::{
+        parse,
+        serves_isolated,
+        Checked, //
+    },
+    finding::{
+        Finding,
+        Severity, //
+    },
+    limits::{
+        DEFAULT_ISOLATION_LIMIT_S,
+        MAX_FINDINGS,
+        MAX_ISOLATION_LIMIT_S,
+        MAX_TEXT_BYTES, //
+    },
+};
--- /dev/null
+++ b/crates/dotterelsill_config/src/rules/name_duplicate.rs
@@ -0,0 +1,49 @@
+//! Two records of the same kind with the same name.
+
+use std::collections::{
+    hash_map::Entry,
+    HashMap, //
+};
+
+use dotterelsill_proto::config::Fleet;
+
+use super::names;
+use crate::{
+    finding::Finding,
+    index::Index,
+    place::shown, //
+};
+
+/// Returns a finding for each name that an earlier record of its kind has.
+///
+/// The names of upstreams are unique in the whole fleet, because the store
+/// records the pool of an upstream under its name alone.
+pub(crate) fn check(fleet: &Fleet, index: &Index<'_>) -> Vec<Finding> {
+    let mut seen = HashMap::new();
+    let mut findings = Vec::new();
+    for record in names(fleet).filter(|record| !record.name.is_empty()) {
+        match seen.entry((record.kind, record.name)) {
+            Entry::Vacant(entry) => {
+                entry.insert(record.place);
+            }
+            Entry::Occupied(first) => {
+                let line = index.position(&first.get().key("name")).line;
+                let name = shown(record.name);
+                let problem = format!(
+                    "the {} name `{name}` already stands at line {line}",
+                    record.kind
+                );
+                let place = record.place.key("name");
+                let fix = "give one of the two another name";
+                findings.push(Finding::error(
+                    "name-duplicate",
+                    index,
+                    &place,
+                    problem,
+                    fix,
+                ));
+            }
+        }
+    }
+    findings
+}
--- /dev/null
+++ b/crates/dotterelsill_config/src/rules/unit.rs
@@ -0,0 +1,58 @@
+//! A key without its unit, or with another one.
+
+use crate::{
+    finding::Finding,
+    index::Index,
+    place::Place, //
+};
+
+/// Units of the schema's keys, and what each stands for.
+const UNITS: [(&str, &str); 4] = [
+    ("ms", "milliseconds"),
+    ("percent", "percent"),
+    ("requests", "requests"),
+    ("s", "seconds"),
+];
+
+/// Returns the key that was meant and the finding, when the unit of a key is
+/// left out or is another than that of the schema.
+pub(crate) fn check(
+    index: &Index<'_>,
+    place: &Place<'_>,
+    field: &str,
+    known: &[&'static str],
+) -> Option<(&'static str, Finding)> {
+    known.iter().find_map(|key| {
+        let (stem, suffix) = key.rsplit_once('_')?;
+        let (_, unit) = UNITS.iter().find(|(short, _)| *short == suffix)?;
+        let rest = field.strip_prefix(stem)?;
+        let (problem, fix) = if rest.is_empty() {
+            (
+                format!("the key `{field}` lacks its unit suffix `_{suffix}`"),
+                format!("write `{key}` with the value in {unit}"),
+            )
+        } else {
+            let other = rest.strip_prefix('_').filter(|other| is_unit(other))?;
+            (
+                format!("the key `{field}` has the unit `{other}`, the schema has `{suffix}`"),
+                format!("write `{key}` and convert the value to {unit}"),
+            )
+        };
+        Some((
+            *key,
+            Finding::error("missing-unit", index, place, problem, fix),
+        ))
+    })
+}
+
+/// Returns whether a word is a common unit.
+fn is_unit(word: &str) -> bool {
+    const COMMON: [&str; 18] = [
+        "bytes", "count", "d", "days", "h", "hours", "kb", "m", "mb", "millis", "min", "minutes",
+        "ns", "pct", "sec", "secs", "seconds", "us",
+    ];
+    COMMON.contains(&word)
+        || UNITS
+            .iter()
+            .any(|(short, long)| word == *short || word == *long)
+}
