Explain isolation and list what an apply would change

The explanation states for each queue what is served while an instance is cut off and how long a change can take because of it: lease 5 s, 2 s until its expiry is observed, and the isolation limit with a margin of 1/1000. A lower team limit can also wait for the credits of a lost instance, and so for the longest run time of any queue; the text says so.

Differences are by name, so moving a record in the text is no change. The records are taken apart completely, so that a key added to the schema does not compile until the comparison has it. A removed team counts as a lowered limit, because its credits have to be given back as well.

--- a/crates/dotterelsill_config/src/lib.rs
+++ b/crates/dotterelsill_config/src/lib.rs
@@ -1,10 +1,15 @@
 //! Reads and checks the operators' text.
 //!
 //! [`parse`] turns the YAML text into a [`Checked`] fleet or into all findings
-//! of the text. The crate does no I/O and reads no clock.
+//! of the text. [`explain`] describes what a fleet's queues do while an
+//! instance is cut off, and [`diff`] lists what an apply would change. The
+//! crate does no I/O and reads no clock.
 
 mod checked;
+mod diff;
 mod emit;
+mod explain;
+mod fields;
 mod finding;
 mod index;
 mod limits;
@@ -19,6 +24,13 @@
         serves_isolated,
         Checked, //
     },
+    diff::{
+        diff,
+        diff_text,
+        Change,
+        ChangeKind, //
+    },
+    explain::explain,
     finding::{
         Finding,
         Severity, //
--- a/crates/dotterelsill_config/src/limits.rs
+++ b/crates/dotterelsill_config/src/limits.rs
@@ -34,3 +34,15 @@
 
 /// Longest name, in bytes.
 pub(crate) const MAX_NAME_BYTES: usize = 128;
+
+/// Longest lease of an instance, in seconds.
+pub(crate) const LEASE_S: u64 = 5;
+
+/// Time for which a proof of the current revision is fresh, in seconds.
+pub(crate) const FRESH_S: u64 = 3;
+
+/// Time after a lease's end until its expiry has been observed, in seconds.
+pub(crate) const OBSERVATION_S: u64 = 2;
+
+/// Divisor that gives the margin for clock drift: 1/1000 of a duration.
+pub(crate) const DRIFT_DIVISOR: u64 = 1_000;
--- a/crates/dotterelsill_config/tests/hostile.rs
+++ b/crates/dotterelsill_config/tests/hostile.rs
@@ -8,6 +8,7 @@
 };
 
 use dotterelsill_config::{
+    explain,
     parse,
     MAX_FINDINGS,
     MAX_TEXT_BYTES, //
@@ -59,6 +60,7 @@
                 ..read
             };
             assert_eq!(&read, checked.fleet());
+            explain(&checked);
         }
         Err(findings) => {
             assert!((1..=MAX_FINDINGS).contains(&findings.len()));
