--- /dev/null
+++ b/crates/dotterelsill_escrow/src/decision.rs
@@ -0,0 +1,110 @@
+//! Choice of the next operation.
+
+use std::time::Instant;
+
+use crate::{
+    policy::kept_for,
+    Counts,
+    Holder,
+    Ledger,
+    Request, //
+};
+
+impl Holder {
+    /// Returns what to ask of the record, with the allowance already lowered
+    /// by what is given back.
+    pub(crate) fn decide(
+        &mut self,
+        ledger: &Ledger,
+        waiting: u32,
+        now: Instant,
+    ) -> Option<Request> {
+        let counts = self.credits.sample();
+        if self.state.leaving {
+            return self.shut_down(counts);
+        }
+        if ledger.excess() > 0 {
+            self.state.idle_since = None;
+            return self.reduce(counts);
+        }
+        if is_short(counts, waiting) {
+            self.state.short_at = Some(now);
+            self.state.idle_since = None;
+            return self.acquire(ledger, waiting);
+        }
+        self.release_idle(ledger, counts, now)
+            .or_else(|| self.withdraw_wanted(now))
+    }
+
+    fn shut_down(&self, counts: Counts) -> Option<Request> {
+        if counts.running == 0 {
+            return self.state.listed.then_some(Request::Leave);
+        }
+        self.reduce(counts)
+    }
+
+    /// Gives back what exceeds both the allowance and the work still running.
+    ///
+    /// The allowance bounds further starts, so the number running cannot rise
+    /// above this sum after the sample was taken.
+    fn reduce(&self, counts: Counts) -> Option<Request> {
+        let kept = counts.allowance.max(counts.running);
+        let credits = self.state.held.saturating_sub(kept);
+        (credits > 0).then_some(Request::GiveBack { credits })
+    }
+
+    fn acquire(&self, ledger: &Ledger, waiting: u32) -> Option<Request> {
+        let credits = self.policy.ask(self.state.held, waiting);
+        if ledger.free() > 0 {
+            return Some(Request::Take { credits });
+        }
+        // The number is posted once; updating it would cost a write per request.
+        (self.state.wanted == 0).then_some(Request::Want { credits })
+    }
+
+    fn release_idle(&mut self, ledger: &Ledger, counts: Counts, now: Instant) -> Option<Request> {
+        if self.state.held <= kept_for(counts.peak) {
+            self.state.idle_since = None;
+            return None;
+        }
+        let since = *self.state.idle_since.get_or_insert_with(|| {
+            self.state.idle_peak = 0;
+            now
+        });
+        self.state.idle_peak = self.state.idle_peak.max(counts.peak);
+        let idle_for = now.saturating_duration_since(since);
+        let surplus = self
+            .state
+            .held
+            .saturating_sub(kept_for(self.state.idle_peak));
+        if idle_for >= self.policy.idle_after {
+            self.state.idle_since = None;
+            return self.give_back(surplus);
+        }
+        let wanted = ledger.wanted_by_others(self.incarnation);
+        if wanted > ledger.free() && idle_for >= self.policy.idle_after_contended {
+            return self.give_back(surplus.min(wanted - ledger.free()));
+        }
+        None
+    }
+
+    /// Lowers the allowance and gives back the part that no start used meanwhile.
+    fn give_back(&self, surplus: u32) -> Option<Request> {
+        let held = self.state.held;
+        let running = self.credits.set_allowance(held - surplus);
+        let credits = surplus.min(held.saturating_sub(running));
+        self.credits.set_allowance(held - credits);
+        (credits > 0).then_some(Request::GiveBack { credits })
+    }
+
+    /// Withdraws a posted number once the holder has not been short for a while.
+    fn withdraw_wanted(&self, now: Instant) -> Option<Request> {
+        let short_at = self.state.short_at?;
+        let over = now.saturating_duration_since(short_at) >= self.policy.idle_after_contended;
+        (over && self.state.wanted > 0).then_some(Request::Want { credits: 0 })
+    }
+}
+
+fn is_short(counts: Counts, waiting: u32) -> bool {
+    (waiting > 0 || counts.refused) && counts.running >= counts.allowance
+}
--- /dev/null
+++ b/crates/dotterelsill_escrow/src/policy.rs
@@ -0,0 +1,44 @@
+//! Hysteresis of the transfers.
+
+use std::time::Duration;
+
+/// Rules by which a holder takes and gives back credits.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Policy {
+    /// Time for which credits are idle before they are given back.
+    pub idle_after: Duration,
+    /// The same time while another incarnation wants credits and none is free.
+    pub idle_after_contended: Duration,
+    /// Whether a take covers all waiting requests, and not only half of what is held.
+    pub take_waiting: bool,
+}
+
+impl Policy {
+    /// Rules of the design without the two extensions.
+    pub const BASIC: Self = Self {
+        idle_after: Duration::from_secs(2),
+        idle_after_contended: Duration::from_secs(2),
+        take_waiting: false,
+    };
+
+    /// Returns the credits to ask for.
+    pub(crate) fn ask(&self, held: u32, waiting: u32) -> u32 {
+        let half = (held / 2).max(1);
+        if self.take_waiting {
+            half.max(waiting)
+        } else {
+            half
+        }
+    }
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self::BASIC
+    }
+}
+
+/// Returns the credits kept for a peak of running requests: the peak and a quarter.
+pub(crate) fn kept_for(peak: u32) -> u32 {
+    peak + peak.div_ceil(4)
+}
