Admit by team and share, hold upper limits by credits, route by load

The request path of an entry now takes a credit of the team's upper limit and a slot of the service with atomics only, waits in the fair queue when either is missing, chooses the less loaded of two upstreams, and runs each attempt as a task of its own, so that a credit stays taken until the work must have ended even when the caller has gone.

Fault found by the partition tests: an idle instance gave back all its credits, so a data centre that was cut off could serve no keyed work. Each instance now keeps a small reserve, an eighth of an equal part of the limit and at least one credit where the limit allows two for each. Ruled out: a larger reserve, because what idle instances keep is stranded for a busy one.

--- a/crates/dotterelsill_entry/src/admin.rs
+++ b/crates/dotterelsill_entry/src/admin.rs
@@ -1,11 +1,15 @@
 //! Metrics, health and readiness over HTTP.
 
-use std::sync::{
-    atomic::Ordering,
-    Arc, //
+use std::{
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
+    time::Instant, //
 };
 
 use bytes::Bytes;
+use dotterelsill_revision::Mode;
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::{
@@ -14,7 +18,10 @@
     Response, //
 };
 
-use crate::shared::Shared;
+use crate::{
+    authority::mode_name,
+    shared::Shared, //
+};
 
 /// Serves one request of the platform or of a monitoring system.
 ///
@@ -46,6 +53,24 @@
     let metrics = &shared.metrics;
     let calls = &metrics.store_calls;
     calls.inc_by(shared.store.calls().saturating_sub(calls.get()));
+    let now = Instant::now();
+    let current = shared.authority.mode(now);
+    for mode in [Mode::Fresh, Mode::Isolated, Mode::Lapsed, Mode::Stale] {
+        let gauge = metrics.authority.with_label_values(&[mode_name(mode)]);
+        gauge.set((mode == current).into());
+    }
+    if let Some(age) = shared.authority.proof_age(now) {
+        metrics.proof_age_s.set(age.as_secs_f64());
+    }
+    for (team, allowed, running) in shared.limits.counts() {
+        let credits = &metrics.credits;
+        credits
+            .with_label_values(&[&team, "allowed"])
+            .set(allowed.into());
+        credits
+            .with_label_values(&[&team, "in_use"])
+            .set(running.into());
+    }
     text(StatusCode::OK, metrics.encode())
 }
 
--- /dev/null
+++ b/crates/dotterelsill_entry/src/attempt.rs
@@ -0,0 +1,212 @@
+//! One attempt to run a request on an upstream.
+//!
+//! An attempt is a task of its own. It goes on when the caller gives up or a
+//! hedge was faster, until the upstream answers or `max_run_ms` is over, so that
+//! the team's credit stays taken while the work may still run.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use async_channel::{
+    Receiver,
+    Sender, //
+};
+use async_io::Timer;
+use bytes::Bytes;
+use dotterelsill_escrow::Credit;
+use dotterelsill_revision::{
+    Decision,
+    WhenIsolated, //
+};
+use dotterelsill_routing::{
+    Answer,
+    Slot, //
+};
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::{
+    Request,
+    Response, //
+};
+
+use crate::{
+    plan::ServicePlan,
+    pool::{
+        ExchangeError,
+        Wanted, //
+    },
+    service::Permit,
+    shared::Shared, //
+};
+
+/// Header of an upstream's 503 that says that it refused before running.
+const REFUSED_HEADER: &str = "dotterelsill-outcome";
+
+/// Header of an upstream's 503 that says that it is leaving.
+const LEAVING_HEADER: &str = "dotterelsill-leaving";
+
+/// What an attempt holds while the work may run.
+pub(crate) enum Held {
+    /// Slot of the service and credit of a first attempt.
+    Permit(Permit),
+    /// Credit of a retry or hedge, which takes no slot of the service.
+    Credit(Option<Credit>),
+}
+
+/// What came of an attempt.
+pub(crate) enum Attempted {
+    /// The upstream answered in full.
+    Answered(Response<Bytes>),
+    /// Nothing was run; what was held comes back for another attempt.
+    NotRun(NotRun),
+    /// The connection broke after the request may have left.
+    Broken(String),
+    /// The work ran for longer than it may.
+    RunTimeOver,
+}
+
+/// An attempt that ran nothing.
+pub(crate) struct NotRun {
+    /// Reason, for the caller.
+    pub(crate) reason: String,
+    /// What the attempt held.
+    pub(crate) held: Held,
+    /// Name of the upstream that another attempt avoids.
+    pub(crate) avoid: String,
+}
+
+/// One attempt, before it is started.
+pub(crate) struct Attempt {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) plan: Arc<ServicePlan>,
+    pub(crate) slot: Slot,
+    pub(crate) held: Held,
+    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) wanted: Wanted,
+    /// Revision under which the start was checked.
+    pub(crate) revision: u64,
+    pub(crate) when_isolated: WhenIsolated,
+    pub(crate) deadline: Instant,
+    pub(crate) max_run: Duration,
+}
+
+impl Attempt {
+    /// Starts the attempt as a task; the result arrives on the channel.
+    pub(crate) fn start(self) -> Receiver<Attempted> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let tasks = self.shared.requests.clone();
+        tasks.spawn(async move { self.run(sender).await });
+        receiver
+    }
+
+    async fn run(self, result: Sender<Attempted>) {
+        let upstream = self.slot.upstream().clone();
+        let pool = self.plan.pool(&upstream);
+        let taken = pool.take(&upstream, self.wanted, &self.shared.tasks).await;
+        let mut open = match taken {
+            Ok(open) => open,
+            Err(error) => {
+                self.plan
+                    .set
+                    .report(self.slot, verdict_of_error(&error), Instant::now());
+                let reason = format!("upstream {}: {error}", upstream.name());
+                self.plan.give_back(self.held, reason, &upstream, &result);
+                return;
+            }
+        };
+        // Making the connection may have taken long.
+        if !self.may_still_start() {
+            pool.put(open);
+            self.plan
+                .set
+                .report(self.slot, Answer::Abandoned, Instant::now());
+            let reason = "the configuration changed before the start".to_owned();
+            self.plan.give_back(self.held, reason, &upstream, &result);
+            return;
+        }
+        let sent_at = Instant::now();
+        let run_end = sent_at + self.max_run;
+        let exchanged = open.exchange(self.request, self.deadline, run_end).await;
+        let now = Instant::now();
+        match exchanged {
+            Some(Ok(response)) => {
+                pool.put(open);
+                let answer = verdict(&response);
+                self.plan.set.report(self.slot, answer, now);
+                if matches!(answer, Answer::Full | Answer::Leaving) {
+                    let reason = format!("upstream {} refused to run it", upstream.name());
+                    self.plan.give_back(self.held, reason, &upstream, &result);
+                    return;
+                }
+                if answer == Answer::Success {
+                    self.plan.service.latency.record(now - sent_at);
+                }
+                self.plan.end(self.held);
+                send(&result, Attempted::Answered(response));
+            }
+            Some(Err(error)) if error.is_unsent() => {
+                self.plan.set.report(self.slot, Answer::Failure, now);
+                let reason = format!("upstream {}: {error}", upstream.name());
+                self.plan.give_back(self.held, reason, &upstream, &result);
+            }
+            Some(Err(error)) => {
+                self.plan.set.report(self.slot, Answer::Failure, now);
+                let reason = format!("upstream {}: {error}", upstream.name());
+                send(&result, Attempted::Broken(reason));
+                // The upstream may go on without its connection.
+                let credit = self.plan.end_slot(self.held);
+                if credit.is_some() {
+                    Timer::at(run_end).await;
+                }
+            }
+            None => {
+                self.plan.set.report(self.slot, Answer::Failure, now);
+                self.plan.end(self.held);
+                send(&result, Attempted::RunTimeOver);
+            }
+        }
+    }
+
+    fn may_still_start(&self) -> bool {
+        let now = Instant::now();
+        let decision = self.shared.authority.decide(self.when_isolated, now);
+        let revision = self.revision;
+        now < self.deadline && decision == Some(Decision::Start { revision })
+    }
+}
+
+/// Sends the result of an attempt.
+pub(crate) fn send(result: &Sender<Attempted>, attempted: Attempted) {
+    // A caller that has gone needs no result.
+    let _ = result.try_send(attempted);
+}
+
+fn verdict_of_error(error: &ExchangeError) -> Answer {
+    match error {
+        ExchangeError::NoConnection => Answer::Full,
+        ExchangeError::Http(_) => Answer::Failure,
+    }
+}
+
+/// Tells refusals before the run, failed runs and successes apart.
+fn verdict(response: &Response<Bytes>) -> Answer {
+    let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let headers = response.headers();
+    let says_not_run = headers
+        .get(REFUSED_HEADER)
+        .is_some_and(|value| value == "not_run");
+    if is_unavailable && headers.contains_key(LEAVING_HEADER) {
+        Answer::Leaving
+    } else if is_unavailable && says_not_run {
+        Answer::Full
+    } else if response.status().is_server_error() {
+        Answer::Failure
+    } else {
+        Answer::Success
+    }
+}
--- a/crates/dotterelsill_entry/src/authority.rs
+++ b/crates/dotterelsill_entry/src/authority.rs
@@ -7,7 +7,10 @@
         MutexGuard,
         PoisonError, //
     },
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use arc_swap::{
@@ -69,6 +72,11 @@
             .map_or(Mode::Lapsed, |snapshot| snapshot.verdict(now).mode)
     }
 
+    /// Returns the age of the proof, if there is one.
+    pub(crate) fn proof_age(&self, now: Instant) -> Option<Duration> {
+        self.update().as_ref()?.freshness().age(now)
+    }
+
     /// Returns a listener that is notified after the next change.
     pub(crate) fn listen(&self) -> event_listener::EventListener {
         self.changed.listen()
--- a/crates/dotterelsill_entry/src/daemon.rs
+++ b/crates/dotterelsill_entry/src/daemon.rs
@@ -45,6 +45,8 @@
 use crate::{
     admin,
     callers,
+    limits,
+    maintain,
     members,
     metrics::Metrics,
     operator,
@@ -90,17 +92,19 @@
 
     tasks.spawn_until_stop(register::run(shared.clone()));
     tasks.spawn_until_stop(sync::run(shared.clone()));
+    tasks.spawn_until_stop(limits::run(shared.clone()));
+    tasks.spawn_until_stop(maintain::run(shared.clone()));
     tasks.spawn_until_stop(members::run(shared.clone()));
     let services = Pair::new(
         OperatorServer::new(operator::Service::new(shared.clone())),
         PeerServer::new(peer::Service::new(shared.clone())),
     );
     tasks.spawn(serve_grpc(peers, tasks.clone(), services));
-    let requests = tasks.new_group();
-    spawn_http(&requests, callers, &shared, callers::serve);
+    spawn_http(&shared.requests, callers, &shared, callers::serve);
     spawn_http(&tasks, admin, &shared, admin::serve);
     termination_signal().await.context(SignalSnafu)?;
-    drain(&shared, &requests).await;
+    drain(&shared).await;
+    limits::leave(&shared).await;
     register::deregister(&shared).await;
     tasks.stop();
     tasks.join().await;
@@ -122,7 +126,8 @@
 }
 
 /// Lets the balancer go elsewhere, then finishes all requests in flight.
-async fn drain(shared: &Shared, requests: &Tasks) {
+async fn drain(shared: &Shared) {
+    let requests = &shared.requests;
     shared.is_leaving.store(true, Ordering::SeqCst);
     log::info!("leaving");
     let grace_ms = shared.settings.balancer_grace_ms;
--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -1,19 +1,27 @@
 //! Entry daemon: takes callers' requests, admits, routes and forwards them.
 
 mod acceptance;
+mod access;
 mod admin;
+mod attempt;
 mod authority;
 mod callers;
 mod change;
 mod daemon;
-mod forward;
+mod ledgers;
+mod limits;
+mod maintain;
 mod members;
 mod metrics;
 mod operator;
 mod outcome;
 mod peer;
 mod peers;
+mod plan;
+mod pool;
 mod register;
+mod run;
+mod service;
 mod shared;
 mod snapshot;
 mod start;
--- a/crates/dotterelsill_entry/src/metrics.rs
+++ b/crates/dotterelsill_entry/src/metrics.rs
@@ -35,6 +35,8 @@
     pub(crate) authority: IntGaugeVec,
     /// Calls of the store.
     pub(crate) store_calls: IntCounter,
+    /// Credits of each team on this instance: allowed and in use.
+    pub(crate) credits: IntGaugeVec,
     /// Requests in flight.
     pub(crate) in_flight: IntGauge,
 }
@@ -102,6 +104,13 @@
                 "dotterelsill_store_calls_total",
                 "Calls of the platform's key-value service.",
             )?,
+            credits: IntGaugeVec::new(
+                Opts::new(
+                    "dotterelsill_credits",
+                    "Credits of a team's upper limit on this instance.",
+                ),
+                &["team", "state"],
+            )?,
             in_flight: IntGauge::new(
                 "dotterelsill_requests_in_flight",
                 "Requests that have not ended.",
@@ -119,6 +128,7 @@
         registry.register(Box::new(self.proof_age_s.clone()))?;
         registry.register(Box::new(self.authority.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.credits.clone()))?;
         registry.register(Box::new(self.in_flight.clone()))
     }
 
--- a/crates/dotterelsill_entry/src/operator.rs
+++ b/crates/dotterelsill_entry/src/operator.rs
@@ -8,7 +8,6 @@
 use dotterelsill_proto::{
     config::{
         Document,
-        Fleet,
         Key, //
     },
     peer::{
@@ -52,16 +51,6 @@
         Self { shared }
     }
 
-    /// Returns the age of the proof in milliseconds; without a proof, the
-    /// largest number.
-    fn proof_age_ms(&self) -> u64 {
-        let update = self.shared.authority.update();
-        update
-            .as_ref()
-            .and_then(|instance| instance.freshness().age(Instant::now()))
-            .map_or(u64::MAX, |age| age.as_millis() as u64)
-    }
-
     async fn change(
         &self,
         write_id: &str,
@@ -81,6 +70,11 @@
     }
 }
 
+fn listed(findings: &[dotterelsill_config::Finding]) -> String {
+    let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
 fn acknowledged(acknowledgement: Acknowledgement) -> ChangeResponse {
     match acknowledgement {
         Acknowledgement::InForce { revision } => ChangeResponse {
@@ -129,7 +123,7 @@
     ) -> Result<Response<ChangeResponse>, Status> {
         let ApplyRequest { write_id, text } = request.into_inner();
         self.change(&write_id, |document| {
-            serde_saphyr::from_str::<Fleet>(&text).map_err(|error| error.to_string())?;
+            dotterelsill_config::parse(&text).map_err(|findings| listed(&findings))?;
             document.text.clone_from(&text);
             Ok(())
         })
@@ -200,12 +194,14 @@
         _request: Request<StatusRequest>,
     ) -> Result<Response<StatusResponse>, Status> {
         let snapshot = self.shared.snapshot.load_full();
+        let now = Instant::now();
+        let proof_age = self.shared.authority.proof_age(now);
         Ok(Response::new(StatusResponse {
             instance: self.shared.settings.instance.clone(),
             revision: snapshot.revision,
             data_centres_out: snapshot.document.data_centres_out.clone(),
-            authority: mode_name(self.shared.authority.mode(Instant::now())).to_owned(),
-            proof_age_ms: self.proof_age_ms(),
+            authority: mode_name(self.shared.authority.mode(now)).to_owned(),
+            proof_age_ms: proof_age.map_or(u64::MAX, |age| age.as_millis() as u64),
             members: self.shared.peers.members().to_vec(),
             store_calls: self.shared.store.calls(),
         }))
--- a/crates/dotterelsill_entry/src/peers.rs
+++ b/crates/dotterelsill_entry/src/peers.rs
@@ -62,6 +62,13 @@
         self.members.load_full()
     }
 
+    /// Returns the number of live instances as listed last, at least 1.
+    pub(crate) fn live_count(&self) -> u32 {
+        let members = self.members.load();
+        let live = members.iter().filter(|member| member.state == "live");
+        (live.count() as u32).max(1)
+    }
+
     /// Replaces the registered instances and drops connections to others.
     pub(crate) fn set_members(&self, members: Vec<Member>) {
         let addresses: Vec<SocketAddr> = members
--- /dev/null
+++ b/crates/dotterelsill_entry/src/plan.rs
@@ -0,0 +1,145 @@
+//! Queues and services of one revision.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::Instant, //
+};
+
+use async_channel::Sender;
+use dotterelsill_escrow::Credit;
+use dotterelsill_proto::config::{
+    self,
+    Queue, //
+};
+use dotterelsill_revision::WhenIsolated;
+use dotterelsill_routing::{
+    Upstream,
+    UpstreamSet, //
+};
+
+use crate::{
+    attempt::{
+        Attempted,
+        Held,
+        NotRun, //
+    },
+    metrics::QueueMetrics,
+    pool::Pool,
+    service::Service, //
+};
+
+/// A service with the upstreams of one revision.
+pub(crate) struct ServicePlan {
+    pub(crate) set: UpstreamSet,
+    pub(crate) service: Arc<Service>,
+    pools: HashMap<String, Arc<Pool>>,
+}
+
+impl ServicePlan {
+    /// Creates the plan; pools of upstreams that stay are those of the previous
+    /// revision.
+    pub(crate) fn new(
+        set: UpstreamSet,
+        service: Arc<Service>,
+        previous: Option<&ServicePlan>,
+    ) -> Self {
+        let pool = |upstream: &Arc<Upstream>| {
+            // The check of the text has read every address before.
+            let address: SocketAddr = upstream.address().parse().ok()?;
+            let kept = previous
+                .and_then(|previous| previous.pools.get(upstream.name()))
+                .filter(|pool| pool.address() == address);
+            let pool = kept
+                .cloned()
+                .unwrap_or_else(|| Arc::new(Pool::new(address)));
+            Some((upstream.name().to_owned(), pool))
+        };
+        let pools = set.upstreams().iter().filter_map(pool).collect();
+        Self {
+            set,
+            service,
+            pools,
+        }
+    }
+
+    /// Returns the connections of an upstream of this plan.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the upstream is not one of this plan.
+    pub(crate) fn pool(&self, upstream: &Upstream) -> &Arc<Pool> {
+        &self.pools[upstream.name()]
+    }
+
+    /// Adapts the number of slots to the upstreams that can be used now, and
+    /// refuses requests that wait in vain.
+    pub(crate) fn maintain(&self, now: Instant) {
+        self.service.set_capacity(self.set.capacity(now));
+        self.service.expire(now);
+    }
+
+    /// Ends the work of an attempt.
+    pub(crate) fn end(&self, held: Held) {
+        match held {
+            Held::Permit(permit) => self.service.finish(permit),
+            Held::Credit(credit) => {
+                drop(credit);
+                self.service.start_waiting();
+            }
+        }
+    }
+
+    /// Ends the use of the service's slot and returns the credit.
+    pub(crate) fn end_slot(&self, held: Held) -> Option<Credit> {
+        match held {
+            Held::Permit(mut permit) => {
+                let credit = permit.credit.take();
+                self.service.finish(permit);
+                credit
+            }
+            Held::Credit(credit) => credit,
+        }
+    }
+
+    /// Returns what an attempt held that ran nothing, or ends it when the caller
+    /// has gone.
+    pub(crate) fn give_back(
+        &self,
+        held: Held,
+        reason: String,
+        upstream: &Upstream,
+        result: &Sender<Attempted>,
+    ) {
+        let not_run = NotRun {
+            reason,
+            held,
+            avoid: upstream.name().to_owned(),
+        };
+        if let Err(error) = result.try_send(Attempted::NotRun(not_run)) {
+            if let Attempted::NotRun(not_run) = error.into_inner() {
+                self.end(not_run.held);
+            }
+        }
+    }
+}
+
+/// A queue with the plan of its service.
+pub(crate) struct QueuePlan {
+    pub(crate) queue: Queue,
+    pub(crate) service: Arc<ServicePlan>,
+    pub(crate) metrics: QueueMetrics,
+}
+
+impl QueuePlan {
+    /// Returns what the queue does while this instance is isolated.
+    pub(crate) fn when_isolated(&self) -> WhenIsolated {
+        match self.queue.when_isolated() {
+            config::WhenIsolated::Serve => WhenIsolated::Serve,
+            config::WhenIsolated::Refuse => WhenIsolated::Refuse,
+            config::WhenIsolated::Default if self.queue.repeatable => WhenIsolated::Serve,
+            config::WhenIsolated::Default => WhenIsolated::Refuse,
+        }
+    }
+}
--- a/crates/dotterelsill_entry/src/register.rs
+++ b/crates/dotterelsill_entry/src/register.rs
@@ -118,6 +118,7 @@
         peer_address: shared.peer_address.clone(),
         state: "live".to_owned(),
         isolation_limit_ms: isolation_limit.as_millis() as u64,
+        max_run_ms: shared.snapshot.load().max_run.as_millis() as u64,
     };
     let member = member.encode_to_vec();
     put_new(shared, format!("{MEMBER_PREFIX}{suffix}"), member, 0).await?;
--- a/crates/dotterelsill_entry/src/shared.rs
+++ b/crates/dotterelsill_entry/src/shared.rs
@@ -1,8 +1,11 @@
 //! State that the parts of the daemon share.
 
-use std::sync::{
-    atomic::AtomicBool,
-    Arc, //
+use std::{
+    sync::{
+        atomic::AtomicBool,
+        Arc, //
+    },
+    time::Instant, //
 };
 
 use arc_swap::ArcSwap;
@@ -12,6 +15,7 @@
 
 use crate::{
     authority::Published,
+    limits::Limits,
     metrics::Metrics,
     peers::Peers,
     snapshot::Snapshot, //
@@ -28,7 +32,12 @@
     /// Socket address at which peers reach this instance.
     pub(crate) peer_address: String,
     pub(crate) store: Client,
+    /// Credits of the teams' upper limits.
+    pub(crate) limits: Arc<Limits>,
+    /// Connections and everything that ends with the program.
     pub(crate) tasks: Tasks,
+    /// Requests and attempts; a shutdown waits for them first.
+    pub(crate) requests: Tasks,
     pub(crate) metrics: Metrics,
     /// Set once the daemon was told to stop; readiness is off then.
     pub(crate) is_leaving: AtomicBool,
@@ -45,11 +54,13 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             settings,
-            snapshot: ArcSwap::from_pointee(Snapshot::empty()),
+            snapshot: ArcSwap::from_pointee(Snapshot::empty(Instant::now())),
             authority: Published::default(),
             peers: Peers::default(),
             peer_address,
             store,
+            limits: Arc::default(),
+            requests: tasks.new_group(),
             tasks,
             metrics,
             is_leaving: AtomicBool::new(false),
--- a/crates/dotterelsill_entry/src/snapshot.rs
+++ b/crates/dotterelsill_entry/src/snapshot.rs
@@ -1,37 +1,49 @@
 //! One revision of the configuration in the form that requests need.
 
 use std::{
-    collections::{
-        HashMap,
-        HashSet, //
-    },
-    net::SocketAddr,
+    collections::HashMap,
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
+use dotterelsill_admission::{
+    KeyHash,
+    KeyTable,
+    Team,
+    TeamShare,
+    Teams, //
+};
+use dotterelsill_config::parse;
 use dotterelsill_proto::config::{
     self,
     Document,
-    Fleet,
-    Queue, //
+    Fleet, //
 };
 use dotterelsill_revision::{
     Head,
-    WhenIsolated,
     WriteId, //
 };
+use dotterelsill_routing::{
+    ServiceSpec,
+    UpstreamSet,
+    UpstreamSpec, //
+};
 use snafu::{
     ResultExt,
     Snafu, //
 };
 
 use crate::{
-    forward::Upstream,
-    metrics::{
-        Metrics,
-        QueueMetrics, //
-    }, //
+    limits::OPEN_TEAM,
+    plan::{
+        QueuePlan,
+        ServicePlan, //
+    },
+    service::Service,
+    shared::Shared, //
 };
 
 /// A document cannot be used.
@@ -42,27 +54,6 @@
         #[snafu(source(from(serde_saphyr::Error, Box::new)))]
         source: Box<serde_saphyr::Error>,
     },
-    #[snafu(display("upstream {name}: {address:?} is not a socket address"))]
-    Address { name: String, address: String },
-}
-
-/// A queue with the upstreams of its service.
-pub(crate) struct QueuePlan {
-    pub(crate) queue: Queue,
-    pub(crate) upstreams: Vec<Arc<Upstream>>,
-    pub(crate) metrics: QueueMetrics,
-}
-
-impl QueuePlan {
-    /// Returns what the queue does while this instance is isolated.
-    pub(crate) fn when_isolated(&self) -> WhenIsolated {
-        match self.queue.when_isolated() {
-            config::WhenIsolated::Serve => WhenIsolated::Serve,
-            config::WhenIsolated::Refuse => WhenIsolated::Refuse,
-            config::WhenIsolated::Default if self.queue.repeatable => WhenIsolated::Serve,
-            config::WhenIsolated::Default => WhenIsolated::Refuse,
-        }
-    }
 }
 
 /// One revision of the configuration; never changed after it was built.
@@ -70,76 +61,67 @@
     pub(crate) revision: u64,
     /// Longest time that an instance without contact goes on.
     pub(crate) isolation_limit: Duration,
+    /// Longest run time of any queue.
+    pub(crate) max_run: Duration,
     pub(crate) document: Document,
     pub(crate) queues: HashMap<String, QueuePlan>,
-    pub(crate) teams_by_key: HashMap<[u8; 32], String>,
-    pub(crate) data_centres_out: HashSet<String>,
+    /// Upper limit of each team, in requests running at once.
+    pub(crate) limits: HashMap<String, u32>,
+    services: HashMap<String, Arc<ServicePlan>>,
+    keys: KeyTable,
+    teams: Teams,
 }
 
 impl Snapshot {
     /// Returns the snapshot that is in force before any document was read: it
     /// has no queues.
-    pub(crate) fn empty() -> Self {
+    pub(crate) fn empty(now: Instant) -> Self {
         Self {
             revision: 0,
             isolation_limit: Duration::ZERO,
+            max_run: Duration::ZERO,
             document: Document::default(),
             queues: HashMap::new(),
-            teams_by_key: HashMap::new(),
-            data_centres_out: HashSet::new(),
+            limits: HashMap::new(),
+            services: HashMap::new(),
+            keys: KeyTable::new([]),
+            teams: Teams::new(&[], now),
         }
     }
 
-    /// Builds the snapshot of a document; upstreams that the previous snapshot
-    /// has too keep their connections and counts.
+    /// Builds the snapshot of a document; teams, services and upstreams that the
+    /// previous snapshot has too keep their counts.
     pub(crate) fn build(
         revision: u64,
         document: Document,
         previous: &Snapshot,
-        metrics: &Metrics,
+        shared: &Shared,
     ) -> Result<Self, SnapshotError> {
-        let fleet: Fleet = serde_saphyr::from_str(&document.text).context(TextSnafu)?;
+        let now = Instant::now();
+        let fleet = read(&document.text)?;
+        let teams = previous.teams.rebuild(&shares(&fleet));
         let mut services = HashMap::new();
         for service in &fleet.services {
-            let mut upstreams = Vec::with_capacity(service.upstreams.len());
-            for upstream in &service.upstreams {
-                let address: SocketAddr =
-                    upstream
-                        .address
-                        .parse()
-                        .map_err(|_| SnapshotError::Address {
-                            name: upstream.name.clone(),
-                            address: upstream.address.clone(),
-                        })?;
-                upstreams.push(previous.reuse(upstream, address));
-            }
-            services.insert(service.name.clone(), upstreams);
+            let plan = service_plan(service, &document, previous, &teams, shared, now);
+            services.insert(service.name.clone(), Arc::new(plan));
         }
-        let queues = fleet
-            .queues
-            .into_iter()
-            .map(|queue| {
-                let upstreams = services.get(&queue.service).cloned().unwrap_or_default();
-                let plan = QueuePlan {
-                    metrics: metrics.queue(&queue.name),
-                    queue,
-                    upstreams,
-                };
-                (plan.queue.name.clone(), plan)
-            })
-            .collect();
-        let teams_by_key = document
+        let queues = queues(&fleet, &services, shared);
+        let max_run_ms = fleet.queues.iter().map(|queue| queue.max_run_ms).max();
+        let keys = document
             .keys
             .iter()
-            .filter_map(|key| Some((key.sha256.as_slice().try_into().ok()?, key.team.clone())))
-            .collect();
+            .filter_map(|key| Some((KeyHash::try_from(&key.sha256[..]).ok()?, &key.team[..])));
+        let limit = |team: &config::Team| (team.name.clone(), team.limit_requests);
         Ok(Self {
             revision,
             isolation_limit: Duration::from_secs(fleet.isolation_limit_s.into()),
-            data_centres_out: document.data_centres_out.iter().cloned().collect(),
-            document,
+            max_run: Duration::from_millis(max_run_ms.unwrap_or(0).into()),
+            keys: KeyTable::new(keys),
+            limits: fleet.teams.iter().map(limit).collect(),
             queues,
-            teams_by_key,
+            services,
+            teams,
+            document,
         })
     }
 
@@ -151,16 +133,112 @@
         }
     }
 
-    fn reuse(
-        &self,
-        wanted: &dotterelsill_proto::config::Upstream,
-        address: SocketAddr,
-    ) -> Arc<Upstream> {
-        self.queues
-            .values()
-            .flat_map(|plan| &plan.upstreams)
-            .find(|upstream| upstream.is_same(wanted, address))
-            .cloned()
-            .unwrap_or_else(|| Arc::new(Upstream::new(wanted, address)))
+    /// Returns the team that a key belongs to.
+    pub(crate) fn team_of(&self, key: &KeyHash) -> Option<&Arc<Team>> {
+        self.teams.get(self.keys.team_of(key)?)
+    }
+
+    /// Returns the team that stands for the callers of open queues.
+    pub(crate) fn open_team(&self) -> Option<&Arc<Team>> {
+        self.teams.get(OPEN_TEAM)
+    }
+
+    /// Adapts each service to the upstreams that can be used now.
+    pub(crate) fn maintain(&self, now: Instant) {
+        for plan in self.services.values() {
+            plan.maintain(now);
+        }
+    }
+
+    /// Starts waiting requests for which slots and credits are free now.
+    pub(crate) fn start_waiting(&self) {
+        for plan in self.services.values() {
+            plan.service.start_waiting();
+        }
+    }
+}
+
+/// Reads a text that was accepted before.
+///
+/// A release with stricter rules must not stop the fleet that runs on an older
+/// text, so a text that fails the check is still read if it fits the schema.
+fn read(text: &str) -> Result<Fleet, SnapshotError> {
+    match parse(text) {
+        Ok(checked) => Ok(checked.fleet().clone()),
+        Err(findings) => {
+            for finding in &findings {
+                log::error!(finding:%; "text_in_force_fails_check");
+            }
+            serde_saphyr::from_str(text).context(TextSnafu)
+        }
+    }
+}
+
+/// Returns the teams' shares; callers of open queues get what is left, and at
+/// least one percent.
+fn shares(fleet: &Fleet) -> Vec<TeamShare> {
+    let given: u32 = fleet.teams.iter().map(|team| team.share_percent).sum();
+    let open = TeamShare {
+        name: OPEN_TEAM.to_owned(),
+        share_percent: 100_u32.saturating_sub(given).max(1),
+    };
+    let share = |team: &config::Team| TeamShare {
+        name: team.name.clone(),
+        share_percent: team.share_percent,
+    };
+    fleet.teams.iter().map(share).chain([open]).collect()
+}
+
+fn service_plan(
+    service: &config::Service,
+    document: &Document,
+    previous: &Snapshot,
+    teams: &Teams,
+    shared: &Shared,
+    now: Instant,
+) -> ServicePlan {
+    let spec = ServiceSpec {
+        local_data_centre: shared.settings.data_centre.clone(),
+        data_centres_out: document.data_centres_out.clone(),
+        availability_floor_percent: service.availability_floor_percent,
+        upstreams: service.upstreams.iter().map(upstream_spec).collect(),
+    };
+    match previous.services.get(&service.name) {
+        Some(previous) => {
+            let set = previous.set.rebuild(&spec, now);
+            previous.service.reconfigure(teams, now);
+            ServicePlan::new(set, previous.service.clone(), Some(previous))
+        }
+        None => {
+            let set = UpstreamSet::new(&spec, now);
+            let service = Service::new(teams, &shared.limits, now);
+            ServicePlan::new(set, Arc::new(service), None)
+        }
+    }
+}
+
+fn upstream_spec(upstream: &config::Upstream) -> UpstreamSpec {
+    UpstreamSpec {
+        name: upstream.name.clone(),
+        address: upstream.address.clone(),
+        data_centre: upstream.data_centre.clone(),
+        slots: upstream.slots,
+        connections: upstream.connections,
     }
 }
+
+fn queues(
+    fleet: &Fleet,
+    services: &HashMap<String, Arc<ServicePlan>>,
+    shared: &Shared,
+) -> HashMap<String, QueuePlan> {
+    let plan = |queue: &config::Queue| {
+        let plan = QueuePlan {
+            service: services.get(&queue.service)?.clone(),
+            metrics: shared.metrics.queue(&queue.name),
+            queue: queue.clone(),
+        };
+        Some((queue.name.clone(), plan))
+    };
+    fleet.queues.iter().filter_map(plan).collect()
+}
--- a/crates/dotterelsill_entry/src/start.rs
+++ b/crates/dotterelsill_entry/src/start.rs
@@ -15,11 +15,9 @@
 
 use crate::{
     outcome::Reason,
+    plan::QueuePlan,
     shared::Shared,
-    snapshot::{
-        QueuePlan,
-        Snapshot, //
-    }, //
+    snapshot::Snapshot, //
 };
 
 /// Returns the configuration under which work may start at this instant.
--- a/crates/dotterelsill_entry/src/sync.rs
+++ b/crates/dotterelsill_entry/src/sync.rs
@@ -124,7 +124,7 @@
     if head.revision > current.revision {
         let document = fetch(shared, &head).await?;
         let revision = head.revision;
-        let snapshot = Snapshot::build(revision, document, &current, &shared.metrics)
+        let snapshot = Snapshot::build(revision, document, &current, shared)
             .context(BuildSnafu { revision })?;
         replace(shared, snapshot);
         log::info!(revision; "revision_in_force");
--- a/crates/dotterelsill_escrow/src/decision.rs
+++ b/crates/dotterelsill_escrow/src/decision.rs
@@ -32,7 +32,8 @@
             self.state.idle_since = None;
             return self.acquire(ledger, waiting);
         }
-        self.release_idle(ledger, counts, now)
+        self.fill_reserve(ledger)
+            .or_else(|| self.release_idle(ledger, counts, now))
             .or_else(|| self.withdraw_wanted(now))
     }
 
@@ -62,8 +63,14 @@
         (self.state.wanted == 0).then_some(Request::Want { credits })
     }
 
+    /// Takes free credits up to the reserve.
+    fn fill_reserve(&self, ledger: &Ledger) -> Option<Request> {
+        let credits = self.policy.reserve.saturating_sub(self.state.held);
+        (credits > 0 && ledger.free() > 0).then_some(Request::Take { credits })
+    }
+
     fn release_idle(&mut self, ledger: &Ledger, counts: Counts, now: Instant) -> Option<Request> {
-        if self.state.held <= kept_for(counts.peak) {
+        if self.state.held <= self.kept_for(counts.peak) {
             self.state.idle_since = None;
             return None;
         }
@@ -76,7 +83,7 @@
         let surplus = self
             .state
             .held
-            .saturating_sub(kept_for(self.state.idle_peak));
+            .saturating_sub(self.kept_for(self.state.idle_peak));
         if idle_for >= self.policy.idle_after {
             self.state.idle_since = None;
             return self.give_back(surplus);
@@ -88,6 +95,10 @@
         None
     }
 
+    fn kept_for(&self, peak: u32) -> u32 {
+        kept_for(peak).max(self.policy.reserve)
+    }
+
     /// Lowers the allowance and gives back the part that no start used meanwhile.
     fn give_back(&self, surplus: u32) -> Option<Request> {
         let held = self.state.held;
--- a/crates/dotterelsill_escrow/src/holder.rs
+++ b/crates/dotterelsill_escrow/src/holder.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Sets the credits to keep while idle.
+    pub fn set_reserve(&mut self, credits: u32) {
+        self.policy.reserve = credits;
+    }
+
     /// Returns the handle for starts and ends.
     pub fn credits(&self) -> &Credits {
         &self.credits
--- a/crates/dotterelsill_escrow/src/lib.rs
+++ b/crates/dotterelsill_escrow/src/lib.rs
@@ -38,7 +38,10 @@
     Operation,
     Request, //
 };
-pub use policy::Policy;
+pub use policy::{
+    reserve_of,
+    Policy, //
+};
 pub use reclaim::{
     Lease,
     Member,
--- a/crates/dotterelsill_escrow/src/policy.rs
+++ b/crates/dotterelsill_escrow/src/policy.rs
@@ -9,6 +9,9 @@
     pub idle_after: Duration,
     /// The same time while another incarnation wants credits and none is free.
     pub idle_after_contended: Duration,
+    /// Credits kept while idle, so that an instance that is cut off from the
+    /// store can go on serving the team.
+    pub reserve: u32,
     /// Whether a take covers all waiting requests, and not only half of what is held.
     pub take_waiting: bool,
 }
@@ -18,6 +21,7 @@
     pub const BASIC: Self = Self {
         idle_after: Duration::from_secs(2),
         idle_after_contended: Duration::from_secs(2),
+        reserve: 0,
         take_waiting: false,
     };
 
@@ -38,6 +42,20 @@
     }
 }
 
+/// Returns the reserve of one of several live incarnations: an eighth of an
+/// equal part of the limit, at least one credit if there are two for each.
+///
+/// The reserves of idle instances are stranded for a busy one, so they are kept
+/// small.
+pub fn reserve_of(limit: u32, incarnations: u32) -> u32 {
+    let part = limit / incarnations.max(1);
+    if part < 2 {
+        0
+    } else {
+        (part / 8).max(1)
+    }
+}
+
 /// Returns the credits kept for a peak of running requests: the peak and a quarter.
 pub(crate) fn kept_for(peak: u32) -> u32 {
     peak + peak.div_ceil(4)
--- a/crates/dotterelsill_proto/src/lib.rs
+++ b/crates/dotterelsill_proto/src/lib.rs
@@ -22,6 +22,12 @@
 #[path = "generated/dotterelsill.settings.rs"]
 pub mod settings;
 
+/// Values that entry instances keep in the store.
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/dotterelsill.state.rs"]
+pub mod state;
+
 /// The platform's key-value service.
 #[allow(missing_docs, unreachable_pub, clippy::all)]
 #[rustfmt::skip]
--- a/crates/dotterelsill_protogen/src/main.rs
+++ b/crates/dotterelsill_protogen/src/main.rs
@@ -21,10 +21,11 @@
 };
 
 /// Schema files, relative to the schema directory.
-const SCHEMA_FILES: [&str; 4] = [
+const SCHEMA_FILES: [&str; 5] = [
     "config.proto",
     "peer.proto",
     "settings.proto",
+    "state.proto",
     "store.proto",
 ];
 
