Keep the part of low urgency when urgent work waits for its share

While urgent work of a team that is ahead of its share waited all the time, ordinary work of the others took all slots and low urgency got 0.0% of them: the walk along the guarantees started at the most urgent level that waits, and that level owed nothing. It now starts at the level whose turn it is.

The new test fails without the change.

--- a/crates/dotterelsill_admission/src/guarantee.rs
+++ b/crates/dotterelsill_admission/src/guarantee.rs
@@ -38,13 +38,14 @@
 }
 
 impl Guarantee {
-    /// Returns the level of the work that is owed the next slot, if any.
-    pub(crate) fn owed_level(
+    /// Counts the slot time used since the call before and returns the levels
+    /// at which requests wait.
+    pub(crate) fn update(
         &mut self,
         candidates: &[Candidate<'_>],
         gate: &Gate,
         now: Instant,
-    ) -> Option<usize> {
+    ) -> Vec<usize> {
         let added_us = self.advance(gate, now);
         let waits = |level: &usize| {
             let mut candidates = candidates.iter();
@@ -53,13 +54,30 @@
         let waiting: Vec<usize> = (0..URGENCY_LEVELS).filter(waits).collect();
         // Only the time in which a level and lower ones wait counts. The last
         // level that waits has none below it.
-        let (_, above) = waiting.split_last()?;
-        for level in above {
+        let above = waiting.len().saturating_sub(1);
+        for level in &waiting[..above] {
             self.count(*level, &added_us, gate.capacity());
         }
-        let owing = above.iter().take_while(|level| self.owed_us[**level] > 0.0);
-        let depth = owing.count();
-        (depth > 0).then(|| waiting[depth])
+        waiting
+    }
+
+    /// Returns the level that is owed the slot which would go to `level`;
+    /// `waiting` holds the levels at which requests wait.
+    ///
+    /// The walk starts at the level whose turn it is and not at the most urgent
+    /// one: urgent work of a team that is ahead of its share may wait for long
+    /// while ordinary work of the others runs.
+    pub(crate) fn owed_below(&self, level: usize, waiting: &[usize]) -> usize {
+        let mut lower = waiting.iter().skip_while(|waits| **waits < level);
+        let mut owed = level;
+        lower.next();
+        while self.owed_us[owed] > 0.0 {
+            match lower.next() {
+                Some(next) => owed = *next,
+                None => break,
+            }
+        }
+        owed
     }
 
     /// Returns the slot time that each level used since the call before.
--- a/crates/dotterelsill_admission/src/queue.rs
+++ b/crates/dotterelsill_admission/src/queue.rs
@@ -144,8 +144,8 @@
         let mut skipped = Vec::new();
         loop {
             let waiting = candidates(&self.lanes, &skipped, now);
-            let owed = self.guarantee.owed_level(&waiting, &self.gate, now);
-            let Some((lane, level)) = select(&waiting, owed, self.gate.capacity()) else {
+            let next = select(&waiting, &mut self.guarantee, &self.gate, now);
+            let Some((lane, level)) = next else {
                 self.gate.release();
                 return None;
             };
--- a/crates/dotterelsill_admission/src/select.rs
+++ b/crates/dotterelsill_admission/src/select.rs
@@ -10,9 +10,10 @@
 };
 
 use crate::{
+    guarantee::Guarantee,
     lane::Lane,
-    Ticket,
-    URGENCY_LEVELS, //
+    Gate,
+    Ticket, //
 };
 
 /// Time by which a team may be ahead of its share and its urgent work still
@@ -62,21 +63,25 @@
     (weight > 0.0).then(|| candidates.iter().map(used).sum::<f64>() / weight)
 }
 
-/// Returns the lane and the level of the request that starts next; `owed` is
-/// the level that less urgent work is owed a slot for.
+/// Returns the lane and the level of the request that starts next.
 pub(crate) fn select(
     candidates: &[Candidate<'_>],
-    owed: Option<usize>,
-    slots: u32,
+    guarantee: &mut Guarantee,
+    gate: &Gate,
+    now: Instant,
 ) -> Option<(usize, usize)> {
-    if let Some(level) = owed {
-        return least_charged(candidates, level, |_| true);
-    }
-    let ahead = URGENT_AHEAD.as_micros() as f64 * f64::from(slots);
-    let ahead = ahead / total_weight(candidates).max(1.0);
-    let bound = mean_used(candidates)? + ahead;
+    let waiting = guarantee.update(candidates, gate, now);
+    let ahead = URGENT_AHEAD.as_micros() as f64 * f64::from(gate.capacity());
+    let bound = mean_used(candidates)? + ahead / total_weight(candidates).max(1.0);
     let within = |candidate: &Candidate<'_>| candidate.used <= bound;
-    (0..URGENCY_LEVELS).find_map(|level| least_charged(candidates, level, within))
+    let (lane, level) = waiting
+        .iter()
+        .find_map(|level| least_charged(candidates, *level, within))?;
+    let owed = guarantee.owed_below(level, &waiting);
+    if owed == level {
+        return Some((lane, level));
+    }
+    least_charged(candidates, owed, |_| true)
 }
 
 fn least_charged(
--- a/crates/dotterelsill_admission/tests/fairness.rs
+++ b/crates/dotterelsill_admission/tests/fairness.rs
@@ -70,6 +70,21 @@
     assert!(lowest >= 25, "{lowest} of the lowest urgency");
 }
 
+/// Guards against starvation of low urgency while urgent work of a team that is
+/// ahead of its share waits all the time.
+#[test]
+fn urgent_flood_of_one_team_leaves_low_urgency_its_part() {
+    let mut service = Service::new(40, &[10, 90], 200);
+    let low = std::cell::Cell::new(0);
+    service.overload(ms(120_000), &[(0, 0), (1, 1), (1, 2)], |(_, urgency)| {
+        low.set(low.get() + u32::from(urgency == 2));
+        ms(500)
+    });
+    let part = f64::from(low.get()) * 500.0 * 100.0 / (120_000.0 * 40.0);
+    println!("low urgency: {part:.1}% of the slots");
+    assert!((8.0..11.0).contains(&part), "{part:.1}%");
+}
+
 /// Guards against a team that takes more than its share by marking all its work
 /// as urgent.
 #[test]
