Yield slots above an entry's part of an upstream

An entry that holds all slots of an upstream is never refused and refills each freed slot at once, so the others starve there. An entry that holds more than the slots divided by the live entries now yields one slot per second and upstream, and raises its limit two intervals later.

One entry alone yields nothing.

Tried: raise intervals of 50 and 25 ms.

--- a/crates/dotterelsill_routing/examples/sharing/entries.rs
+++ b/crates/dotterelsill_routing/examples/sharing/entries.rs
@@ -71,11 +71,15 @@
             Policy::Division => SLOTS / ENTRIES as u32,
             _ => SLOTS,
         };
+        let entries = match policy {
+            Policy::LearnedLimit => ENTRIES as u32,
+            _ => 1,
+        };
         Self {
             policy,
             run: Duration::from_millis(run_ms),
             random: SmallRng::seed_from_u64(seed),
-            sets: (0..busy).map(|_| set(slots, start)).collect(),
+            sets: (0..busy).map(|_| set(slots, entries, start)).collect(),
             used: [0; UPSTREAMS],
             events: BTreeMap::new(),
             count: 0,
@@ -180,7 +184,7 @@
     number.parse().expect("names end with a number")
 }
 
-fn set(slots: u32, now: Instant) -> UpstreamSet {
+fn set(slots: u32, entries: u32, now: Instant) -> UpstreamSet {
     let upstream = |number: usize| UpstreamSpec {
         name: format!("upstream{number}"),
         address: format!("127.0.0.1:{}", 9000 + number),
@@ -194,5 +198,7 @@
         availability_floor_percent: 70,
         upstreams: (0..UPSTREAMS).map(upstream).collect(),
     };
-    UpstreamSet::new(&spec, now)
+    let set = UpstreamSet::new(&spec, now);
+    set.on_live_entries(entries);
+    set
 }
--- a/crates/dotterelsill_routing/src/learned_limit.rs
+++ b/crates/dotterelsill_routing/src/learned_limit.rs
@@ -7,6 +7,10 @@
 //! reaches it. An entry thus wastes at most one round trip per interval and
 //! upstream. The cost is that a slot which another entry gives up stays unused
 //! until some entry's next raise.
+//!
+//! An entry that holds all slots of an upstream would never be refused, and
+//! would refill each freed one before the others try again. An entry that holds
+//! more than its equal part therefore yields one slot per [`YIELD_INTERVAL`].
 
 use std::{
     sync::atomic::{
@@ -22,12 +26,17 @@
 /// Time between two raises of the limit by one slot.
 pub const RAISE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two slots of one upstream that an entry yields while it holds
+/// more than its equal part.
+pub const YIELD_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Number of slots that this entry uses of an upstream at most.
 #[derive(Debug)]
 pub(crate) struct LearnedLimit {
     slots: AtomicU32,
     limit: AtomicU32,
     raise_at_ms: AtomicU64,
+    yield_at_ms: AtomicU64,
 }
 
 impl LearnedLimit {
@@ -37,6 +46,7 @@
             slots: AtomicU32::new(slots),
             limit: AtomicU32::new(slots),
             raise_at_ms: AtomicU64::new(0),
+            yield_at_ms: AtomicU64::new(0),
         }
     }
 
@@ -94,6 +104,29 @@
             .fetch_min(running - running / 4, Ordering::Relaxed);
     }
 
+    /// Lowers the limit to what still runs after an answer, when this entry
+    /// holds more than its part of the slots among `entries`.
+    ///
+    /// The raise comes two intervals later, so that the others are first.
+    pub(crate) fn yield_one(&self, running: u32, entries: u32, now_ms: u64) {
+        let part = self.slots().div_ceil(entries.max(1));
+        if running < part || running + 1 < self.get() {
+            return;
+        }
+        let due_ms = self.yield_at_ms.load(Ordering::Relaxed);
+        let next_ms = now_ms + duration_ms(YIELD_INTERVAL);
+        let won = now_ms >= due_ms
+            && self
+                .yield_at_ms
+                .compare_exchange(due_ms, next_ms, Ordering::Relaxed, Ordering::Relaxed)
+                .is_ok();
+        if won {
+            let raise_ms = now_ms + 2 * duration_ms(RAISE_INTERVAL);
+            self.raise_at_ms.store(raise_ms, Ordering::Relaxed);
+            self.limit.fetch_min(running, Ordering::Relaxed);
+        }
+    }
+
     fn add_one(&self) -> bool {
         let raised = |limit: u32| (limit < self.slots()).then_some(limit + 1);
         self.limit
--- a/crates/dotterelsill_routing/src/lib.rs
+++ b/crates/dotterelsill_routing/src/lib.rs
@@ -42,7 +42,10 @@
     HedgeRequest, //
 };
 pub use latency::Latency;
-pub use learned_limit::RAISE_INTERVAL;
+pub use learned_limit::{
+    RAISE_INTERVAL,
+    YIELD_INTERVAL, //
+};
 pub use retry::{
     RetryBudget,
     RETRY_PERCENT, //
--- a/crates/dotterelsill_routing/src/set.rs
+++ b/crates/dotterelsill_routing/src/set.rs
@@ -2,6 +2,10 @@
 
 use std::{
     sync::{
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
         Arc,
         Mutex,
         PoisonError, //
@@ -41,12 +45,24 @@
     pub(crate) generation: u64,
     /// Generation of the newest set; locked by the one review that runs.
     pub(crate) newest: Arc<Mutex<u64>>,
+    /// Number of live entries, the same for all generations.
+    entries: Arc<AtomicU32>,
 }
 
 impl UpstreamSet {
     /// Creates the set of a service that had none before.
     pub fn new(spec: &ServiceSpec, now: Instant) -> Self {
-        Self::build(spec, Clock::new(now), &[], Arc::new(Mutex::new(0)), 0)
+        let none = Self {
+            clock: Clock::new(now),
+            all: Vec::new(),
+            local: Vec::new(),
+            remote: Vec::new(),
+            floor: 1,
+            generation: 0,
+            newest: Arc::new(Mutex::new(0)),
+            entries: Arc::new(AtomicU32::new(1)),
+        };
+        none.build(spec, 0)
     }
 
     /// Creates the set of a new configuration.
@@ -57,8 +73,7 @@
     pub fn rebuild(&self, spec: &ServiceSpec, now: Instant) -> Self {
         let mut newest = self.newest.lock().unwrap_or_else(PoisonError::into_inner);
         *newest += 1;
-        let shared = Arc::clone(&self.newest);
-        let set = Self::build(spec, self.clock, &self.all, shared, *newest);
+        let set = self.build(spec, *newest);
         for upstream in &self.all {
             let stays = set.all.iter().any(|other| Arc::ptr_eq(other, upstream));
             if !stays {
@@ -102,10 +117,12 @@
             Answer::Full | Answer::Abandoned => {}
         }
         drop(slot);
-        if answer == Answer::Full {
-            let now_ms = self.clock.ms(now);
-            upstream.limit.lower(upstream.in_use(), now_ms);
-        }
+        self.adapt_limit(&upstream, answer, now);
+    }
+
+    /// Records how many entries are live and share the upstreams; 1 until then.
+    pub fn on_live_entries(&self, entries: u32) {
+        self.entries.store(entries, Ordering::Relaxed);
     }
 
     /// Returns the number of requests that this entry may have running on all
@@ -120,6 +137,17 @@
             .sum()
     }
 
+    fn adapt_limit(&self, upstream: &Upstream, answer: Answer, now: Instant) {
+        let running = upstream.in_use();
+        let now_ms = self.clock.ms(now);
+        if answer == Answer::Full {
+            upstream.limit.lower(running, now_ms);
+        } else {
+            let entries = self.entries.load(Ordering::Relaxed);
+            upstream.limit.yield_one(running, entries, now_ms);
+        }
+    }
+
     fn on_success(&self, upstream: &Upstream, probe: bool, now: Instant) {
         if probe {
             upstream.window.clear();
@@ -137,17 +165,11 @@
         }
     }
 
-    fn build(
-        spec: &ServiceSpec,
-        clock: Clock,
-        old: &[Arc<Upstream>],
-        newest: Arc<Mutex<u64>>,
-        generation: u64,
-    ) -> Self {
+    fn build(&self, spec: &ServiceSpec, generation: u64) -> Self {
         let all: Vec<_> = spec
             .upstreams
             .iter()
-            .map(|upstream| kept_or_new(upstream, clock, old))
+            .map(|upstream| kept_or_new(upstream, self.clock, &self.all))
             .collect();
         for upstream in &all {
             upstream.withhold(spec.is_out(upstream));
@@ -158,14 +180,15 @@
             .partition(|upstream| upstream.data_centre() == spec.local_data_centre);
         let floor = all.len() * spec.availability_floor_percent as usize;
         Self {
-            clock,
+            clock: self.clock,
             local,
             remote,
             // At least one upstream stays, whatever the floor.
             floor: floor.div_ceil(100).max(1),
             all,
             generation,
-            newest,
+            newest: Arc::clone(&self.newest),
+            entries: Arc::clone(&self.entries),
         }
     }
 }
--- a/crates/dotterelsill_routing/tests/choice.rs
+++ b/crates/dotterelsill_routing/tests/choice.rs
@@ -23,7 +23,8 @@
     UpstreamSet,
     Work,
     LEAVING_HOLD,
-    RAISE_INTERVAL, //
+    RAISE_INTERVAL,
+    YIELD_INTERVAL, //
 };
 
 /// Guards against use of another data centre while the local one has a slot.
@@ -169,6 +170,27 @@
     assert!(!set.upstreams()[0].is_ejected());
 }
 
+/// Guards against an entry that keeps all slots of an upstream from the others,
+/// and against slots that it yields without need.
+#[test]
+fn entry_yields_slots_above_its_part() {
+    let now = Instant::now();
+    let set = UpstreamSet::new(&service(1, &["a"], 0), now);
+    let refill = |at| {
+        let mut slots = take_all(&set, at);
+        set.report(slots.pop().unwrap(), Answer::Success, at);
+        slots.extend(take_all(&set, at));
+        slots.len()
+    };
+    assert_eq!(refill(now), 8, "no other entry is known");
+    set.on_live_entries(4);
+    assert_eq!(refill(now), 7);
+    assert_eq!(refill(now + 2 * RAISE_INTERVAL), 8);
+    assert_eq!(refill(now + YIELD_INTERVAL), 7);
+    set.on_live_entries(1);
+    assert_eq!(refill(now + 2 * YIELD_INTERVAL), 8);
+}
+
 /// Guards against a retry that goes to the same upstream while another one has
 /// a slot.
 #[test]
