--- a/crates/dotterelsill_entry/src/limits.rs
+++ b/crates/dotterelsill_entry/src/limits.rs
@@ -231,10 +231,9 @@
         return;
     };
     let written = match ledger.apply(incarnation, &operation) {
-        Ok(next) => match ledgers::write(shared, team, version, &next).await {
-            Some(version) => Some((version, next)),
-            None => None,
-        },
+        Ok(next) => ledgers::write(shared, team, version, &next)
+            .await
+            .map(|version| (version, next)),
         Err(error) => {
             log::debug!(team, error:%; "escrow_operation_refused");
             None
