Run requests that may not be repeated at most once

Entries claim the identifier of such a request in the log of its bucket before the request may run; retries anywhere get the first answer from the claimant. Lists of the store come in pages of about 1 MB.

Fault found by the tests: the first claim of a bucket after a registration was refused, because the log of the earlier incarnation took it; it now goes to the log of the next one.

--- a/crates/dotterelsill_e2e/src/fleet.rs
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -175,6 +175,26 @@
         }
     }
 
+    /// Returns how often all upstreams together ran a body.
+    ///
+    /// # Panics
+    ///
+    /// Panics when an upstream does not answer.
+    pub async fn runs(&self, body: &str) -> u32 {
+        let mut runs = 0;
+        for upstream in &self.upstreams {
+            let caller = Caller {
+                address: upstream.address(""),
+                key: None,
+                tasks: self.tasks.clone(),
+            };
+            let answer = caller.send("/_count", body).await;
+            let text = String::from_utf8_lossy(&answer.body);
+            runs += text.parse::<u32>().expect("the upstream answers a number");
+        }
+        runs
+    }
+
     /// Applies a text through the entry of an index.
     pub async fn apply(&mut self, index: usize, text: &str) -> ChangeResponse {
         let request = ApplyRequest {
--- /dev/null
+++ b/crates/dotterelsill_entry/src/buckets.rs
@@ -0,0 +1,221 @@
+//! The claim logs of the buckets that this instance owns.
+
+use std::{
+    collections::HashMap,
+    future::Future,
+    pin::Pin,
+    sync::Arc,
+    time::Instant, //
+};
+
+use async_channel::{
+    Receiver,
+    Sender, //
+};
+use async_io::Timer;
+use dotterelsill_claims::{
+    bucket,
+    Action,
+    Claim,
+    ClaimReply,
+    Incarnation,
+    Limits,
+    Log,
+    StoreAnswer,
+    BUCKETS, //
+};
+use futures_lite::{
+    future,
+    FutureExt as _, //
+};
+
+use crate::{
+    claim_store::ClaimStore,
+    shared::Shared, //
+};
+
+/// Claims that wait for the task of a bucket.
+const QUEUE_LENGTH: usize = 1024;
+
+/// A claim with the channel for its answer.
+pub(crate) type Asked = (Claim, Sender<ClaimReply>);
+
+/// Channels to the tasks of all buckets.
+pub(crate) struct Buckets {
+    senders: Vec<Sender<Asked>>,
+    receivers: Vec<Receiver<Asked>>,
+}
+
+impl Default for Buckets {
+    fn default() -> Self {
+        let channels = (0..BUCKETS).map(|_| async_channel::bounded(QUEUE_LENGTH));
+        let (senders, receivers) = channels.unzip();
+        Self { senders, receivers }
+    }
+}
+
+impl Buckets {
+    /// Asks this instance, as the owner, for a claim.
+    pub(crate) async fn claim(&self, claim: Claim) -> ClaimReply {
+        let (answer, answered) = async_channel::bounded(1);
+        let sender = &self.senders[usize::from(bucket(claim.key))];
+        if sender.try_send((claim, answer)).is_err() {
+            return ClaimReply::Refused;
+        }
+        answered.recv().await.unwrap_or(ClaimReply::Refused)
+    }
+
+    /// Starts the tasks of all buckets; they end with the program.
+    pub(crate) fn start(&self, shared: &Arc<Shared>) {
+        for (number, receiver) in (0..BUCKETS).zip(&self.receivers) {
+            let shared = shared.clone();
+            let receiver = receiver.clone();
+            let tasks = shared.tasks.clone();
+            tasks.spawn_until_stop(async move {
+                // A claim that arrives with a new incarnation goes to its log.
+                let mut first = None;
+                loop {
+                    let bucket = Bucket::new(number, &shared);
+                    first = bucket.run(&shared, &receiver, first).await;
+                }
+            });
+        }
+    }
+}
+
+type Call = Pin<Box<dyn Future<Output = (ClaimStore, Option<(u64, StoreAnswer)>)> + Send>>;
+
+/// What a bucket's task goes on with.
+enum Wake {
+    Claim(Option<Asked>),
+    Answer(ClaimStore, Option<(u64, StoreAnswer)>),
+    Timer,
+}
+
+/// The log of one bucket under one incarnation.
+struct Bucket {
+    incarnation: Incarnation,
+    log: Log,
+    store: Option<ClaimStore>,
+    call: Option<Call>,
+    waiting: HashMap<u64, Sender<ClaimReply>>,
+    next_ticket: u64,
+}
+
+impl Bucket {
+    fn new(number: u8, shared: &Shared) -> Self {
+        let incarnation = current(shared).map_or(Incarnation(0), |(incarnation, _)| incarnation);
+        Self {
+            incarnation,
+            log: Log::new(incarnation, Limits::default()),
+            store: Some(ClaimStore::new(number)),
+            call: None,
+            waiting: HashMap::new(),
+            next_ticket: 0,
+        }
+    }
+
+    /// Serves claims until the incarnation ends; returns a claim that has to be
+    /// asked of the next one.
+    async fn run(
+        mut self,
+        shared: &Arc<Shared>,
+        receiver: &Receiver<Asked>,
+        mut first: Option<Asked>,
+    ) -> Option<Asked> {
+        loop {
+            let wake = match first.take() {
+                Some(asked) => Wake::Claim(Some(asked)),
+                None => self.wake(receiver).await,
+            };
+            let authority = current(shared);
+            let now = Instant::now();
+            let Some((_, ends_at)) = authority.filter(|(id, _)| *id == self.incarnation) else {
+                let actions = self.log.stop();
+                self.act(shared, actions);
+                return match wake {
+                    Wake::Claim(Some((_, answer))) if authority.is_none() => {
+                        refuse(&answer);
+                        None
+                    }
+                    Wake::Claim(asked) => asked,
+                    Wake::Answer(..) | Wake::Timer => None,
+                };
+            };
+            let actions = match wake {
+                Wake::Claim(Some((claim, answer))) => {
+                    self.next_ticket += 1;
+                    self.waiting.insert(self.next_ticket, answer);
+                    self.log.on_claim(claim, self.next_ticket, now)
+                }
+                Wake::Claim(None) => return None,
+                Wake::Answer(store, answer) => {
+                    self.store = Some(store);
+                    self.call = None;
+                    match answer {
+                        Some((call, answer)) => self.log.on_answer(call, answer, ends_at, now),
+                        None => Vec::new(),
+                    }
+                }
+                Wake::Timer => self.log.on_timer(now),
+            };
+            self.act(shared, actions);
+        }
+    }
+
+    async fn wake(&mut self, receiver: &Receiver<Asked>) -> Wake {
+        let claim = async { Wake::Claim(receiver.recv().await.ok()) };
+        let wake_at = self.log.wake_at();
+        let timer = async {
+            match wake_at {
+                Some(at) => {
+                    Timer::at(at).await;
+                    Wake::Timer
+                }
+                None => future::pending().await,
+            }
+        };
+        let call = &mut self.call;
+        let answer = async {
+            match call {
+                Some(call) => {
+                    let (store, answer) = call.await;
+                    Wake::Answer(store, answer)
+                }
+                None => future::pending().await,
+            }
+        };
+        answer.or(timer).or(claim).await
+    }
+
+    /// Sends replies and starts the store call, of which there is at most one.
+    fn act(&mut self, shared: &Arc<Shared>, actions: Vec<Action>) {
+        for action in actions {
+            if let Action::Reply { ticket, reply } = action {
+                if let Some(answer) = self.waiting.remove(&ticket) {
+                    // The claimant may have given up.
+                    let _ = answer.try_send(reply);
+                }
+            } else if let Some(mut store) = self.store.take() {
+                let shared = shared.clone();
+                self.call = Some(Box::pin(async move {
+                    let answer = store.call(&shared, action).await;
+                    (store, answer)
+                }));
+            }
+        }
+    }
+}
+
+fn refuse(answer: &Sender<ClaimReply>) {
+    // The claimant may have given up.
+    let _ = answer.try_send(ClaimReply::Refused);
+}
+
+/// Returns the current incarnation and the end of its authority.
+pub(crate) fn current(shared: &Shared) -> Option<(Incarnation, Instant)> {
+    let update = shared.authority.update();
+    let instance = update.as_ref()?;
+    let ends_at = instance.authority().ends_at()?;
+    Some((Incarnation(instance.incarnation().0), ends_at))
+}
--- a/crates/dotterelsill_entry/src/callers.rs
+++ b/crates/dotterelsill_entry/src/callers.rs
@@ -27,6 +27,7 @@
 
 use crate::{
     access,
+    once,
     outcome::{
         Outcome,
         Reason, //
@@ -81,11 +82,6 @@
     let deadline = Deadline::new(arrived, timeout, asked_time(&head.headers));
     // A slow caller takes no slot while it sends.
     let body = read_body(body).await?;
-    let permit = plan
-        .service
-        .service
-        .admit(team, plan.queue.urgency, deadline.at())
-        .await?;
     let incoming = Incoming {
         method: head.method,
         uri: head.uri,
@@ -93,6 +89,19 @@
         body,
         deadline,
     };
+    if !plan.queue.repeatable {
+        return Ok(
+            match once::identify(&plan.queue.name, team.name(), &incoming.headers) {
+                Ok(key) => once::serve(shared, key, incoming).await,
+                Err(outcome) => outcome,
+            },
+        );
+    }
+    let permit = plan
+        .service
+        .service
+        .admit(team, plan.queue.urgency, deadline.at())
+        .await?;
     Ok(run::run(shared, &incoming, permit).await)
 }
 
--- a/crates/dotterelsill_entry/src/daemon.rs
+++ b/crates/dotterelsill_entry/src/daemon.rs
@@ -92,6 +92,7 @@
 
     tasks.spawn_until_stop(register::run(shared.clone()));
     tasks.spawn_until_stop(sync::run(shared.clone()));
+    shared.buckets.start(&shared);
     tasks.spawn_until_stop(limits::run(shared.clone()));
     tasks.spawn_until_stop(maintain::run(shared.clone()));
     tasks.spawn_until_stop(members::run(shared.clone()));
--- /dev/null
+++ b/crates/dotterelsill_entry/src/forward.rs
@@ -0,0 +1,242 @@
+//! Questions to peers about requests that may not be repeated.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use bytes::Bytes;
+use dotterelsill_claims::{
+    bucket,
+    owner,
+    Claim,
+    ClaimReply,
+    Incarnation,
+    Key,
+    NotRunReason,
+    Origin,
+    Outcome as ClaimOutcome,
+    UnknownReason, //
+};
+use dotterelsill_proto::peer::{
+    claim_response::Reply,
+    ClaimRequest,
+    ClaimResponse,
+    ForwardRequest,
+    ForwardResponse,
+    Header,
+    Member,
+    Outcome as OutcomeName, //
+};
+use dotterelsill_routing::Deadline;
+use dotterelsill_rpc::timeout;
+use http::{
+    HeaderMap,
+    HeaderName,
+    HeaderValue,
+    StatusCode, //
+};
+use hyper::Response;
+
+use crate::{
+    access,
+    claim_store::{
+        incarnation,
+        incarnation_bytes, //
+    },
+    once::{
+        self,
+        Answer, //
+    },
+    outcome::{
+        Outcome,
+        Reason, //
+    },
+    run::Incoming,
+    shared::Shared, //
+};
+
+/// Longest time that a claim may take: the takeover of a bucket reads its log.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time after which a claimant says that the request is still in flight.
+pub(crate) const ANSWER_TIME: Duration = Duration::from_secs(1);
+
+/// Longest time that a claimant may take to answer.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A request that a peer handed over.
+pub(crate) struct Forwarded {
+    pub(crate) claimant: Incarnation,
+    pub(crate) origin: Origin,
+    pub(crate) key: Key,
+    pub(crate) incoming: Incoming,
+}
+
+/// Asks the owner of an identifier's bucket for a claim; `None` when the owner
+/// does not answer.
+pub(crate) async fn ask_owner(shared: &Shared, claim: Claim) -> Option<ClaimReply> {
+    let members = shared.peers.alive_members();
+    let names = members.iter().map(|member| member.instance.as_str());
+    let owner = owner(bucket(claim.key), names)?;
+    if owner == shared.settings.instance {
+        return timeout(CLAIM_TIMEOUT, shared.buckets.claim(claim))
+            .await
+            .ok();
+    }
+    let member = members.iter().find(|member| member.instance == owner)?;
+    let mut client = shared.peers.client(member, &shared.tasks)?;
+    let request = ClaimRequest {
+        key: claim.key.0.to_vec(),
+        claimant: incarnation_bytes(claim.claimant),
+    };
+    let answer = timeout(CLAIM_TIMEOUT, client.claim(request)).await.ok()?;
+    match answer.ok()?.into_inner().reply? {
+        Reply::Granted(_) => Some(ClaimReply::Granted),
+        Reply::ClaimedBy(claimant) => Some(ClaimReply::ClaimedBy(incarnation(&claimant)?)),
+        Reply::Refused(_) => Some(ClaimReply::Refused),
+    }
+}
+
+/// Answers a peer that asks this instance, as the owner, for a claim.
+pub(crate) async fn answer_claim(shared: &Shared, request: &ClaimRequest) -> Option<ClaimResponse> {
+    let claim = Claim {
+        key: Key(request.key.as_slice().try_into().ok()?),
+        claimant: incarnation(&request.claimant)?,
+    };
+    let reply = match shared.buckets.claim(claim).await {
+        ClaimReply::Granted => Reply::Granted(true),
+        ClaimReply::ClaimedBy(claimant) => Reply::ClaimedBy(incarnation_bytes(claimant)),
+        ClaimReply::Refused => Reply::Refused(true),
+    };
+    Some(ClaimResponse { reply: Some(reply) })
+}
+
+/// Hands a request to the incarnation that holds its claim. The outer value is
+/// `None` when that incarnation does not answer, the inner one while the request
+/// is in flight there.
+pub(crate) async fn ask_claimant(
+    shared: &Shared,
+    claimant: Incarnation,
+    origin: Origin,
+    incoming: &Incoming,
+) -> Option<Option<ClaimOutcome<Answer>>> {
+    let member = member_of(shared, claimant)?;
+    let mut client = shared.peers.client(&member, &shared.tasks)?;
+    let remaining = incoming.deadline.remaining(Instant::now())?;
+    let request = ForwardRequest {
+        claimant: incarnation_bytes(claimant),
+        origin: incarnation_bytes(origin.incarnation),
+        number: origin.number,
+        method: incoming.method.to_string(),
+        path: incoming.uri.to_string(),
+        headers: headers_out(&incoming.headers),
+        body: incoming.body.to_vec(),
+        remaining_ms: remaining.as_millis() as u64,
+    };
+    let answer = timeout(FORWARD_TIMEOUT, client.forward(request))
+        .await
+        .ok()?;
+    outcome_in(answer.ok()?.into_inner())
+}
+
+fn member_of(shared: &Shared, claimant: Incarnation) -> Option<Member> {
+    let members = shared.peers.members();
+    let text = dotterelsill_revision::Incarnation(claimant.0).to_string();
+    let member = members.iter().find(|member| member.incarnation == text);
+    member.cloned()
+}
+
+/// Reads a request that a peer handed over, and its identifier.
+pub(crate) fn request_in(shared: &Shared, request: ForwardRequest) -> Result<Forwarded, Outcome> {
+    let malformed = || Outcome::NotRun(Reason::new(StatusCode::BAD_REQUEST, "malformed request"));
+    let headers = headers_in(&request.headers).ok_or_else(malformed)?;
+    let uri: http::Uri = request.path.parse().map_err(|_| malformed())?;
+    let snapshot = shared.snapshot.load_full();
+    let plan = access::queue_plan(&snapshot, uri.path()).map_err(Outcome::NotRun)?;
+    let team = access::authorize(&snapshot, plan, &headers).map_err(Outcome::NotRun)?;
+    let key = once::identify(&plan.queue.name, team.name(), &headers)?;
+    let remaining = Duration::from_millis(request.remaining_ms);
+    Ok(Forwarded {
+        claimant: incarnation(&request.claimant).ok_or_else(malformed)?,
+        origin: Origin {
+            incarnation: incarnation(&request.origin).ok_or_else(malformed)?,
+            number: request.number,
+        },
+        key,
+        incoming: Incoming {
+            method: request.method.parse().map_err(|_| malformed())?,
+            uri,
+            headers,
+            body: Bytes::from(request.body),
+            deadline: Deadline::new(Instant::now(), remaining, None),
+        },
+    })
+}
+
+/// Returns the outcome of a request in the form that peers take.
+pub(crate) fn outcome_out(outcome: Option<Outcome>) -> ForwardResponse {
+    let Some(outcome) = outcome else {
+        return ForwardResponse {
+            in_flight: true,
+            ..ForwardResponse::default()
+        };
+    };
+    let name = match &outcome {
+        Outcome::Answered(_) => OutcomeName::Answered,
+        Outcome::NotRun(_) => OutcomeName::NotRun,
+        Outcome::Failed(_) => OutcomeName::Failed,
+        Outcome::Unknown(_) => OutcomeName::Unknown,
+    };
+    let (status, headers, body) = match outcome {
+        Outcome::Answered(answer) | Outcome::Failed(answer) => {
+            let (head, body) = answer.into_parts();
+            (head.status, headers_out(&head.headers), body.to_vec())
+        }
+        Outcome::NotRun(reason) | Outcome::Unknown(reason) => {
+            (reason.status, Vec::new(), reason.text.into_bytes())
+        }
+    };
+    ForwardResponse {
+        in_flight: false,
+        outcome: name.into(),
+        status: status.as_u16().into(),
+        headers,
+        body,
+    }
+}
+
+fn outcome_in(response: ForwardResponse) -> Option<Option<ClaimOutcome<Answer>>> {
+    if response.in_flight {
+        return Some(None);
+    }
+    let outcome = match response.outcome() {
+        OutcomeName::Answered | OutcomeName::Failed => {
+            let mut answer = Response::new(Bytes::from(response.body));
+            *answer.status_mut() = StatusCode::from_u16(response.status as u16).ok()?;
+            *answer.headers_mut() = headers_in(&response.headers)?;
+            ClaimOutcome::Answered(Answer::new(answer))
+        }
+        OutcomeName::NotRun => ClaimOutcome::NotRun(NotRunReason::RefusedByClaimant),
+        OutcomeName::Unknown => ClaimOutcome::Unknown(UnknownReason::NoAnswer),
+        OutcomeName::Unspecified => return None,
+    };
+    Some(Some(outcome))
+}
+
+fn headers_out(headers: &HeaderMap) -> Vec<Header> {
+    let header = |(name, value): (&HeaderName, &HeaderValue)| Header {
+        name: name.to_string(),
+        value: value.as_bytes().to_vec(),
+    };
+    headers.iter().map(header).collect()
+}
+
+fn headers_in(headers: &[Header]) -> Option<HeaderMap> {
+    let mut map = HeaderMap::with_capacity(headers.len());
+    for header in headers {
+        let name: HeaderName = header.name.parse().ok()?;
+        map.append(name, HeaderValue::from_bytes(&header.value).ok()?);
+    }
+    Some(map)
+}
--- a/crates/dotterelsill_entry/src/members.rs
+++ b/crates/dotterelsill_entry/src/members.rs
@@ -28,6 +28,10 @@
             Ok(members) => shared.peers.set_members(members),
             Err(error) => log::debug!(error:%; "members_not_listed"),
         }
+        match list_alive(&shared).await {
+            Ok(alive) => shared.peers.set_alive(&alive),
+            Err(error) => log::debug!(error:%; "leases_not_listed"),
+        }
         Timer::after(LIST_INTERVAL).await;
     }
 }
--- /dev/null
+++ b/crates/dotterelsill_entry/src/once.rs
@@ -0,0 +1,395 @@
+//! Requests that may not be repeated.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant,
+        SystemTime, //
+    }, //
+};
+
+use arc_swap::ArcSwap;
+use async_io::Timer;
+use bytes::Bytes;
+use dotterelsill_claims::{
+    Attempt,
+    Claim,
+    ClaimReply,
+    Event as AttemptEvent,
+    Identifier,
+    Incarnation,
+    Key,
+    NotRunReason,
+    Origin,
+    Outcome as ClaimOutcome,
+    RunEnd,
+    RunLimits,
+    Runs,
+    Step,
+    UnknownReason, //
+};
+use dotterelsill_revision::Decision;
+use event_listener::Event;
+use futures_lite::FutureExt as _;
+use http::{
+    HeaderMap,
+    StatusCode, //
+};
+use hyper::Response;
+
+use crate::{
+    access,
+    buckets,
+    forward::{
+        self,
+        Forwarded, //
+    },
+    outcome::{
+        Outcome,
+        Reason, //
+    },
+    run::{
+        self,
+        Incoming, //
+    },
+    shared::Shared, //
+};
+
+/// Header with the caller's identifier.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Header with the time at which the caller chose it, in seconds since the
+/// epoch.
+const ISSUED_HEADER: &str = "idempotency-issued-at";
+
+/// Pause before a claimant is asked again about a request in flight.
+const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// A kept answer, shared by all retries.
+pub(crate) type Answer = Arc<Response<Bytes>>;
+
+/// Runs of this incarnation.
+pub(crate) struct Once {
+    current: ArcSwap<Incarnated>,
+    next_number: AtomicU64,
+}
+
+struct Incarnated {
+    incarnation: Incarnation,
+    runs: Mutex<Runs<Answer>>,
+    settled: Event,
+}
+
+impl Default for Once {
+    fn default() -> Self {
+        Self {
+            current: ArcSwap::from_pointee(Incarnated::new(Incarnation(0))),
+            next_number: AtomicU64::new(1),
+        }
+    }
+}
+
+impl Incarnated {
+    fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            runs: Mutex::new(Runs::new(incarnation, RunLimits::default())),
+            settled: Event::new(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Runs<Answer>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Once {
+    /// Returns the runs of the current incarnation.
+    fn current(&self, shared: &Shared) -> Option<Arc<Incarnated>> {
+        let (incarnation, _) = buckets::current(shared)?;
+        self.current.rcu(|known| {
+            if known.incarnation == incarnation {
+                known.clone()
+            } else {
+                Arc::new(Incarnated::new(incarnation))
+            }
+        });
+        Some(self.current.load_full()).filter(|known| known.incarnation == incarnation)
+    }
+
+    /// Drops old answers and forgets identifiers whose claims have expired.
+    pub(crate) fn expire(&self, now: Instant) {
+        self.current.load().lock().expire(now);
+    }
+}
+
+/// Reads the identifier of a request.
+pub(crate) fn identify(queue: &str, team: &str, headers: &HeaderMap) -> Result<Key, Outcome> {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let issued_at_s = text(ISSUED_HEADER).and_then(|value| value.parse().ok());
+    let (Some(key), Some(issued_at_s)) = (text(KEY_HEADER), issued_at_s) else {
+        return Err(Outcome::NotRun(Reason::new(
+            StatusCode::BAD_REQUEST,
+            format!(
+                "queue {queue} runs requests at most once; send the headers {KEY_HEADER} and \
+                 {ISSUED_HEADER} (seconds since the epoch), the same on each retry"
+            ),
+        )));
+    };
+    match Identifier::check(queue, team, key, issued_at_s, SystemTime::now()) {
+        Ok(identifier) => Ok(identifier.key()),
+        Err(error) => {
+            let text = error.to_string();
+            Err(match error.outcome::<Answer>() {
+                ClaimOutcome::NotRun(_) => {
+                    Outcome::NotRun(Reason::new(StatusCode::BAD_REQUEST, text))
+                }
+                _ => Outcome::Unknown(Reason::new(StatusCode::GONE, text)),
+            })
+        }
+    }
+}
+
+/// Runs a caller's request at most once.
+///
+/// The path goes on as a task when the caller's time is over, so that a retry
+/// finds the answer.
+pub(crate) async fn serve(shared: &Arc<Shared>, key: Key, incoming: Incoming) -> Outcome {
+    let Some(once) = shared.once.current(shared) else {
+        return Outcome::NotRun(not_run(NotRunReason::NoAuthority));
+    };
+    let origin = Origin {
+        incarnation: once.incarnation,
+        number: shared.once.next_number.fetch_add(1, Ordering::Relaxed),
+    };
+    let (attempt, step) = Attempt::from_caller(key, origin, &once.lock());
+    let deadline = incoming.deadline.at();
+    await_outcome(shared, once, attempt, step, incoming, deadline)
+        .await
+        .unwrap_or_else(|| Outcome::Unknown(unknown(UnknownReason::Deadline)))
+}
+
+/// Runs a request that a peer handed over because this incarnation holds its
+/// claim; `None` while it is in flight.
+pub(crate) async fn serve_forwarded(shared: &Arc<Shared>, forwarded: Forwarded) -> Option<Outcome> {
+    let gone = || Some(Outcome::Unknown(unknown(UnknownReason::ClaimantGone)));
+    let Some(once) = shared.once.current(shared) else {
+        return gone();
+    };
+    let Forwarded {
+        claimant,
+        origin,
+        key,
+        incoming,
+    } = forwarded;
+    let now = Instant::now();
+    let (attempt, step) = Attempt::from_peer(key, claimant, origin, &mut once.lock(), now);
+    // The peer asks again, so a slow run does not hold its call open.
+    let answer_by = now + forward::ANSWER_TIME;
+    await_outcome(shared, once, attempt, step, incoming, answer_by).await
+}
+
+async fn await_outcome(
+    shared: &Arc<Shared>,
+    once: Arc<Incarnated>,
+    attempt: Attempt,
+    step: Step<Answer>,
+    incoming: Incoming,
+    until: Instant,
+) -> Option<Outcome> {
+    let (sender, receiver) = async_channel::bounded(1);
+    let path = Path {
+        shared: shared.clone(),
+        once,
+        attempt,
+        incoming: Arc::new(incoming),
+    };
+    shared.requests.spawn(async move {
+        let outcome = path.follow(step).await;
+        // The caller may have gone.
+        let _ = sender.try_send(outcome);
+    });
+    let outcome = async { receiver.recv().await.ok() };
+    let late = async {
+        Timer::at(until).await;
+        None
+    };
+    outcome.or(late).await
+}
+
+/// The path of one request.
+struct Path {
+    shared: Arc<Shared>,
+    once: Arc<Incarnated>,
+    attempt: Attempt,
+    incoming: Arc<Incoming>,
+}
+
+impl Path {
+    async fn follow(mut self, mut step: Step<Answer>) -> Outcome {
+        let mut last = None;
+        loop {
+            let event = match step {
+                Step::Finish(outcome) => return finished(outcome, last),
+                Step::AskOwner => self.before_deadline(self.ask_owner()).await,
+                Step::CheckAuthority => AttemptEvent::Authority(self.may_start()),
+                Step::Dispatch => {
+                    let (end, reason) = self.dispatch().await;
+                    last = reason;
+                    AttemptEvent::Ran(end)
+                }
+                Step::WaitForRun => self.before_deadline(self.settled()).await,
+                Step::AskClaimant(claimant) => {
+                    self.before_deadline(self.ask_claimant(claimant)).await
+                }
+                Step::AskClaimantAgain(claimant) => {
+                    Timer::after(ASK_AGAIN_PAUSE).await;
+                    self.before_deadline(self.ask_claimant(claimant)).await
+                }
+            };
+            let mut runs = self.once.lock();
+            let next = self.attempt.on_event(event, &mut runs, Instant::now());
+            drop(runs);
+            self.once.settled.notify(usize::MAX);
+            // Every event above answers the step before, so it fits the state.
+            step = match next {
+                Some(next) => next,
+                None => Step::Finish(ClaimOutcome::Unknown(UnknownReason::Deadline)),
+            };
+        }
+    }
+
+    async fn before_deadline(
+        &self,
+        event: impl std::future::Future<Output = AttemptEvent<Answer>>,
+    ) -> AttemptEvent<Answer> {
+        let deadline = async {
+            Timer::at(self.incoming.deadline.at()).await;
+            AttemptEvent::Deadline
+        };
+        event.or(deadline).await
+    }
+
+    async fn ask_owner(&self) -> AttemptEvent<Answer> {
+        let claim = Claim {
+            key: self.attempt.key(),
+            claimant: self.once.incarnation,
+        };
+        match forward::ask_owner(&self.shared, claim).await {
+            Some(ClaimReply::ClaimedBy(claimant)) if claimant == self.once.incarnation => {
+                AttemptEvent::Owner(ClaimReply::Granted)
+            }
+            Some(reply) => AttemptEvent::Owner(reply),
+            None => AttemptEvent::OwnerSilent,
+        }
+    }
+
+    fn may_start(&self) -> bool {
+        let snapshot = self.shared.snapshot.load_full();
+        let Ok(plan) = access::queue_plan(&snapshot, self.incoming.uri.path()) else {
+            return false;
+        };
+        let now = Instant::now();
+        let decision = self.shared.authority.decide(plan.when_isolated(), now);
+        let is_same = buckets::current(&self.shared)
+            .is_some_and(|(incarnation, _)| incarnation == self.once.incarnation);
+        is_same && matches!(decision, Some(Decision::Start { .. }))
+    }
+
+    async fn settled(&self) -> AttemptEvent<Answer> {
+        loop {
+            let settled = self.once.settled.listen();
+            let report = self
+                .once
+                .lock()
+                .report(self.once.incarnation, self.attempt.key());
+            if !matches!(report, dotterelsill_claims::Report::InFlight) {
+                return AttemptEvent::RunSettled;
+            }
+            settled.await;
+        }
+    }
+
+    async fn ask_claimant(&self, claimant: Incarnation) -> AttemptEvent<Answer> {
+        let origin = self.attempt.origin();
+        match forward::ask_claimant(&self.shared, claimant, origin, &self.incoming).await {
+            Some(answer) => AttemptEvent::Claimant(answer),
+            None => AttemptEvent::ClaimantSilent,
+        }
+    }
+
+    /// Admits and runs the request; also returns why it did not run.
+    async fn dispatch(&self) -> (RunEnd<Answer>, Option<Reason>) {
+        match self.admit_and_run().await {
+            Outcome::Answered(answer) | Outcome::Failed(answer) => {
+                let bytes = answer.body().len();
+                let answer = Arc::new(answer);
+                (RunEnd::Answered { answer, bytes }, None)
+            }
+            Outcome::NotRun(reason) => (RunEnd::NotSent, Some(reason)),
+            Outcome::Unknown(reason) => (RunEnd::Lost, Some(reason)),
+        }
+    }
+
+    async fn admit_and_run(&self) -> Outcome {
+        let snapshot = self.shared.snapshot.load_full();
+        let admitted = async {
+            let plan = access::queue_plan(&snapshot, self.incoming.uri.path())?;
+            let team = access::authorize(&snapshot, plan, &self.incoming.headers)?;
+            let deadline = self.incoming.deadline.at();
+            let service = &plan.service.service;
+            service.admit(team, plan.queue.urgency, deadline).await
+        };
+        match admitted.await {
+            Ok(permit) => run::run(&self.shared, &self.incoming, permit).await,
+            Err(reason) => Outcome::NotRun(reason),
+        }
+    }
+}
+
+fn finished(outcome: ClaimOutcome<Answer>, last: Option<Reason>) -> Outcome {
+    match outcome {
+        ClaimOutcome::Answered(answer) => run::answered(Response::clone(&answer)),
+        ClaimOutcome::NotRun(reason) => Outcome::NotRun(last.unwrap_or_else(|| not_run(reason))),
+        ClaimOutcome::Unknown(reason) => Outcome::Unknown(last.unwrap_or_else(|| unknown(reason))),
+    }
+}
+
+fn not_run(reason: NotRunReason) -> Reason {
+    let text = match reason {
+        NotRunReason::BadIdentifier => "the identifier cannot be accepted",
+        NotRunReason::NoClaim => "no claim could be written",
+        NotRunReason::NoAuthority => "this instance may not start work now",
+        NotRunReason::NotSent => "no upstream could be reached",
+        NotRunReason::RefusedByClaimant => "the instance that holds the claim refused to start it",
+        NotRunReason::Deadline => "the time allowed is over",
+    };
+    Reason::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        format!("{text}; send the request again with the same identifier"),
+    )
+}
+
+fn unknown(reason: UnknownReason) -> Reason {
+    let text = match reason {
+        UnknownReason::IssueTime => "the identifier is too old to be looked up",
+        UnknownReason::NoAnswer => "the upstream gave no whole answer",
+        UnknownReason::AnswerDropped => "the request ran; its answer is not kept any more",
+        UnknownReason::ClaimantGone => "the instance that may have run the request is gone",
+        UnknownReason::Deadline => "the request is still running",
+    };
+    Reason::new(
+        StatusCode::GATEWAY_TIMEOUT,
+        format!("{text}; it is not run again under this identifier"),
+    )
+}
--- a/crates/dotterelsill_entry/src/peer.rs
+++ b/crates/dotterelsill_entry/src/peer.rs
@@ -10,8 +10,12 @@
 
 use dotterelsill_proto::peer::{
     peer_server::Peer,
+    ClaimRequest,
+    ClaimResponse,
     DocumentRequest,
     DocumentResponse,
+    ForwardRequest,
+    ForwardResponse,
     RelayRequest,
     RelayResponse, //
 };
@@ -21,7 +25,11 @@
     Status, //
 };
 
-use crate::shared::Shared;
+use crate::{
+    forward,
+    once,
+    shared::Shared, //
+};
 
 /// Returns an age in microseconds, rounded up so that it is never too low.
 fn age_us(age: Duration) -> u64 {
@@ -69,6 +77,27 @@
         }))
     }
 
+    async fn claim(
+        &self,
+        request: Request<ClaimRequest>,
+    ) -> Result<Response<ClaimResponse>, Status> {
+        forward::answer_claim(&self.shared, request.get_ref())
+            .await
+            .map(Response::new)
+            .ok_or_else(|| Status::invalid_argument("malformed key or incarnation"))
+    }
+
+    async fn forward(
+        &self,
+        request: Request<ForwardRequest>,
+    ) -> Result<Response<ForwardResponse>, Status> {
+        let outcome = match forward::request_in(&self.shared, request.into_inner()) {
+            Ok(forwarded) => once::serve_forwarded(&self.shared, forwarded).await,
+            Err(outcome) => Some(outcome),
+        };
+        Ok(Response::new(forward::outcome_out(outcome)))
+    }
+
     async fn document(
         &self,
         request: Request<DocumentRequest>,
--- a/crates/dotterelsill_entry/src/peers.rs
+++ b/crates/dotterelsill_entry/src/peers.rs
@@ -1,7 +1,10 @@
 //! Other entry instances: who they are, and questions to them.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     net::SocketAddr,
     sync::{
         Arc,
@@ -53,6 +56,7 @@
 #[derive(Default)]
 pub(crate) struct Peers {
     members: ArcSwap<Vec<Member>>,
+    alive: ArcSwap<HashSet<String>>,
     channels: Mutex<HashMap<SocketAddr, Channel>>,
 }
 
@@ -62,11 +66,24 @@
         self.members.load_full()
     }
 
+    /// Returns the members whose lease was alive when listed last.
+    pub(crate) fn alive_members(&self) -> Vec<Member> {
+        let alive = self.alive.load();
+        let members = self.members.load();
+        let is_alive =
+            |member: &&Member| member.state == "live" && alive.contains(&member.incarnation);
+        members.iter().filter(is_alive).cloned().collect()
+    }
+
+    /// Replaces the incarnations whose lease is alive.
+    pub(crate) fn set_alive(&self, alive: &[Incarnation]) {
+        let alive = alive.iter().map(ToString::to_string).collect();
+        self.alive.store(Arc::new(alive));
+    }
+
     /// Returns the number of live instances as listed last, at least 1.
     pub(crate) fn live_count(&self) -> u32 {
-        let members = self.members.load();
-        let live = members.iter().filter(|member| member.state == "live");
-        (live.count() as u32).max(1)
+        (self.alive_members().len() as u32).max(1)
     }
 
     /// Replaces the registered instances and drops connections to others.
--- a/crates/dotterelsill_entry/src/run.rs
+++ b/crates/dotterelsill_entry/src/run.rs
@@ -379,7 +379,7 @@
 }
 
 /// Tells an answer and a failed run apart.
-fn answered(mut answer: Response<Bytes>) -> Outcome {
+pub(crate) fn answered(mut answer: Response<Bytes>) -> Outcome {
     for name in [header::CONNECTION, header::TRANSFER_ENCODING] {
         answer.headers_mut().remove(name);
     }
--- a/crates/dotterelsill_entry/src/shared.rs
+++ b/crates/dotterelsill_entry/src/shared.rs
@@ -15,8 +15,10 @@
 
 use crate::{
     authority::Published,
+    buckets::Buckets,
     limits::Limits,
     metrics::Metrics,
+    once::Once,
     peers::Peers,
     snapshot::Snapshot, //
 };
@@ -34,6 +36,10 @@
     pub(crate) store: Client,
     /// Credits of the teams' upper limits.
     pub(crate) limits: Arc<Limits>,
+    /// Claim logs of the buckets that this instance owns.
+    pub(crate) buckets: Buckets,
+    /// Runs of requests that may not be repeated.
+    pub(crate) once: Once,
     /// Connections and everything that ends with the program.
     pub(crate) tasks: Tasks,
     /// Requests and attempts; a shutdown waits for them first.
@@ -60,6 +66,8 @@
             peer_address,
             store,
             limits: Arc::default(),
+            buckets: Buckets::default(),
+            once: Once::default(),
             requests: tasks.new_group(),
             tasks,
             metrics,
--- a/crates/dotterelsill_standin_store/src/service.rs
+++ b/crates/dotterelsill_standin_store/src/service.rs
@@ -161,10 +161,12 @@
 
     async fn list(&self, request: Request<ListRequest>) -> Result<Response<ListResponse>, Status> {
         self.shared.begin(&self.shared.counts.reads)?;
-        let prefix = request.into_inner().prefix;
-        let entries = self.shared.with_state(|state| state.list(&prefix));
+        let list = request.into_inner();
+        let (entries, more) = self
+            .shared
+            .with_state(|state| state.list(&list.prefix, &list.after, list.limit_bytes));
         self.shared.delay().await;
-        Ok(Response::new(ListResponse { entries }))
+        Ok(Response::new(ListResponse { entries, more }))
     }
 
     async fn lease_grant(
--- a/crates/dotterelsill_standin_store/src/state.rs
+++ b/crates/dotterelsill_standin_store/src/state.rs
@@ -66,13 +66,30 @@
         self.keys.get(key).map_or(0, |stored| stored.version)
     }
 
-    /// Returns all keys that start with a prefix, in order.
-    pub(crate) fn list(&self, prefix: &str) -> Vec<Entry> {
-        self.keys
-            .range(prefix.to_owned()..)
-            .take_while(|(key, _)| key.starts_with(prefix))
-            .map(|(key, stored)| entry(key, stored))
-            .collect()
+    /// Returns keys that start with a prefix and come after another key, in
+    /// order, and whether more follow behind a number of bytes.
+    pub(crate) fn list(&self, prefix: &str, after: &str, limit_bytes: u64) -> (Vec<Entry>, bool) {
+        let mut entries = Vec::new();
+        let mut left_bytes = match limit_bytes {
+            0 => u64::MAX,
+            limit_bytes => limit_bytes,
+        };
+        let from = prefix.max(after).to_owned();
+        for (key, stored) in self.keys.range(from..) {
+            if !key.starts_with(prefix) {
+                break;
+            }
+            if key == after {
+                continue;
+            }
+            let length_bytes = stored.value.len() as u64;
+            if length_bytes > left_bytes && !entries.is_empty() {
+                return (entries, true);
+            }
+            left_bytes = left_bytes.saturating_sub(length_bytes);
+            entries.push(entry(key, stored));
+        }
+        (entries, false)
     }
 
     /// Writes a key and returns its new version.
--- a/crates/dotterelsill_standin_upstream/src/service.rs
+++ b/crates/dotterelsill_standin_upstream/src/service.rs
@@ -1,9 +1,15 @@
 //! What the stand-in answers.
 
 use std::{
-    sync::atomic::{
-        AtomicU32,
-        Ordering, //
+    collections::HashMap,
+    sync::{
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+        Mutex,
+        MutexGuard,
+        PoisonError, //
     },
     time::Duration, //
 };
@@ -25,11 +31,16 @@
 /// Header by which an upstream says that it refused before running.
 const NOT_RUN_HEADER: &str = "dotterelsill-outcome";
 
+/// Path at which the number of runs of a body is told.
+const COUNT_PATH: &str = "/_count";
+
 /// An upstream with a fixed number of slots.
 pub(crate) struct Upstream {
     slots: u32,
     service_time: Duration,
     running: AtomicU32,
+    /// Number of runs of each body, for tests of at-most-once execution.
+    runs: Mutex<HashMap<Bytes, u32>>,
 }
 
 impl Upstream {
@@ -39,11 +50,17 @@
             slots: settings.slots,
             service_time: Duration::from_micros(settings.service_time_us.into()),
             running: AtomicU32::new(0),
+            runs: Mutex::default(),
         }
     }
 
     /// Answers with the body of the request, or refuses when all slots are taken.
+    ///
+    /// The path [`COUNT_PATH`] answers how often its body was run instead.
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.uri().path() == COUNT_PATH {
+            return self.count(request).await;
+        }
         let Some(_slot) = self.take_slot() else {
             let mut refusal = plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
             let not_run = http::HeaderValue::from_static("not_run");
@@ -53,10 +70,24 @@
         let Ok(body) = request.into_body().collect().await else {
             return plain(StatusCode::BAD_REQUEST, Bytes::new());
         };
+        let body = body.to_bytes();
+        *self.lock().entry(body.clone()).or_default() += 1;
         if !self.service_time.is_zero() {
             Timer::after(self.service_time).await;
         }
-        plain(StatusCode::OK, body.to_bytes())
+        plain(StatusCode::OK, body)
+    }
+
+    async fn count(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let Ok(body) = request.into_body().collect().await else {
+            return plain(StatusCode::BAD_REQUEST, Bytes::new());
+        };
+        let count = self.lock().get(&body.to_bytes()).copied().unwrap_or(0);
+        plain(StatusCode::OK, count.to_string().into())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Bytes, u32>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn take_slot(&self) -> Option<Slot<'_>> {
--- a/crates/dotterelsill_store/src/lib.rs
+++ b/crates/dotterelsill_store/src/lib.rs
@@ -44,6 +44,9 @@
 /// Longest time that one call may take.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Bytes of values in one page of a list.
+const PAGE_LIMIT_BYTES: u64 = 1_000_000;
+
 /// Longest message that the store answers with: a value of 1 MB, or a page of a list.
 const MESSAGE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
@@ -142,12 +145,32 @@
     ///
     /// Returns an error when no answer came.
     pub async fn list(&self, prefix: &str) -> Result<Vec<Entry>, Error> {
+        let mut entries = Vec::new();
+        loop {
+            let after = entries.last().map_or("", |entry: &Entry| &entry.key);
+            let (page, more) = self.list_page(prefix, after).await?;
+            entries.extend(page);
+            if !more {
+                return Ok(entries);
+            }
+        }
+    }
+
+    /// Lists about 1 MB of the entries below a prefix that come after a key, and
+    /// whether more follow.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no answer came.
+    pub async fn list_page(&self, prefix: &str, after: &str) -> Result<(Vec<Entry>, bool), Error> {
         let request = ListRequest {
             prefix: prefix.to_owned(),
+            after: after.to_owned(),
+            limit_bytes: PAGE_LIMIT_BYTES,
         };
         let mut grpc = self.grpc.clone();
         let answer = self.call("list", prefix, grpc.list(request)).await?;
-        Ok(answer.entries)
+        Ok((answer.entries, answer.more))
     }
 
     /// Writes a key when its version is as expected; 0 means that the key must
