Check the escrow of limits by exhaustive search

The search runs the real Ledger, Holder and Reclaim with late and repeated writes, lost answers, conflicts, pauses, stops, one restart, reclaiming and limit changes.

Four faults of a driver are found: writing a give-back before the allowance is lowered, raising it before the take, reclaiming early, and retrying a take under a new number. A fifth one came out of the search: an incarnation without a share sends its first take and is paused; it is reclaimed, which writes nothing because there is no share; then the take takes effect.

--- /dev/null
+++ b/crates/dotterelsill_escrow/tests/model/world.rs
@@ -0,0 +1,271 @@
+//! States and events of the model.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use dotterelsill_escrow::{
+    Holder,
+    HolderState,
+    Incarnation,
+    Lease,
+    Ledger,
+    Member,
+    Operation,
+    Policy,
+    Reclaim,
+    ReclaimLimits,
+    Request, //
+};
+
+/// Gives back at once what is idle.
+const POLICY: Policy = Policy {
+    idle_after: Duration::ZERO,
+    idle_after_contended: Duration::ZERO,
+    take_waiting: false,
+};
+
+/// Error of the driver that a search must find.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fault {
+    None,
+    GiveBackBeforeLowering,
+    RaiseBeforeTake,
+    EarlyReclaim,
+    RetryWithoutNumber,
+    ReclaimOnce,
+}
+
+/// Bounds of one search.
+pub(crate) struct Setup {
+    pub(crate) base: Instant,
+    pub(crate) fault: Fault,
+    pub(crate) incarnations: usize,
+    /// Limits by configuration revision.
+    pub(crate) limits: &'static [u32],
+}
+
+/// Write that may reach the store any number of times.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Write {
+    pub(crate) operation: Operation,
+    pub(crate) version: u64,
+}
+
+/// One incarnation. A pause is the absence of its events while others happen.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub(crate) struct Node {
+    pub(crate) holder: HolderState,
+    /// Whether the isolation limit and the longest run time have passed.
+    pub(crate) over: bool,
+    pub(crate) reclaimed: bool,
+    /// Whether it can act no more: it crashed, or its authority lapsed while it
+    /// was paused or cut off. Its lease is observed as expired by then.
+    pub(crate) stopped: bool,
+    pub(crate) writes: Vec<Write>,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct World {
+    pub(crate) ledger: Ledger,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) version: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Event {
+    Start(usize),
+    End(usize),
+    Decide(usize, u32),
+    DeliverAndAnswer(usize, Write),
+    DeliverAndLoseAnswer(usize, Write),
+    TimeOut(usize),
+    Stop(usize),
+    Pass(usize),
+    Reclaim(usize),
+    Restart,
+    SetLimit,
+}
+
+pub(crate) fn id(node: usize) -> Incarnation {
+    Incarnation(node as u128)
+}
+
+impl World {
+    pub(crate) fn new(setup: &Setup) -> Self {
+        Self {
+            ledger: Ledger::new(setup.limits[0], 0).expect("the limit is low"),
+            nodes: vec![Node::default(); 2],
+            version: 0,
+        }
+    }
+
+    pub(crate) fn held(&self, node: usize) -> u32 {
+        self.ledger.holding(id(node)).map_or(0, |share| share.held)
+    }
+
+    pub(crate) fn events(&self) -> Vec<Event> {
+        let mut events = vec![Event::SetLimit, Event::Restart];
+        for (node, state) in self.nodes.iter().enumerate() {
+            if state.holder.counts.running > 0 {
+                events.push(Event::End(node));
+            }
+            if state.stopped {
+                events.extend([Event::Pass(node), Event::Reclaim(node)]);
+            } else {
+                events.extend([Event::Start(node), Event::Stop(node), Event::TimeOut(node)]);
+                events.extend([Event::Decide(node, 0), Event::Decide(node, 1)]);
+            }
+            for write in &state.writes {
+                events.push(Event::DeliverAndAnswer(node, *write));
+                events.push(Event::DeliverAndLoseAnswer(node, *write));
+            }
+        }
+        events
+    }
+
+    /// Applies an event; an event that is not possible changes nothing.
+    pub(crate) fn step(&mut self, setup: &Setup, event: Event) {
+        match event {
+            Event::Start(node) => {
+                self.update(node, |holder| {
+                    std::mem::forget(holder.credits().try_start())
+                });
+            }
+            Event::End(node) => self.nodes[node].holder.counts.running -= 1,
+            Event::Decide(node, waiting) => self.decide(setup, node, waiting),
+            Event::DeliverAndAnswer(node, write) => self.deliver(setup, node, write, true),
+            Event::DeliverAndLoseAnswer(node, write) => self.deliver(setup, node, write, false),
+            Event::TimeOut(node) => self.fail(setup, node),
+            Event::Stop(node) => self.stop(node),
+            Event::Pass(node) => {
+                self.nodes[node].over = true;
+                self.nodes[node].holder = HolderState::default();
+            }
+            Event::Reclaim(node) => self.reclaim(setup, node),
+            Event::Restart => self.restart(setup),
+            Event::SetLimit => self.set_limit(setup),
+        }
+    }
+
+    fn decide(&mut self, setup: &Setup, node: usize, waiting: u32) {
+        let (version, ledger) = (self.version, self.ledger.clone());
+        let next =
+            |holder: &mut Holder| holder.next_operation(version, &ledger, waiting, setup.base);
+        let Some(operation) = self.update(node, next) else {
+            return;
+        };
+        self.send(node, operation);
+        let allowance = &mut self.nodes[node].holder.counts.allowance;
+        match (setup.fault, operation.request) {
+            (Fault::GiveBackBeforeLowering, Request::GiveBack { credits })
+            | (Fault::RaiseBeforeTake, Request::Take { credits }) => *allowance += credits,
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, node: usize, operation: Operation) {
+        let version = self.version;
+        let write = Write { operation, version };
+        let writes = &mut self.nodes[node].writes;
+        if !writes.contains(&write) {
+            writes.push(write);
+        }
+    }
+
+    fn deliver(&mut self, setup: &Setup, node: usize, write: Write, answered: bool) {
+        let next = self.ledger.apply(id(node), &write.operation);
+        let succeeds = write.version == self.version;
+        if let (true, Ok(next)) = (succeeds, next) {
+            self.commit(next);
+        }
+        let state = &self.nodes[node];
+        let awaited = state.holder.in_flight;
+        if state.stopped || awaited.is_none_or(|awaited| awaited.operation != write.operation) {
+            return;
+        }
+        if answered && succeeds {
+            let (version, ledger) = (self.version, self.ledger.clone());
+            self.update(node, |holder| holder.on_record(version, &ledger));
+        } else {
+            self.fail(setup, node);
+        }
+    }
+
+    fn fail(&mut self, setup: &Setup, node: usize) {
+        let in_flight = self.nodes[node].holder.in_flight;
+        let Some(in_flight) = in_flight.filter(|in_flight| !in_flight.failed) else {
+            return;
+        };
+        self.update(node, Holder::on_write_failed);
+        if setup.fault == Fault::RetryWithoutNumber {
+            let mut operation = in_flight.operation;
+            operation.number += 1;
+            self.send(node, operation);
+        }
+    }
+
+    /// Ends what an incarnation can do; its running work goes on.
+    fn stop(&mut self, node: usize) {
+        let node = &mut self.nodes[node];
+        node.stopped = true;
+        let running = node.holder.counts.running;
+        node.holder = HolderState::default();
+        node.holder.counts.running = running;
+    }
+
+    /// Fences the member record of a dead incarnation and reclaims its share.
+    fn reclaim(&mut self, setup: &Setup, node: usize) {
+        let early = setup.fault == Fault::EarlyReclaim;
+        let limit = Duration::from_secs(if early { 0 } else { 1 });
+        let limits = ReclaimLimits {
+            isolation_limit: limit,
+            lease: Duration::ZERO,
+            max_run: limit,
+        };
+        let state = &mut self.nodes[node];
+        let now = setup.base + Duration::from_millis(if state.over { 2002 } else { 0 });
+        let mut reclaim = Reclaim::new(id(node), limits);
+        reclaim.on_lease(Lease::Expired, setup.base);
+        if reclaim.should_fence(now) {
+            reclaim.on_member(Member::Fenced);
+        }
+        let Some(proof) = reclaim.reclaimable(now).filter(|_| !state.reclaimed) else {
+            return;
+        };
+        state.reclaimed = setup.fault == Fault::ReclaimOnce;
+        let next = self.ledger.reclaim(&proof);
+        if next != self.ledger {
+            self.commit(next);
+        }
+    }
+
+    fn restart(&mut self, setup: &Setup) {
+        let lost = self.nodes.iter().any(|node| node.stopped);
+        if lost && self.nodes.len() < setup.incarnations {
+            self.nodes.push(Node::default());
+        }
+    }
+
+    fn set_limit(&mut self, setup: &Setup) {
+        let revision = self.ledger.revision() + 1;
+        if let Some(&limit) = setup.limits.get(revision as usize) {
+            let next = self.ledger.set_limit(limit, revision);
+            self.commit(next.expect("the revision is newer"));
+        }
+    }
+
+    fn commit(&mut self, next: Ledger) {
+        self.ledger = next;
+        self.version += 1;
+    }
+
+    /// Runs a step of a holder on the state of a node.
+    fn update<T>(&mut self, node: usize, step: impl FnOnce(&mut Holder) -> T) -> T {
+        let mut holder = Holder::resume(id(node), POLICY, self.nodes[node].holder);
+        let result = step(&mut holder);
+        self.nodes[node].holder = holder.state();
+        result
+    }
+}
