Check claims with an exhaustive search and test their limits

The search explores the real log, runs and attempts of 2 to 3 instances with late, doubled and lost messages and store answers, ends of the authority and restarts.

--- /dev/null
+++ b/crates/dotterelsill_claims/tests/model/world/checks.rs
@@ -0,0 +1,49 @@
+//! Invariants.
+
+use dotterelsill_claims::{
+    Incarnation,
+    Key,
+    Origin,
+    Outcome, //
+};
+
+use super::{
+    World,
+    REPEATED, //
+};
+
+impl World {
+    pub(super) fn check_dispatch(&mut self, key: Key, origin: Origin) {
+        if self.dispatched.iter().any(|run| run.0 == key) {
+            self.violation = Some("dispatched twice");
+        }
+        let number = origin.number % REPEATED;
+        if self.not_run.contains(&Origin { number, ..origin }) {
+            self.violation = Some("dispatched by an attempt that was told not_run");
+        }
+    }
+
+    pub(super) fn check_outcome(
+        &mut self,
+        by: Incarnation,
+        key: Key,
+        to: Origin,
+        outcome: &Outcome<u8>,
+    ) {
+        match outcome {
+            Outcome::Answered(answer) => {
+                if *self.answers.entry(key).or_insert(*answer) != *answer {
+                    self.violation = Some("two answers");
+                }
+            }
+            Outcome::NotRun(_) => {
+                let ran = |run: &&(Key, Incarnation, Origin)| run.0 == key;
+                let mut runs = self.dispatched.iter().filter(ran);
+                if runs.any(|run| run.1 == by || run.2 == to) {
+                    self.violation = Some("not_run after dispatch");
+                }
+            }
+            Outcome::Unknown(_) => {}
+        }
+    }
+}
