--- a/crates/dotterelsill_claims/src/action.rs
+++ b/crates/dotterelsill_claims/src/action.rs
@@ -62,6 +62,20 @@
     },
 }
 
+impl Action {
+    /// Returns the number of the store call, or `None` for a reply.
+    pub fn call(&self) -> Option<u64> {
+        match self {
+            Action::ReadOwner { call }
+            | Action::SwapOwner { call, .. }
+            | Action::Create { call, .. }
+            | Action::Read { call, .. }
+            | Action::List { call, .. } => Some(*call),
+            Action::Reply { .. } => None,
+        }
+    }
+}
+
 /// Answer to a claimant.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum ClaimReply {
--- a/crates/dotterelsill_claims/tests/model/main.rs
+++ b/crates/dotterelsill_claims/tests/model/main.rs
@@ -66,6 +66,16 @@
     world
 }
 
+/// Returns a state in which the seal of the bucket's first owner, who does not
+/// know that it was deposed, has expired.
+fn expired_seal() -> World {
+    let explored = search::explore(two(TWO), World::two_idle_owners);
+    let (_, world) = explored.found.expect("the state is reachable");
+    let mut world = (*world).clone();
+    world.expire_entries();
+    world
+}
+
 #[test]
 fn restarts_and_late_messages_run_nothing_twice() {
     let budget = Budget {
@@ -155,6 +165,12 @@
     finds(driver, two_unsealed_epochs(), "dispatched twice");
 }
 
+#[test]
+fn deposed_owner_grants_nothing_after_its_seal_expired() {
+    holds("expired seal", expired_seal(), 700);
+    finds(Driver::StaleClock, expired_seal(), "dispatched twice");
+}
+
 #[test]
 fn finds_a_grant_before_the_append() {
     finds(Driver::GrantsBeforeAppend, two(TWO), "dispatched twice");
--- a/crates/dotterelsill_claims/tests/model/world.rs
+++ b/crates/dotterelsill_claims/tests/model/world.rs
@@ -29,7 +29,8 @@
     Position,
     RunLimits,
     Runs,
-    StoreAnswer, //
+    StoreAnswer,
+    ENTRY_LIFETIME, //
 };
 
 pub(crate) use events::Label;
@@ -44,6 +45,7 @@
     ClaimsByName,
     NotRunAfterDispatch,
     NewOriginOnRepeat,
+    StaleClock,
 }
 
 /// What may happen, and how often.
@@ -124,6 +126,7 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct World {
     driver: Driver,
+    started_at: Instant,
     now: Instant,
     budget: Budget,
     record: Option<(u64, OwnerRecord)>,
@@ -165,9 +168,11 @@
 
 impl World {
     pub(crate) fn new(nodes: usize, driver: Driver, budget: Budget) -> Self {
+        let started_at = Instant::now();
         World {
             driver,
-            now: Instant::now(),
+            started_at,
+            now: started_at,
             budget,
             record: None,
             entries: BTreeMap::new(),
@@ -192,6 +197,27 @@
         self.driver = driver;
     }
 
+    /// Returns whether nothing is in flight and two instances believe to own the
+    /// bucket.
+    pub(crate) fn two_idle_owners(&self) -> bool {
+        self.messages.is_empty() && self.nodes.iter().all(|node| node.log.is_open())
+    }
+
+    /// Lets all entries expire; attempts with the other identifier follow.
+    pub(crate) fn expire_entries(&mut self) {
+        self.now += ENTRY_LIFETIME;
+        self.entries.clear();
+        self.budget.attempts = [0, 2];
+    }
+
+    /// Returns the time that the driver gives to the log.
+    fn clock(&self) -> Instant {
+        match self.driver {
+            Driver::StaleClock => self.started_at,
+            _ => self.now,
+        }
+    }
+
     /// Returns whether instance 1 took the bucket from instance 0, which has an
     /// append in flight, and restarted before it could seal.
     pub(crate) fn restarted_before_seal(&self) -> bool {
--- a/crates/dotterelsill_claims/tests/model/world/driver.rs
+++ b/crates/dotterelsill_claims/tests/model/world/driver.rs
@@ -47,9 +47,10 @@
     pub(super) fn deliver(&mut self, message: &Message, target: usize) {
         match message {
             Message::Claim { claim, ticket } => {
+                let now = self.clock();
                 let node = &mut self.nodes[target];
                 node.waiting.push((*claim, *ticket));
-                let actions = node.log.on_claim(*claim, *ticket, self.now);
+                let actions = node.log.on_claim(*claim, *ticket, now);
                 self.log_actions(target, actions);
             }
             Message::Reply { to, reply } => {
@@ -193,18 +194,14 @@
     }
 
     pub(super) fn on_answer(&mut self, to: Incarnation, call: u64, answer: StoreAnswer) {
-        let index = index(to);
+        let (index, now) = (index(to), self.clock());
         let node = &mut self.nodes[index];
         if node.incarnation != to {
             return;
         }
         let hour = Duration::from_secs(3600);
-        let ends_at = if node.lapsed {
-            self.now
-        } else {
-            self.now + hour
-        };
-        let actions = node.log.on_answer(call, answer, ends_at, self.now);
+        let ends_at = if node.lapsed { now } else { now + hour };
+        let actions = node.log.on_answer(call, answer, ends_at, now);
         self.log_actions(index, actions);
     }
 
