Test attempts that overlap on one claimant

Deliberate faults in a trial copy of the library were run against all tests. Two of 17 passed unnoticed: Runs::start returning true for a request that is already dispatched, and Runs::release forgetting refused attempts. Both faults are caught by the new tests. A third one, where a later claim replaces an earlier one with the same key, changes nothing, since the log holds one claim per key.

--- a/crates/dotterelsill_claims/tests/runs.rs
+++ b/crates/dotterelsill_claims/tests/runs.rs
@@ -7,6 +7,7 @@
 
 use dotterelsill_claims::{
     Attempt,
+    ClaimReply,
     Event,
     Incarnation,
     Key,
@@ -89,3 +90,76 @@
     assert_eq!(runs.report(PEER, key), gone);
     assert_eq!(runs.report(HERE, Key([2; 16])), Report::NotStarted);
 }
+
+/// Guards against a second dispatch by an attempt that checked its authority
+/// while another one did.
+#[test]
+fn attempts_that_check_at_once_dispatch_once() {
+    let now = Instant::now();
+    let mut runs = Runs::new(HERE, RunLimits::default());
+    let (mut first, step) = ask(&mut runs, 1, now);
+    let mut second = first.clone();
+    assert_eq!(step, Step::CheckAuthority);
+    let mut event = |attempt: &mut Attempt, event| attempt.on_event(event, &mut runs, now);
+    let allowed = Event::Authority(true);
+    assert_eq!(event(&mut first, allowed.clone()), Some(Step::Dispatch));
+    assert_eq!(event(&mut second, allowed), Some(Step::WaitForRun));
+    let end = RunEnd::Answered {
+        answer: 7,
+        bytes: 1,
+    };
+    let answered = Some(Step::Finish(Outcome::Answered(7)));
+    assert_eq!(event(&mut first, Event::Ran(end)), answered);
+    assert_eq!(event(&mut second, Event::RunSettled), answered);
+    // An attempt that has ended takes no more events.
+    assert_eq!(event(&mut second, Event::Deadline), None);
+}
+
+/// Guards against "not run" while the claimant may be running the request.
+#[test]
+fn silent_claimant_makes_the_outcome_unknown() {
+    let now = Instant::now();
+    for end in [Event::ClaimantSilent, Event::Deadline] {
+        let mut runs = Runs::<u8>::new(HERE, RunLimits::default());
+        let origin = Origin {
+            incarnation: HERE,
+            number: 1,
+        };
+        let (mut attempt, step) = Attempt::from_caller(Key([1; 16]), origin, &runs);
+        assert_eq!(step, Step::AskOwner);
+        let claimed = Event::Owner(ClaimReply::ClaimedBy(PEER));
+        let asked = attempt.on_event(claimed, &mut runs, now);
+        assert_eq!(asked, Some(Step::AskClaimant(PEER)));
+        let in_flight = attempt.on_event(Event::Claimant(None), &mut runs, now);
+        assert_eq!(in_flight, Some(Step::AskClaimantAgain(PEER)));
+        let ended = attempt.on_event(end, &mut runs, now);
+        assert!(matches!(ended, Some(Step::Finish(Outcome::Unknown(_)))));
+    }
+}
+
+/// Guards against a repeated message of a refused attempt that starts the
+/// request after another attempt failed to send it.
+#[test]
+fn refused_attempt_stays_refused_after_a_failed_send() {
+    let now = Instant::now();
+    let mut runs = Runs::new(HERE, RunLimits::default());
+    let origin = |number| Origin {
+        incarnation: PEER,
+        number,
+    };
+    let key = Key([1; 16]);
+    let start = |number, authority, runs: &mut Runs<u8>| {
+        let (mut attempt, _) = Attempt::from_peer(key, HERE, origin(number), runs, now);
+        let step = attempt.on_event(Event::Authority(authority), runs, now);
+        (attempt, step)
+    };
+    start(1, false, &mut runs);
+    let (mut other, step) = start(2, true, &mut runs);
+    assert_eq!(step, Some(Step::Dispatch));
+    let not_sent = other.on_event(Event::Ran(RunEnd::NotSent), &mut runs, now);
+    assert!(matches!(not_sent, Some(Step::Finish(Outcome::NotRun(_)))));
+    let (_, repeated) = Attempt::from_peer(key, HERE, origin(1), &mut runs, now);
+    assert!(matches!(repeated, Step::Finish(Outcome::NotRun(_))));
+    let (_, fresh) = Attempt::from_peer(key, HERE, origin(3), &mut runs, now);
+    assert_eq!(fresh, Step::CheckAuthority);
+}
