Tell how a request ended, and compare keys by words

A request that its caller gives up or that an upstream refuses ended like an answered one, so a wave of cancellations made run times look short and deadlines easy to meet. The end now says which it was; a cut run is charged, and observed only when it is above the mean.

--- a/crates/dotterelsill_admission/examples/overload/report.rs
+++ b/crates/dotterelsill_admission/examples/overload/report.rs
@@ -33,6 +33,7 @@
     urgent_arrived: u64,
     urgent_in_time: u64,
     urgent_us: Histogram<u64>,
+    urgent_wait_us: Histogram<u64>,
     low_wait: Duration,
 }
 
@@ -49,6 +50,7 @@
             urgent_arrived: 0,
             urgent_in_time: 0,
             urgent_us: Histogram::new(3).expect("three digits are allowed"),
+            urgent_wait_us: Histogram::new(3).expect("three digits are allowed"),
             low_wait: Duration::ZERO,
         }
     }
@@ -80,10 +82,8 @@
         }
         if job.urgency == 0 && job.arrived >= self.from && in_time {
             self.urgent_in_time += 1;
-            let us = (ended - job.arrived).as_micros();
-            self.urgent_us
-                .record(us as u64)
-                .expect("the histogram grows");
+            record(&mut self.urgent_us, ended - job.arrived);
+            record(&mut self.urgent_wait_us, started - job.arrived);
         }
     }
 
@@ -107,8 +107,15 @@
         );
         println!("  urgent in time {in_time:.1}% of those that arrived");
         if !self.urgent_us.is_empty() {
-            let p99_ms = self.urgent_us.value_at_quantile(0.99) as f64 / 1e3;
-            println!("  urgent p99 {p99_ms:.0} ms from arrival to answer");
+            let p99_ms = |us: &Histogram<u64>| us.value_at_quantile(0.99) as f64 / 1e3;
+            println!(
+                "  urgent p99 {:.0} ms from arrival to answer",
+                p99_ms(&self.urgent_us)
+            );
+            println!(
+                "  urgent p99 {:.1} ms of waiting",
+                p99_ms(&self.urgent_wait_us)
+            );
         }
         println!(
             "  low urgency: {:.1}% of the slots",
@@ -120,3 +127,8 @@
         );
     }
 }
+
+fn record(histogram: &mut Histogram<u64>, duration: Duration) {
+    let us = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+    histogram.record(us).expect("the histogram grows");
+}
--- a/crates/dotterelsill_admission/examples/overload/sim.rs
+++ b/crates/dotterelsill_admission/examples/overload/sim.rs
@@ -8,7 +8,10 @@
     }, //
 };
 
-use dotterelsill_admission::Running;
+use dotterelsill_admission::{
+    End,
+    Running, //
+};
 use dotterelsill_routing::{
     Answer,
     ServiceSpec,
@@ -114,9 +117,10 @@
 
     fn finish(&mut self, (job, running, slot): (Job, Running, Slot)) {
         let started = running.started();
-        self.waiting.finish(running, self.now);
-        self.upstreams.report(slot, Answer::Success, self.now);
         let in_time = self.now < job.deadline;
+        let end = if in_time { End::Answered } else { End::Cut };
+        self.waiting.finish(running, end, self.now);
+        self.upstreams.report(slot, Answer::Success, self.now);
         self.report.on_end(&job, started, self.now, in_time);
     }
 
--- a/crates/dotterelsill_admission/examples/overload/waiting.rs
+++ b/crates/dotterelsill_admission/examples/overload/waiting.rs
@@ -10,6 +10,7 @@
 };
 
 use dotterelsill_admission::{
+    End,
     FairQueue,
     Gate,
     Request,
@@ -111,7 +112,7 @@
         Some((job, running))
     }
 
-    pub(crate) fn finish(&mut self, running: Running, now: Instant) {
-        self.gate.finish(running, now);
+    pub(crate) fn finish(&mut self, running: Running, end: End, now: Instant) {
+        self.gate.finish(running, end, now);
     }
 }
--- a/crates/dotterelsill_admission/src/gate.rs
+++ b/crates/dotterelsill_admission/src/gate.rs
@@ -19,6 +19,7 @@
 use crate::{
     team::level_of,
     usage::Usage,
+    End,
     Running,
     Team,
     URGENCY_LEVELS, //
@@ -64,8 +65,8 @@
 
     /// Ends a request that ran until `now` and returns its slot; returns
     /// whether requests wait for it.
-    pub fn finish(&self, running: Running, now: Instant) -> bool {
-        running.end(now);
+    pub fn finish(&self, running: Running, end: End, now: Instant) -> bool {
+        running.end(end, now);
         self.is_waiting()
     }
 
--- a/crates/dotterelsill_admission/src/keys.rs
+++ b/crates/dotterelsill_admission/src/keys.rs
@@ -7,6 +7,7 @@
     Sha256, //
 };
 use subtle::{
+    Choice,
     ConditionallySelectable as _,
     ConstantTimeEq as _, //
 };
@@ -29,10 +30,13 @@
     (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
 }
 
+/// Hash in words, which are compared several times faster than bytes.
+type Words = [u64; 4];
+
 /// Keys in force, with the team of each.
 #[derive(Clone, Debug, Default)]
 pub struct KeyTable {
-    hashes: Vec<KeyHash>,
+    hashes: Vec<Words>,
     teams: Vec<Arc<str>>,
 }
 
@@ -42,7 +46,7 @@
     pub fn new<'a>(keys: impl IntoIterator<Item = (KeyHash, &'a str)>) -> Self {
         let mut table = Self::default();
         for (hash, team) in keys {
-            table.hashes.push(hash);
+            table.hashes.push(words(&hash));
             table.teams.push(Arc::from(team));
         }
         table
@@ -53,11 +57,23 @@
     /// Each call compares all hashes, each in constant time, so that its
     /// duration tells nothing about which hash is close or where it stands.
     pub fn team_of(&self, hash: &KeyHash) -> Option<&Arc<str>> {
+        let hash = words(hash);
         let mut found = u64::MAX;
         for (index, known) in self.hashes.iter().enumerate() {
-            let equal = known.ct_eq(hash);
+            let equal = equal(known, &hash);
             found.conditional_assign(&(index as u64), equal);
         }
         self.teams.get(usize::try_from(found).ok()?)
     }
 }
+
+fn words(hash: &KeyHash) -> Words {
+    let (chunks, _) = hash.as_chunks::<8>();
+    std::array::from_fn(|index| u64::from_ne_bytes(chunks[index]))
+}
+
+/// Compares all words, whatever the first ones are.
+fn equal(one: &Words, other: &Words) -> Choice {
+    let pairs = one.iter().zip(other);
+    pairs.fold(Choice::from(1), |equal, (a, b)| equal & a.ct_eq(b))
+}
--- a/crates/dotterelsill_admission/src/lib.rs
+++ b/crates/dotterelsill_admission/src/lib.rs
@@ -9,6 +9,11 @@
 //! [`Gate::finish`] or [`Gate::set_capacity`] returns `true`, it calls
 //! [`FairQueue::pop_next`] under the lock until that returns `None`. It calls
 //! [`FairQueue::expire`] at [`FairQueue::next_expiry`].
+//!
+//! When an upstream refuses a request because it is full, the driver first sets
+//! the lower capacity and then puts the request back: with
+//! [`FairQueue::requeue`] if it had waited, and otherwise with [`End::NotRun`]
+//! and a push. In the other order the request would start again at once.
 
 mod admit;
 mod gate;
@@ -41,7 +46,10 @@
     Started,
     Ticket, //
 };
-pub use running::Running;
+pub use running::{
+    End,
+    Running, //
+};
 pub use select::URGENT_AHEAD;
 pub use team::{
     Team,
--- a/crates/dotterelsill_admission/src/queue.rs
+++ b/crates/dotterelsill_admission/src/queue.rs
@@ -19,6 +19,7 @@
         select, //
     },
     team::level_of,
+    End,
     Gate,
     Pushed,
     Refusal,
@@ -120,7 +121,7 @@
             deadline: started.deadline,
             payload: started.payload,
         };
-        started.running.not_run();
+        started.running.end(End::NotRun, now);
         self.insert(started.ticket, waiting, now);
         Ok(())
     }
@@ -164,8 +165,8 @@
     }
 
     /// Ends a request that runs; the same as [`Gate::finish`].
-    pub fn finish(&mut self, running: Running, now: Instant) -> bool {
-        self.gate.finish(running, now)
+    pub fn finish(&mut self, running: Running, end: End, now: Instant) -> bool {
+        self.gate.finish(running, end, now)
     }
 
     /// Removes a waiting request whose caller gave up and returns its payload,
--- a/crates/dotterelsill_admission/src/running.rs
+++ b/crates/dotterelsill_admission/src/running.rs
@@ -25,14 +25,19 @@
     team: Arc<Team>,
     level: usize,
     started: Instant,
-    ended: Ended,
+    ended: Option<(End, Instant)>,
 }
 
-/// What is charged when the value goes away.
-#[derive(Clone, Copy, Debug)]
-enum Ended {
-    Dropped,
-    At(Instant),
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The upstream answered; the run time is charged and observed.
+    Answered,
+    /// The request ended early: the caller gave up, the connection broke or the
+    /// deadline passed. The run time is charged. It is observed only when it is
+    /// above the mean, because all that is known is that the run is longer.
+    Cut,
+    /// The upstream refused before running; nothing is charged.
     NotRun,
 }
 
@@ -46,7 +51,7 @@
             team: Arc::clone(team),
             level,
             started: now,
-            ended: Ended::Dropped,
+            ended: None,
         }
     }
 
@@ -64,26 +69,22 @@
         self.level
     }
 
-    pub(crate) fn end(mut self, now: Instant) {
-        self.ended = Ended::At(now);
-    }
-
-    /// Returns the slot of a request that an upstream refused to run.
-    pub(crate) fn not_run(mut self) {
-        self.ended = Ended::NotRun;
+    pub(crate) fn end(mut self, end: End, now: Instant) {
+        self.ended = Some((end, now));
     }
 
     fn charge(&self) -> Duration {
         let run_time = self.team.run_time(self.level);
-        match self.ended {
-            Ended::Dropped => run_time.mean(),
-            Ended::NotRun => Duration::ZERO,
-            Ended::At(now) => {
-                let run = now.saturating_duration_since(self.started);
-                run_time.observe(run);
-                run
-            }
+        let Some((end, now)) = self.ended else {
+            return run_time.mean();
+        };
+        let run = now.saturating_duration_since(self.started);
+        match end {
+            End::NotRun => return Duration::ZERO,
+            End::Cut if run <= run_time.mean() => {}
+            End::Cut | End::Answered => run_time.observe(run),
         }
+        run
     }
 }
 
--- a/crates/dotterelsill_admission/tests/common/mod.rs
+++ b/crates/dotterelsill_admission/tests/common/mod.rs
@@ -11,6 +11,7 @@
 };
 
 use dotterelsill_admission::{
+    End,
     FairQueue,
     Gate,
     Pushed,
@@ -90,7 +91,7 @@
     pub(crate) fn end_one(&mut self) {
         let ((end, _), running) = self.running.pop_first().expect("a request runs");
         self.now = end;
-        self.queue.finish(running, end);
+        self.queue.finish(running, End::Answered, end);
     }
 
     /// Runs for `duration` with requests of each source always waiting, and
--- a/crates/dotterelsill_admission/tests/fairness.rs
+++ b/crates/dotterelsill_admission/tests/fairness.rs
@@ -7,6 +7,10 @@
     Service,
     NO_DEADLINE, //
 };
+use dotterelsill_admission::{
+    End,
+    Team, //
+};
 
 /// Guards against a team that exceeds its share by many short requests, and one
 /// that does by few long ones.
@@ -128,13 +132,15 @@
     let mut started = Vec::new();
     for round in 0..48 {
         let limited = name(0);
-        let take = |team: &dotterelsill_admission::Team| round >= 24 || team.name() != limited;
+        let take = |team: &Team| round >= 24 || team.name() != limited;
         let one = service
             .queue
             .pop_next(service.now, take, &mut refused)
             .unwrap();
         service.now += ms(10);
-        service.queue.finish(one.running, service.now);
+        service
+            .queue
+            .finish(one.running, End::Answered, service.now);
         started.push(one.payload.0);
     }
     assert!(started[..24].iter().all(|team| *team == 1));
--- a/crates/dotterelsill_admission/tests/queue.rs
+++ b/crates/dotterelsill_admission/tests/queue.rs
@@ -22,6 +22,7 @@
     NO_DEADLINE, //
 };
 use dotterelsill_admission::{
+    End,
     FairQueue,
     Gate,
     Refusal,
@@ -41,7 +42,7 @@
     let one = try_start().unwrap();
     let other = try_start().unwrap();
     assert!(try_start().is_none());
-    assert!(!gate.finish(one, now));
+    assert!(!gate.finish(one, End::Answered, now));
     assert_eq!(gate.in_use(), 1);
     let pushed = service.push((0, 0), NO_DEADLINE).unwrap();
     assert!(try_start().is_none(), "a request waits");
@@ -136,6 +137,27 @@
     }
 }
 
+/// Guards against run times that look short because callers give up or
+/// upstreams refuse, and against work that is free for that reason.
+#[test]
+fn cut_and_refused_runs_do_not_shorten_the_run_time() {
+    let mut service = Service::new(1, &[100], 100);
+    let (gate, team) = (Arc::clone(&service.gate), Arc::clone(service.team(0)));
+    let ends = [(End::Answered, 1000), (End::Cut, 10), (End::NotRun, 10)];
+    for (end, run_ms) in ends.into_iter().chain([ends[1], ends[2]]) {
+        let running = gate.try_start(&team, 0, service.now).unwrap();
+        service.now += ms(run_ms);
+        gate.finish(running, end, service.now);
+    }
+    assert_eq!(team.used(service.now), ms(1020));
+    drop(gate.try_start(&team, 0, service.now).unwrap());
+    assert_eq!(
+        team.used(service.now),
+        ms(2020),
+        "a dropped run costs the mean"
+    );
+}
+
 /// Guards against cancelled requests that are started or counted.
 #[test]
 fn wave_of_cancellations_leaves_the_rest() {
@@ -231,7 +253,7 @@
                     };
                     assert!(shared.0.in_use() <= 3);
                     ended.fetch_add(1, Ordering::SeqCst);
-                    if shared.0.finish(running, Instant::now()) {
+                    if shared.0.finish(running, End::Answered, Instant::now()) {
                         dispatch(shared, &ends);
                     }
                 }
--- a/crates/dotterelsill_routing/src/latency.rs
+++ b/crates/dotterelsill_routing/src/latency.rs
@@ -19,6 +19,9 @@
 const HALVE_AT: u32 = 2048;
 
 /// Distribution of latencies, shared by all threads.
+///
+/// A driver keeps one per queue: with one for all, every long request would
+/// pass the percentile of the short ones and be hedged.
 #[derive(Debug)]
 pub struct Latency {
     buckets: [AtomicU32; BUCKETS],
