Free what dead incarnations hold, and accept lowered limits when credits allow

Every instance observes the others: an incarnation whose lease has been seen expired for its isolation limit is fenced, and its credits are freed after its longest run time as well. Both times are part of the registration, and a revision with longer ones is registered before it is put in force; the credits of the earlier incarnation are given back by its own process as requests end, because waiting for the reclaim would strand them for many minutes.

A change that lowers a limit is in force only when the credits held are within it.

--- a/crates/dotterelsill_entry/src/acceptance.rs
+++ b/crates/dotterelsill_entry/src/acceptance.rs
@@ -21,6 +21,7 @@
 use futures_util::future::join_all;
 
 use crate::{
+    ledgers,
     members,
     peers,
     shared::Shared, //
@@ -36,9 +37,9 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Waits until a stored change is in force, or the time is over.
-pub(crate) async fn wait(shared: &Shared, revision: u64) -> Acknowledgement {
+pub(crate) async fn wait(shared: &Shared, revision: u64, lowers_limit: bool) -> Acknowledgement {
     let stored_at = Instant::now();
-    let mut acceptance = Acceptance::new(revision, stored_at, false, Limits::default());
+    let mut acceptance = Acceptance::new(revision, stored_at, lowers_limit, Limits::default());
     let mut listed: Vec<peer::Member> = Vec::new();
     let mut list_at = stored_at;
     loop {
@@ -49,6 +50,9 @@
             }
         }
         ask(shared, &mut acceptance, &listed).await;
+        if lowers_limit && are_credits_within_limits(shared).await {
+            acceptance.on_credits_within_limits();
+        }
         let acknowledgement = acceptance.acknowledgement(Instant::now());
         let is_over = stored_at.elapsed() >= WAIT_LIMIT;
         if is_over || matches!(acknowledgement, Acknowledgement::InForce { .. }) {
@@ -58,6 +62,19 @@
     }
 }
 
+/// Returns whether no team holds more credits than the limits in force here.
+async fn are_credits_within_limits(shared: &Shared) -> bool {
+    let Ok(records) = ledgers::list(shared).await else {
+        return false;
+    };
+    let snapshot = shared.snapshot.load_full();
+    snapshot.limits.iter().all(|(team, limit)| {
+        let ledger = records.get(team).and_then(|(_, ledger)| ledger.as_ref());
+        // A record that does not exist yet holds nothing.
+        ledger.is_none_or(|ledger| ledger.limit_in_force() <= *limit)
+    })
+}
+
 /// Reads the registered instances and their leases.
 async fn observe(shared: &Shared, acceptance: &mut Acceptance) -> Option<Vec<peer::Member>> {
     let sent_at = Instant::now();
--- a/crates/dotterelsill_entry/src/attempt.rs
+++ b/crates/dotterelsill_entry/src/attempt.rs
@@ -18,6 +18,7 @@
 };
 use async_io::Timer;
 use bytes::Bytes;
+use dotterelsill_admission::End;
 use dotterelsill_escrow::Credit;
 use dotterelsill_revision::{
     Decision,
@@ -146,7 +147,7 @@
                 if answer == Answer::Success {
                     self.plan.service.latency.record(now - sent_at);
                 }
-                self.plan.end(self.held);
+                self.plan.end(self.held, End::Answered);
                 send(&result, Attempted::Answered(response));
             }
             Some(Err(error)) if error.is_unsent() => {
@@ -166,7 +167,7 @@
             }
             None => {
                 self.plan.set.report(self.slot, Answer::Failure, now);
-                self.plan.end(self.held);
+                self.plan.end(self.held, End::Cut);
                 send(&result, Attempted::RunTimeOver);
             }
         }
--- a/crates/dotterelsill_entry/src/authority.rs
+++ b/crates/dotterelsill_entry/src/authority.rs
@@ -72,6 +72,11 @@
             .map_or(Mode::Lapsed, |snapshot| snapshot.verdict(now).mode)
     }
 
+    /// Returns whether an incarnation was ever registered.
+    pub(crate) fn is_registered(&self) -> bool {
+        self.update().is_some()
+    }
+
     /// Returns the age of the proof, if there is one.
     pub(crate) fn proof_age(&self, now: Instant) -> Option<Duration> {
         self.update().as_ref()?.freshness().age(now)
--- a/crates/dotterelsill_entry/src/limits.rs
+++ b/crates/dotterelsill_entry/src/limits.rs
@@ -1,7 +1,10 @@
 //! Credits of the teams' upper limits.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     sync::{
         atomic::{
             AtomicU32,
@@ -26,6 +29,7 @@
     Holder,
     Incarnation,
     Ledger,
+    Operation,
     Policy, //
 };
 use event_listener::Event;
@@ -50,6 +54,8 @@
 /// limit.
 pub(crate) const OPEN_TEAM: &str = "(open)";
 
+type Holders = HashMap<(String, Incarnation), Holder>;
+
 /// What requests need of a team's credits.
 struct TeamCredits {
     credits: Credits,
@@ -61,8 +67,11 @@
 pub(crate) struct Limits {
     /// Replaced with each incarnation and each change of the teams.
     teams: ArcSwap<HashMap<String, Arc<TeamCredits>>>,
-    /// Owned by the one task that talks to the store.
-    holders: Mutex<HashMap<String, Holder>>,
+    /// Holders by team and incarnation, used by the one task that talks to the
+    /// store. Those of earlier incarnations give back what they hold.
+    holders: Mutex<Holders>,
+    /// Incarnations that the records listed when read last.
+    listed: ArcSwap<HashSet<Incarnation>>,
     wanted: Event,
 }
 
@@ -111,39 +120,46 @@
         teams.iter().map(counts).collect()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, Holder>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Holders> {
         self.holders.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the incarnations that the records listed when read last.
+    pub(crate) fn listed(&self) -> HashSet<Incarnation> {
+        HashSet::clone(&self.listed.load())
+    }
+
     /// Creates the holders of a new incarnation or of new teams.
     ///
-    /// Holders of an earlier incarnation are fenced: requests that still run on
-    /// their credits keep them, and what the record lists for that incarnation
-    /// is reclaimed like that of one that died.
+    /// Holders of an earlier incarnation start nothing more and give back their
+    /// credits as the requests that run on them end.
     fn adopt(&self, incarnation: Incarnation, snapshot: &Snapshot) {
         let mut holders = self.lock();
-        for holder in holders.values_mut() {
-            if holder.incarnation() != incarnation {
-                holder.fence();
+        for ((team, held_by), holder) in holders.iter_mut() {
+            if *held_by != incarnation || !snapshot.limits.contains_key(team) {
+                holder.leave();
             }
         }
-        holders.retain(|_, holder| holder.incarnation() == incarnation);
+        holders.retain(|_, holder| !holder.has_left() && !holder.is_fenced());
         let mut changed = false;
         for team in snapshot.limits.keys() {
-            if !holders.contains_key(team) {
-                let holder = Holder::new(incarnation, Policy::default());
-                holders.insert(team.clone(), holder);
+            let key = (team.clone(), incarnation);
+            holders.entry(key).or_insert_with(|| {
                 changed = true;
-            }
+                Holder::new(incarnation, Policy::default())
+            });
         }
         if changed {
-            self.publish(&holders);
+            self.publish(incarnation, &holders);
         }
     }
 
-    fn publish(&self, holders: &HashMap<String, Holder>) {
+    fn publish(&self, incarnation: Incarnation, holders: &Holders) {
         let old = self.teams.load_full();
-        let credits = |(name, holder): (&String, &Holder)| {
+        let current = holders
+            .iter()
+            .filter(|((_, held_by), _)| *held_by == incarnation);
+        let teams = current.map(|((name, _), holder)| {
             let waiting = old
                 .get(name)
                 .map_or(0, |team| team.waiting.load(Ordering::Relaxed));
@@ -152,9 +168,15 @@
                 waiting: AtomicU32::new(waiting),
             };
             (name.clone(), Arc::new(team))
-        };
-        self.teams
-            .store(Arc::new(holders.iter().map(credits).collect()));
+        });
+        self.teams.store(Arc::new(teams.collect()));
+    }
+
+    /// Returns the incarnations that still have a holder of a team.
+    fn incarnations(&self, team: &str) -> Vec<Incarnation> {
+        let holders = self.lock();
+        let of_team = holders.keys().filter(|(name, _)| name == team);
+        of_team.map(|(_, incarnation)| *incarnation).collect()
     }
 
     fn waiting_count(&self, team: &str) -> u32 {
@@ -193,62 +215,92 @@
             return;
         }
     };
-    let missing = (0, None);
+    let listed = records.values().flat_map(|(_, ledger)| ledger);
+    let listed = listed
+        .flat_map(Ledger::holdings)
+        .map(|share| share.incarnation);
+    shared.limits.listed.store(Arc::new(listed.collect()));
     for (team, limit) in &snapshot.limits {
-        let (version, ledger) = records.get(team).unwrap_or(&missing);
-        let configured = match ledger {
-            Some(ledger) => ledger.set_limit(*limit, snapshot.revision),
-            None => Ledger::new(*limit, snapshot.revision),
+        let (version, ledger) = match records.get(team) {
+            Some((version, Some(ledger))) => (*version, Some(ledger)),
+            Some((version, None)) => (*version, None),
+            None => (0, None),
         };
-        match (ledger, configured) {
-            // The limit was written under a newer revision than the one here.
-            (Some(ledger), Err(_)) => operate(shared, team, *version, ledger).await,
-            (Some(ledger), Ok(_)) if ledger.limit() == *limit => {
-                operate(shared, team, *version, ledger).await;
-            }
-            (_, Ok(configured)) => {
-                ledgers::write(shared, team, *version, &configured).await;
+        let revision = snapshot.revision;
+        match ledger {
+            None => match Ledger::new(*limit, revision) {
+                Ok(created) => {
+                    ledgers::write(shared, team, version, &created).await;
+                }
+                Err(error) => log::error!(team, error:%; "limit_not_set"),
+            },
+            // An error means that a newer revision has set the limit.
+            Some(ledger) if ledger.limit() != *limit => {
+                if let Ok(changed) = ledger.set_limit(*limit, revision) {
+                    ledgers::write(shared, team, version, &changed).await;
+                } else {
+                    operate(shared, team, version, ledger).await;
+                }
             }
-            (None, Err(error)) => log::error!(team, error:%; "limit_not_set"),
+            Some(ledger) => operate(shared, team, version, ledger).await,
         }
     }
     snapshot.start_waiting();
 }
 
-async fn operate(shared: &Shared, team: &str, version: u64, ledger: &Ledger) {
-    let waiting = shared.limits.waiting_count(team);
-    let operation = {
-        let mut holders = shared.limits.lock();
-        let Some(holder) = holders.get_mut(team) else {
-            return;
+/// Makes the next operation of each holder of a team.
+async fn operate(shared: &Shared, team: &str, mut version: u64, ledger: &Ledger) {
+    let mut ledger = ledger.clone();
+    for incarnation in shared.limits.incarnations(team) {
+        let key = (team.to_owned(), incarnation);
+        let Some(operation) = next_operation(shared, &key, version, &ledger) else {
+            continue;
         };
-        let members = shared.peers.live_count();
-        holder.set_reserve(reserve_of(ledger.limit(), members));
-        let operation = holder.next_operation(version, ledger, waiting, Instant::now());
-        operation.map(|operation| (holder.incarnation(), operation))
-    };
-    let Some((incarnation, operation)) = operation else {
-        return;
-    };
-    let written = match ledger.apply(incarnation, &operation) {
-        Ok(next) => ledgers::write(shared, team, version, &next)
-            .await
-            .map(|version| (version, next)),
-        Err(error) => {
-            log::debug!(team, error:%; "escrow_operation_refused");
-            None
+        let next = match ledger.apply(incarnation, &operation) {
+            Ok(next) => next,
+            Err(error) => {
+                log::debug!(team, error:%; "escrow_operation_refused");
+                with_holder(shared, &key, Holder::on_write_failed);
+                continue;
+            }
+        };
+        match ledgers::write(shared, team, version, &next).await {
+            Some(written) => {
+                version = written;
+                ledger = next;
+                with_holder(shared, &key, |holder| holder.on_record(version, &ledger));
+            }
+            None => {
+                with_holder(shared, &key, Holder::on_write_failed);
+                return;
+            }
         }
-    };
-    let mut holders = shared.limits.lock();
-    let Some(holder) = holders.get_mut(team) else {
-        return;
-    };
-    match written {
-        Some((version, ledger)) => holder.on_record(version, &ledger),
-        None => holder.on_write_failed(),
     }
 }
 
+fn next_operation(
+    shared: &Shared,
+    key: &(String, Incarnation),
+    version: u64,
+    ledger: &Ledger,
+) -> Option<Operation> {
+    let waiting = shared.limits.waiting_count(&key.0);
+    let reserve = reserve_of(ledger.limit(), shared.peers.live_count());
+    with_holder(shared, key, |holder| {
+        holder.set_reserve(reserve);
+        holder.next_operation(version, ledger, waiting, Instant::now())
+    })
+    .flatten()
+}
+
+fn with_holder<T>(
+    shared: &Shared,
+    key: &(String, Incarnation),
+    step: impl FnOnce(&mut Holder) -> T,
+) -> Option<T> {
+    shared.limits.lock().get_mut(key).map(step)
+}
+
 fn current_incarnation(shared: &Shared) -> Option<Incarnation> {
     let update = shared.authority.update();
     let instance = update.as_ref()?;
@@ -263,7 +315,8 @@
     let begin = Instant::now();
     while begin.elapsed() < LEAVE_LIMIT {
         step(shared).await;
-        if shared.limits.lock().values().all(Holder::has_left) {
+        let has_left = |holder: &Holder| holder.has_left() || holder.is_fenced();
+        if shared.limits.lock().values().all(has_left) {
             return;
         }
         Timer::after(BUSY_INTERVAL).await;
--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod plan;
 mod pool;
+mod reclaim;
 mod register;
 mod run;
 mod service;
--- a/crates/dotterelsill_entry/src/members.rs
+++ b/crates/dotterelsill_entry/src/members.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use async_io::Timer;
@@ -11,6 +14,10 @@
 use prost::Message as _;
 
 use crate::{
+    reclaim::{
+        Look,
+        Observer, //
+    },
     register::{
         ALIVE_PREFIX,
         MEMBER_PREFIX, //
@@ -21,21 +28,34 @@
 /// Time between two lists.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Lists the registered instances until the program stops.
+/// Lists the registered instances until the program stops, and frees what
+/// those hold that are gone.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut observer = Observer::default();
     loop {
-        match list(&shared).await {
-            Ok(members) => shared.peers.set_members(members),
-            Err(error) => log::debug!(error:%; "members_not_listed"),
-        }
-        match list_alive(&shared).await {
-            Ok(alive) => shared.peers.set_alive(&alive),
-            Err(error) => log::debug!(error:%; "leases_not_listed"),
+        if let Err(error) = look(&shared, &mut observer).await {
+            log::debug!(error:%; "members_not_listed");
         }
         Timer::after(LIST_INTERVAL).await;
     }
 }
 
+async fn look(shared: &Shared, observer: &mut Observer) -> Result<(), dotterelsill_store::Error> {
+    // The leases first: a member that registers between the two reads is then
+    // seen without a lease at the most once, which fences nobody.
+    let alive = list_alive(shared).await?;
+    let members = list(shared).await?;
+    let look = Look {
+        members: &members,
+        alive: &alive,
+        arrived_at: Instant::now(),
+    };
+    observer.look(shared, &look).await;
+    shared.peers.set_alive(&alive);
+    shared.peers.set_members(members);
+    Ok(())
+}
+
 /// Reads all registered instances.
 pub(crate) async fn list(shared: &Shared) -> Result<Vec<Member>, dotterelsill_store::Error> {
     let entries = shared.store.list(MEMBER_PREFIX).await?;
--- a/crates/dotterelsill_entry/src/operator.rs
+++ b/crates/dotterelsill_entry/src/operator.rs
@@ -1,10 +1,21 @@
 //! Calls of the operators' command line.
 
 use std::{
-    sync::Arc,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc, //
+    },
     time::Instant, //
 };
 
+use dotterelsill_config::{
+    diff,
+    parse,
+    Finding, //
+};
 use dotterelsill_proto::{
     config::{
         Document,
@@ -54,10 +65,14 @@
     async fn change(
         &self,
         write_id: &str,
+        lowers_limit: &AtomicBool,
         edit: impl Fn(&mut Document) -> Result<(), String>,
     ) -> Result<Response<ChangeResponse>, Status> {
         let response = match change::make(&self.shared, write_id, edit).await {
-            Ok(revision) => acknowledged(acceptance::wait(&self.shared, revision).await),
+            Ok(revision) => {
+                let lowers = lowers_limit.load(Ordering::Relaxed);
+                acknowledged(acceptance::wait(&self.shared, revision, lowers).await)
+            }
             Err(error) => failed(&error),
         };
         log::info!(
@@ -70,7 +85,7 @@
     }
 }
 
-fn listed(findings: &[dotterelsill_config::Finding]) -> String {
+fn listed(findings: &[Finding]) -> String {
     let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
     lines.join("\n")
 }
@@ -122,8 +137,15 @@
         request: Request<ApplyRequest>,
     ) -> Result<Response<ChangeResponse>, Status> {
         let ApplyRequest { write_id, text } = request.into_inner();
-        self.change(&write_id, |document| {
-            dotterelsill_config::parse(&text).map_err(|findings| listed(&findings))?;
+        let lowers_limit = AtomicBool::new(false);
+        self.change(&write_id, &lowers_limit, |document| {
+            let new = parse(&text).map_err(|findings| listed(&findings))?;
+            // Without a text in force that can be read, every limit is new.
+            let lowers = parse(&document.text).is_ok_and(|old| {
+                let changes = diff(&old, &new);
+                changes.iter().any(|change| change.lowers_limit)
+            });
+            lowers_limit.store(lowers, Ordering::Relaxed);
             document.text.clone_from(&text);
             Ok(())
         })
@@ -139,7 +161,7 @@
             team,
             sha256,
         } = request.into_inner();
-        self.change(&write_id, |document| {
+        self.change(&write_id, &AtomicBool::new(false), |document| {
             if document.keys.iter().any(|key| key.sha256 == sha256) {
                 return Err("this key is already given; make a new one".to_owned());
             }
@@ -157,7 +179,7 @@
         request: Request<WithdrawKeyRequest>,
     ) -> Result<Response<ChangeResponse>, Status> {
         let WithdrawKeyRequest { write_id, sha256 } = request.into_inner();
-        self.change(&write_id, |document| {
+        self.change(&write_id, &AtomicBool::new(false), |document| {
             let before = document.keys.len();
             document.keys.retain(|key| key.sha256 != sha256);
             if document.keys.len() == before {
@@ -177,7 +199,7 @@
             data_centre,
             out,
         } = request.into_inner();
-        self.change(&write_id, |document| {
+        self.change(&write_id, &AtomicBool::new(false), |document| {
             document
                 .data_centres_out
                 .retain(|name| *name != data_centre);
--- a/crates/dotterelsill_entry/src/plan.rs
+++ b/crates/dotterelsill_entry/src/plan.rs
@@ -8,6 +8,7 @@
 };
 
 use async_channel::Sender;
+use dotterelsill_admission::End;
 use dotterelsill_escrow::Credit;
 use dotterelsill_proto::config::{
     self,
@@ -81,9 +82,9 @@
     }
 
     /// Ends the work of an attempt.
-    pub(crate) fn end(&self, held: Held) {
+    pub(crate) fn end(&self, held: Held, end: End) {
         match held {
-            Held::Permit(permit) => self.service.finish(permit),
+            Held::Permit(permit) => self.service.finish(permit, end),
             Held::Credit(credit) => {
                 drop(credit);
                 self.service.start_waiting();
@@ -91,12 +92,13 @@
         }
     }
 
-    /// Ends the use of the service's slot and returns the credit.
+    /// Ends the use of the service's slot after the connection broke, and returns
+    /// the credit.
     pub(crate) fn end_slot(&self, held: Held) -> Option<Credit> {
         match held {
             Held::Permit(mut permit) => {
                 let credit = permit.credit.take();
-                self.service.finish(permit);
+                self.service.finish(permit, End::Cut);
                 credit
             }
             Held::Credit(credit) => credit,
@@ -119,7 +121,7 @@
         };
         if let Err(error) = result.try_send(Attempted::NotRun(not_run)) {
             if let Attempted::NotRun(not_run) = error.into_inner() {
-                self.end(not_run.held);
+                self.end(not_run.held, End::NotRun);
             }
         }
     }
--- /dev/null
+++ b/crates/dotterelsill_entry/src/reclaim.rs
@@ -0,0 +1,223 @@
+//! Fences incarnations that can start nothing more, and frees what they hold.
+
+use std::{
+    collections::{
+        HashMap,
+        HashSet, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use dotterelsill_escrow::{
+    Incarnation,
+    Lease,
+    Ledger,
+    Member as MemberRecord,
+    Reclaim,
+    ReclaimLimits,
+    Reclaimable, //
+};
+use dotterelsill_proto::peer::Member;
+use dotterelsill_revision::{
+    LEASE,
+    MAX_ISOLATION_LIMIT, //
+};
+use prost::Message as _;
+
+use crate::{
+    buckets,
+    ledgers,
+    register::{
+        key_suffix,
+        MEMBER_PREFIX, //
+    },
+    shared::Shared, //
+};
+
+/// What this instance has observed of other incarnations.
+#[derive(Default)]
+pub(crate) struct Observer {
+    observed: HashMap<Incarnation, Reclaim>,
+}
+
+/// One look at the registered instances.
+pub(crate) struct Look<'a> {
+    pub(crate) members: &'a [Member],
+    pub(crate) alive: &'a [dotterelsill_revision::Incarnation],
+    /// Instant at which the answers had arrived.
+    pub(crate) arrived_at: Instant,
+}
+
+impl Observer {
+    /// Notes one look, and does what is due for incarnations that are gone.
+    pub(crate) async fn look(&mut self, shared: &Shared, look: &Look<'_>) {
+        let Some((own, _)) = buckets::current(shared) else {
+            return;
+        };
+        let holding = shared.limits.listed();
+        let members: HashMap<Incarnation, &Member> = look
+            .members
+            .iter()
+            .filter_map(|member| Some((incarnation_of(member)?, member)))
+            .collect();
+        let wanted: HashSet<Incarnation> = members.keys().chain(&holding).copied().collect();
+        self.observed.retain(|seen, _| wanted.contains(seen));
+        for incarnation in wanted.into_iter().filter(|seen| seen.0 != own.0) {
+            let member = members.get(&incarnation).copied();
+            self.note(shared, incarnation, member, look);
+        }
+        self.act(shared, &members, &holding).await;
+    }
+
+    fn note(
+        &mut self,
+        shared: &Shared,
+        incarnation: Incarnation,
+        member: Option<&Member>,
+        look: &Look<'_>,
+    ) {
+        let limits = limits_of(shared, member);
+        let reclaim = self
+            .observed
+            .entry(incarnation)
+            .or_insert_with(|| Reclaim::new(incarnation, limits));
+        reclaim.on_limits(limits);
+        let is_alive = look.alive.iter().any(|alive| alive.0 == incarnation.0);
+        let lease = if is_alive {
+            Lease::Alive
+        } else {
+            Lease::Expired
+        };
+        reclaim.on_lease(lease, look.arrived_at);
+        reclaim.on_member(match member {
+            None => MemberRecord::Absent,
+            Some(member) if member.state == "fenced" => MemberRecord::Fenced,
+            Some(_) => MemberRecord::Present,
+        });
+    }
+
+    async fn act(
+        &self,
+        shared: &Shared,
+        members: &HashMap<Incarnation, &Member>,
+        holding: &HashSet<Incarnation>,
+    ) {
+        let now = Instant::now();
+        let mut gone = Vec::new();
+        for (incarnation, reclaim) in &self.observed {
+            let member = members.get(incarnation);
+            if let (true, Some(member)) = (reclaim.should_fence(now), member) {
+                fence(shared, member).await;
+            }
+            match reclaim.reclaimable(now) {
+                Some(reclaimable) if holding.contains(incarnation) => gone.push(reclaimable),
+                Some(_) => {
+                    if let Some(member) = member {
+                        delete(shared, member).await;
+                    }
+                }
+                None => {}
+            }
+        }
+        if !gone.is_empty() {
+            reclaim_credits(shared, &gone).await;
+        }
+    }
+}
+
+/// Returns the longest times under which an incarnation may still act: those it
+/// has registered, or without a registration the longest there are.
+fn limits_of(shared: &Shared, member: Option<&Member>) -> ReclaimLimits {
+    let current = shared.snapshot.load().max_run;
+    let (isolation_limit, max_run) = match member {
+        Some(member) => (
+            Duration::from_millis(member.isolation_limit_ms),
+            Duration::from_millis(member.max_run_ms),
+        ),
+        None => (MAX_ISOLATION_LIMIT, current),
+    };
+    ReclaimLimits {
+        isolation_limit,
+        lease: LEASE,
+        max_run: max_run.max(current),
+    }
+}
+
+fn incarnation_of(member: &Member) -> Option<Incarnation> {
+    let number = u128::from_str_radix(&member.incarnation, 16).ok()?;
+    Some(Incarnation(number))
+}
+
+fn key_of(member: &Member) -> Option<String> {
+    let incarnation = dotterelsill_revision::Incarnation(incarnation_of(member)?.0);
+    let suffix = key_suffix(&member.instance, incarnation);
+    Some(format!("{MEMBER_PREFIX}{suffix}"))
+}
+
+async fn fence(shared: &Shared, member: &Member) {
+    let fenced = Member {
+        state: "fenced".to_owned(),
+        ..member.clone()
+    };
+    let Some(key) = key_of(member) else {
+        return;
+    };
+    let written = async {
+        let version = shared
+            .store
+            .get(&key)
+            .await?
+            .map_or(0, |entry| entry.version);
+        shared
+            .store
+            .put(&key, fenced.encode_to_vec(), version, 0)
+            .await
+    };
+    match written.await {
+        Ok(_) => log::info!(instance = member.instance, incarnation = member.incarnation; "fenced"),
+        Err(error) => log::debug!(key, error:%; "not_fenced"),
+    }
+}
+
+/// Deletes the record of a fenced incarnation that holds nothing any more.
+async fn delete(shared: &Shared, member: &Member) {
+    let Some(key) = key_of(member) else {
+        return;
+    };
+    let deleted = async {
+        let version = shared
+            .store
+            .get(&key)
+            .await?
+            .map_or(0, |entry| entry.version);
+        shared.store.delete(&key, version).await
+    };
+    if let Err(error) = deleted.await {
+        log::debug!(key, error:%; "member_not_deleted");
+    }
+}
+
+async fn reclaim_credits(shared: &Shared, gone: &[Reclaimable]) {
+    let Ok(records) = ledgers::list(shared).await else {
+        return;
+    };
+    for (team, (version, ledger)) in records {
+        let Some(ledger) = ledger else {
+            continue;
+        };
+        let freed = gone
+            .iter()
+            .fold(ledger.clone(), |ledger: Ledger, gone| ledger.reclaim(gone));
+        if freed != ledger
+            && ledgers::write(shared, &team, version, &freed)
+                .await
+                .is_some()
+        {
+            let credits = ledger.held_total() - freed.held_total();
+            log::info!(team, credits; "credits_reclaimed");
+        }
+    }
+}
--- a/crates/dotterelsill_entry/src/register.rs
+++ b/crates/dotterelsill_entry/src/register.rs
@@ -57,57 +57,88 @@
     format!("{instance}/{incarnation}")
 }
 
+/// The registration of the current incarnation.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Registered {
+    lease: u64,
+    bounds: Bounds,
+}
+
+/// Times for which others wait before they count this incarnation as gone; they
+/// never become shorter while the process runs.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Bounds {
+    /// Longest time without contact for which work still starts.
+    pub(crate) isolation_limit: Duration,
+    /// Longest time that started work may run.
+    pub(crate) max_run: Duration,
+}
+
+impl Bounds {
+    fn covers(&self, other: &Self) -> bool {
+        self.isolation_limit >= other.isolation_limit && self.max_run >= other.max_run
+    }
+
+    fn max(&self, other: &Self) -> Self {
+        Self {
+            isolation_limit: self.isolation_limit.max(other.isolation_limit),
+            max_run: self.max_run.max(other.max_run),
+        }
+    }
+}
+
 /// Registers this incarnation and renews its lease until the program stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
-    let mut lease = 0;
     loop {
         if must_register(&shared) {
-            // The isolation limit of the newest configuration is registered.
+            // The bounds of the newest configuration are registered.
             sync::refresh(&shared).await;
-            match register(&shared).await {
-                Ok(granted) => {
-                    lease = granted;
-                    // Only a proof from after the registration counts.
-                    sync::refresh(&shared).await;
-                }
+            let bounds = shared.snapshot.load().bounds();
+            match ensure(&shared, bounds).await {
+                // Only a proof from after the registration counts.
+                Ok(_) => sync::refresh(&shared).await,
                 Err(error) => log::warn!(error:%; "registration_failed"),
             }
         } else {
+            let lease = shared.registered.lock().await.lease;
             renew(&shared, lease).await;
         }
         Timer::after(RENEW_INTERVAL).await;
     }
 }
 
-/// Returns whether this instance has no registration that it can keep: none
-/// yet, an ended one, or one with a shorter isolation limit than configured.
+/// Returns whether this instance has no registration that it can keep.
 fn must_register(shared: &Shared) -> bool {
-    let update = shared.authority.update();
-    let Some(instance) = update.as_ref() else {
-        return true;
-    };
-    let authority = instance.authority();
-    let wanted = wanted_isolation_limit(shared);
-    authority.must_register_again(Instant::now())
-        || wanted > authority.registration().isolation_limit
+    match shared.authority.update().as_ref() {
+        Some(instance) => instance.authority().must_register_again(Instant::now()),
+        None => true,
+    }
 }
 
-fn wanted_isolation_limit(shared: &Shared) -> Duration {
-    shared
-        .snapshot
-        .load()
-        .isolation_limit
-        .min(MAX_ISOLATION_LIMIT)
+/// Registers a new incarnation unless the current one is in order and others
+/// already wait for it as long as the bounds ask. Returns whether it did.
+pub(crate) async fn ensure(shared: &Shared, bounds: Bounds) -> Result<bool, RegisterError> {
+    let mut registered = shared.registered.lock().await;
+    if !must_register(shared) && registered.bounds.covers(&bounds) {
+        return Ok(false);
+    }
+    let bounds = Bounds {
+        isolation_limit: bounds.isolation_limit.min(MAX_ISOLATION_LIMIT),
+        ..bounds
+    }
+    .max(&registered.bounds);
+    let lease = register(shared, bounds).await?;
+    *registered = Registered { lease, bounds };
+    Ok(true)
 }
 
 /// Registers a new incarnation and returns its lease.
-async fn register(shared: &Shared) -> Result<u64, RegisterError> {
+async fn register(shared: &Shared, bounds: Bounds) -> Result<u64, RegisterError> {
     let incarnation = Incarnation(rand::random());
     if let Some(earlier) = resign(shared) {
         fence(shared, earlier).await?;
     }
     let suffix = key_suffix(&shared.settings.instance, incarnation);
-    let isolation_limit = wanted_isolation_limit(shared);
     let lease_sent_at = Instant::now();
     let lease = shared.store.lease_grant(LEASE).await.context(StoreSnafu)?;
     put_new(shared, format!("{ALIVE_PREFIX}{suffix}"), Vec::new(), lease).await?;
@@ -117,18 +148,18 @@
         data_centre: shared.settings.data_centre.clone(),
         peer_address: shared.peer_address.clone(),
         state: "live".to_owned(),
-        isolation_limit_ms: isolation_limit.as_millis() as u64,
-        max_run_ms: shared.snapshot.load().max_run.as_millis() as u64,
+        isolation_limit_ms: bounds.isolation_limit.as_millis() as u64,
+        max_run_ms: bounds.max_run.as_millis() as u64,
     };
     let member = member.encode_to_vec();
     put_new(shared, format!("{MEMBER_PREFIX}{suffix}"), member, 0).await?;
     let registration = Registration {
         lease_sent_at,
         registered_at: Instant::now(),
-        isolation_limit,
+        isolation_limit: bounds.isolation_limit,
     };
     adopt(shared, incarnation, registration)?;
-    log::info!(incarnation:%, lease, isolation_limit_s = isolation_limit.as_secs(); "registered");
+    log::info!(incarnation:%, lease, isolation_limit_s = bounds.isolation_limit.as_secs(); "registered");
     Ok(lease)
 }
 
--- a/crates/dotterelsill_entry/src/run.rs
+++ b/crates/dotterelsill_entry/src/run.rs
@@ -11,6 +11,7 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use bytes::Bytes;
+use dotterelsill_admission::End;
 use dotterelsill_routing::{
     Deadline,
     Hedge,
@@ -146,7 +147,7 @@
     };
     let Some(slot) = plan.service.set.choose(work, now, rand::random) else {
         if plan.service.set.capacity(now) == 0 {
-            plan.service.end(held);
+            plan.service.end(held, End::NotRun);
             return Err(Reason::new(
                 StatusCode::SERVICE_UNAVAILABLE,
                 format!("service {} has no upstream in use", plan.queue.service),
@@ -193,7 +194,7 @@
 fn end(shared: &Shared, incoming: &Incoming, held: Held) {
     let snapshot = shared.snapshot.load_full();
     match access::queue_plan(&snapshot, incoming.uri.path()) {
-        Ok(plan) => plan.service.end(held),
+        Ok(plan) => plan.service.end(held, End::NotRun),
         Err(_) => drop(held),
     }
 }
--- a/crates/dotterelsill_entry/src/service.rs
+++ b/crates/dotterelsill_entry/src/service.rs
@@ -13,6 +13,7 @@
 use async_channel::Sender;
 use async_io::Timer;
 use dotterelsill_admission::{
+    End,
     FairQueue,
     Gate,
     Pushed,
@@ -164,11 +165,11 @@
     }
 
     /// Ends a request that ran, and starts those that waited for its slot.
-    pub(crate) fn finish(&self, permit: Permit) {
+    pub(crate) fn finish(&self, permit: Permit, end: End) {
         let Permit { running, credit } = permit;
         // The credit first, so that the next request of the team finds it.
         drop(credit);
-        if self.gate.finish(running, Instant::now()) {
+        if self.gate.finish(running, end, Instant::now()) {
             self.start_waiting();
         }
     }
--- a/crates/dotterelsill_entry/src/shared.rs
+++ b/crates/dotterelsill_entry/src/shared.rs
@@ -20,6 +20,7 @@
     metrics::Metrics,
     once::Once,
     peers::Peers,
+    register::Registered,
     snapshot::Snapshot, //
 };
 
@@ -31,6 +32,8 @@
     /// What this incarnation may do.
     pub(crate) authority: Published,
     pub(crate) peers: Peers,
+    /// Taken by whoever registers; off the path of requests.
+    pub(crate) registered: async_lock::Mutex<Registered>,
     /// Socket address at which peers reach this instance.
     pub(crate) peer_address: String,
     pub(crate) store: Client,
@@ -63,6 +66,7 @@
             snapshot: ArcSwap::from_pointee(Snapshot::empty(Instant::now())),
             authority: Published::default(),
             peers: Peers::default(),
+            registered: async_lock::Mutex::default(),
             peer_address,
             store,
             limits: Arc::default(),
--- a/crates/dotterelsill_entry/src/snapshot.rs
+++ b/crates/dotterelsill_entry/src/snapshot.rs
@@ -42,6 +42,7 @@
         QueuePlan,
         ServicePlan, //
     },
+    register::Bounds,
     service::Service,
     shared::Shared, //
 };
@@ -133,6 +134,14 @@
         }
     }
 
+    /// Returns the times that others must wait for work of this revision.
+    pub(crate) fn bounds(&self) -> Bounds {
+        Bounds {
+            isolation_limit: self.isolation_limit,
+            max_run: self.max_run,
+        }
+    }
+
     /// Returns the team that a key belongs to.
     pub(crate) fn team_of(&self, key: &KeyHash) -> Option<&Arc<Team>> {
         self.teams.get(self.keys.team_of(key)?)
--- a/crates/dotterelsill_entry/src/sync.rs
+++ b/crates/dotterelsill_entry/src/sync.rs
@@ -31,6 +31,10 @@
 use crate::{
     authority::head_of,
     peers,
+    register::{
+        self,
+        RegisterError, //
+    },
     shared::Shared,
     snapshot::{
         Snapshot,
@@ -56,6 +60,8 @@
     Missing { key: String },
     #[snafu(display("document {write_id}: its digest differs from the head's"))]
     Digest { write_id: String },
+    #[snafu(display("registration: {source}"))]
+    Register { source: RegisterError },
     #[snafu(display("revision {revision}: {source}"))]
     Build {
         revision: u64,
@@ -126,6 +132,16 @@
         let revision = head.revision;
         let snapshot = Snapshot::build(revision, document, &current, shared)
             .context(BuildSnafu { revision })?;
+        // Others must wait for work of this revision before it can start.
+        if shared.authority.is_registered() {
+            let registered = register::ensure(shared, snapshot.bounds())
+                .await
+                .context(RegisterSnafu)?;
+            if registered {
+                // Only a proof from after the registration counts.
+                read_head(shared).await?;
+            }
+        }
         replace(shared, snapshot);
         log::info!(revision; "revision_in_force");
     }
--- a/crates/dotterelsill_escrow/tests/model/main.rs
+++ b/crates/dotterelsill_escrow/tests/model/main.rs
@@ -144,13 +144,23 @@
         fault,
         incarnations,
         limits,
+        reserve: 0,
     }
 }
 
-fn assert_correct(incarnations: usize, limits: &'static [u32], least_states: usize) {
-    let outcome = search(&setup(Fault::None, incarnations, limits), &ALL);
+fn assert_correct(setup: &Setup, least_states: usize) {
+    let outcome = search(setup, &ALL);
     let (states, depth) = (outcome.states, outcome.depth);
-    println!("{incarnations} incarnations, limits {limits:?}: {states} states, depth {depth}");
+    let Setup {
+        incarnations,
+        limits,
+        reserve,
+        ..
+    } = setup;
+    println!(
+        "{incarnations} incarnations, limits {limits:?}, reserve {reserve}: \
+         {states} states, depth {depth}"
+    );
     assert!(outcome.violation.is_none(), "{:#?}", outcome.violation);
     assert!(states >= least_states, "only {states} states");
 }
@@ -170,14 +180,24 @@
 /// Guards against overrun or loss of credits while a limit is lowered and raised.
 #[test]
 fn limit_changes_are_safe() {
-    assert_correct(2, &[3, 1, 2, 3], 15_000);
+    assert_correct(&setup(Fault::None, 2, &[3, 1, 2, 3]), 15_000);
 }
 
 /// Guards against overrun or loss of credits when a dead incarnation is
 /// replaced while the others go on.
 #[test]
 fn a_restart_is_safe() {
-    assert_correct(3, &[2, 1, 2], 30_000);
+    assert_correct(&setup(Fault::None, 3, &[2, 1, 2]), 30_000);
+}
+
+/// Guards against overrun or loss of credits that idle incarnations keep.
+#[test]
+fn reserves_are_safe() {
+    let reserve = 1;
+    let two = setup(Fault::None, 2, &[3, 1, 2, 3]);
+    assert_correct(&Setup { reserve, ..two }, 10_000);
+    let three = setup(Fault::None, 3, &[2, 1, 2]);
+    assert_correct(&Setup { reserve, ..three }, 20_000);
 }
 
 /// Guards against a search that cannot see a start on credits given back.
--- a/crates/dotterelsill_escrow/tests/model/world.rs
+++ b/crates/dotterelsill_escrow/tests/model/world.rs
@@ -23,6 +23,7 @@
 const POLICY: Policy = Policy {
     idle_after: Duration::ZERO,
     idle_after_contended: Duration::ZERO,
+    reserve: 0,
     take_waiting: false,
 };
 
@@ -44,6 +45,8 @@
     pub(crate) incarnations: usize,
     /// Limits by configuration revision.
     pub(crate) limits: &'static [u32],
+    /// Credits that each incarnation keeps while idle.
+    pub(crate) reserve: u32,
 }
 
 /// Write that may reach the store any number of times.
@@ -151,8 +154,10 @@
 
     fn decide(&mut self, setup: &Setup, node: usize, waiting: u32) {
         let (version, ledger) = (self.version, self.ledger.clone());
-        let next =
-            |holder: &mut Holder| holder.next_operation(version, &ledger, waiting, setup.base);
+        let next = |holder: &mut Holder| {
+            holder.set_reserve(setup.reserve);
+            holder.next_operation(version, &ledger, waiting, setup.base)
+        };
         let Some(operation) = self.update(node, next) else {
             return;
         };
