--- a/crates/dotterelsill_claims/tests/runs.rs
+++ b/crates/dotterelsill_claims/tests/runs.rs
@@ -143,23 +143,24 @@
 fn refused_attempt_stays_refused_after_a_failed_send() {
     let now = Instant::now();
     let mut runs = Runs::new(HERE, RunLimits::default());
-    let origin = |number| Origin {
-        incarnation: PEER,
-        number,
+    // Refused attempts are kept by incarnation, so the other one has its own.
+    let origin = |incarnation| Origin {
+        incarnation,
+        number: 1,
     };
     let key = Key([1; 16]);
-    let start = |number, authority, runs: &mut Runs<u8>| {
-        let (mut attempt, _) = Attempt::from_peer(key, HERE, origin(number), runs, now);
+    let start = |asker, authority, runs: &mut Runs<u8>| {
+        let (mut attempt, _) = Attempt::from_peer(key, HERE, origin(asker), runs, now);
         let step = attempt.on_event(Event::Authority(authority), runs, now);
         (attempt, step)
     };
-    start(1, false, &mut runs);
-    let (mut other, step) = start(2, true, &mut runs);
+    start(PEER, false, &mut runs);
+    let (mut other, step) = start(Incarnation(3), true, &mut runs);
     assert_eq!(step, Some(Step::Dispatch));
     let not_sent = other.on_event(Event::Ran(RunEnd::NotSent), &mut runs, now);
     assert!(matches!(not_sent, Some(Step::Finish(Outcome::NotRun(_)))));
-    let (_, repeated) = Attempt::from_peer(key, HERE, origin(1), &mut runs, now);
+    let (_, repeated) = Attempt::from_peer(key, HERE, origin(PEER), &mut runs, now);
     assert!(matches!(repeated, Step::Finish(Outcome::NotRun(_))));
-    let (_, fresh) = Attempt::from_peer(key, HERE, origin(3), &mut runs, now);
+    let (_, fresh) = Attempt::from_peer(key, HERE, origin(Incarnation(4)), &mut runs, now);
     assert_eq!(fresh, Step::CheckAuthority);
 }
