--- a/crates/dotterelsill_entry/src/callers.rs
+++ b/crates/dotterelsill_entry/src/callers.rs
@@ -93,7 +93,7 @@
         return Ok(
             match once::identify(&plan.queue.name, team.name(), &incoming.headers) {
                 Ok(key) => once::serve(shared, key, incoming).await,
-                Err(outcome) => outcome,
+                Err(refusal) => refusal.into(),
             },
         );
     }
--- a/crates/dotterelsill_entry/src/forward.rs
+++ b/crates/dotterelsill_entry/src/forward.rs
@@ -50,7 +50,8 @@
     },
     outcome::{
         Outcome,
-        Reason, //
+        Reason,
+        Refusal, //
     },
     run::Incoming,
     shared::Shared, //
@@ -148,13 +149,13 @@
 }
 
 /// Reads a request that a peer handed over, and its identifier.
-pub(crate) fn request_in(shared: &Shared, request: ForwardRequest) -> Result<Forwarded, Outcome> {
-    let malformed = || Outcome::NotRun(Reason::new(StatusCode::BAD_REQUEST, "malformed request"));
+pub(crate) fn request_in(shared: &Shared, request: ForwardRequest) -> Result<Forwarded, Refusal> {
+    let malformed = || Refusal::NotRun(Reason::new(StatusCode::BAD_REQUEST, "malformed request"));
     let headers = headers_in(&request.headers).ok_or_else(malformed)?;
     let uri: http::Uri = request.path.parse().map_err(|_| malformed())?;
     let snapshot = shared.snapshot.load_full();
-    let plan = access::queue_plan(&snapshot, uri.path()).map_err(Outcome::NotRun)?;
-    let team = access::authorize(&snapshot, plan, &headers).map_err(Outcome::NotRun)?;
+    let plan = access::queue_plan(&snapshot, uri.path()).map_err(Refusal::NotRun)?;
+    let team = access::authorize(&snapshot, plan, &headers).map_err(Refusal::NotRun)?;
     let key = once::identify(&plan.queue.name, team.name(), &headers)?;
     let remaining = Duration::from_millis(request.remaining_ms);
     Ok(Forwarded {
--- a/crates/dotterelsill_entry/src/once.rs
+++ b/crates/dotterelsill_entry/src/once.rs
@@ -56,7 +56,8 @@
     },
     outcome::{
         Outcome,
-        Reason, //
+        Reason,
+        Refusal, //
     },
     run::{
         self,
@@ -134,11 +135,11 @@
 }
 
 /// Reads the identifier of a request.
-pub(crate) fn identify(queue: &str, team: &str, headers: &HeaderMap) -> Result<Key, Outcome> {
+pub(crate) fn identify(queue: &str, team: &str, headers: &HeaderMap) -> Result<Key, Refusal> {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
     let issued_at_s = text(ISSUED_HEADER).and_then(|value| value.parse().ok());
     let (Some(key), Some(issued_at_s)) = (text(KEY_HEADER), issued_at_s) else {
-        return Err(Outcome::NotRun(Reason::new(
+        return Err(Refusal::NotRun(Reason::new(
             StatusCode::BAD_REQUEST,
             format!(
                 "queue {queue} runs requests at most once; send the headers {KEY_HEADER} and \
@@ -152,9 +153,9 @@
             let text = error.to_string();
             Err(match error.outcome::<Answer>() {
                 ClaimOutcome::NotRun(_) => {
-                    Outcome::NotRun(Reason::new(StatusCode::BAD_REQUEST, text))
+                    Refusal::NotRun(Reason::new(StatusCode::BAD_REQUEST, text))
                 }
-                _ => Outcome::Unknown(Reason::new(StatusCode::GONE, text)),
+                _ => Refusal::Unknown(Reason::new(StatusCode::GONE, text)),
             })
         }
     }
--- a/crates/dotterelsill_entry/src/outcome.rs
+++ b/crates/dotterelsill_entry/src/outcome.rs
@@ -25,6 +25,24 @@
     Unknown(Reason),
 }
 
+/// Why a request is answered without an attempt to run it.
+#[derive(Clone, Debug)]
+pub(crate) enum Refusal {
+    /// The work was not run.
+    NotRun(Reason),
+    /// An earlier attempt may have run it.
+    Unknown(Reason),
+}
+
+impl From<Refusal> for Outcome {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::NotRun(reason) => Self::NotRun(reason),
+            Refusal::Unknown(reason) => Self::Unknown(reason),
+        }
+    }
+}
+
 /// Status and text of an answer that does not come from an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Reason {
--- a/crates/dotterelsill_entry/src/peer.rs
+++ b/crates/dotterelsill_entry/src/peer.rs
@@ -93,7 +93,7 @@
     ) -> Result<Response<ForwardResponse>, Status> {
         let outcome = match forward::request_in(&self.shared, request.into_inner()) {
             Ok(forwarded) => once::serve_forwarded(&self.shared, forwarded).await,
-            Err(outcome) => Some(outcome),
+            Err(refusal) => Some(refusal.into()),
         };
         Ok(Response::new(forward::outcome_out(outcome)))
     }
