Move instances between pools and charge their outages to budgets

A mover charges the voluntary outage of its instance, records each step (drain, confirm empty, detach, attach) by compare-and-swap before it orders the step, and clears the charge after the instance was seen in service. A planner with a higher token resumes a move from its record; orders carry the token and the version of the record, and the instance's gate refuses overtaken ones.

A clearance first stamps the pool record under the clearing planner's token: otherwise a paused taker could still record its drain after its charge was cleared. Taking an outage always writes the budget record, even if it is charged already: otherwise the clearance of an earlier planner could follow it. A voluntary outage is refused while the budget is exhausted even for an instance that is out for another cause: it would outlast that cause.

Ruled out: one charge per instance with a single cause, because the end of an operator's order would then clear the charge of a move in progress.

--- /dev/null
+++ b/crates/dotterelsill_fleet/src/ids.rs
@@ -0,0 +1,44 @@
+//! Identifiers of instances, pools, failure domains and planners.
+
+/// Number of an instance, which is never used again for another one.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Instance(pub u32);
+
+/// Number of a pool.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Pool(pub u32);
+
+/// Number of a data centre.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct DataCentre(pub u32);
+
+/// Number of a rack, unique over all data centres.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Rack(pub u32);
+
+/// Fencing token of a planner, higher for each holder of the planner's lease.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Token(pub u64);
+
+/// Position of an order among all orders for one instance.
+///
+/// The version is that of the pool record in which the step was recorded. A
+/// later version of the same record never has a lower token.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Stamp {
+    /// Token under which the step was recorded.
+    pub token: Token,
+    /// Version of the record.
+    pub version: u64,
+}
+
+/// Instance with the failure domains that it belongs to.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Upstream {
+    /// Data centre of the instance.
+    pub data_centre: DataCentre,
+    /// Number of the instance.
+    pub instance: Instance,
+    /// Rack of the instance.
+    pub rack: Rack,
+}
--- /dev/null
+++ b/crates/dotterelsill_fleet/src/moves/mod.rs
@@ -0,0 +1,18 @@
+//! Moves of an instance between pools.
+
+mod action;
+mod event;
+mod mover;
+mod record;
+
+pub use action::{
+    Action,
+    Order,
+    Outcome, //
+};
+pub use event::Event;
+pub use mover::Mover;
+pub use record::{
+    PoolRecord,
+    Step, //
+};
--- /dev/null
+++ b/crates/dotterelsill_fleet/src/moves/mover.rs
@@ -0,0 +1,206 @@
+//! State machine of the move of one instance.
+
+use crate::{
+    Action,
+    BudgetError,
+    BudgetRecord,
+    BudgetRule,
+    Event,
+    Order,
+    Outcome,
+    Pool,
+    PoolRecord,
+    Stamp,
+    Step,
+    Token,
+    Upstream,
+    Versioned,
+    Write, //
+};
+
+/// Move of one instance by one planner.
+///
+/// A mover without a target resumes a move in progress and clears a charge
+/// that an earlier planner left behind.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Mover {
+    /// Whether the instance was seen in service under the current record.
+    in_service: bool,
+    pending: Action,
+    record: Option<Versioned<PoolRecord>>,
+    rule: BudgetRule,
+    target: Option<Pool>,
+    token: Token,
+    upstream: Upstream,
+}
+
+impl Mover {
+    /// Returns a mover that takes `upstream` to `target`.
+    pub fn new(token: Token, upstream: Upstream, target: Option<Pool>, rule: BudgetRule) -> Self {
+        Self {
+            in_service: false,
+            pending: Action::ReadPool,
+            record: None,
+            rule,
+            target,
+            token,
+            upstream,
+        }
+    }
+
+    /// Returns the action that is in progress.
+    pub fn pending(&self) -> &Action {
+        &self.pending
+    }
+
+    /// Takes an event and returns the next action, or `None` if the event does
+    /// not belong to the action in progress (a late or repeated answer).
+    pub fn on(&mut self, event: Event) -> Option<Action> {
+        let action = match (&self.pending, event) {
+            (Action::Stop(_), _) => return None,
+            (Action::ReadPool, Event::PoolRead(read)) => self.on_pool_read(read),
+            (Action::ReadBudget, Event::BudgetRead(read)) => self.on_budget_read(&read),
+            (
+                Action::WritePool(write),
+                Event::PoolWritten {
+                    expected_version,
+                    version,
+                },
+            ) if write.expected_version == expected_version => {
+                let value = write.value;
+                self.on_record(Versioned { value, version })
+            }
+            (Action::WriteBudget(write), Event::BudgetWritten { expected_version })
+                if write.expected_version == expected_version =>
+            {
+                self.on_budget_written()
+            }
+            (Action::Order(_, sent), Event::Carried(stamp)) if *sent == stamp => self.advance(),
+            (Action::AskEmpty(sent), Event::Empty(stamp)) if *sent == stamp => self.advance(),
+            (Action::AskInService(sent), Event::InService(stamp)) if *sent == stamp => {
+                self.in_service = true;
+                Action::ReadBudget
+            }
+            (
+                Action::WriteBudget(_) | Action::WritePool(_),
+                Event::AnswerLost | Event::Conflict | Event::Timeout,
+            ) => Action::ReadPool,
+            // A record that a later planner has advanced is noticed here: its
+            // instance never answers a question with an overtaken stamp.
+            (Action::AskEmpty(_) | Action::AskInService(_) | Action::Order(..), Event::Timeout) => {
+                Action::ReadPool
+            }
+            (pending, Event::AnswerLost | Event::Timeout) => pending.clone(),
+            _ => return None,
+        };
+        self.pending = action.clone();
+        Some(action)
+    }
+
+    fn on_pool_read(&mut self, read: Option<Versioned<PoolRecord>>) -> Action {
+        match read {
+            Some(record) => self.on_record(record),
+            None => Action::Stop(Outcome::Missing),
+        }
+    }
+
+    fn on_record(&mut self, record: Versioned<PoolRecord>) -> Action {
+        let value = record.value;
+        self.in_service = false;
+        self.record = Some(record);
+        if value.token > self.token {
+            return Action::Stop(Outcome::Fenced);
+        }
+        if value.step == Step::Settled {
+            return Action::ReadBudget;
+        }
+        if value.token < self.token {
+            return self.write_pool(value.under(self.token));
+        }
+        let stamp = self.stamp();
+        match value.step {
+            Step::Drain { .. } => Action::Order(Order::Drain(value.pool), stamp),
+            Step::ConfirmEmpty { .. } => Action::AskEmpty(stamp),
+            Step::Detach { .. } => Action::Order(Order::Detach(value.pool), stamp),
+            Step::Attach { to } => Action::Order(Order::Attach(to), stamp),
+            Step::Settled => Action::ReadBudget,
+        }
+    }
+
+    fn on_budget_read(&mut self, read: &Versioned<BudgetRecord>) -> Action {
+        let record = self.record().value;
+        let budget = &read.value;
+        if self.departure().is_some() {
+            let taken = budget.take(self.token, &self.rule, self.upstream);
+            return write_budget(read.version, taken);
+        }
+        if !budget.is_voluntary(self.upstream.instance) {
+            return Action::Stop(Outcome::Settled(record.pool));
+        }
+        // Without the stamp, an earlier planner that took this charge and was
+        // paused could still record its drain after the charge is cleared.
+        if record.token < self.token {
+            return self.write_pool(record.under(self.token));
+        }
+        if !self.in_service {
+            return Action::AskInService(self.stamp());
+        }
+        let cleared = budget.clear_voluntary(self.token, self.upstream);
+        write_budget(read.version, cleared)
+    }
+
+    fn on_budget_written(&mut self) -> Action {
+        let record = self.record().value;
+        let Some(to) = self.departure() else {
+            return Action::Stop(Outcome::Settled(record.pool));
+        };
+        self.write_pool(PoolRecord {
+            pool: record.pool,
+            step: Step::Drain { to },
+            token: self.token,
+        })
+    }
+
+    /// Returns the pool to leave for, if a move is wanted and none is recorded.
+    fn departure(&self) -> Option<Pool> {
+        let record = self.record().value;
+        self.target
+            .filter(|to| record.step == Step::Settled && *to != record.pool)
+    }
+
+    fn advance(&mut self) -> Action {
+        let next = self.record().value.next();
+        self.write_pool(next)
+    }
+
+    fn write_pool(&self, value: PoolRecord) -> Action {
+        Action::WritePool(Write {
+            expected_version: self.record().version,
+            value,
+        })
+    }
+
+    fn stamp(&self) -> Stamp {
+        Stamp {
+            token: self.token,
+            version: self.record().version,
+        }
+    }
+
+    fn record(&self) -> &Versioned<PoolRecord> {
+        self.record
+            .as_ref()
+            .expect("every action that follows the first read has a record")
+    }
+}
+
+fn write_budget(expected_version: u64, result: Result<BudgetRecord, BudgetError>) -> Action {
+    match result {
+        Ok(value) => Action::WriteBudget(Write {
+            expected_version,
+            value,
+        }),
+        Err(BudgetError::Fenced { .. }) => Action::Stop(Outcome::Fenced),
+        Err(error) => Action::Stop(Outcome::Waits(error)),
+    }
+}
