Check pool moves and budgets exhaustively

Two planners at a time (up to three in sequence, the older one paused past its lease), two pools, two or three instances, and lost, late and doubled messages. Checked in each state: an instance is attached to one pool, voluntary outages keep the floor, each voluntary outage is charged and was within the budget when taken, and a new planner without faults brings every instance to rest.

--- /dev/null
+++ b/crates/dotterelsill_fleet/tests/common/mod.rs
@@ -0,0 +1,267 @@
+//! Store, instances and planners for the model check of moves and budgets.
+
+pub(crate) mod search;
+
+use dotterelsill_fleet::*;
+
+/// Driver under test; all but `Correct` break one rule of the crate.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Driver {
+    AttachBeforeDetach,
+    BudgetReturnedWithLease,
+    Correct,
+    NoFencing,
+    UnstampedClearance,
+}
+
+/// Instance as it sees itself. Bit p of `attached` stands for pool p.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Node {
+    pub(crate) accepting: bool,
+    pub(crate) attached: u8,
+    pub(crate) busy: bool,
+    pub(crate) gate: Gate,
+    pub(crate) up: bool,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Planner {
+    pub(crate) movers: Vec<Mover>,
+    pub(crate) token: Token,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct World {
+    pub(crate) budget: Versioned<BudgetRecord>,
+    pub(crate) driver: Driver,
+    /// Instance failures and data centre orders still to come.
+    pub(crate) events_left: u8,
+    /// Lost, late and doubled messages still to come.
+    pub(crate) faults_left: u8,
+    /// Message that may still arrive, with the instance it belongs to.
+    pub(crate) late: Option<(usize, Action)>,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) overdrawn: bool,
+    pub(crate) planners: Vec<Planner>,
+    pub(crate) pools: Vec<Versioned<PoolRecord>>,
+    pub(crate) takeovers_left: u8,
+}
+
+pub(crate) const RULE: BudgetRule = BudgetRule {
+    floor_percent: 50,
+    per_data_centre: 2,
+    per_rack: 1,
+};
+
+pub(crate) fn upstream(index: usize) -> Upstream {
+    let number = u32::try_from(index).expect("a model has few instances");
+    Upstream {
+        data_centre: DataCentre(0),
+        instance: Instance(number),
+        rack: Rack(number),
+    }
+}
+
+impl World {
+    /// Returns a world in which instance i is settled in pool i modulo 2. The
+    /// first planner starts with these goals; movers of it without a goal have
+    /// ended. Later planners bring every instance to pool 0.
+    pub(crate) fn new(driver: Driver, goals: &[Option<Pool>]) -> Self {
+        let pool = |i: usize| Pool(u32::from(i % 2 == 1));
+        let settled = |i: usize| PoolRecord {
+            pool: pool(i),
+            step: Step::Settled,
+            token: Token(0),
+        };
+        let node = |i: usize| Node {
+            accepting: true,
+            attached: 1 << pool(i).0,
+            busy: false,
+            gate: Gate::new(),
+            up: true,
+        };
+        let instances = goals.len();
+        let count = u32::try_from(instances).expect("a model has few instances");
+        let budget = BudgetRecord::new(Token(1), count);
+        let mut world = Self {
+            budget: versioned(budget),
+            driver,
+            events_left: 0,
+            faults_left: 0,
+            late: None,
+            nodes: (0..instances).map(node).collect(),
+            overdrawn: false,
+            planners: vec![planner(Token(1), instances, |i| goals[i])],
+            pools: (0..instances).map(|i| versioned(settled(i))).collect(),
+            takeovers_left: 0,
+        };
+        for i in (0..instances).filter(|i| goals[*i].is_none()) {
+            world.run(0, i);
+        }
+        world
+    }
+
+    /// Runs one mover without faults until it stops or waits for an instance.
+    pub(crate) fn run(&mut self, planner: usize, index: usize) {
+        for _ in 0..40 {
+            let action = self.planners[planner].movers[index].pending().clone();
+            let event = self.perform(index, &action);
+            self.answer(planner, index, &event);
+        }
+    }
+
+    /// Starts a planner that wants all instances in pool 0. The older one is
+    /// paused or dead and may act again at any time; the one before is gone.
+    pub(crate) fn take_over(&mut self) {
+        let last = self.planners.last().expect("there is a planner").token;
+        let token = match self.driver {
+            Driver::NoFencing => last,
+            _ => Token(last.0 + 1),
+        };
+        let stamped = match self.driver {
+            Driver::BudgetReturnedWithLease => BudgetRecord::new(token, self.upstreams()),
+            _ => self.budget.value.under(token).expect("the token is higher"),
+        };
+        self.put_budget(stamped);
+        let next = planner(token, self.nodes.len(), |_| Some(Pool(0)));
+        self.planners.push(next);
+        if self.planners.len() > 2 {
+            self.planners.remove(0);
+        }
+    }
+
+    /// Performs an action and returns its answer.
+    pub(crate) fn perform(&mut self, index: usize, action: &Action) -> Event {
+        match action {
+            Action::ReadBudget => Event::BudgetRead(self.budget.clone()),
+            Action::ReadPool => Event::PoolRead(Some(self.pools[index].clone())),
+            Action::WriteBudget(write) => self.write_budget(write),
+            Action::WritePool(write) => self.write_pool(index, write),
+            Action::Order(order, stamp) => self.order(index, *order, *stamp),
+            Action::AskEmpty(stamp) => {
+                let yes = self.reached(index, *stamp) && !self.nodes[index].busy;
+                answer(yes, Event::Empty(*stamp))
+            }
+            Action::AskInService(stamp) => {
+                let reached = self.reached(index, *stamp);
+                let node = &self.nodes[index];
+                let yes = reached && node.accepting && node.attached != 0;
+                answer(yes, Event::InService(*stamp))
+            }
+            Action::Stop(_) => Event::Timeout,
+        }
+    }
+
+    /// Passes an answer to a mover, twice; the second must change nothing.
+    pub(crate) fn answer(&mut self, planner: usize, index: usize, event: &Event) {
+        let mover = &mut self.planners[planner].movers[index];
+        mover.on(event.clone());
+        if !matches!(event, Event::AnswerLost | Event::Timeout) {
+            let repeated = mover.on(event.clone());
+            assert_eq!(repeated, None, "a doubled answer was taken as a new one");
+        }
+    }
+
+    /// Changes the causes of an outage that is not voluntary, as the newest
+    /// planner would.
+    pub(crate) fn charge(&mut self, index: usize, out: bool) {
+        let token = self.budget.value.token();
+        let old = &self.budget.value;
+        let next = match index {
+            0 => old.set_ordered(token, &[upstream(0)], out),
+            _ => old.set_involuntary(token, upstream(index), out),
+        };
+        self.put_budget(next.expect("the token is that of the record"));
+    }
+
+    pub(crate) fn upstreams(&self) -> u32 {
+        u32::try_from(self.nodes.len()).expect("a model has few instances")
+    }
+
+    fn write_budget(&mut self, write: &Write<BudgetRecord>) -> Event {
+        let expected_version = write.expected_version;
+        if self.budget.version != expected_version {
+            return Event::Conflict;
+        }
+        let voluntary =
+            |b: &BudgetRecord| b.charges().iter().filter(|c| c.voluntary.is_some()).count();
+        let taken = voluntary(&write.value) > voluntary(&self.budget.value);
+        let allowed = self.upstreams() - RULE.floor(self.upstreams());
+        self.overdrawn |= taken && write.value.out() > allowed;
+        self.put_budget(write.value.clone());
+        Event::BudgetWritten { expected_version }
+    }
+
+    fn put_budget(&mut self, value: BudgetRecord) {
+        self.budget.value = value;
+        self.budget.version += 1;
+    }
+
+    fn write_pool(&mut self, index: usize, write: &Write<PoolRecord>) -> Event {
+        let expected_version = write.expected_version;
+        let key = &mut self.pools[index];
+        if key.version != expected_version {
+            return Event::Conflict;
+        }
+        let stamps_only = (key.value.step, write.value.step) == (Step::Settled, Step::Settled);
+        if self.driver != Driver::UnstampedClearance || !stamps_only {
+            key.value = write.value;
+            key.version += 1;
+        }
+        let version = key.version;
+        if let (Driver::AttachBeforeDetach, Step::Detach { to }) = (self.driver, write.value.step) {
+            self.nodes[index].attached |= 1 << to.0;
+        }
+        Event::PoolWritten {
+            expected_version,
+            version,
+        }
+    }
+
+    fn order(&mut self, index: usize, order: Order, stamp: Stamp) -> Event {
+        if !self.reached(index, stamp) {
+            return Event::Timeout;
+        }
+        let node = &mut self.nodes[index];
+        match order {
+            Order::Attach(pool) => {
+                node.attached |= 1 << pool.0;
+                node.accepting = true;
+            }
+            Order::Detach(pool) => node.attached &= !(1 << pool.0),
+            Order::Drain(_) => node.accepting = false,
+        }
+        Event::Carried(stamp)
+    }
+
+    fn reached(&mut self, index: usize, stamp: Stamp) -> bool {
+        let unchecked = self.driver == Driver::NoFencing;
+        let node = &mut self.nodes[index];
+        node.up && (unchecked || node.gate.admit(stamp))
+    }
+}
+
+/// Returns a planner with one mover for each instance.
+pub(crate) fn planner(
+    token: Token,
+    instances: usize,
+    goal: impl Fn(usize) -> Option<Pool>,
+) -> Planner {
+    let mover = |i| Mover::new(token, upstream(i), goal(i), RULE);
+    Planner {
+        movers: (0..instances).map(mover).collect(),
+        token,
+    }
+}
+
+fn versioned<T>(value: T) -> Versioned<T> {
+    Versioned { value, version: 1 }
+}
+
+fn answer(yes: bool, event: Event) -> Event {
+    if yes {
+        event
+    } else {
+        Event::Timeout
+    }
+}
