Plan maintenance within the budgets, and halt waves that fail

The plan takes racks in the order in which they are due and gives each group its cheapest free hour: cost of the visit, of the load it displaces and of being early. A rack is taken together if that is no dearer than separate visits could be, else it is halved. Hours in which a service's demand needs the instances are not free. A week is kept before each due time for halted waves.

A wave starts with a canary, widens after each soak, halts on failures of instances that returned less than 30 min ago, and can be taken back.

Each placement and each waiting instance has a typed reason with a text form.

--- a/crates/dotterelsill_fleet/src/ids.rs
+++ b/crates/dotterelsill_fleet/src/ids.rs
@@ -16,6 +16,10 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Rack(pub u32);
 
+/// Number of a service.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Service(pub u32);
+
 /// Fencing token of a planner, higher for each holder of the planner's lease.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Token(pub u64);
--- a/crates/dotterelsill_fleet/src/lib.rs
+++ b/crates/dotterelsill_fleet/src/lib.rs
@@ -1,4 +1,4 @@
-//! Pool moves and availability budgets.
+//! Pool moves, availability budgets and maintenance.
 //!
 //! A [`Mover`] takes one instance from its pool to another. It charges the
 //! outage to the [`BudgetRecord`] of the service, records each step in the
@@ -6,6 +6,10 @@
 //! charge after the instance was seen in service. A step cut short is resumed
 //! from the record by a mover with a higher [`Token`].
 //!
+//! [`plan_maintenance`] chooses who is maintained when, and a [`Wave`] takes
+//! instances in widening batches and halts when failures rise. Each decision
+//! has a [`Reason`] with a text form.
+//!
 //! The driver performs the returned [`Action`]s and passes the answers back as
 //! [`Event`]s. The safety of this crate rests on three properties:
 //!
@@ -19,7 +23,10 @@
 mod budget;
 mod gate;
 mod ids;
+mod maintenance;
 mod moves;
+mod reason;
+mod rollout;
 mod versioned;
 
 pub use budget::{
@@ -34,10 +41,19 @@
     Instance,
     Pool,
     Rack,
+    Service,
     Stamp,
     Token,
     Upstream, //
 };
+pub use maintenance::{
+    plan_maintenance,
+    MaintenanceRule,
+    Placement,
+    ServiceLoad,
+    Unit,
+    Visit, //
+};
 pub use moves::{
     Action,
     Event,
@@ -47,6 +63,15 @@
     PoolRecord,
     Step, //
 };
+pub use reason::{
+    Limit,
+    Reason, //
+};
+pub use rollout::{
+    Wave,
+    WavePhase,
+    WaveRule, //
+};
 pub use versioned::{
     Versioned,
     Write, //
--- /dev/null
+++ b/crates/dotterelsill_fleet/tests/maintenance.rs
@@ -0,0 +1,185 @@
+//! Maintenance plans and waves.
+
+use std::time::{
+    Duration,
+    Instant,
+    SystemTime, //
+};
+
+use dotterelsill_fleet::*;
+
+const HOUR: Duration = Duration::from_secs(3600);
+
+fn load(floor_percent: u32, per_rack: u32) -> ServiceLoad {
+    let by_hour = |hour| if (8..20).contains(&hour) { 15.0 } else { 2.0 };
+    ServiceLoad {
+        demand_instances: (0..24).map(by_hour).collect(),
+        rule: BudgetRule {
+            floor_percent,
+            per_data_centre: 4,
+            per_rack,
+        },
+        service: Service(0),
+        upstreams: 16,
+    }
+}
+
+fn units(now: SystemTime, age_weeks: u32) -> Vec<Unit> {
+    let unit = |i: u32| Unit {
+        maintained: now - HOUR * (age_weeks * 168 + i),
+        service: Service(0),
+        upstream: Upstream {
+            data_centre: DataCentre(i / 8),
+            instance: Instance(i),
+            rack: Rack(i / 4),
+        },
+    };
+    (0..16).map(unit).collect()
+}
+
+fn now() -> SystemTime {
+    SystemTime::UNIX_EPOCH + HOUR * 500_000
+}
+
+/// Guards against a plan that leaves an instance out, takes it twice or late,
+/// breaks the rack's limit, or takes instances in the peak.
+#[test]
+fn each_instance_is_planned_once_in_time_and_off_peak() {
+    let (visits, placements) = plan_maintenance(
+        now(),
+        &MaintenanceRule::default(),
+        &[load(70, 2)],
+        &units(now(), 3),
+    );
+    let mut seen: Vec<_> = visits.iter().flat_map(|v| v.instances.clone()).collect();
+    seen.sort_unstable();
+    assert_eq!(seen, (0..16).map(Instance).collect::<Vec<_>>());
+    for visit in &visits {
+        assert!(visit.instances.len() <= 2);
+        assert!(visit.start > now() && visit.start < now() + HOUR * (3 * 168 - 16));
+        let hour = visit
+            .start
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap()
+            .as_secs()
+            / 3600
+            % 24;
+        assert!(
+            !(8..20).contains(&hour),
+            "a visit starts in the peak, at {hour} h"
+        );
+    }
+    assert_eq!(placements.len(), 16);
+}
+
+/// Guards against visits that are split without need, or kept together when
+/// the budget allows no more than one.
+#[test]
+fn a_rack_is_taken_together_if_the_budget_allows() {
+    let plan = |per_rack| {
+        plan_maintenance(
+            now(),
+            &MaintenanceRule::default(),
+            &[load(70, per_rack)],
+            &units(now(), 3),
+        )
+        .0
+    };
+    assert_eq!(plan(4).len(), 4);
+    assert_eq!(plan(1).len(), 16);
+}
+
+/// Guards against outages planned in the same hour beyond the floor.
+#[test]
+fn overdue_instances_are_taken_first_within_the_budget() {
+    let rule = MaintenanceRule::default();
+    let (visits, placements) = plan_maintenance(now(), &rule, &[load(87, 4)], &units(now(), 9));
+    let mut starts: Vec<_> = visits.iter().map(|v| v.start).collect();
+    starts.dedup();
+    assert!(visits.iter().all(|v| v.instances.len() <= 2));
+    assert_eq!(starts.len(), visits.len(), "two visits share an hour");
+    assert!(starts.iter().all(|s| *s < now() + HOUR * 48));
+    let text = placements[0].reason.to_string();
+    assert!(text.starts_with("planned: overdue"), "{text}");
+}
+
+/// Guards against an instance that waits without the limit that blocks it.
+#[test]
+fn an_instance_without_a_free_hour_says_why() {
+    let rule = MaintenanceRule::default();
+    let (visits, placements) = plan_maintenance(now(), &rule, &[load(100, 4)], &units(now(), 3));
+    assert!(visits.is_empty());
+    let text = placements[0].reason.to_string();
+    assert_eq!(
+        text,
+        "waits: the floor or the demand of service 0 leave no free hour"
+    );
+}
+
+fn take(wave: &mut Wave, now: Instant) -> Vec<Instance> {
+    std::iter::from_fn(|| wave.next(now)).collect()
+}
+
+fn wave(now: Instant) -> Wave {
+    Wave::new((0..10).map(Instance), WaveRule::default(), now)
+}
+
+/// Guards against a batch that starts before the one before it has proven
+/// itself, and against a wave that does not end.
+#[test]
+fn a_wave_widens_after_each_soak() {
+    let mut now = Instant::now();
+    let mut wave = wave(now);
+    let mut sizes = Vec::new();
+    while wave.phase() == WavePhase::Widening {
+        let batch = take(&mut wave, now);
+        batch.iter().for_each(|i| wave.on_result(*i, true, now));
+        assert_eq!(wave.next(now), None, "the next batch did not wait");
+        sizes.push(batch.len());
+        now += WaveRule::default().soak;
+    }
+    assert_eq!(sizes, [1, 2, 4, 3]);
+    assert_eq!(wave.phase(), WavePhase::Done);
+}
+
+/// Guards against a wave that goes on after its canary failed, and against a
+/// way back that leaves out an instance still in progress.
+#[test]
+fn a_failed_canary_halts_and_everything_returns() {
+    let mut now = Instant::now();
+    let mut wave = wave(now);
+    let canary = take(&mut wave, now);
+    wave.on_result(canary[0], true, now);
+    now += WaveRule::default().soak;
+    let batch = take(&mut wave, now);
+    wave.on_result(batch[0], false, now);
+    wave.on_result(canary[0], false, now);
+    wave.on_result(canary[0], false, now);
+    assert_eq!(wave.phase(), WavePhase::Halted);
+    let text = wave.reason(Instance(9)).unwrap().to_string();
+    assert_eq!(text, "waits: halted after 3 failures among 3 instances");
+    wave.roll_back(now);
+    let mut back = take(&mut wave, now);
+    assert_eq!(back, [batch[0], canary[0]]);
+    wave.on_result(batch[1], true, now);
+    back.extend(take(&mut wave, now));
+    assert_eq!(back.len(), 3);
+    back.iter().for_each(|i| wave.on_result(*i, true, now));
+    assert_eq!(wave.phase(), WavePhase::Done);
+}
+
+/// Guards against a refused instance that is lost, and against usual failures
+/// that halt a wave.
+#[test]
+fn a_refusal_is_retried_and_late_failures_do_not_count() {
+    let now = Instant::now();
+    let mut wave = wave(now);
+    let first = wave.next(now).unwrap();
+    let error = BudgetError::Floor { floor: 9, left: 8 };
+    wave.on_refused(first, error);
+    assert_eq!(wave.reason(first), Some(Reason::Budget(error)));
+    assert_eq!(wave.next(now), Some(first));
+    wave.on_result(first, true, now);
+    wave.on_result(first, false, now + HOUR);
+    assert_eq!(wave.phase(), WavePhase::Widening);
+}
