Take instances out of their pool for maintenance

Maintenance is a move back to the same pool with one more step between detach and attach. Ruled out: a move to a pool for maintenance and back, because the charge would be cleared when the instance is in service there.

--- a/crates/dotterelsill_fleet/src/lib.rs
+++ b/crates/dotterelsill_fleet/src/lib.rs
@@ -1,6 +1,7 @@
 //! Pool moves, availability budgets and maintenance.
 //!
-//! A [`Mover`] takes one instance from its pool to another. It charges the
+//! A [`Mover`] takes one instance from its pool to another, or out of it for
+//! maintenance and back. It charges the
 //! outage to the [`BudgetRecord`] of the service, records each step in the
 //! [`PoolRecord`] of the instance before it orders the step, and clears the
 //! charge after the instance was seen in service. A step cut short is resumed
@@ -57,10 +58,12 @@
 pub use moves::{
     Action,
     Event,
+    Goal,
     Mover,
     Order,
     Outcome,
     PoolRecord,
+    Route,
     Step, //
 };
 pub use reason::{
--- a/crates/dotterelsill_fleet/src/moves/action.rs
+++ b/crates/dotterelsill_fleet/src/moves/action.rs
@@ -18,6 +18,9 @@
     Detach(Pool),
     /// Lets the instance accept no new work.
     Drain(Pool),
+    /// Updates or reboots the instance. What it brings the instance to is the
+    /// planner's choice; repeating it must be harmless.
+    Maintain,
 }
 
 /// End of a mover's work.
--- a/crates/dotterelsill_fleet/src/moves/mod.rs
+++ b/crates/dotterelsill_fleet/src/moves/mod.rs
@@ -11,8 +11,12 @@
     Outcome, //
 };
 pub use event::Event;
-pub use mover::Mover;
+pub use mover::{
+    Goal,
+    Mover, //
+};
 pub use record::{
     PoolRecord,
+    Route,
     Step, //
 };
--- a/crates/dotterelsill_fleet/src/moves/mover.rs
+++ b/crates/dotterelsill_fleet/src/moves/mover.rs
@@ -10,6 +10,7 @@
     Outcome,
     Pool,
     PoolRecord,
+    Route,
     Stamp,
     Step,
     Token,
@@ -18,31 +19,42 @@
     Write, //
 };
 
+/// What a mover is to do. A move that is in progress already is finished
+/// first, whatever the goal.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Goal {
+    /// Takes the instance out of its pool once, maintains it and brings it
+    /// back. A move found in progress counts as that once.
+    Maintain,
+    /// Takes the instance to a pool.
+    Move(Pool),
+    /// Finishes a move in progress and clears a charge that an earlier planner
+    /// left behind.
+    Resume,
+}
+
 /// Move of one instance by one planner.
-///
-/// A mover without a target resumes a move in progress and clears a charge
-/// that an earlier planner left behind.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Mover {
+    goal: Goal,
     /// Whether the instance was seen in service under the current record.
     in_service: bool,
     pending: Action,
     record: Option<Versioned<PoolRecord>>,
     rule: BudgetRule,
-    target: Option<Pool>,
     token: Token,
     upstream: Upstream,
 }
 
 impl Mover {
-    /// Returns a mover that takes `upstream` to `target`.
-    pub fn new(token: Token, upstream: Upstream, target: Option<Pool>, rule: BudgetRule) -> Self {
+    /// Returns a mover of `upstream`, whose service has the limits `rule`.
+    pub fn new(token: Token, upstream: Upstream, goal: Goal, rule: BudgetRule) -> Self {
         Self {
+            goal,
             in_service: false,
             pending: Action::ReadPool,
             record: None,
             rule,
-            target,
             token,
             upstream,
         }
@@ -114,14 +126,18 @@
         if value.step == Step::Settled {
             return Action::ReadBudget;
         }
+        if self.goal == Goal::Maintain {
+            self.goal = Goal::Resume;
+        }
         if value.token < self.token {
             return self.write_pool(value.under(self.token));
         }
         let stamp = self.stamp();
         match value.step {
-            Step::Drain { .. } => Action::Order(Order::Drain(value.pool), stamp),
-            Step::ConfirmEmpty { .. } => Action::AskEmpty(stamp),
-            Step::Detach { .. } => Action::Order(Order::Detach(value.pool), stamp),
+            Step::Drain(_) => Action::Order(Order::Drain(value.pool), stamp),
+            Step::ConfirmEmpty(_) => Action::AskEmpty(stamp),
+            Step::Detach(_) => Action::Order(Order::Detach(value.pool), stamp),
+            Step::Maintain { .. } => Action::Order(Order::Maintain, stamp),
             Step::Attach { to } => Action::Order(Order::Attach(to), stamp),
             Step::Settled => Action::ReadBudget,
         }
@@ -151,21 +167,33 @@
 
     fn on_budget_written(&mut self) -> Action {
         let record = self.record().value;
-        let Some(to) = self.departure() else {
+        let Some(route) = self.departure() else {
             return Action::Stop(Outcome::Settled(record.pool));
         };
         self.write_pool(PoolRecord {
             pool: record.pool,
-            step: Step::Drain { to },
+            step: Step::Drain(route),
             token: self.token,
         })
     }
 
-    /// Returns the pool to leave for, if a move is wanted and none is recorded.
-    fn departure(&self) -> Option<Pool> {
+    /// Returns the way to take, if one is wanted and none is recorded.
+    fn departure(&self) -> Option<Route> {
         let record = self.record().value;
-        self.target
-            .filter(|to| record.step == Step::Settled && *to != record.pool)
+        if record.step != Step::Settled {
+            return None;
+        }
+        match self.goal {
+            Goal::Maintain => Some(Route {
+                maintain: true,
+                to: record.pool,
+            }),
+            Goal::Move(to) if to != record.pool => Some(Route {
+                maintain: false,
+                to,
+            }),
+            Goal::Move(_) | Goal::Resume => None,
+        }
     }
 
     fn advance(&mut self) -> Action {
--- a/crates/dotterelsill_fleet/src/moves/record.rs
+++ b/crates/dotterelsill_fleet/src/moves/record.rs
@@ -5,26 +5,31 @@
     Token, //
 };
 
+/// Way of an instance from its pool to the next, or back to the same one.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Route {
+    /// Whether the instance is maintained while it is in no pool.
+    pub maintain: bool,
+    /// Pool to attach to.
+    pub to: Pool,
+}
+
 /// Step of a move.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Step {
-    /// The instance is detached from its old pool and is being attached.
+    /// The instance is in no pool and is being attached.
     Attach {
         /// Pool to attach to.
         to: Pool,
     },
     /// The instance gets no new work and finishes the work it has.
-    ConfirmEmpty {
-        /// Pool to attach to later.
-        to: Pool,
-    },
+    ConfirmEmpty(Route),
     /// The instance is empty and is being detached.
-    Detach {
-        /// Pool to attach to later.
-        to: Pool,
-    },
+    Detach(Route),
     /// The instance is being told to accept no new work.
-    Drain {
+    Drain(Route),
+    /// The instance is in no pool and is being updated or rebooted.
+    Maintain {
         /// Pool to attach to later.
         to: Pool,
     },
@@ -48,9 +53,12 @@
     /// effect. A settled record stays as it is.
     pub fn next(&self) -> Self {
         let (pool, step) = match self.step {
-            Step::Drain { to } => (self.pool, Step::ConfirmEmpty { to }),
-            Step::ConfirmEmpty { to } => (self.pool, Step::Detach { to }),
-            Step::Detach { to } => (self.pool, Step::Attach { to }),
+            Step::Drain(route) => (self.pool, Step::ConfirmEmpty(route)),
+            Step::ConfirmEmpty(route) => (self.pool, Step::Detach(route)),
+            Step::Detach(Route { maintain: true, to }) => (self.pool, Step::Maintain { to }),
+            Step::Detach(Route { to, .. }) | Step::Maintain { to } => {
+                (self.pool, Step::Attach { to })
+            }
             Step::Attach { to } => (to, Step::Settled),
             Step::Settled => (self.pool, Step::Settled),
         };
--- a/crates/dotterelsill_fleet/src/reason.rs
+++ b/crates/dotterelsill_fleet/src/reason.rs
@@ -113,9 +113,10 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> Result {
         match self {
             Self::Attach { to } => write!(f, "attaching to pool {}", to.0),
-            Self::ConfirmEmpty { to } => write!(f, "finishing its work before pool {}", to.0),
-            Self::Detach { to } => write!(f, "detaching before pool {}", to.0),
-            Self::Drain { to } => write!(f, "draining before pool {}", to.0),
+            Self::ConfirmEmpty(r) => write!(f, "finishing its work before pool {}", r.to.0),
+            Self::Detach(r) => write!(f, "detaching before pool {}", r.to.0),
+            Self::Drain(r) => write!(f, "draining before pool {}", r.to.0),
+            Self::Maintain { to } => write!(f, "being maintained before pool {}", to.0),
             Self::Settled => f.write_str("settled"),
         }
     }
--- a/crates/dotterelsill_fleet/tests/common/mod.rs
+++ b/crates/dotterelsill_fleet/tests/common/mod.rs
@@ -21,6 +21,8 @@
     pub(crate) attached: u8,
     pub(crate) busy: bool,
     pub(crate) gate: Gate,
+    /// Whether it was maintained while it was in a pool or had work.
+    pub(crate) harmed: bool,
     pub(crate) up: bool,
 }
 
@@ -66,7 +68,7 @@
     /// Returns a world in which instance i is settled in pool i modulo 2. The
     /// first planner starts with these goals; movers of it without a goal have
     /// ended. Later planners bring every instance to pool 0.
-    pub(crate) fn new(driver: Driver, goals: &[Option<Pool>]) -> Self {
+    pub(crate) fn new(driver: Driver, goals: &[Goal]) -> Self {
         let pool = |i: usize| Pool(u32::from(i % 2 == 1));
         let settled = |i: usize| PoolRecord {
             pool: pool(i),
@@ -78,6 +80,7 @@
             attached: 1 << pool(i).0,
             busy: false,
             gate: Gate::new(),
+            harmed: false,
             up: true,
         };
         let instances = goals.len();
@@ -95,7 +98,7 @@
             pools: (0..instances).map(|i| versioned(settled(i))).collect(),
             takeovers_left: 0,
         };
-        for i in (0..instances).filter(|i| goals[*i].is_none()) {
+        for i in (0..instances).filter(|i| goals[*i] == Goal::Resume) {
             world.run(0, i);
         }
         world
@@ -123,7 +126,7 @@
             _ => self.budget.value.under(token).expect("the token is higher"),
         };
         self.put_budget(stamped);
-        let next = planner(token, self.nodes.len(), |_| Some(Pool(0)));
+        let next = planner(token, self.nodes.len(), |_| Goal::Move(Pool(0)));
         self.planners.push(next);
         if self.planners.len() > 2 {
             self.planners.remove(0);
@@ -209,8 +212,8 @@
             key.version += 1;
         }
         let version = key.version;
-        if let (Driver::AttachBeforeDetach, Step::Detach { to }) = (self.driver, write.value.step) {
-            self.nodes[index].attached |= 1 << to.0;
+        if let (Driver::AttachBeforeDetach, Step::Detach(route)) = (self.driver, write.value.step) {
+            self.nodes[index].attached |= 1 << route.to.0;
         }
         Event::PoolWritten {
             expected_version,
@@ -230,6 +233,7 @@
             }
             Order::Detach(pool) => node.attached &= !(1 << pool.0),
             Order::Drain(_) => node.accepting = false,
+            Order::Maintain => node.harmed |= node.attached != 0 || node.busy,
         }
         Event::Carried(stamp)
     }
@@ -242,11 +246,7 @@
 }
 
 /// Returns a planner with one mover for each instance.
-pub(crate) fn planner(
-    token: Token,
-    instances: usize,
-    goal: impl Fn(usize) -> Option<Pool>,
-) -> Planner {
+pub(crate) fn planner(token: Token, instances: usize, goal: impl Fn(usize) -> Goal) -> Planner {
     let mover = |i| Mover::new(token, upstream(i), goal(i), RULE);
     Planner {
         movers: (0..instances).map(mover).collect(),
--- a/crates/dotterelsill_fleet/tests/model.rs
+++ b/crates/dotterelsill_fleet/tests/model.rs
@@ -26,6 +26,10 @@
     world.nodes.iter().all(|n| n.attached.count_ones() <= 1)
 }
 
+fn unharmed(world: &World) -> bool {
+    world.nodes.iter().all(|n| !n.harmed)
+}
+
 fn voluntarily_out(world: &World) -> impl Iterator<Item = usize> + '_ {
     let out = |i: &usize| !world.nodes[*i].accepting || world.nodes[*i].attached == 0;
     (0..world.nodes.len()).filter(out)
@@ -52,7 +56,7 @@
     });
     world.take_over();
     let token = world.planners.last().expect("there is a planner").token;
-    world.planners = vec![planner(token, world.nodes.len(), |_| None)];
+    world.planners = vec![planner(token, world.nodes.len(), |_| Goal::Resume)];
     for i in 0..world.nodes.len() {
         world.run(0, i);
     }
@@ -81,7 +85,7 @@
                 .entry(key)
                 .or_insert_with(|| resumable(world))
         };
-        in_one_pool(world) && keeps_floor(world) && charged(world) && finishes()
+        in_one_pool(world) && unharmed(world) && keeps_floor(world) && charged(world) && finishes()
     })
 }
 
@@ -102,9 +106,9 @@
     steps.iter().for_each(|step| println!("  {step}"));
 }
 
-const HERE: Option<Pool> = None;
-const TO_0: Option<Pool> = Some(Pool(0));
-const TO_1: Option<Pool> = Some(Pool(1));
+const HERE: Goal = Goal::Resume;
+const TO_0: Goal = Goal::Move(Pool(0));
+const TO_1: Goal = Goal::Move(Pool(1));
 
 #[test]
 fn late_and_doubled_messages_of_a_paused_planner() {
@@ -137,6 +141,15 @@
     assert_holds("three instances", start, 9_000);
 }
 
+#[test]
+fn maintenance_interrupted_by_a_successor() {
+    let mut start = World::new(Driver::Correct, &[Goal::Maintain, HERE]);
+    start.nodes[0].busy = true;
+    start.faults_left = 1;
+    start.takeovers_left = 1;
+    assert_holds("maintenance", start, 60_000);
+}
+
 #[test]
 fn two_successors() {
     let mut start = World::new(Driver::Correct, &[TO_1, HERE]);
