Find the least spare capacity of each pool

The spare holds when, with the largest data centre out and a rack elsewhere lost, no work waits longer than the limit (5.4 s), in the observed demand and in a burst of 5 times the mean for 10 s. A step says what a number of spare instances costs and which wait it leaves. Pools grow at once and shrink only after they were too large for a while.

Ruled out: enough instances for the peak of a burst. Work may wait 5.4 s, so a burst of 10 s needs 3.25 instead of 5 times the mean. Ruled out as well: one spare for several pools, because a move takes longer than a burst.

--- /dev/null
+++ b/crates/dotterelsill_fleet/src/buffer/plan.rs
@@ -0,0 +1,94 @@
+//! Least spare capacity of a pool.
+
+use std::time::Duration;
+
+use super::{
+    queue::worst_wait,
+    BufferRule,
+    PoolDemand,
+    PoolLayout, //
+};
+
+/// Largest pool that is considered, in instances.
+const MAX_INSTANCES: u32 = 1 << 16;
+
+/// Spare capacity of a pool, what it costs and what it holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BufferStep {
+    /// Cost of the spare instances for a day.
+    pub cost_per_day: f64,
+    /// Whether no work waits too long.
+    pub holds: bool,
+    /// Spare instances.
+    pub spare: u32,
+    /// Longest wait with a rack lost and a data centre out, or `None` if the
+    /// backlog grows without end.
+    pub worst_wait: Option<Duration>,
+}
+
+/// Spare capacity of one pool.
+#[derive(Clone, Copy, Debug)]
+pub struct BufferPlan<'a> {
+    demand: PoolDemand<'a>,
+    layout: PoolLayout,
+    rule: BufferRule,
+}
+
+impl<'a> BufferPlan<'a> {
+    /// Returns the plan of a pool.
+    pub fn new(demand: PoolDemand<'a>, layout: PoolLayout, rule: BufferRule) -> Self {
+        Self {
+            demand,
+            layout,
+            rule,
+        }
+    }
+
+    /// Returns the instances that the mean demand needs without any spare.
+    pub fn base(&self) -> u32 {
+        self.demand.mean_instances().ceil() as u32
+    }
+
+    /// Returns what a number of spare instances costs and holds.
+    pub fn step(&self, spare: u32) -> BufferStep {
+        let survivors = self.layout.survivors(self.base() + spare);
+        let worst_wait = worst_wait(&self.demand, &self.rule, survivors);
+        BufferStep {
+            cost_per_day: self.rule.cost_per_day * f64::from(spare),
+            holds: worst_wait.is_some_and(|wait| wait <= self.rule.max_wait),
+            spare,
+            worst_wait,
+        }
+    }
+
+    /// Returns the least spare that holds, or `None` if no number does, as in a
+    /// pool in a single data centre.
+    pub fn least(&self) -> Option<BufferStep> {
+        let holds = |spare| self.step(spare).holds;
+        let mut above = 1;
+        while !holds(above) {
+            above *= 2;
+            if above > MAX_INSTANCES {
+                return None;
+            }
+        }
+        let mut below = 0;
+        // More survivors never make a wait longer, and more instances never
+        // leave fewer survivors.
+        while below < above {
+            let middle = (below + above) / 2;
+            if holds(middle) {
+                above = middle;
+            } else {
+                below = middle + 1;
+            }
+        }
+        Some(self.step(above))
+    }
+
+    /// Returns the spare of the baseline, a fixed share of the pool.
+    pub fn fixed(&self) -> BufferStep {
+        let spare = self.rule.fixed_share * f64::from(self.base());
+        self.step(spare.ceil() as u32)
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_fleet/src/buffer/queue.rs
@@ -0,0 +1,37 @@
+//! Waiting times of a pool as a queue of fluid work.
+
+use std::time::Duration;
+
+use super::{
+    BufferRule,
+    PoolDemand, //
+};
+
+/// Returns the longest time that work waits when `instances` serve the observed
+/// demand and a burst, or `None` if they cannot even serve the mean.
+pub(super) fn worst_wait(
+    demand: &PoolDemand<'_>,
+    rule: &BufferRule,
+    instances: u32,
+) -> Option<Duration> {
+    let capacity = f64::from(instances);
+    let mean = demand.mean_instances();
+    if capacity <= mean {
+        return (mean <= 0.0).then_some(Duration::ZERO);
+    }
+    let observed = observed_backlog(demand, capacity);
+    let burst = (rule.burst_factor * mean - capacity) * rule.burst.as_secs_f64();
+    Some(Duration::from_secs_f64(observed.max(burst) / capacity))
+}
+
+/// Returns the largest backlog in instance seconds.
+fn observed_backlog(demand: &PoolDemand<'_>, capacity: f64) -> f64 {
+    let interval_s = demand.interval.as_secs_f64();
+    let mut backlog = 0.0_f64;
+    let mut worst = 0.0_f64;
+    for arrived in demand.arrived_instances {
+        backlog = (backlog + (arrived - capacity) * interval_s).max(0.0);
+        worst = worst.max(backlog);
+    }
+    worst
+}
--- a/crates/dotterelsill_fleet/src/lib.rs
+++ b/crates/dotterelsill_fleet/src/lib.rs
@@ -9,7 +9,8 @@
 //!
 //! [`plan_maintenance`] chooses who is maintained when, and a [`Wave`] takes
 //! instances in widening batches and halts when failures rise. Each decision
-//! has a [`Reason`] with a text form.
+//! has a [`Reason`] with a text form. A [`BufferPlan`] finds the least spare
+//! capacity of a pool, and [`Sizing`] keeps the moves few.
 //!
 //! The driver performs the returned [`Action`]s and passes the answers back as
 //! [`Event`]s. The safety of this crate rests on three properties:
@@ -22,6 +23,7 @@
 //!   has a higher token.
 
 mod budget;
+mod buffer;
 mod gate;
 mod ids;
 mod maintenance;
@@ -36,6 +38,14 @@
     BudgetRule,
     Charge, //
 };
+pub use buffer::{
+    BufferPlan,
+    BufferRule,
+    BufferStep,
+    PoolDemand,
+    PoolLayout,
+    Sizing, //
+};
 pub use gate::Gate;
 pub use ids::{
     DataCentre,
