--- /dev/null
+++ b/crates/dotterelsill_fleet/examples/planning.rs
@@ -0,0 +1,146 @@
+//! Measures planning time and memory against the size of the fleet.
+//!
+//! Sizes are a quarter, a half, one and two times 790 workers with 1,300
+//! accelerators in 58 pools and 8 data centres. Accelerators belong to their
+//! workers and are maintained with them.
+
+use std::time::{
+    Duration,
+    Instant,
+    SystemTime, //
+};
+
+use dotterelsill_fleet::*;
+use rand::{
+    rngs::StdRng,
+    RngExt,
+    SeedableRng, //
+};
+
+const SEED: u64 = 7;
+const WORKERS: u32 = 790;
+const POOLS: u32 = 58;
+const DATA_CENTRES: u32 = 8;
+const PER_RACK: u32 = 4;
+const RUNS: usize = 5;
+
+fn main() {
+    println!("seed {SEED}, best of {RUNS} runs; memory is the process's peak so far");
+    println!(
+        "{:>8} {:>6} {:>12} {:>12} {:>10} {:>8} {:>8}",
+        "workers", "pools", "maintain_ms", "buffer_ms", "budget_us", "visits", "peak_kb"
+    );
+    for quarters in [1, 2, 4, 8] {
+        measure(WORKERS * quarters / 4, (POOLS * quarters).div_ceil(4));
+    }
+}
+
+fn measure(workers: u32, pools: u32) {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let now = SystemTime::UNIX_EPOCH + Duration::from_secs(3600 * 500_000);
+    let units = units(&mut rng, workers, pools, now);
+    let loads: Vec<_> = (0..pools).map(|p| load(&mut rng, &units, p)).collect();
+    let rule = MaintenanceRule::default();
+    let (maintain, (visits, placements)) = best(|| plan_maintenance(now, &rule, &loads, &units));
+    let waiting = placements.iter().filter(|p| p.start.is_none()).count();
+    assert_eq!(waiting, 0, "{waiting} instances wait");
+    let arrived = demand(&mut rng, f64::from(workers) / f64::from(pools) / 10.0);
+    let (buffer, _) = best(|| buffers(&arrived, pools));
+    let (budget, _) = best(|| charge_all(&units));
+    println!(
+        "{workers:>8} {pools:>6} {:>12.2} {:>12.2} {:>10.1} {:>8} {:>8}",
+        maintain.as_secs_f64() * 1e3,
+        buffer.as_secs_f64() * 1e3,
+        budget.as_secs_f64() * 1e6,
+        visits.len(),
+        peak_kb()
+    );
+}
+
+fn best<T>(run: impl Fn() -> T) -> (Duration, T) {
+    let mut results: Vec<_> = (0..RUNS)
+        .map(|_| {
+            let start = Instant::now();
+            let result = run();
+            (start.elapsed(), result)
+        })
+        .collect();
+    results.sort_by_key(|(time, _)| *time);
+    results.swap_remove(0)
+}
+
+/// Returns workers that take turns over the pools and are maintained at random
+/// times within the last interval.
+fn units(rng: &mut StdRng, workers: u32, pools: u32, now: SystemTime) -> Vec<Unit> {
+    let mut unit = |i: u32| Unit {
+        maintained: now - Duration::from_secs(3600 * rng.random_range(0..6 * 168)),
+        service: Service(i / PER_RACK % pools),
+        upstream: Upstream {
+            data_centre: DataCentre(i / PER_RACK / pools % DATA_CENTRES),
+            instance: Instance(i),
+            rack: Rack(i / PER_RACK),
+        },
+    };
+    (0..workers).map(&mut unit).collect()
+}
+
+fn load(rng: &mut StdRng, units: &[Unit], pool: u32) -> ServiceLoad {
+    let upstreams = units.iter().filter(|u| u.service == Service(pool)).count();
+    let peak = rng.random_range(0..24);
+    let by_hour = |hour: u32| {
+        let near = ((hour + 24 - peak) % 24).min((peak + 24 - hour) % 24) < 4;
+        upstreams as f64 * if near { 0.9 } else { 0.3 }
+    };
+    ServiceLoad {
+        demand_instances: (0..168).map(|h| by_hour(h % 24)).collect(),
+        rule: BudgetRule {
+            floor_percent: 70,
+            per_data_centre: 4,
+            per_rack: 4,
+        },
+        service: Service(pool),
+        upstreams: u32::try_from(upstreams).expect("a fleet has few instances"),
+    }
+}
+
+/// Returns an hour of demand by second with bursts.
+fn demand(rng: &mut StdRng, mean: f64) -> Vec<f64> {
+    let mut burst = || if rng.random_bool(0.02) { 5.0 } else { 0.05 };
+    let bursts: Vec<f64> = (0..360).map(|_| burst()).collect();
+    bursts.iter().flat_map(|level| [level * mean; 10]).collect()
+}
+
+fn buffers(arrived: &[f64], pools: u32) -> Vec<Option<BufferStep>> {
+    let demand = PoolDemand {
+        arrived_instances: arrived,
+        interval: Duration::from_secs(1),
+    };
+    let layout = PoolLayout {
+        data_centres: DATA_CENTRES,
+        per_rack: PER_RACK,
+    };
+    let plan = || BufferPlan::new(demand, layout, BufferRule::default()).least();
+    (0..pools).map(|_| plan()).collect()
+}
+
+/// Charges a whole data centre to one budget, as the longest single step.
+fn charge_all(units: &[Unit]) -> BudgetRecord {
+    let out: Vec<_> = units
+        .iter()
+        .map(|u| u.upstream)
+        .filter(|u| u.data_centre == DataCentre(0))
+        .collect();
+    let upstreams = u32::try_from(units.len()).expect("a fleet has few instances");
+    let record = BudgetRecord::new(Token(1), upstreams);
+    record
+        .set_ordered(Token(1), &out, true)
+        .expect("the token is the record's")
+}
+
+/// Returns the peak memory of this process, or 0 where it is not known.
+fn peak_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmHWM"));
+    let value = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+    value.unwrap_or(0)
+}
--- /dev/null
+++ b/crates/dotterelsill_fleet/examples/small_model/moves.rs
@@ -0,0 +1,96 @@
+//! Number of moves between pools over a week.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use dotterelsill_fleet::*;
+use rand::{
+    rngs::SmallRng,
+    RngExt,
+    SeedableRng, //
+};
+
+const HOURS: usize = 7 * 24;
+const SERVICES: usize = 5;
+/// Fixed share that holds in most hours, for a comparison at like guarantees.
+const LARGE_SHARE: f64 = 4.0;
+const LAYOUT: PoolLayout = PoolLayout {
+    data_centres: 3,
+    per_rack: 1,
+};
+
+pub(crate) fn report(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let means: Vec<_> = (0..SERVICES).map(|_| week(&mut rng)).collect();
+    let least = |mean: f64| with_plan(mean, 0.3, |p| p.base() + p.least().map_or(0, |s| s.spare));
+    let fixed = |mean: f64| with_plan(mean, 0.3, |p| p.base() + p.fixed().spare);
+    let large = |mean: f64| with_plan(mean, LARGE_SHARE, |p| p.base() + p.fixed().spare);
+    let rows = [
+        (
+            "least spare, shrinking after 24 h",
+            count(&means, least, 24),
+        ),
+        ("least spare, shrinking after 6 h", count(&means, least, 6)),
+        ("least spare, shrinking at once", count(&means, least, 0)),
+        ("fixed 30%, shrinking at once", count(&means, fixed, 0)),
+        ("fixed 400%, shrinking at once", count(&means, large, 0)),
+    ];
+    for (name, week) in rows {
+        println!(
+            "  a week of moves, {name}: {} moves, {} instance hours, holds in {} of {} pool hours",
+            week.moves,
+            week.instance_hours,
+            week.held_hours,
+            HOURS * SERVICES
+        );
+    }
+}
+
+#[derive(Default)]
+struct Week {
+    held_hours: u64,
+    instance_hours: u64,
+    moves: u64,
+}
+
+/// Returns the mean demand by hour: a daily wave with 10% of noise.
+fn week(rng: &mut SmallRng) -> Vec<f64> {
+    let peak = rng.random_range(2.4..3.6);
+    let by_hour = |hour: usize| {
+        let angle = (hour % 24) as f64 / 24.0 * std::f64::consts::TAU;
+        peak * (0.6 - 0.4 * angle.cos()) * rng.random_range(0.9..1.1)
+    };
+    (0..HOURS).map(by_hour).collect()
+}
+
+fn with_plan<T>(mean: f64, fixed_share: f64, result: impl Fn(&BufferPlan<'_>) -> T) -> T {
+    let arrived = [mean];
+    let demand = PoolDemand {
+        arrived_instances: &arrived,
+        interval: Duration::from_secs(3600),
+    };
+    let rule = BufferRule {
+        fixed_share,
+        ..BufferRule::default()
+    };
+    result(&BufferPlan::new(demand, LAYOUT, rule))
+}
+
+/// Counts all pools. A change of one instance in a pool counts as one move.
+fn count(means: &[Vec<f64>], need: impl Fn(f64) -> u32, hold_h: u64) -> Week {
+    let start = Instant::now();
+    let mut week = Week::default();
+    for pool in means {
+        let mut sizing = Sizing::new(need(pool[0]), Duration::from_secs(hold_h * 3600));
+        for (hour, mean) in (0..).zip(pool) {
+            let now = start + Duration::from_secs(hour * 3600);
+            week.moves += sizing.on_need(need(*mean), now).unsigned_abs();
+            week.instance_hours += u64::from(sizing.size());
+            let holds = |p: &BufferPlan<'_>| p.step(sizing.size() - p.base()).holds;
+            week.held_hours += u64::from(with_plan(*mean, 0.0, holds));
+        }
+    }
+    week
+}
--- /dev/null
+++ b/crates/dotterelsill_fleet/examples/small_model/rollout.rs
@@ -0,0 +1,196 @@
+//! Time of a roll-out, with every step on the records of a store in memory.
+
+use std::collections::BTreeMap;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use dotterelsill_fleet::*;
+use rand::{
+    rngs::SmallRng,
+    RngExt,
+    SeedableRng, //
+};
+
+const WORKERS: u32 = 50;
+const SERVICES: u32 = 5;
+const TOKEN: Token = Token(1);
+const RULE: BudgetRule = BudgetRule {
+    floor_percent: 70,
+    per_data_centre: 4,
+    per_rack: 4,
+};
+
+pub(crate) fn report(seed: u64) {
+    let widening = WaveRule::default();
+    let fixed = |size| WaveRule {
+        canary: size,
+        max_batch: size,
+        widening: 1,
+        ..widening
+    };
+    let rules = [
+        ("canary and widening", widening),
+        ("fixed batches of 1", fixed(1)),
+        ("fixed batches of 5", fixed(5)),
+    ];
+    for (name, rule) in rules {
+        let good = Model::new(seed, rule).run(true);
+        let bad = Model::new(seed, rule).run(false);
+        println!(
+            "  roll-out, {name}: {:.0} min, {} writes; a bad version halts after {} of {WORKERS} instances",
+            good.elapsed.as_secs_f64() / 60.0,
+            good.writes,
+            bad.taken
+        );
+    }
+}
+
+struct Report {
+    elapsed: Duration,
+    taken: usize,
+    writes: u64,
+}
+
+struct Model {
+    budgets: Vec<Versioned<BudgetRecord>>,
+    now: Instant,
+    pools: Vec<Versioned<PoolRecord>>,
+    rng: SmallRng,
+    /// Movers whose instance is being maintained, by the time of its end.
+    running: BTreeMap<(Instant, u32), Mover>,
+    taken: usize,
+    wave: Wave,
+    writes: u64,
+}
+
+impl Model {
+    fn new(seed: u64, rule: WaveRule) -> Self {
+        let now = Instant::now();
+        let settled = |i: u32| PoolRecord {
+            pool: Pool(i % SERVICES),
+            step: Step::Settled,
+            token: Token(0),
+        };
+        let budget = BudgetRecord::new(TOKEN, WORKERS / SERVICES);
+        Self {
+            budgets: (0..SERVICES).map(|_| versioned(budget.clone())).collect(),
+            now,
+            pools: (0..WORKERS).map(|i| versioned(settled(i))).collect(),
+            rng: SmallRng::seed_from_u64(seed),
+            running: BTreeMap::new(),
+            taken: 0,
+            wave: Wave::new((0..WORKERS).map(Instance), rule, now),
+            writes: 0,
+        }
+    }
+
+    fn run(mut self, version_is_good: bool) -> Report {
+        let start = self.now;
+        while self.wave.phase() == WavePhase::Widening {
+            self.start_all();
+            let Some(((at, number), mover)) = self.running.pop_first() else {
+                self.now += Duration::from_secs(10);
+                continue;
+            };
+            self.now = self.now.max(at);
+            self.end(number, mover);
+            let now = self.now;
+            self.wave.on_result(Instance(number), version_is_good, now);
+        }
+        Report {
+            elapsed: self.now - start,
+            taken: self.taken,
+            writes: self.writes,
+        }
+    }
+
+    fn start_all(&mut self) {
+        while let Some(instance) = self.wave.next(self.now) {
+            let mut mover = Mover::new(TOKEN, upstream(instance.0), Goal::Maintain, RULE);
+            match self.drive(instance.0, &mut mover) {
+                Some(Outcome::Waits(error)) => {
+                    self.wave.on_refused(instance, error);
+                    return;
+                }
+                Some(outcome) => panic!("instance {} ended as {outcome:?}", instance.0),
+                None => {
+                    let out_s = self.rng.random_range(60..300);
+                    let end = self.now + Duration::from_secs(out_s);
+                    self.running.insert((end, instance.0), mover);
+                    self.taken += 1;
+                }
+            }
+        }
+    }
+
+    fn end(&mut self, number: u32, mut mover: Mover) {
+        let Action::Order(Order::Maintain, stamp) = *mover.pending() else {
+            panic!("instance {number} is not maintained");
+        };
+        mover.on(Event::Carried(stamp));
+        let outcome = self.drive(number, &mut mover);
+        assert_eq!(outcome, Some(Outcome::Settled(Pool(number % SERVICES))));
+    }
+
+    /// Drives a mover until it stops or its instance is being maintained.
+    fn drive(&mut self, number: u32, mover: &mut Mover) -> Option<Outcome> {
+        loop {
+            let event = match mover.pending().clone() {
+                Action::Stop(outcome) => return Some(outcome),
+                Action::Order(Order::Maintain, _) => return None,
+                action => self.answer(number as usize, action),
+            };
+            mover.on(event);
+        }
+    }
+
+    fn answer(&mut self, index: usize, action: Action) -> Event {
+        let budget = &mut self.budgets[index % SERVICES as usize];
+        match action {
+            Action::AskEmpty(stamp) => Event::Empty(stamp),
+            Action::AskInService(stamp) => Event::InService(stamp),
+            Action::Order(_, stamp) => Event::Carried(stamp),
+            Action::ReadBudget => Event::BudgetRead(budget.clone()),
+            Action::ReadPool => Event::PoolRead(Some(self.pools[index].clone())),
+            Action::Stop(_) => Event::Timeout,
+            Action::WriteBudget(write) => {
+                self.writes += 1;
+                Event::BudgetWritten {
+                    expected_version: put(budget, write),
+                }
+            }
+            Action::WritePool(write) => {
+                self.writes += 1;
+                let expected_version = put(&mut self.pools[index], write);
+                let version = expected_version + 1;
+                Event::PoolWritten {
+                    expected_version,
+                    version,
+                }
+            }
+        }
+    }
+}
+
+/// Writes a value and returns the version that it replaced. Nothing else
+/// writes in this model.
+fn put<T>(key: &mut Versioned<T>, write: Write<T>) -> u64 {
+    assert_eq!(key.version, write.expected_version);
+    key.value = write.value;
+    key.version += 1;
+    write.expected_version
+}
+
+fn versioned<T>(value: T) -> Versioned<T> {
+    Versioned { value, version: 1 }
+}
+
+fn upstream(number: u32) -> Upstream {
+    Upstream {
+        data_centre: DataCentre(number / 4 % 3),
+        instance: Instance(number),
+        rack: Rack(number / 4),
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_fleet/examples/small_model/spare.rs
@@ -0,0 +1,105 @@
+//! Cost of the spare capacity.
+
+use std::time::Duration;
+
+use dotterelsill_fleet::*;
+use rand::{
+    rngs::SmallRng,
+    RngExt,
+    SeedableRng, //
+};
+
+const SERVICES: usize = 5;
+const LENGTH_S: usize = 4 * 3600;
+/// Demand between bursts, as a multiple of the mean.
+const QUIET_FACTOR: f64 = 0.05;
+
+pub(crate) fn report(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let traces: Vec<_> = (0..SERVICES)
+        .map(|_| {
+            let runners = f64::from(rng.random_range(8_u32..=12));
+            // A burst of 5 times this mean is more than the runners can hold.
+            trace(&mut rng, 0.3 * runners)
+        })
+        .collect();
+    for per_rack in [4, 1] {
+        let layout = PoolLayout {
+            data_centres: 3,
+            per_rack,
+        };
+        report_layout(&traces, layout);
+    }
+}
+
+fn report_layout(traces: &[Vec<f64>], layout: PoolLayout) {
+    let plans: Vec<_> = traces.iter().map(|t| plan(t, layout, 0.3)).collect();
+    let base: u32 = plans.iter().map(BufferPlan::base).sum();
+    let least: f64 = plans.iter().map(least_cost).sum();
+    let fixed: Vec<_> = plans.iter().map(BufferPlan::fixed).collect();
+    let fixed_cost: f64 = fixed.iter().map(|s| s.cost_per_day).sum();
+    let fixed_holds = fixed.iter().filter(|s| s.holds).count();
+    println!(
+        "  spare, {} of a pool in a rack: least {least} instances over a base of {base}; \
+         30% is {fixed_cost} and holds in {fixed_holds} of {SERVICES} pools",
+        layout.per_rack
+    );
+    let (percent, cost) = uniform(traces, layout);
+    println!("    least fixed share that holds in all pools, in steps of 10: {percent}%, {cost} instances");
+    report_steps(&plans[0]);
+}
+
+fn report_steps(plan: &BufferPlan<'_>) {
+    let least = plan.least().expect("three data centres hold").spare;
+    for spare in [least / 2, least - 1, least, least + 1] {
+        let step = plan.step(spare);
+        let wait = step.worst_wait.map_or(f64::INFINITY, |w| w.as_secs_f64());
+        let cost = step.cost_per_day;
+        println!("    first pool with {spare} spare: cost {cost} a day, worst wait {wait:.1} s");
+    }
+}
+
+fn plan(trace: &[f64], layout: PoolLayout, fixed_share: f64) -> BufferPlan<'_> {
+    let demand = PoolDemand {
+        arrived_instances: trace,
+        interval: Duration::from_secs(1),
+    };
+    let rule = BufferRule {
+        fixed_share,
+        ..BufferRule::default()
+    };
+    BufferPlan::new(demand, layout, rule)
+}
+
+fn least_cost(plan: &BufferPlan<'_>) -> f64 {
+    let least = plan.least();
+    least.expect("three data centres hold").cost_per_day
+}
+
+/// Returns the least share, in percent and in steps of 10, that holds in every pool, and its cost.
+fn uniform(traces: &[Vec<f64>], layout: PoolLayout) -> (u32, f64) {
+    let steps = |percent: u32| -> Vec<BufferStep> {
+        let share = f64::from(percent) / 100.0;
+        let plans = traces.iter().map(|t| plan(t, layout, share));
+        plans.map(|p| p.fixed()).collect()
+    };
+    let percent = (10..)
+        .step_by(10)
+        .find(|percent| steps(*percent).iter().all(|s| s.holds))
+        .expect("a large share holds");
+    (percent, steps(percent).iter().map(|s| s.cost_per_day).sum())
+}
+
+/// Returns demand by second: bursts of 4 to 10 s with 5 times the mean.
+fn trace(rng: &mut SmallRng, mean: f64) -> Vec<f64> {
+    let factor = BufferRule::default().burst_factor;
+    let share = (1.0 - QUIET_FACTOR) / (factor - QUIET_FACTOR);
+    let mut demand = Vec::with_capacity(LENGTH_S);
+    while demand.len() < LENGTH_S {
+        let burst_s = rng.random_range(4_usize..=10);
+        let quiet_s = burst_s as f64 * (1.0 - share) / share;
+        demand.extend(vec![factor * mean; burst_s]);
+        demand.extend(vec![QUIET_FACTOR * mean; quiet_s.round() as usize]);
+    }
+    demand
+}
