--- a/crates/dotterelsill_fleet/src/rollout/wave.rs
+++ b/crates/dotterelsill_fleet/src/rollout/wave.rs
@@ -56,7 +56,7 @@
         now: Instant,
     ) -> Self {
         let batch = rule.canary.max(1);
-        Self {
+        let mut wave = Self {
             batch,
             done: Vec::new(),
             failed_at: Vec::new(),
@@ -68,7 +68,9 @@
             soak_until: now,
             unfinished: BTreeSet::new(),
             waiting: instances.into_iter().collect(),
-        }
+        };
+        wave.finish();
+        wave
     }
 
     /// Returns the phase.
--- a/crates/dotterelsill_fleet/tests/maintenance.rs
+++ b/crates/dotterelsill_fleet/tests/maintenance.rs
@@ -142,6 +142,13 @@
     assert_eq!(wave.phase(), WavePhase::Done);
 }
 
+/// Guards against a wave over no instances that never ends.
+#[test]
+fn an_empty_wave_is_done() {
+    let wave = Wave::new([], WaveRule::default(), Instant::now());
+    assert_eq!(wave.phase(), WavePhase::Done);
+}
+
 /// Guards against a wave that goes on after its canary failed, and against a
 /// way back that leaves out an instance still in progress.
 #[test]
