--- a/crates/dotterelsill_revision/src/authority.rs
+++ b/crates/dotterelsill_revision/src/authority.rs
@@ -15,10 +15,12 @@
 /// Registration of an incarnation in the store.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Registration {
-    /// Instant before the grant of the lease was sent.
+    /// Instant before the first grant of a lease for this incarnation was sent.
+    /// When an answer is lost and the registration is sent again, the first
+    /// attempt still counts: its late request may replace the lease of the key.
     pub lease_sent_at: Instant,
     /// Instant after the answers to the writes of both the `alive` and the
-    /// `member` key had arrived.
+    /// `member` key had arrived. Only proofs of a later instant count.
     pub registered_at: Instant,
     /// Isolation limit that the `member` key states.
     pub isolation_limit: Duration,
--- a/crates/dotterelsill_revision/src/verdict.rs
+++ b/crates/dotterelsill_revision/src/verdict.rs
@@ -78,10 +78,11 @@
     ///
     /// A proof from before the registration does not count. A change that was
     /// accepted before this incarnation was registered did not wait for it, and
-    /// an older proof, as a peer may relay it, need not include that change.
+    /// an older proof, kept or relayed by a peer, need not include that change.
+    /// At equal instants the order is not known, so that proof does not count.
     pub fn new(freshness: &Freshness, tracker: &Tracker, authority: &Authority) -> Self {
         let registered_at = authority.registration().registered_at;
-        let proof = freshness.proof().filter(|proof| proof.at >= registered_at);
+        let proof = freshness.proof().filter(|proof| proof.at > registered_at);
         let proven = proof.map_or(0, |proof| proof.revision);
         Self {
             ends_at: authority.ends_at(),
--- a/crates/dotterelsill_revision/tests/decisions.rs
+++ b/crates/dotterelsill_revision/tests/decisions.rs
@@ -34,13 +34,17 @@
     Head { revision, write_id }
 }
 
+/// Registers an instance just before `start` and renews its lease at `start`.
 fn register(start: Instant, isolation_limit: Duration) -> Result<Instance, RegistrationError> {
+    let before = start - Duration::from_nanos(1);
     let registration = Registration {
-        lease_sent_at: start,
-        registered_at: start,
+        lease_sent_at: before,
+        registered_at: before,
         isolation_limit,
     };
-    Instance::new(ME, registration, Limits::default(), Default::default())
+    let mut instance = Instance::new(ME, registration, Limits::default(), Default::default())?;
+    instance.authority_mut().on_renewal(start, true, start);
+    Ok(instance)
 }
 
 /// Returns an instance with revision 1 in force, proven at its registration.
@@ -136,6 +140,9 @@
     late.on_relay(start, &answer);
     late.on_body(&head(1));
     assert_eq!(mode(&late, start), Mode::Stale);
+    let registered_at = late.authority().registration().registered_at;
+    late.on_store_read(registered_at, Some(&head(1)));
+    assert_eq!(mode(&late, start), Mode::Stale);
     late.on_store_read(start, Some(&head(1)));
     assert_eq!(mode(&late, start), Mode::Fresh);
 }
