Document how the revision crate is embedded

The crate docs list the duties of a driver and show an entry that starts work, makes a change and sees it come into force, as a doc test.

An incarnation has one lease, also when its registration is sent again. The model merges the writes of a registration into one call and so could not show this case; it was found by going through the resending by hand: with a second lease, a late first write moves the key back to the lease that ends earlier, and an observer takes a holder for expired that has renewed the second one.

--- a/crates/dotterelsill_revision/src/acceptance.rs
+++ b/crates/dotterelsill_revision/src/acceptance.rs
@@ -94,8 +94,8 @@
 /// Decides whether a stored change is in force everywhere.
 ///
 /// An instance that is missing from a list read after the change was stored
-/// needs no confirmation: either it has deleted its key and starts nothing more,
-/// or it registers later and its first proof includes the change.
+/// needs no confirmation: it has deleted its key or was fenced and starts nothing
+/// more, or it registers later and its first proof includes the change.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Acceptance {
     credits_pending: bool,
@@ -144,6 +144,8 @@
 
     /// Adds a list of all `alive` keys; members without one have no lease.
     ///
+    /// An expiry counts from `arrived_at`, the instant at which the list arrived.
+    ///
     /// # Errors
     ///
     /// Returns an error when the read was sent before the change was known to be
--- a/crates/dotterelsill_revision/src/authority.rs
+++ b/crates/dotterelsill_revision/src/authority.rs
@@ -15,9 +15,11 @@
 /// Registration of an incarnation in the store.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Registration {
-    /// Instant before the first grant of a lease for this incarnation was sent.
-    /// When an answer is lost and the registration is sent again, the first
-    /// attempt still counts: its late request may replace the lease of the key.
+    /// Instant before the grant of the lease was sent.
+    ///
+    /// An incarnation has one lease. When an answer is lost, the writes are sent
+    /// again with the same lease: with another one, a late first write could move
+    /// the `alive` key back to the lease that ends earlier.
     pub lease_sent_at: Instant,
     /// Instant after the answers to the writes of both the `alive` and the
     /// `member` key had arrived. Only proofs of a later instant count.
--- a/crates/dotterelsill_revision/src/lib.rs
+++ b/crates/dotterelsill_revision/src/lib.rs
@@ -1,4 +1,122 @@
 //! The revision in force, acceptance of changes and authority of instances.
+//!
+//! A change of the configuration is reported as in force only when no instance
+//! can start work under the older revision:
+//!
+//! - [`Instance`] holds what one incarnation knows. Its [`Snapshot`] decides
+//!   whether a piece of work may start, at the clock reading of the dispatch.
+//! - [`Change`] names the store calls that store a change, and recognises a
+//!   change whose store answer was lost.
+//! - [`Acceptance`] decides whether a stored change is in force everywhere.
+//!
+//! The crate does no I/O, reads no clock and knows nothing of what a revision
+//! contains. The driver makes the calls and passes in their answers with the
+//! instants at which they were sent.
+//!
+//! # Duties of a driver
+//!
+//! - It registers an incarnation in this order: grant the lease, create the
+//!   `alive` key, create the `member` key, read the head. An incarnation has one
+//!   lease; once that has expired, it registers another incarnation.
+//! - It publishes a new snapshot after each event, and before it answers a peer
+//!   that asks for the revision in force.
+//! - It passes a peer's answer only with the instant of the request that it
+//!   answers.
+//! - It gives up the authority before it deletes its `member` key.
+//!
+//! # Examples
+//!
+//! An entry starts work under revision 1 and makes a change. It confirms the
+//! change itself, and another entry, which does not answer, holds it up until its
+//! lease has expired.
+//!
+//! ```
+//! use std::time::{
+//!     Duration,
+//!     Instant, //
+//! };
+//!
+//! use dotterelsill_revision::{
+//!     Acceptance,
+//!     Acknowledgement,
+//!     Action,
+//!     Base,
+//!     BodyAnswer,
+//!     Change,
+//!     Decision,
+//!     Head,
+//!     Incarnation,
+//!     Instance,
+//!     Limits,
+//!     Member,
+//!     MemberState,
+//!     Mode,
+//!     Outcome,
+//!     Registration,
+//!     SwapAnswer,
+//!     WhenIsolated,
+//!     WriteId, //
+//! };
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let ms = Duration::from_millis(1);
+//! let start = Instant::now();
+//! let registration = Registration {
+//!     lease_sent_at: start,
+//!     registered_at: start + 5 * ms,
+//!     isolation_limit: Duration::ZERO,
+//! };
+//! let (me, other) = (Incarnation(1), Incarnation(2));
+//! let limits = Limits::default();
+//! let mut instance = Instance::new(me, registration, limits, Default::default())?;
+//!
+//! // The head is read after the registration, then its body.
+//! let first = Head {
+//!     revision: 1,
+//!     write_id: WriteId::new("first"),
+//! };
+//! instance.on_store_read(start + 6 * ms, Some(&first));
+//! instance.on_body(&first);
+//! let snapshot = instance.snapshot();
+//! let decision = snapshot.decide(WhenIsolated::Refuse, start + 10 * ms);
+//! assert_eq!(decision, Decision::Start { revision: 1 });
+//! let verdict = snapshot.verdict(start + 10 * ms);
+//! assert_eq!(verdict.mode, Mode::Fresh);
+//! assert_eq!(verdict.holds_until, Some(start + 3_006 * ms));
+//!
+//! // A change: the driver makes the call that `next` names.
+//! let base = Base {
+//!     version: 1,
+//!     head: Some(first),
+//! };
+//! let mut change = Change::new(WriteId::new("second"), base, start + 5_000 * ms);
+//! assert_eq!(change.next(), Action::WriteBody);
+//! change.on_body(BodyAnswer::Written, start + 20 * ms);
+//! assert!(matches!(change.next(), Action::SwapHead { .. }));
+//! change.on_swap(SwapAnswer::Swapped, start + 25 * ms);
+//! let outcome = Outcome::Stored { revision: 2 };
+//! assert_eq!(change.next(), Action::Done(outcome));
+//! instance.on_head(&change.head());
+//! instance.on_body(&change.head());
+//!
+//! // Acceptance: all members are listed after the change was stored.
+//! let member = |incarnation| Member {
+//!     incarnation,
+//!     instance: "entry".into(),
+//!     isolation_limit: Duration::ZERO,
+//!     state: MemberState::Live,
+//! };
+//! let mut acceptance = Acceptance::new(2, start + 25 * ms, false, limits);
+//! acceptance.on_members(start + 26 * ms, &[member(me), member(other)])?;
+//! acceptance.on_answer(me, instance.relay(start + 27 * ms).in_force);
+//! let stored = acceptance.acknowledgement(start + 30 * ms);
+//! assert!(matches!(stored, Acknowledgement::Stored { .. }));
+//! acceptance.on_leases(start + 6_000 * ms, start + 6_005 * ms, &[me])?;
+//! let done = acceptance.acknowledgement(start + 6_020 * ms);
+//! assert_eq!(done, Acknowledgement::InForce { revision: 2 });
+//! # Ok(())
+//! # }
+//! ```
 
 mod acceptance;
 mod answer;
--- a/crates/dotterelsill_revision/tests/model/search.rs
+++ b/crates/dotterelsill_revision/tests/model/search.rs
@@ -111,8 +111,8 @@
     assert!(found.states >= min_states, "the search explored too little");
 }
 
-/// Multiplicative hasher: the default one takes most of the time of a debug
-/// build.
+/// Multiplicative hasher. With the default one, the searches take half as long
+/// again in a debug build.
 #[derive(Default)]
 struct QuickHasher(u64);
 
