--- a/crates/dotterelsill_revision/src/authority.rs
+++ b/crates/dotterelsill_revision/src/authority.rs
@@ -16,9 +16,13 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Registration {
     /// Instant before the grant of the lease was sent.
+    ///
+    /// An incarnation has one lease. When an answer is lost, the writes are sent
+    /// again with the same lease: with another one, a late first write could move
+    /// the `alive` key back to the lease that ends earlier.
     pub lease_sent_at: Instant,
     /// Instant after the answers to the writes of both the `alive` and the
-    /// `member` key had arrived.
+    /// `member` key had arrived. Only proofs of a later instant count.
     pub registered_at: Instant,
     /// Isolation limit that the `member` key states.
     pub isolation_limit: Duration,
