--- a/crates/dotterelsill_entry/src/attempt.rs
+++ b/crates/dotterelsill_entry/src/attempt.rs
@@ -26,6 +26,7 @@
 };
 use dotterelsill_routing::{
     Answer,
+    Latency,
     Slot, //
 };
 use http::StatusCode;
@@ -85,6 +86,7 @@
 pub(crate) struct Attempt {
     pub(crate) shared: Arc<Shared>,
     pub(crate) plan: Arc<ServicePlan>,
+    pub(crate) latency: Arc<Latency>,
     pub(crate) slot: Slot,
     pub(crate) held: Held,
     pub(crate) request: Request<Full<Bytes>>,
@@ -145,7 +147,7 @@
                     return;
                 }
                 if answer == Answer::Success {
-                    self.plan.service.latency.record(now - sent_at);
+                    self.latency.record(now - sent_at);
                 }
                 self.plan.end(self.held, End::Answered);
                 send(&result, Attempted::Answered(response));
--- a/crates/dotterelsill_entry/src/plan.rs
+++ b/crates/dotterelsill_entry/src/plan.rs
@@ -16,6 +16,7 @@
 };
 use dotterelsill_revision::WhenIsolated;
 use dotterelsill_routing::{
+    Latency,
     Upstream,
     UpstreamSet, //
 };
@@ -131,6 +132,9 @@
 pub(crate) struct QueuePlan {
     pub(crate) queue: Queue,
     pub(crate) service: Arc<ServicePlan>,
+    /// Latencies of this queue alone: those of a service with long and short
+    /// work would have every long request hedged.
+    pub(crate) latency: Arc<Latency>,
     pub(crate) metrics: QueueMetrics,
 }
 
--- a/crates/dotterelsill_entry/src/run.rs
+++ b/crates/dotterelsill_entry/src/run.rs
@@ -163,6 +163,7 @@
     let attempt = Attempt {
         shared: shared.clone(),
         plan: plan.service.clone(),
+        latency: plan.latency.clone(),
         slot,
         held,
         request: forwarded(incoming),
@@ -222,7 +223,7 @@
     };
     let due = loop {
         let now = Instant::now();
-        match Hedge::decide(&hedge, &plan.service.latency, &plan.service.retries, now) {
+        match Hedge::decide(&hedge, &queue.latency, &plan.service.retries, now) {
             Hedge::Never => break false,
             Hedge::Send => break true,
             Hedge::WaitUntil(at) => {
@@ -269,6 +270,7 @@
     let attempt = Attempt {
         shared: shared.clone(),
         plan: plan.service.clone(),
+        latency: plan.latency.clone(),
         slot,
         held: Held::Credit(credit),
         request: forwarded(incoming),
--- a/crates/dotterelsill_entry/src/service.rs
+++ b/crates/dotterelsill_entry/src/service.rs
@@ -25,10 +25,7 @@
     Ticket, //
 };
 use dotterelsill_escrow::Credit;
-use dotterelsill_routing::{
-    Latency,
-    RetryBudget, //
-};
+use dotterelsill_routing::RetryBudget;
 use futures_lite::FutureExt as _;
 use http::StatusCode;
 
@@ -55,7 +52,6 @@
     gate: Arc<Gate>,
     queue: Mutex<FairQueue<Waiter>>,
     limits: Arc<Limits>,
-    pub(crate) latency: Latency,
     pub(crate) retries: RetryBudget,
 }
 
@@ -68,7 +64,6 @@
             gate,
             queue: Mutex::new(queue),
             limits: limits.clone(),
-            latency: Latency::default(),
             retries: RetryBudget::new(now),
         }
     }
--- a/crates/dotterelsill_entry/src/snapshot.rs
+++ b/crates/dotterelsill_entry/src/snapshot.rs
@@ -106,7 +106,7 @@
             let plan = service_plan(service, &document, previous, &teams, shared, now);
             services.insert(service.name.clone(), Arc::new(plan));
         }
-        let queues = queues(&fleet, &services, shared);
+        let queues = queues(&fleet, &services, previous, shared);
         let max_run_ms = fleet.queues.iter().map(|queue| queue.max_run_ms).max();
         let keys = document
             .keys
@@ -239,11 +239,17 @@
 fn queues(
     fleet: &Fleet,
     services: &HashMap<String, Arc<ServicePlan>>,
+    previous: &Snapshot,
     shared: &Shared,
 ) -> HashMap<String, QueuePlan> {
     let plan = |queue: &config::Queue| {
         let plan = QueuePlan {
             service: services.get(&queue.service)?.clone(),
+            latency: previous
+                .queues
+                .get(&queue.name)
+                .map(|known| known.latency.clone())
+                .unwrap_or_default(),
             metrics: shared.metrics.queue(&queue.name),
             queue: queue.clone(),
         };
