Complete the command line: check, dry run, fingerprints of keys, status

A key is withdrawn by its fingerprint, so that it need not be known to the operator. Keys are given only to teams of the text in force, and only its data centres can be taken out; text and keys together must fit into one value.

--- a/crates/dotterelsill_cli/src/args.rs
+++ b/crates/dotterelsill_cli/src/args.rs
@@ -108,10 +108,14 @@
     pub(crate) team: String,
 }
 
-/// Withdraws a key, read from standard input.
+/// Withdraws a key.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "withdraw")]
-pub(crate) struct KeyWithdraw {}
+pub(crate) struct KeyWithdraw {
+    /// fingerprint of the key as `status` prints it
+    #[argh(positional)]
+    pub(crate) fingerprint: String,
+}
 
 /// Prints revision, freshness and registered instances.
 #[derive(FromArgs)]
--- a/crates/dotterelsill_cli/src/commands.rs
+++ b/crates/dotterelsill_cli/src/commands.rs
@@ -2,10 +2,7 @@
 
 use std::{
     fs,
-    io::{
-        self,
-        Read as _, //
-    },
+    io,
     path::{
         Path,
         PathBuf, //
@@ -13,14 +10,20 @@
     process::ExitCode, //
 };
 
+use dotterelsill_config::{
+    diff,
+    diff_text,
+    explain,
+    parse,
+    Checked, //
+};
 use dotterelsill_proto::peer::{
     ApplyRequest,
-    ChangeResponse,
     ChangeState,
     GiveKeyRequest,
     SetDataCentreRequest,
     StatusRequest,
-    StatusResponse,
+    TextRequest,
     WithdrawKeyRequest, //
 };
 use dotterelsill_rpc::Tasks;
@@ -35,6 +38,7 @@
 
 use crate::{
     args::{
+        Apply,
         Args,
         Command,
         Direction,
@@ -43,25 +47,25 @@
     client::{
         connect,
         Client, //
+    },
+    print::{
+        self,
+        EXIT_REFUSED, //
     }, //
 };
 
-/// Exit code of a refused change.
-const EXIT_REFUSED: u8 = 1;
-
-/// Exit code of a change that is stored but not yet in force everywhere.
-const EXIT_STORED: u8 = 3;
-
-/// Exit code of a change of which it is not known whether it was stored.
-const EXIT_UNKNOWN: u8 = 4;
-
 /// A command failed.
 #[derive(Debug, Snafu)]
 pub(crate) enum CommandError {
     #[snafu(display("{}: {source}", path.display()))]
     File { path: PathBuf, source: io::Error },
-    #[snafu(display("standard input: {source}; pipe the key in"))]
-    Input { source: io::Error },
+    #[snafu(display(
+        "{text:?} is no fingerprint: {source}; copy one that `dotterelsill status` prints"
+    ))]
+    Fingerprint {
+        text: String,
+        source: hex::FromHexError,
+    },
     #[snafu(display("entry instance: {}; name another one with --entry", source.message()))]
     Call {
         #[snafu(source(from(tonic::Status, Box::new)))]
@@ -73,15 +77,8 @@
 pub(crate) async fn run(args: Args, tasks: &Tasks) -> Result<ExitCode, CommandError> {
     let mut client = connect(args.entry, tasks);
     match args.command {
-        Command::Apply(apply) if apply.dry_run => {
-            read(&apply.file)?;
-            Ok(ExitCode::SUCCESS)
-        }
-        Command::Apply(apply) => run_apply(&mut client, &apply.file).await,
-        Command::Check(check) => {
-            read(&check.file)?;
-            Ok(ExitCode::SUCCESS)
-        }
+        Command::Apply(apply) => run_apply(&mut client, &apply).await,
+        Command::Check(check) => run_check(&check.file),
         Command::Dc(dc) => {
             let request = SetDataCentreRequest {
                 write_id: new_write_id(),
@@ -89,15 +86,22 @@
                 out: dc.direction == Direction::Out,
             };
             let answer = client.set_data_centre(request).await.context(CallSnafu)?;
-            Ok(print_change(&answer.into_inner()))
+            Ok(print::change(&answer.into_inner()))
         }
         Command::Key(key) => match key.command {
             KeyCommand::Give(give) => run_key_give(&mut client, give.team).await,
-            KeyCommand::Withdraw(_) => run_key_withdraw(&mut client).await,
+            KeyCommand::Withdraw(withdraw) => {
+                let request = WithdrawKeyRequest {
+                    write_id: new_write_id(),
+                    fingerprint: fingerprint(&withdraw.fingerprint)?,
+                };
+                let answer = client.withdraw_key(request).await.context(CallSnafu)?;
+                Ok(print::change(&answer.into_inner()))
+            }
         },
         Command::Status(_) => {
             let answer = client.status(StatusRequest {}).await.context(CallSnafu)?;
-            print_status(&answer.into_inner());
+            print::status(&answer.into_inner());
             Ok(ExitCode::SUCCESS)
         }
     }
@@ -107,17 +111,60 @@
     fs::read_to_string(path).context(FileSnafu { path })
 }
 
-async fn run_apply(client: &mut Client, file: &Path) -> Result<ExitCode, CommandError> {
+/// Checks a text and prints its findings; `None` when it is refused.
+fn check(file: &Path, text: &str) -> Option<Checked> {
+    let name = file.display().to_string();
+    match parse(text) {
+        Ok(checked) => {
+            print::findings(&name, checked.warnings());
+            Some(checked)
+        }
+        Err(findings) => {
+            print::findings(&name, &findings);
+            None
+        }
+    }
+}
+
+fn run_check(file: &Path) -> Result<ExitCode, CommandError> {
+    let Some(checked) = check(file, &read(file)?) else {
+        return Ok(ExitCode::from(EXIT_REFUSED));
+    };
+    print!("{}", explain(&checked));
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn run_apply(client: &mut Client, apply: &Apply) -> Result<ExitCode, CommandError> {
+    let text = read(&apply.file)?;
+    let Some(checked) = check(&apply.file, &text) else {
+        return Ok(ExitCode::from(EXIT_REFUSED));
+    };
+    if apply.dry_run {
+        return run_dry(client, &checked).await;
+    }
     let request = ApplyRequest {
         write_id: new_write_id(),
-        text: read(file)?,
+        text,
     };
     let answer = client.apply(request).await.context(CallSnafu)?;
-    Ok(print_change(&answer.into_inner()))
+    Ok(print::change(&answer.into_inner()))
+}
+
+async fn run_dry(client: &mut Client, new: &Checked) -> Result<ExitCode, CommandError> {
+    let answer = client.text(TextRequest {}).await.context(CallSnafu)?;
+    let in_force = answer.into_inner();
+    match parse(&in_force.text) {
+        Ok(old) => {
+            println!("changes to revision {}:", in_force.revision);
+            print!("{}", diff_text(&diff(&old, new)));
+        }
+        Err(_) => println!("no text is in force; everything is new"),
+    }
+    Ok(ExitCode::SUCCESS)
 }
 
 async fn run_key_give(client: &mut Client, team: String) -> Result<ExitCode, CommandError> {
-    let key = hex(&rand::random::<[u8; 32]>());
+    let key = hex::encode(rand::random::<[u8; 32]>());
     let request = GiveKeyRequest {
         write_id: new_write_id(),
         team,
@@ -127,67 +174,15 @@
     let answer = answer.into_inner();
     if answer.state() != ChangeState::Refused {
         println!("key: {key}");
+        println!("fingerprint: {}", hex::encode(&Sha256::digest(&key)[..8]));
     }
-    Ok(print_change(&answer))
+    Ok(print::change(&answer))
 }
 
-async fn run_key_withdraw(client: &mut Client) -> Result<ExitCode, CommandError> {
-    let mut key = String::new();
-    io::stdin().read_to_string(&mut key).context(InputSnafu)?;
-    let request = WithdrawKeyRequest {
-        write_id: new_write_id(),
-        sha256: Sha256::digest(key.trim()).to_vec(),
-    };
-    let answer = client.withdraw_key(request).await.context(CallSnafu)?;
-    Ok(print_change(&answer.into_inner()))
+fn fingerprint(text: &str) -> Result<Vec<u8>, CommandError> {
+    hex::decode(text).context(FingerprintSnafu { text })
 }
 
 fn new_write_id() -> String {
-    hex(&rand::random::<[u8; 16]>())
-}
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn print_change(answer: &ChangeResponse) -> ExitCode {
-    match answer.state() {
-        ChangeState::InForce => {
-            println!("revision {} is in force", answer.revision);
-            ExitCode::SUCCESS
-        }
-        ChangeState::Stored => {
-            println!("revision {} is stored, not yet in force", answer.revision);
-            for member in &answer.unconfirmed {
-                println!(
-                    "  {}: {} (at most {} s)",
-                    member.instance, member.reason, member.at_most_s
-                );
-            }
-            ExitCode::from(EXIT_STORED)
-        }
-        ChangeState::Refused => {
-            println!("refused: {}", answer.reason);
-            ExitCode::from(EXIT_REFUSED)
-        }
-        ChangeState::Unknown | ChangeState::Unspecified => {
-            println!("not known whether it was stored: {}", answer.reason);
-            ExitCode::from(EXIT_UNKNOWN)
-        }
-    }
-}
-
-fn print_status(status: &StatusResponse) {
-    println!("instance           {}", status.instance);
-    println!("revision           {}", status.revision);
-    println!("authority          {}", status.authority);
-    println!("proof age          {} ms", status.proof_age_ms);
-    println!("data centres out   {}", status.data_centres_out.join(", "));
-    println!("store calls        {}", status.store_calls);
-    for member in &status.members {
-        println!(
-            "member             {} in {} at {} ({})",
-            member.instance, member.data_centre, member.peer_address, member.state
-        );
-    }
+    hex::encode(rand::random::<[u8; 16]>())
 }
--- /dev/null
+++ b/crates/dotterelsill_cli/src/print.rs
@@ -0,0 +1,91 @@
+//! What the commands print.
+
+use std::process::ExitCode;
+
+use dotterelsill_config::Finding;
+use dotterelsill_proto::peer::{
+    ChangeResponse,
+    ChangeState,
+    StatusResponse, //
+};
+
+/// Exit code of a refused change.
+pub(crate) const EXIT_REFUSED: u8 = 1;
+
+/// Exit code of a change that is stored but not yet in force everywhere.
+const EXIT_STORED: u8 = 3;
+
+/// Exit code of a change of which it is not known whether it was stored.
+const EXIT_UNKNOWN: u8 = 4;
+
+/// Prints the findings of a check, each with its file.
+pub(crate) fn findings(file: &str, findings: &[Finding]) {
+    for finding in findings {
+        println!("{file}:{finding}");
+    }
+}
+
+/// Prints how far a change has come and returns the exit code that says so.
+pub(crate) fn change(answer: &ChangeResponse) -> ExitCode {
+    match answer.state() {
+        ChangeState::InForce => {
+            println!("revision {} is in force", answer.revision);
+            ExitCode::SUCCESS
+        }
+        ChangeState::Stored => {
+            println!("revision {} is stored, not yet in force", answer.revision);
+            for member in &answer.unconfirmed {
+                println!(
+                    "  {}: {} (at most {} s)",
+                    member.instance, member.reason, member.at_most_s
+                );
+            }
+            if answer.unconfirmed.is_empty() {
+                println!("  waiting for credits above a lowered limit, or for the store");
+            }
+            ExitCode::from(EXIT_STORED)
+        }
+        ChangeState::Refused => {
+            println!("refused: {}", answer.reason);
+            ExitCode::from(EXIT_REFUSED)
+        }
+        ChangeState::Unknown | ChangeState::Unspecified => {
+            println!("not known whether it was stored: {}", answer.reason);
+            ExitCode::from(EXIT_UNKNOWN)
+        }
+    }
+}
+
+/// Prints the status of an entry instance.
+pub(crate) fn status(status: &StatusResponse) {
+    let out = match status.data_centres_out.as_slice() {
+        [] => "none".to_owned(),
+        names => names.join(", "),
+    };
+    println!("instance           {}", status.instance);
+    println!("incarnation        {}", status.incarnation);
+    println!("revision in force  {}", status.revision);
+    println!("authority          {}", status.authority);
+    println!("proof age          {} ms", status.proof_age_ms);
+    println!("data centres out   {out}");
+    println!("store calls        {}", status.store_calls);
+    for member in &status.members {
+        println!(
+            "member             {} in {} at {} ({})",
+            member.instance, member.data_centre, member.peer_address, member.state
+        );
+    }
+    for credit in &status.credits {
+        println!(
+            "credits            {}: {} in use of {} here, {} in the whole fleet",
+            credit.team, credit.in_use, credit.allowed, credit.limit
+        );
+    }
+    for key in &status.keys {
+        println!(
+            "key                {} of {}",
+            hex::encode(&key.fingerprint),
+            key.team
+        );
+    }
+}
--- a/crates/dotterelsill_e2e/src/fleet.rs
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -220,7 +220,7 @@
     pub async fn withdraw_key(&mut self, index: usize, key: &str) -> ChangeResponse {
         let request = WithdrawKeyRequest {
             write_id: self.write_id(),
-            sha256: Sha256::digest(key).to_vec(),
+            fingerprint: Sha256::digest(key)[..8].to_vec(),
         };
         let mut operator = self.operator(index);
         answer(operator.withdraw_key(request).await)
--- a/crates/dotterelsill_entry/src/authority.rs
+++ b/crates/dotterelsill_entry/src/authority.rs
@@ -77,6 +77,11 @@
         self.update().is_some()
     }
 
+    /// Returns the current incarnation as text.
+    pub(crate) fn incarnation(&self) -> Option<String> {
+        Some(self.update().as_ref()?.incarnation().to_string())
+    }
+
     /// Returns the age of the proof, if there is one.
     pub(crate) fn proof_age(&self, now: Instant) -> Option<Duration> {
         self.update().as_ref()?.freshness().age(now)
--- /dev/null
+++ b/crates/dotterelsill_entry/src/edit.rs
@@ -0,0 +1,124 @@
+//! Changes of the configuration document, and why they are refused.
+
+use dotterelsill_config::{
+    diff,
+    parse,
+    Checked,
+    Finding, //
+};
+use dotterelsill_proto::config::{
+    Document,
+    Key, //
+};
+use prost::Message as _;
+
+/// Bytes of a key's SHA-256 that name the key.
+pub(crate) const FINGERPRINT_BYTES: usize = 8;
+
+/// Fewest bytes of a fingerprint that are enough to withdraw a key.
+const SHORTEST_FINGERPRINT_BYTES: usize = 4;
+
+/// Longest document; the store holds values of up to 1 MB.
+const DOCUMENT_LIMIT_BYTES: usize = 1_000_000;
+
+/// Replaces the operators' text; returns whether a team's limit is lowered.
+pub(crate) fn apply(document: &mut Document, text: &str) -> Result<bool, String> {
+    let new = parse(text).map_err(|findings| lines(&findings))?;
+    // Without a text in force that can be read, no limit is in use.
+    let lowers = parse(&document.text)
+        .is_ok_and(|old| diff(&old, &new).iter().any(|change| change.lowers_limit));
+    text.clone_into(&mut document.text);
+    check_length(document)?;
+    Ok(lowers)
+}
+
+/// Adds a key.
+pub(crate) fn give_key(document: &mut Document, team: &str, sha256: &[u8]) -> Result<(), String> {
+    let checked = text_in_force(document)?;
+    if checked.team(team).is_none() {
+        let names: Vec<&str> = checked
+            .fleet()
+            .teams
+            .iter()
+            .map(|team| &team.name[..])
+            .collect();
+        return Err(format!(
+            "no team is named {team:?}; there are {}",
+            names.join(", ")
+        ));
+    }
+    if document.keys.iter().any(|key| key.sha256 == sha256) {
+        return Err("this key is already given; make a new one".to_owned());
+    }
+    document.keys.push(Key {
+        team: team.to_owned(),
+        sha256: sha256.to_vec(),
+    });
+    check_length(document)
+}
+
+/// Removes the one key that a fingerprint names.
+pub(crate) fn withdraw_key(document: &mut Document, fingerprint: &[u8]) -> Result<(), String> {
+    if fingerprint.len() < SHORTEST_FINGERPRINT_BYTES {
+        return Err(format!(
+            "the fingerprint is too short; give at least {} hex digits",
+            2 * SHORTEST_FINGERPRINT_BYTES
+        ));
+    }
+    let is_named = |key: &Key| key.sha256.starts_with(fingerprint);
+    match document.keys.iter().filter(|key| is_named(key)).count() {
+        0 => Err("no key in force has this fingerprint; see `dotterelsill status`".to_owned()),
+        1 => {
+            document.keys.retain(|key| !is_named(key));
+            Ok(())
+        }
+        n => Err(format!(
+            "{n} keys have this fingerprint; give more of its digits"
+        )),
+    }
+}
+
+/// Takes a data centre out or brings it back.
+pub(crate) fn set_data_centre(
+    document: &mut Document,
+    name: &str,
+    out: bool,
+) -> Result<(), String> {
+    let checked = text_in_force(document)?;
+    if out && checked.data_centre(name).is_none() {
+        let data_centres = &checked.fleet().data_centres;
+        let names: Vec<&str> = data_centres.iter().map(|known| &known.name[..]).collect();
+        return Err(format!(
+            "no data centre is named {name:?}; there are {}",
+            names.join(", ")
+        ));
+    }
+    document.data_centres_out.retain(|known| known != name);
+    if out {
+        document.data_centres_out.push(name.to_owned());
+    }
+    check_length(document)
+}
+
+fn text_in_force(document: &Document) -> Result<Checked, String> {
+    if document.text.is_empty() {
+        return Err("no text is in force yet; apply one first".to_owned());
+    }
+    parse(&document.text).map_err(|findings| lines(&findings))
+}
+
+fn check_length(document: &Document) -> Result<(), String> {
+    let length_bytes = document.encoded_len();
+    if length_bytes > DOCUMENT_LIMIT_BYTES {
+        return Err(format!(
+            "text and keys together have {length_bytes} bytes, of at most \
+             {DOCUMENT_LIMIT_BYTES}; shorten the text or withdraw keys"
+        ));
+    }
+    Ok(())
+}
+
+fn lines(findings: &[Finding]) -> String {
+    let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -10,6 +10,7 @@
 mod change;
 mod claim_store;
 mod daemon;
+mod edit;
 mod forward;
 mod ledgers;
 mod limits;
--- a/crates/dotterelsill_entry/src/operator.rs
+++ b/crates/dotterelsill_entry/src/operator.rs
@@ -11,11 +11,6 @@
     time::Instant, //
 };
 
-use dotterelsill_config::{
-    diff,
-    parse,
-    Finding, //
-};
 use dotterelsill_proto::{
     config::{
         Document,
@@ -26,10 +21,14 @@
         ApplyRequest,
         ChangeResponse,
         ChangeState,
+        CreditStatus,
         GiveKeyRequest,
+        KeyStatus,
         SetDataCentreRequest,
         StatusRequest,
         StatusResponse,
+        TextRequest,
+        TextResponse,
         Unconfirmed,
         WithdrawKeyRequest, //
     }, //
@@ -48,7 +47,9 @@
         self,
         ChangeError, //
     },
-    shared::Shared, //
+    edit,
+    shared::Shared,
+    snapshot::Snapshot, //
 };
 
 /// Implements `Operator`.
@@ -85,11 +86,6 @@
     }
 }
 
-fn listed(findings: &[Finding]) -> String {
-    let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
-    lines.join("\n")
-}
-
 fn acknowledged(acknowledgement: Acknowledgement) -> ChangeResponse {
     match acknowledgement {
         Acknowledgement::InForce { revision } => ChangeResponse {
@@ -118,6 +114,26 @@
     }
 }
 
+fn key_status(key: &Key) -> KeyStatus {
+    let length = edit::FINGERPRINT_BYTES.min(key.sha256.len());
+    KeyStatus {
+        team: key.team.clone(),
+        fingerprint: key.sha256[..length].to_vec(),
+    }
+}
+
+fn credit_statuses(shared: &Shared, snapshot: &Snapshot) -> Vec<CreditStatus> {
+    let status = |(team, allowed, in_use): (String, u32, u32)| CreditStatus {
+        limit: snapshot.limits.get(&team).copied().unwrap_or(0),
+        team,
+        allowed,
+        in_use,
+    };
+    let mut credits: Vec<_> = shared.limits.counts().into_iter().map(status).collect();
+    credits.sort_by(|one, other| one.team.cmp(&other.team));
+    credits
+}
+
 fn failed(error: &ChangeError) -> ChangeResponse {
     let state = match error {
         ChangeError::NotKnown { .. } => ChangeState::Unknown,
@@ -139,14 +155,8 @@
         let ApplyRequest { write_id, text } = request.into_inner();
         let lowers_limit = AtomicBool::new(false);
         self.change(&write_id, &lowers_limit, |document| {
-            let new = parse(&text).map_err(|findings| listed(&findings))?;
-            // Without a text in force that can be read, every limit is new.
-            let lowers = parse(&document.text).is_ok_and(|old| {
-                let changes = diff(&old, &new);
-                changes.iter().any(|change| change.lowers_limit)
-            });
+            let lowers = edit::apply(document, &text)?;
             lowers_limit.store(lowers, Ordering::Relaxed);
-            document.text.clone_from(&text);
             Ok(())
         })
         .await
@@ -162,14 +172,7 @@
             sha256,
         } = request.into_inner();
         self.change(&write_id, &AtomicBool::new(false), |document| {
-            if document.keys.iter().any(|key| key.sha256 == sha256) {
-                return Err("this key is already given; make a new one".to_owned());
-            }
-            document.keys.push(Key {
-                team: team.clone(),
-                sha256: sha256.clone(),
-            });
-            Ok(())
+            edit::give_key(document, &team, &sha256)
         })
         .await
     }
@@ -178,14 +181,12 @@
         &self,
         request: Request<WithdrawKeyRequest>,
     ) -> Result<Response<ChangeResponse>, Status> {
-        let WithdrawKeyRequest { write_id, sha256 } = request.into_inner();
+        let WithdrawKeyRequest {
+            write_id,
+            fingerprint,
+        } = request.into_inner();
         self.change(&write_id, &AtomicBool::new(false), |document| {
-            let before = document.keys.len();
-            document.keys.retain(|key| key.sha256 != sha256);
-            if document.keys.len() == before {
-                return Err("no such key is given; see `dotterelsill status`".to_owned());
-            }
-            Ok(())
+            edit::withdraw_key(document, &fingerprint)
         })
         .await
     }
@@ -200,17 +201,19 @@
             out,
         } = request.into_inner();
         self.change(&write_id, &AtomicBool::new(false), |document| {
-            document
-                .data_centres_out
-                .retain(|name| *name != data_centre);
-            if out {
-                document.data_centres_out.push(data_centre.clone());
-            }
-            Ok(())
+            edit::set_data_centre(document, &data_centre, out)
         })
         .await
     }
 
+    async fn text(&self, _request: Request<TextRequest>) -> Result<Response<TextResponse>, Status> {
+        let snapshot = self.shared.snapshot.load_full();
+        Ok(Response::new(TextResponse {
+            revision: snapshot.revision,
+            text: snapshot.document.text.clone(),
+        }))
+    }
+
     async fn status(
         &self,
         _request: Request<StatusRequest>,
@@ -226,6 +229,9 @@
             proof_age_ms: proof_age.map_or(u64::MAX, |age| age.as_millis() as u64),
             members: self.shared.peers.members().to_vec(),
             store_calls: self.shared.store.calls(),
+            keys: snapshot.document.keys.iter().map(key_status).collect(),
+            credits: credit_statuses(&self.shared, &snapshot),
+            incarnation: self.shared.authority.incarnation().unwrap_or_default(),
         }))
     }
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -65,8 +65,11 @@
 await "$bin/dotterelsill" --entry 127.0.0.1:27111 status
 ctl check demo/fleet.yaml
 ctl apply demo/fleet.yaml
+sed 's/limit_requests: 24/limit_requests: 20/' demo/fleet.yaml >"$work/fleet.yaml"
+ctl apply --dry-run "$work/fleet.yaml"
 ctl key give kiosks | tee "$work/key"
 key=$(sed -n 's/^key: //p' "$work/key")
+fingerprint=$(sed -n 's/^fingerprint: //p' "$work/key")
 sleep 1.5
 ctl status
 load --target 127.0.0.1:27102 --path /q/permit-check/scan --rate 1000 --duration-s 3
@@ -74,6 +77,6 @@
 ctl dc out b
 load --target 127.0.0.1:27101 --path /q/permit-check/scan --rate 500 --duration-s 2
 ctl dc in b
-echo "$key" | ctl key withdraw
+ctl key withdraw "$fingerprint"
 sleep 1.5
 load --target 127.0.0.1:27103 --path /q/refund/pay --key "$key" --rate 100 --duration-s 1 --idempotency
