--- a/crates/dotterelsill_revision/tests/model/change.rs
+++ b/crates/dotterelsill_revision/tests/model/change.rs
@@ -270,16 +270,13 @@
 /// Guards against a change that ends as unknown whatever the store answers.
 #[test]
 fn every_outcome_is_reached() {
+    let unknown = |reason| Outcome::Unknown { reason };
     let outcomes = [
         Outcome::Stored { revision: 2 },
         Outcome::Overtaken,
         Outcome::NotSent,
-        Outcome::Unknown {
-            reason: UnknownReason::Timeout,
-        },
-        Outcome::Unknown {
-            reason: UnknownReason::BodyMissing,
-        },
+        unknown(UnknownReason::Timeout),
+        unknown(UnknownReason::BodyMissing),
     ];
     for outcome in outcomes {
         let found = search::search(
