--- a/crates/dotterelsill_entry/src/attempt.rs
+++ b/crates/dotterelsill_entry/src/attempt.rs
@@ -1,10 +1,13 @@
 //! One attempt to run a request on an upstream.
 //!
-//! An attempt is a task of its own. It goes on when the caller gives up or a
-//! hedge was faster, until the upstream answers or `max_run_ms` is over, so that
-//! the team's credit stays taken while the work may still run.
+//! An attempt runs inside the request that waits for it. When that request ends
+//! first, because the caller gave up or a hedge was faster, the attempt goes on
+//! as a task of its own until the upstream answers or `max_run_ms` is over, so
+//! that the team's credit stays taken while the work may still run.
 
 use std::{
+    future::Future,
+    pin::Pin,
     sync::Arc,
     time::{
         Duration,
@@ -29,6 +32,8 @@
     Latency,
     Slot, //
 };
+use dotterelsill_rpc::Tasks;
+use futures_lite::FutureExt as _;
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::{
@@ -99,12 +104,14 @@
 }
 
 impl Attempt {
-    /// Starts the attempt as a task; the result arrives on the channel.
-    pub(crate) fn start(self) -> Receiver<Attempted> {
+    /// Starts the attempt.
+    pub(crate) fn start(self) -> Started {
         let (sender, receiver) = async_channel::bounded(1);
-        let tasks = self.shared.requests.clone();
-        tasks.spawn(async move { self.run(sender).await });
-        receiver
+        Started {
+            tasks: self.shared.tasks.clone(),
+            run: Some(Box::pin(self.run(sender))),
+            receiver,
+        }
     }
 
     async fn run(self, result: Sender<Attempted>) {
@@ -183,6 +190,42 @@
     }
 }
 
+/// An attempt under way; it goes on as a task when this is dropped.
+pub(crate) struct Started {
+    tasks: Tasks,
+    run: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
+    receiver: Receiver<Attempted>,
+}
+
+impl Started {
+    /// Waits for the result; `None` when the attempt has ended without one.
+    pub(crate) async fn result(&mut self) -> Option<Attempted> {
+        let received = async { self.receiver.recv().await.ok() };
+        let Some(run) = &mut self.run else {
+            return received.await;
+        };
+        let ended = async {
+            run.await;
+            None
+        };
+        let result = ended.or(received).await;
+        if result.is_none() {
+            self.run = None;
+        }
+        result.or_else(|| self.receiver.try_recv().ok())
+    }
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        if let Some(run) = self.run.take() {
+            // No caller waits for it, so a shutdown does not wait either; the
+            // credit it holds is then reclaimed like that of a dead instance.
+            self.tasks.spawn_until_stop(run);
+        }
+    }
+}
+
 /// Sends the result of an attempt.
 pub(crate) fn send(result: &Sender<Attempted>, attempted: Attempted) {
     // A caller that has gone needs no result.
--- a/crates/dotterelsill_entry/src/run.rs
+++ b/crates/dotterelsill_entry/src/run.rs
@@ -8,7 +8,6 @@
     }, //
 };
 
-use async_channel::Receiver;
 use async_io::Timer;
 use bytes::Bytes;
 use dotterelsill_admission::End;
@@ -38,7 +37,8 @@
     attempt::{
         Attempt,
         Attempted,
-        Held, //
+        Held,
+        Started, //
     },
     outcome::{
         Outcome,
@@ -211,9 +211,9 @@
     let sent_at = Instant::now();
     plan.service.retries.on_request(sent_at);
     let first_upstream = attempt.slot.upstream().name().to_owned();
-    let first = attempt.start();
+    let mut first = attempt.start();
     let Ok(queue) = access::queue_plan(snapshot, incoming.uri.path()) else {
-        return Step::Done(result(first.recv().await.ok(), incoming));
+        return Step::Done(result(first.result().await, incoming));
     };
     let mut hedge = HedgeRequest {
         sent_at,
@@ -227,7 +227,7 @@
             Hedge::Never => break false,
             Hedge::Send => break true,
             Hedge::WaitUntil(at) => {
-                if let Some(attempted) = until(&first, at).await {
+                if let Some(attempted) = until(&mut first, at).await {
                     return step(attempted, incoming, shared, hedge.repeatable).await;
                 }
             }
@@ -239,8 +239,8 @@
         .flatten();
     let deadline = incoming.deadline.at();
     let attempted = match second {
-        Some(second) => race(&first, &second, deadline).await,
-        None => until(&first, deadline).await,
+        Some(mut second) => race(&mut first, &mut second, deadline).await,
+        None => until(&mut first, deadline).await,
     };
     match attempted {
         Some(attempted) => step(attempted, incoming, shared, hedge.repeatable).await,
@@ -255,7 +255,7 @@
     incoming: &Incoming,
     snapshot: &Arc<Snapshot>,
     first_upstream: &str,
-) -> Option<Receiver<Attempted>> {
+) -> Option<Started> {
     let plan = access::queue_plan(snapshot, incoming.uri.path()).ok()?;
     let team = access::authorize(snapshot, plan, &incoming.headers).ok()?;
     let credit = shared.limits.take(team.name())?;
@@ -284,11 +284,7 @@
 }
 
 /// Returns the first answer of two attempts, or the later failure.
-async fn race(
-    first: &Receiver<Attempted>,
-    second: &Receiver<Attempted>,
-    deadline: Instant,
-) -> Option<Attempted> {
+async fn race(first: &mut Started, second: &mut Started, deadline: Instant) -> Option<Attempted> {
     let one = async { (true, until(first, deadline).await) };
     let other = async { (false, until(second, deadline).await) };
     let (is_first, attempted) = one.or(other).await;
@@ -301,8 +297,8 @@
     }
 }
 
-async fn until(receiver: &Receiver<Attempted>, at: Instant) -> Option<Attempted> {
-    let attempted = async { receiver.recv().await.ok() };
+async fn until(attempt: &mut Started, at: Instant) -> Option<Attempted> {
+    let attempted = attempt.result();
     let late = async {
         Timer::at(at).await;
         None
