--- a/crates/dotterelsill_escrow/tests/model/world.rs
+++ b/crates/dotterelsill_escrow/tests/model/world.rs
@@ -25,6 +25,7 @@
     idle_after_contended: Duration::ZERO,
     reserve: 0,
     take_waiting: false,
+    turn: Duration::ZERO,
 };
 
 /// Error of the driver that a search must find.
