Track how fast services use up their error budgets

Operators had no figure that says whether a service will miss its objective. The new crate keeps counts per service and team in five rings of slots (15 s to 12 h), gives burn rates over 5 min, 1 h, 6 h and 3 days, the budget left of 30 days and the time to its end, and starts and ends alerts by two windows with hysteresis.

Ruled out: - One counter for all instances: when one of several restarts, the sum falls, the fall looks like a restart of all, and every request of the others is counted again. Samples carry the number of their instance instead. - Replacing the least recently seen instance when too many send samples: with one instance too many they replace each other in turn and nothing is counted. The sample is refused instead. - Counting a late sample: its lower counters look like a restart. - Booking an increase at the instant of its sample: after an hour without samples, an hour of errors would appear in the window of 5 min. Increases are spread evenly over their time.

--- /dev/null
+++ b/crates/dotterelsill_burn/src/lib.rs
@@ -0,0 +1,45 @@
+//! Rate at which services use up their error budgets.
+//!
+//! The crate does no I/O, starts nothing and reads no clock. A driver feeds
+//! [`Tracker`] with samples of cumulative counters, calls
+//! [`Tracker::evaluate`] at a regular interval to learn of alerts that start
+//! or end, and renders [`Tracker::report`] with [`text_table`] or [`svg`].
+
+mod alert;
+mod counter;
+mod counts;
+mod objective;
+mod report;
+mod ring;
+mod series;
+mod svg;
+mod text;
+mod tracker;
+
+pub use alert::{
+    Alert,
+    AlertState,
+    Change, //
+};
+pub use counts::Counts;
+pub use objective::{
+    Objective,
+    ObjectiveError,
+    PERIOD, //
+};
+pub use report::{
+    Exhaustion,
+    Row,
+    WINDOWS, //
+};
+pub use svg::{
+    svg,
+    ROWS_MAX, //
+};
+pub use text::text_table;
+pub use tracker::{
+    Limits,
+    Refused,
+    Sample,
+    Tracker, //
+};
