Set log levels by module, limit repeated events and redact keys

Three faults of the log lines had no test. A pair's name was written as it was, so a name with a line break broke the line. Invisible characters that are neither white space nor control characters, such as those that change the direction of writing, were written unescaped. Nothing kept a key out of a line. All three are repaired: the whole line is searched for runs of 64 or more hex digits, which also covers event names and names of pairs. Digests of 32 bytes look the same and are left out too.

A level may now name modules, as in info,dotterelsill_entry::sync=debug. A name with hyphens is refused, since it would match no module without a sign of it.

At most 10 lines of one event name are written in a second; the number of others follows with the first event of any name in another second. Ruled out: a thread that writes it at the end of the second, which every process would have to join. The last number before a shutdown needs log::logger().flush().

init_logs and load_settings keep their signatures.

--- a/crates/dotterelsill_telemetry/src/lib.rs
+++ b/crates/dotterelsill_telemetry/src/lib.rs
@@ -1,12 +1,24 @@
 //! Logs as key=value lines, metrics and settings files.
 
+mod event_limit;
+mod levels;
+mod line;
 mod logs;
+mod output;
+mod redact;
 mod settings;
 
+pub use event_limit::LINES_MAX;
+pub use line::line;
 pub use logs::{
     init_logs,
+    logger,
     LogError, //
 };
+pub use redact::{
+    redact,
+    REDACTED, //
+};
 pub use settings::{
     load_settings,
     SettingsError, //
--- a/crates/dotterelsill_telemetry/src/logs.rs
+++ b/crates/dotterelsill_telemetry/src/logs.rs
@@ -1,29 +1,38 @@
-//! One line of key=value pairs for each event.
+//! Set-up of the log.
 
 use std::{
-    fmt::Write as _,
+    io::{
+        self,
+        Write, //
+    },
     time::SystemTime, //
 };
 
 use log::{
-    kv::{
-        Error,
-        Key,
-        Value,
-        VisitSource, //
-    },
     LevelFilter,
-    Record, //
+    Log, //
+};
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+
+use crate::{
+    levels::Levels,
+    output::Output, //
 };
-use snafu::Snafu;
 
 /// The log cannot be set up.
 #[derive(Debug, Snafu)]
 pub enum LogError {
     /// The level is not known.
-    #[snafu(display("log_level {level:?} is not known; use error, warn, info, debug or trace"))]
+    #[snafu(display(
+        "log_level: {level:?} cannot be used; give one of off, error, warn, info, debug and trace, \
+         and after commas module=level, each module once, such as \
+         info,dotterelsill_entry::sync=debug"
+    ))]
     Level {
-        /// Text of the setting.
+        /// Part of the setting.
         level: String,
     },
     /// Another logger was set up before.
@@ -36,61 +45,40 @@
 
 /// Sends log events to standard error as lines of key=value pairs.
 ///
-/// An empty level means `info`.
+/// The level applies to all modules, and after commas each `module=level` to
+/// one module and those in it, such as `info,dotterelsill_entry::sync=debug`.
+/// An empty level means `info`. See [`logger`] for the limit on lines.
 ///
 /// # Errors
 ///
-/// Returns an error when the level is not known or a logger is already set up.
+/// Returns an error when a level is not known or a logger is already set up.
 pub fn init_logs(level: &str) -> Result<(), LogError> {
-    let filter = match level {
-        "" => LevelFilter::Info,
-        text => text.parse().map_err(|_| LogError::Level {
-            level: text.to_owned(),
-        })?,
-    };
-    fern::Dispatch::new()
-        .level(filter)
-        .format(|out, _message, record| {
-            out.finish(format_args!("{}", line(SystemTime::now(), record)));
-        })
-        .chain(std::io::stderr())
-        .apply()
-        .map_err(|source| LogError::Set { source })
-}
-
-/// Returns the line of an event: time in seconds since the epoch, level, event
-/// name, then the event's own pairs.
-fn line(now: SystemTime, record: &Record<'_>) -> String {
-    let since_epoch = now
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .unwrap_or_default();
-    let mut line = format!(
-        "time={}.{:06} level={} event={}",
-        since_epoch.as_secs(),
-        since_epoch.subsec_micros(),
-        record.level().as_str().to_ascii_lowercase(),
-        quoted(&record.args().to_string()),
-    );
-    // Writing to a string cannot fail.
-    let _ = record.key_values().visit(&mut Pairs(&mut line));
-    line
+    let (max_level, logger) = logger(level, SystemTime::now, io::stderr())?;
+    log::set_boxed_logger(logger).context(SetSnafu)?;
+    log::set_max_level(max_level);
+    Ok(())
 }
 
-struct Pairs<'a>(&'a mut String);
-
-impl<'kvs> VisitSource<'kvs> for Pairs<'_> {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        write!(self.0, " {key}={}", quoted(&value.to_string()))?;
-        Ok(())
-    }
-}
-
-/// Quotes a value that would break the line or the pair.
-fn quoted(value: &str) -> String {
-    let is_plain = |c: char| !c.is_whitespace() && !c.is_control() && c != '"' && c != '=';
-    if !value.is_empty() && value.chars().all(is_plain) {
-        value.to_owned()
-    } else {
-        format!("{value:?}")
-    }
+/// Returns a logger that writes lines of key=value pairs to `out`, and the
+/// highest level that it writes.
+///
+/// At most [`LINES_MAX`](crate::LINES_MAX) lines of one event name are written
+/// in a second. The number of further ones is written as the event
+/// `events_suppressed` with the first event of any name in another second, or
+/// when the logger is flushed.
+///
+/// # Errors
+///
+/// Returns an error when a level is not known.
+pub fn logger(
+    level: &str,
+    clock: impl Fn() -> SystemTime + Send + Sync + 'static,
+    out: impl Send + Write + 'static,
+) -> Result<(LevelFilter, Box<dyn Log>), LogError> {
+    let levels = Levels::parse(level).or_else(|level| LevelSnafu { level }.fail())?;
+    let output: Box<dyn Log> = Box::new(Output::new(clock, out));
+    let dispatch = fern::Dispatch::new().level(levels.default).chain(output);
+    let with_module = |dispatch: fern::Dispatch, (module, level)| dispatch.level_for(module, level);
+    let dispatch = levels.modules.into_iter().fold(dispatch, with_module);
+    Ok(dispatch.into_log())
 }
