Test rules of the log that no test held

Of the deliberate faults tried on a copy, three in the log passed: a second key in a line left in, a clock set back that keeps events suppressed, and marks of writing direction that are alone in a value.

--- a/crates/dotterelsill_telemetry/tests/logs.rs
+++ b/crates/dotterelsill_telemetry/tests/logs.rs
@@ -114,7 +114,8 @@
         ("say \"x\"", r#""say \"x\"""#),
         ("a\nevent=b\r\t", r#""a\nevent=b\r\t""#),
         ("\u{1b}[31m\0\u{7f}", r#""\u{1b}[31m\0\u{7f}""#),
-        ("a\u{2028}b\u{85}\u{202e}", r#""a\u{2028}b\u{85}\u{202e}""#),
+        ("a\u{2028}b\u{85}", r#""a\u{2028}b\u{85}""#),
+        ("a\u{202e}b", r#""a\u{202e}b""#),
         ("Rafhlaða", "Rafhlaða"),
     ];
     for (value, written) in cases {
@@ -147,6 +148,8 @@
             assert_eq!(line.matches("[redacted]").count(), 1, "{line}");
         }
     }
+    let two = line_of("e", "k", &format!("{KEY} {KEY}"));
+    assert!(two.ends_with(r#"k="[redacted] [redacted]""#), "{two}");
     assert!(line_of("e", "k", &KEY[1..]).ends_with(&KEY[1..]));
     let fixture = Fixture::new("");
     (0..=LINES_MAX).for_each(|_| fixture.info(KEY));
@@ -223,6 +226,13 @@
         fixture.lines(),
         ["events_suppressed name=repeated suppressed=1"]
     );
+    // The clock was set back.
+    (0..11).for_each(|_| fixture.info("repeated"));
+    fixture.lines();
+    fixture.ms.store(0, Ordering::Relaxed);
+    fixture.info("repeated");
+    let suppressed = "events_suppressed name=repeated suppressed=1";
+    assert_eq!(fixture.lines(), [suppressed, "repeated value=1"]);
 }
 
 /// Guards against memory that names with changing text use up.
