Report service-level burn of the fleet as text and picture

Each entry samples the counters of all entries every 30 s, pairs of service and team with requests only. Ruled out: keeping the counts in the store, which would cost a write per pair and window; a replaced instance starts its history anew, which the report shows.

--- a/crates/dotterelsill_cli/src/args.rs
+++ b/crates/dotterelsill_cli/src/args.rs
@@ -28,6 +28,7 @@
     Check(Check),
     Dc(Dc),
     Key(Key),
+    Report(Report),
     Status(Status),
 }
 
@@ -117,6 +118,31 @@
     pub(crate) fingerprint: String,
 }
 
+/// Prints a report.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+pub(crate) struct Report {
+    #[argh(subcommand)]
+    pub(crate) command: ReportCommand,
+}
+
+/// Subcommands of `report`.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum ReportCommand {
+    Burn(ReportBurn),
+}
+
+/// Prints how fast services use up their error budgets, as one entry instance
+/// has observed the fleet since its start.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "burn")]
+pub(crate) struct ReportBurn {
+    /// file to write the report to as a picture
+    #[argh(option)]
+    pub(crate) svg: Option<PathBuf>,
+}
+
 /// Prints revision, freshness and registered instances.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
--- a/crates/dotterelsill_cli/src/commands.rs
+++ b/crates/dotterelsill_cli/src/commands.rs
@@ -19,6 +19,7 @@
 };
 use dotterelsill_proto::peer::{
     ApplyRequest,
+    BurnRequest,
     ChangeState,
     GiveKeyRequest,
     SetDataCentreRequest,
@@ -42,7 +43,9 @@
         Args,
         Command,
         Direction,
-        KeyCommand, //
+        KeyCommand,
+        ReportBurn,
+        ReportCommand, //
     },
     client::{
         connect,
@@ -99,6 +102,9 @@
                 Ok(print::change(&answer.into_inner()))
             }
         },
+        Command::Report(report) => match report.command {
+            ReportCommand::Burn(burn) => run_burn(&mut client, &burn).await,
+        },
         Command::Status(_) => {
             let answer = client.status(StatusRequest {}).await.context(CallSnafu)?;
             print::status(&answer.into_inner());
@@ -179,6 +185,16 @@
     Ok(print::change(&answer))
 }
 
+async fn run_burn(client: &mut Client, burn: &ReportBurn) -> Result<ExitCode, CommandError> {
+    let answer = client.burn(BurnRequest {}).await.context(CallSnafu)?;
+    let report = answer.into_inner();
+    print!("{}", report.text);
+    if let Some(path) = &burn.svg {
+        fs::write(path, report.svg).context(FileSnafu { path })?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn fingerprint(text: &str) -> Result<Vec<u8>, CommandError> {
     hex::decode(text).context(FingerprintSnafu { text })
 }
--- a/crates/dotterelsill_entry/src/callers.rs
+++ b/crates/dotterelsill_entry/src/callers.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use dotterelsill_admission::Team;
 use dotterelsill_routing::Deadline;
 use http::{
     HeaderMap,
@@ -37,8 +38,7 @@
         self,
         Incoming, //
     },
-    shared::Shared,
-    snapshot::Snapshot, //
+    shared::Shared, //
 };
 
 /// Longest body of a request, in bytes.
@@ -57,9 +57,13 @@
     let snapshot = shared.snapshot.load_full();
     let outcome = match access::queue_plan(&snapshot, request.uri().path()) {
         Ok(plan) => {
-            let outcome = admit(&shared, &snapshot, plan, request, begin)
+            let team = access::authorize(&snapshot, plan, request.headers());
+            let outcome = admit(&shared, plan, team.clone(), request, begin)
                 .await
                 .unwrap_or_else(Outcome::NotRun);
+            if let Ok(team) = team {
+                plan.service.counts[team.name()].observe(&outcome);
+            }
             plan.metrics
                 .observe(&outcome, begin.elapsed().as_secs_f64());
             outcome
@@ -71,13 +75,13 @@
 
 async fn admit(
     shared: &Arc<Shared>,
-    snapshot: &Snapshot,
     plan: &QueuePlan,
+    team: Result<&Arc<Team>, Reason>,
     request: Request<body::Incoming>,
     arrived: Instant,
 ) -> Result<Outcome, Reason> {
     let (head, body) = request.into_parts();
-    let team = access::authorize(snapshot, plan, &head.headers)?;
+    let team = team?;
     let timeout = Duration::from_millis(plan.queue.timeout_ms.into());
     let deadline = Deadline::new(arrived, timeout, asked_time(&head.headers));
     // A slow caller takes no slot while it sends.
--- a/crates/dotterelsill_entry/src/daemon.rs
+++ b/crates/dotterelsill_entry/src/daemon.rs
@@ -44,6 +44,7 @@
 
 use crate::{
     admin,
+    burn,
     callers,
     limits,
     maintain,
@@ -94,6 +95,7 @@
     tasks.spawn_until_stop(sync::run(shared.clone()));
     shared.buckets.start(&shared);
     tasks.spawn_until_stop(limits::run(shared.clone()));
+    tasks.spawn_until_stop(burn::run(shared.clone()));
     tasks.spawn_until_stop(maintain::run(shared.clone()));
     tasks.spawn_until_stop(members::run(shared.clone()));
     let services = Pair::new(
@@ -109,6 +111,7 @@
     register::deregister(&shared).await;
     tasks.stop();
     tasks.join().await;
+    log::logger().flush();
     Ok(())
 }
 
--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod authority;
 mod buckets;
+mod burn;
 mod callers;
 mod change;
 mod claim_store;
--- a/crates/dotterelsill_entry/src/operator.rs
+++ b/crates/dotterelsill_entry/src/operator.rs
@@ -19,6 +19,8 @@
     peer::{
         operator_server::Operator,
         ApplyRequest,
+        BurnRequest,
+        BurnResponse,
         ChangeResponse,
         ChangeState,
         CreditStatus,
@@ -206,6 +208,10 @@
         .await
     }
 
+    async fn burn(&self, _request: Request<BurnRequest>) -> Result<Response<BurnResponse>, Status> {
+        Ok(Response::new(self.shared.burn.report(Instant::now())))
+    }
+
     async fn text(&self, _request: Request<TextRequest>) -> Result<Response<TextResponse>, Status> {
         let snapshot = self.shared.snapshot.load_full();
         Ok(Response::new(TextResponse {
--- a/crates/dotterelsill_entry/src/peer.rs
+++ b/crates/dotterelsill_entry/src/peer.rs
@@ -12,6 +12,8 @@
     peer_server::Peer,
     ClaimRequest,
     ClaimResponse,
+    CountersRequest,
+    CountersResponse,
     DocumentRequest,
     DocumentResponse,
     ForwardRequest,
@@ -77,6 +79,14 @@
         }))
     }
 
+    async fn counters(
+        &self,
+        _request: Request<CountersRequest>,
+    ) -> Result<Response<CountersResponse>, Status> {
+        let counters = self.shared.snapshot.load().counters();
+        Ok(Response::new(CountersResponse { counters }))
+    }
+
     async fn claim(
         &self,
         request: Request<ClaimRequest>,
--- a/crates/dotterelsill_entry/src/plan.rs
+++ b/crates/dotterelsill_entry/src/plan.rs
@@ -8,7 +8,11 @@
 };
 
 use async_channel::Sender;
-use dotterelsill_admission::End;
+use dotterelsill_admission::{
+    End,
+    Team,
+    Teams, //
+};
 use dotterelsill_escrow::Credit;
 use dotterelsill_proto::config::{
     self,
@@ -27,6 +31,7 @@
         Held,
         NotRun, //
     },
+    burn::Counts,
     metrics::QueueMetrics,
     pool::Pool,
     service::Service, //
@@ -36,15 +41,18 @@
 pub(crate) struct ServicePlan {
     pub(crate) set: UpstreamSet,
     pub(crate) service: Arc<Service>,
+    /// Requests by team.
+    pub(crate) counts: HashMap<String, Arc<Counts>>,
     pools: HashMap<String, Arc<Pool>>,
 }
 
 impl ServicePlan {
-    /// Creates the plan; pools of upstreams that stay are those of the previous
+    /// Creates the plan; pools and counts that stay are those of the previous
     /// revision.
     pub(crate) fn new(
         set: UpstreamSet,
         service: Arc<Service>,
+        teams: &Teams,
         previous: Option<&ServicePlan>,
     ) -> Self {
         let pool = |upstream: &Arc<Upstream>| {
@@ -59,9 +67,14 @@
             Some((upstream.name().to_owned(), pool))
         };
         let pools = set.upstreams().iter().filter_map(pool).collect();
+        let counts = |team: &Arc<Team>| {
+            let kept = previous.and_then(|previous| previous.counts.get(team.name()));
+            (team.name().to_owned(), kept.cloned().unwrap_or_default())
+        };
         Self {
             set,
             service,
+            counts: teams.iter().map(counts).collect(),
             pools,
         }
     }
--- a/crates/dotterelsill_entry/src/shared.rs
+++ b/crates/dotterelsill_entry/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::{
     authority::Published,
     buckets::Buckets,
+    burn::Burn,
     limits::Limits,
     metrics::Metrics,
     once::Once,
@@ -43,6 +44,7 @@
     pub(crate) buckets: Buckets,
     /// Runs of requests that may not be repeated.
     pub(crate) once: Once,
+    pub(crate) burn: Burn,
     /// Connections and everything that ends with the program.
     pub(crate) tasks: Tasks,
     /// Requests and attempts; a shutdown waits for them first.
@@ -72,6 +74,7 @@
             limits: Arc::default(),
             buckets: Buckets::default(),
             once: Once::default(),
+            burn: Burn::new(Instant::now()),
             requests: tasks.new_group(),
             tasks,
             metrics,
--- a/crates/dotterelsill_entry/src/snapshot.rs
+++ b/crates/dotterelsill_entry/src/snapshot.rs
@@ -17,10 +17,13 @@
     Teams, //
 };
 use dotterelsill_config::parse;
-use dotterelsill_proto::config::{
-    self,
-    Document,
-    Fleet, //
+use dotterelsill_proto::{
+    config::{
+        self,
+        Document,
+        Fleet, //
+    },
+    peer::Counter, //
 };
 use dotterelsill_revision::{
     Head,
@@ -37,6 +40,7 @@
 };
 
 use crate::{
+    burn::Counts,
     limits::OPEN_TEAM,
     plan::{
         QueuePlan,
@@ -142,6 +146,20 @@
         }
     }
 
+    /// Returns the names of all services.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
+
+    /// Returns the counters of all services and teams that had requests.
+    pub(crate) fn counters(&self) -> Vec<Counter> {
+        let of_service = |(service, plan): (&String, &Arc<ServicePlan>)| {
+            let counter = |(team, counts): (&String, &Arc<Counts>)| counts.counter(service, team);
+            plan.counts.iter().filter_map(counter).collect::<Vec<_>>()
+        };
+        self.services.iter().flat_map(of_service).collect()
+    }
+
     /// Returns the team that a key belongs to.
     pub(crate) fn team_of(&self, key: &KeyHash) -> Option<&Arc<Team>> {
         self.teams.get(self.keys.team_of(key)?)
@@ -216,12 +234,12 @@
         Some(previous) => {
             let set = previous.set.rebuild(&spec, now);
             previous.service.reconfigure(teams, now);
-            ServicePlan::new(set, previous.service.clone(), Some(previous))
+            ServicePlan::new(set, previous.service.clone(), teams, Some(previous))
         }
         None => {
             let set = UpstreamSet::new(&spec, now);
             let service = Service::new(teams, &shared.limits, now);
-            ServicePlan::new(set, Arc::new(service), None)
+            ServicePlan::new(set, Arc::new(service), teams, None)
         }
     }
 }
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -11,7 +11,7 @@
 bin=$PWD/target/release
 work=$(mktemp -d)
 pids=()
-seconds=20
+seconds=${SECONDS_IDLE:-20}
 
 stop_all() {
     for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
