--- /dev/null
+++ b/crates/dotterelsill_planner/src/acting.rs
@@ -0,0 +1,211 @@
+//! Writes and orders of the planner in charge.
+
+use std::{
+    collections::BTreeMap,
+    time::{
+        Instant as Clock,
+        SystemTime, //
+    }, //
+};
+
+use dotterelsill_fleet::{
+    BudgetRecord,
+    Instance,
+    Order,
+    Service,
+    Stamp,
+    Token,
+    Versioned, //
+};
+use dotterelsill_proto::platform::{
+    AskResponse,
+    OrderKind, //
+};
+use dotterelsill_store::Put;
+use snafu::{
+    ensure,
+    OptionExt,
+    ResultExt, //
+};
+
+use crate::{
+    encode::{
+        decode_budget,
+        decode_pool,
+        encode_budget,
+        encode_pool,
+        PoolState, //
+    },
+    error::{
+        Error,
+        LapsedSnafu,
+        StoreSnafu,
+        ValueSnafu, //
+    },
+    lease::Lease,
+    shared::Shared, //
+};
+
+/// Prefix of the keys of pool records.
+const POOL_PREFIX: &str = "pool/";
+
+/// Prefix of the keys of budgets.
+const BUDGET_PREFIX: &str = "budget/";
+
+/// Budget as read, with the number of its upstreams.
+pub(crate) type BudgetRead = (Versioned<BudgetRecord>, u32);
+
+/// The planner while it holds the lease.
+///
+/// Each write and each call of an instance checks the lease with a clock
+/// reading of its own. A call that is delayed after that is refused by the
+/// version of its key or by the gate of its instance.
+#[derive(Clone, Copy)]
+pub(crate) struct Acting<'a> {
+    pub(crate) lease: &'a Lease,
+    pub(crate) shared: &'a Shared,
+}
+
+impl Acting<'_> {
+    /// Returns the fencing token.
+    pub(crate) fn token(&self) -> Token {
+        self.lease.token
+    }
+
+    /// Reads a pool record.
+    pub(crate) async fn read_pool(
+        &self,
+        instance: Instance,
+    ) -> Result<Option<Versioned<PoolState>>, Error> {
+        let key = self.pool_key(instance);
+        let Some(entry) = self.shared.store.get(&key).await.context(StoreSnafu)? else {
+            return Ok(None);
+        };
+        let value = decode_pool(&entry.value, &self.shared.names);
+        let version = entry.version;
+        let value = value.context(ValueSnafu { key })?;
+        Ok(Some(Versioned { value, version }))
+    }
+
+    /// Reads all pool records.
+    pub(crate) async fn list_pools(
+        &self,
+    ) -> Result<BTreeMap<Instance, Versioned<PoolState>>, Error> {
+        let names = &self.shared.names;
+        let entries = self.shared.store.list(POOL_PREFIX).await;
+        let mut pools = BTreeMap::new();
+        for entry in entries.context(StoreSnafu)? {
+            let instance = Instance(names.number(entry.key.trim_start_matches(POOL_PREFIX)));
+            let version = entry.version;
+            let value = decode_pool(&entry.value, names);
+            let value = value.context(ValueSnafu { key: entry.key })?;
+            pools.insert(instance, Versioned { value, version });
+        }
+        Ok(pools)
+    }
+
+    /// Writes a pool record.
+    pub(crate) async fn write_pool(
+        &self,
+        instance: Instance,
+        state: &PoolState,
+        expected_version: u64,
+    ) -> Result<Put, Error> {
+        let value = encode_pool(state, &self.shared.names);
+        self.put(&self.pool_key(instance), value, expected_version)
+            .await
+    }
+
+    /// Reads the budget of a service.
+    pub(crate) async fn read_budget(&self, service: Service) -> Result<Option<BudgetRead>, Error> {
+        let key = self.budget_key(service);
+        let Some(entry) = self.shared.store.get(&key).await.context(StoreSnafu)? else {
+            return Ok(None);
+        };
+        let value = decode_budget(&entry.value, &self.shared.names);
+        let version = entry.version;
+        let (value, upstreams) = value.context(ValueSnafu { key })?;
+        Ok(Some((Versioned { value, version }, upstreams)))
+    }
+
+    /// Returns the services that have a budget.
+    pub(crate) async fn list_budgets(&self) -> Result<Vec<Service>, Error> {
+        let entries = self.shared.store.list(BUDGET_PREFIX).await;
+        let entries = entries.context(StoreSnafu)?;
+        let names = entries
+            .iter()
+            .map(|e| e.key.trim_start_matches(BUDGET_PREFIX));
+        Ok(names
+            .map(|n| Service(self.shared.names.number(n)))
+            .collect())
+    }
+
+    /// Writes the budget of a service.
+    pub(crate) async fn write_budget(
+        &self,
+        service: Service,
+        record: &BudgetRecord,
+        upstreams: u32,
+        expected_version: u64,
+    ) -> Result<Put, Error> {
+        let value = encode_budget(record, upstreams, &self.shared.names);
+        self.put(&self.budget_key(service), value, expected_version)
+            .await
+    }
+
+    /// Sends an order and returns whether it took effect.
+    pub(crate) async fn order(
+        &self,
+        instance: Instance,
+        order: Order,
+        stamp: Stamp,
+    ) -> Result<bool, Error> {
+        self.check()?;
+        let names = &self.shared.names;
+        let (kind, pool) = match order {
+            Order::Drain(pool) => (OrderKind::Drain, names.name(pool.0)),
+            Order::Detach(pool) => (OrderKind::Detach, names.name(pool.0)),
+            Order::Attach(pool) => (OrderKind::Attach, names.name(pool.0)),
+            Order::Maintain => (OrderKind::Reboot, String::new()),
+        };
+        let instance = names.name(instance.0);
+        self.shared
+            .platform
+            .order(&instance, kind, pool, stamp)
+            .await
+    }
+
+    /// Asks an instance for its actual state.
+    pub(crate) async fn ask(&self, instance: Instance, stamp: Stamp) -> Result<AskResponse, Error> {
+        self.check()?;
+        let instance = self.shared.names.name(instance.0);
+        self.shared.platform.ask(&instance, stamp).await
+    }
+
+    /// Fails if the lease may have ended.
+    pub(crate) fn check(&self) -> Result<(), Error> {
+        ensure!(self.lease.is_held(Clock::now()), LapsedSnafu);
+        Ok(())
+    }
+
+    async fn put(&self, key: &str, value: Vec<u8>, expected_version: u64) -> Result<Put, Error> {
+        self.check()?;
+        let put = self.shared.store.put(key, value, expected_version, 0).await;
+        put.context(StoreSnafu)
+    }
+
+    fn pool_key(&self, instance: Instance) -> String {
+        format!("{POOL_PREFIX}{}", self.shared.names.name(instance.0))
+    }
+
+    fn budget_key(&self, service: Service) -> String {
+        format!("{BUDGET_PREFIX}{}", self.shared.names.name(service.0))
+    }
+}
+
+/// Returns the time since the epoch in milliseconds.
+pub(crate) fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/dotterelsill_planner/src/charges.rs
@@ -0,0 +1,192 @@
+//! Charges that no mover takes: failures, orders of operators, and the number
+//! of upstreams.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use dotterelsill_fleet::{
+    BudgetError,
+    BudgetRecord,
+    Instance,
+    Service,
+    Stamp,
+    Step,
+    Token,
+    Versioned, //
+};
+use dotterelsill_proto::platform::InstanceState;
+
+use crate::{
+    acting::{
+        Acting,
+        BudgetRead, //
+    },
+    encode::PoolState,
+    error::Error,
+    takeover::create_budget,
+    topology::{
+        Member,
+        Topology, //
+    }, //
+};
+
+/// Pool records as read.
+pub(crate) type Pools = BTreeMap<Instance, Versioned<PoolState>>;
+
+/// States of the instances by the platform's lagging list.
+pub(crate) type Listed = BTreeMap<Instance, InstanceState>;
+
+/// What a review of the budgets is made from.
+#[derive(Clone, Copy)]
+pub(crate) struct Review<'a> {
+    pub(crate) acting: Acting<'a>,
+    pub(crate) listed: &'a Listed,
+    /// Instances with a mover, which asks them itself.
+    pub(crate) moving: &'a BTreeSet<Instance>,
+    pub(crate) pools: &'a Pools,
+    pub(crate) topology: &'a Topology,
+}
+
+impl Review<'_> {
+    /// Brings the budgets up to date and returns them as they were read.
+    pub(crate) async fn run(&self) -> Result<BTreeMap<Service, BudgetRead>, Error> {
+        let mut budgets = BTreeMap::new();
+        for service in self.topology.services.keys().copied() {
+            let Some(read) = self.acting.read_budget(service).await? else {
+                create_budget(self.acting, service, self.topology).await?;
+                continue;
+            };
+            self.update(service, &read).await?;
+            budgets.insert(service, read);
+        }
+        Ok(budgets)
+    }
+
+    /// Writes the budget if it is not up to date. A conflict with a mover is
+    /// left to the next review.
+    async fn update(&self, service: Service, read: &BudgetRead) -> Result<(), Error> {
+        let (record, found_upstreams) = read;
+        let upstreams = self.upstreams(service);
+        let recovered = self.recovered(service, &record.value).await?;
+        let next = self
+            .next(service, &record.value, upstreams, &recovered)
+            .map_err(|_| Error::Fenced)?;
+        if next != record.value || upstreams != *found_upstreams {
+            let version = record.version;
+            let put = self.acting.write_budget(service, &next, upstreams, version);
+            put.await?;
+        }
+        Ok(())
+    }
+
+    fn next(
+        &self,
+        service: Service,
+        record: &BudgetRecord,
+        upstreams: u32,
+        recovered: &BTreeSet<Instance>,
+    ) -> Result<BudgetRecord, BudgetError> {
+        let token = self.acting.token();
+        let mut next = record.set_upstreams(token, upstreams)?;
+        for member in self.members(service) {
+            if self.is_lost(member) {
+                next = next.set_involuntary(token, member.upstream, true)?;
+            }
+        }
+        for charge in record.charges() {
+            if recovered.contains(&charge.upstream.instance) {
+                next = next.set_involuntary(token, charge.upstream, false)?;
+            }
+        }
+        self.ordered(service, next, token)
+    }
+
+    /// Charges the data centres that are out and clears those that are back.
+    fn ordered(
+        &self,
+        service: Service,
+        mut record: BudgetRecord,
+        token: Token,
+    ) -> Result<BudgetRecord, BudgetError> {
+        let is_out = |upstream: &_| self.is_out(upstream);
+        let out: Vec<_> = self.topology.of(service).filter(is_out).collect();
+        record = record.set_ordered(token, &out, true)?;
+        let charges = record.charges().iter();
+        let back = charges.map(|charge| charge.upstream);
+        let back: Vec<_> = back.filter(|upstream| !self.is_out(upstream)).collect();
+        record.set_ordered(token, &back, false)
+    }
+
+    fn is_out(&self, upstream: &dotterelsill_fleet::Upstream) -> bool {
+        self.topology.out.contains(&upstream.data_centre)
+    }
+
+    /// Returns whether an upstream that the text names is known to serve
+    /// nothing for its service.
+    fn is_lost(&self, member: &Member) -> bool {
+        let instance = member.upstream.instance;
+        match self.listed.get(&instance) {
+            None | Some(InstanceState::Failed) => return true,
+            Some(_) => {}
+        }
+        let record = self.pools.get(&instance).map(|pool| pool.value.record);
+        record.is_none_or(|record| record.pool.0 != member.service.0)
+    }
+
+    /// Returns the instances with an involuntary charge that are in service
+    /// again, asked directly because the list lags.
+    async fn recovered(
+        &self,
+        service: Service,
+        record: &BudgetRecord,
+    ) -> Result<BTreeSet<Instance>, Error> {
+        let mut recovered = BTreeSet::new();
+        for charge in record.charges().iter().filter(|c| c.involuntary) {
+            let instance = charge.upstream.instance;
+            let member = self.topology.members.get(&instance);
+            let member = member.filter(|member| member.service == service);
+            if member.is_none_or(|m| !self.is_lost(m)) && self.is_in_service(instance).await? {
+                recovered.insert(instance);
+            }
+        }
+        Ok(recovered)
+    }
+
+    async fn is_in_service(&self, instance: Instance) -> Result<bool, Error> {
+        let Some(pool) = self.pools.get(&instance) else {
+            return Ok(false);
+        };
+        if self.moving.contains(&instance) || pool.value.record.step != Step::Settled {
+            return Ok(false);
+        }
+        let stamp = Stamp {
+            token: self.acting.token(),
+            version: pool.version,
+        };
+        match self.acting.ask(instance, stamp).await {
+            Ok(answer) => Ok(answer.admitted && answer.in_service),
+            Err(error) if error.ends_lead() => Err(error),
+            Err(_) => Ok(false),
+        }
+    }
+
+    /// Returns the number of upstreams of a service: those that the text names,
+    /// and those that are still in its pool.
+    fn upstreams(&self, service: Service) -> u32 {
+        let named = self.members(service).map(|m| m.upstream.instance);
+        let in_pool = self.pools.iter().filter(|(_, pool)| {
+            let record = pool.value.record;
+            record.pool.0 == service.0
+        });
+        let mut all: BTreeSet<Instance> = named.collect();
+        all.extend(in_pool.map(|(instance, _)| *instance));
+        all.len() as u32
+    }
+
+    fn members(&self, service: Service) -> impl Iterator<Item = &Member> {
+        let members = self.topology.members.values();
+        members.filter(move |member| member.service == service)
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_planner/src/daemon.rs
@@ -0,0 +1,157 @@
+//! Starts and stops the parts of the daemon.
+
+use std::{
+    net::{
+        AddrParseError,
+        SocketAddr, //
+    },
+    sync::Arc, //
+};
+
+use async_io::Timer;
+use dotterelsill_proto::{
+    planner::planner_server::PlannerServer,
+    settings::PlannerSettings, //
+};
+use dotterelsill_rpc::{
+    serve_grpc,
+    termination_signal,
+    ListenError,
+    Listener,
+    Tasks, //
+};
+use dotterelsill_store::Client;
+use futures_lite::FutureExt as _;
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+
+use crate::{
+    acting::Acting,
+    error::Error,
+    lead,
+    lease::{
+        self,
+        Lease, //
+    },
+    names::Names,
+    platform::Platform,
+    service::Service,
+    settings::Settings,
+    shared::Shared,
+    view::View, //
+};
+
+/// The daemon cannot start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The address for operators cannot be listened on.
+    #[snafu(display("listen: {source}"))]
+    Listen {
+        /// Reason.
+        source: ListenError,
+    },
+    /// An address is not written as one.
+    #[snafu(display("{name}: {address:?} is not a socket address; write it as 10.0.0.1:2379"))]
+    Address {
+        /// Name of the setting.
+        name: &'static str,
+        /// Text of the setting.
+        address: String,
+        /// Reason.
+        source: AddrParseError,
+    },
+    /// The signal handlers cannot be installed.
+    #[snafu(display("signal handlers: {source}"))]
+    Signal {
+        /// Reason.
+        source: std::io::Error,
+    },
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be used or the signal handlers
+/// cannot be installed.
+pub async fn run(settings: PlannerSettings, tasks: Tasks) -> Result<(), StartError> {
+    let store = parse("store", &settings.store)?;
+    let platform = parse("platform", &settings.platform)?;
+    let listener = Listener::bind(&settings.listen).context(ListenSnafu)?;
+    log::info!(address:% = listener.address(); "listening");
+    let shared = Arc::new(Shared {
+        address: listener.address().to_string(),
+        incarnation: rand::random(),
+        names: Names::default(),
+        platform: Platform::new(platform, &tasks),
+        settings: Settings::new(&settings),
+        store: Client::new(store, &tasks),
+        view: View::default(),
+    });
+    let service = PlannerServer::new(Service::new(shared.clone()));
+    tasks.spawn(serve_grpc(listener, tasks.clone(), service));
+    let stopped = async {
+        let signal = termination_signal().await;
+        tasks.stop();
+        signal
+    };
+    let acting = async {
+        take_turns(&shared, &tasks).await;
+        Ok(())
+    };
+    let result = stopped.or(acting).await;
+    tasks.stop();
+    tasks.join().await;
+    result.context(SignalSnafu)
+}
+
+fn parse(name: &'static str, address: &str) -> Result<SocketAddr, StartError> {
+    address.parse().context(AddressSnafu { name, address })
+}
+
+/// Acts whenever this planner holds the lease.
+async fn take_turns(shared: &Arc<Shared>, tasks: &Tasks) {
+    while !tasks.is_stopping() {
+        match lease::acquire(shared).await {
+            Ok(Some(lease)) => act(shared, lease, tasks).await,
+            Ok(None) => {}
+            Err(error) => log::warn!(error:%; "lease_not_taken"),
+        }
+        Timer::after(shared.settings.tick).await;
+    }
+}
+
+/// Acts until the lease may have ended or another planner is in charge.
+///
+/// The lease is renewed by a task of its own, because a plan of a large fleet
+/// takes longer than a renewal may be late.
+async fn act(shared: &Arc<Shared>, lease: Lease, tasks: &Tasks) {
+    log::info!(token = lease.token.0; "planner_in_charge");
+    let lease = Arc::new(lease);
+    let renewal = tasks.new_group();
+    renewal.spawn_until_stop(keep(shared.clone(), lease.clone(), renewal.clone()));
+    let acting = Acting {
+        lease: &lease,
+        shared,
+    };
+    let lapsed = async {
+        renewal.stopped().await;
+        Err(Error::Lapsed)
+    };
+    let result: Result<(), Error> = lapsed.or(lead::run(acting)).await;
+    shared.view.set(None);
+    if let Err(error) = result {
+        log::warn!(token = lease.token.0, error:%; "planner_stops_acting");
+    }
+    renewal.stop();
+    renewal.join().await;
+    lease::release(shared, &lease).await;
+}
+
+/// Renews the lease and stops the group when it may have ended.
+async fn keep(shared: Arc<Shared>, lease: Arc<Lease>, group: Tasks) {
+    lease::keep(&shared, &lease).await;
+    group.stop();
+}
--- /dev/null
+++ b/crates/dotterelsill_planner/src/error.rs
@@ -0,0 +1,41 @@
+//! Failures while this planner acts.
+
+use snafu::Snafu;
+
+/// A step of the planner failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum Error {
+    #[snafu(display("{source}"))]
+    Store { source: dotterelsill_store::Error },
+    #[snafu(display("platform {call}: {}", source.message()))]
+    Platform {
+        call: &'static str,
+        #[snafu(source(from(tonic::Status, Box::new)))]
+        source: Box<tonic::Status>,
+    },
+    #[snafu(display("platform {call}: {source}"))]
+    PlatformTimeout {
+        call: &'static str,
+        source: dotterelsill_rpc::Elapsed,
+    },
+    #[snafu(display("{key}: the value cannot be read; delete it only if no move is in progress"))]
+    Value { key: String },
+    #[snafu(display("{key}: missing in the store"))]
+    Missing { key: String },
+    #[snafu(display("document {write_id}: its digest differs from the head's"))]
+    Digest { write_id: String },
+    #[snafu(display("document {write_id}: its text is refused: {finding}"))]
+    Text { write_id: String, finding: String },
+    #[snafu(display("the lease may have ended; this planner stops acting"))]
+    Lapsed,
+    #[snafu(display("a planner with a higher token is in charge"))]
+    Fenced,
+}
+
+impl Error {
+    /// Returns whether this planner must stop acting.
+    pub(crate) fn ends_lead(&self) -> bool {
+        matches!(self, Self::Lapsed | Self::Fenced)
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_planner/src/lease.rs
@@ -0,0 +1,191 @@
+//! The leased key `planner` and the fencing token.
+
+use std::{
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use async_io::Timer;
+use dotterelsill_fleet::Token;
+use dotterelsill_proto::planner::{
+    Holder,
+    TokenValue, //
+};
+use dotterelsill_store::{
+    Client,
+    Error as StoreError, //
+};
+use prost::Message as _;
+use snafu::{
+    OptionExt,
+    ResultExt, //
+};
+
+use crate::{
+    error::{
+        Error,
+        StoreSnafu,
+        ValueSnafu, //
+    },
+    shared::Shared, //
+};
+
+/// Leased key of the planner in charge.
+pub(crate) const HOLDER_KEY: &str = "planner";
+
+/// Key of the highest fencing token given.
+pub(crate) const TOKEN_KEY: &str = "planner-token";
+
+/// Renewals within one time to live.
+const RENEWALS_PER_TTL: u32 = 4;
+
+/// Part of the time to live, as a divisor, that is not used, for clocks that
+/// run apart.
+const MARGIN_DIVISOR: u32 = 10;
+
+/// The right of this planner to act.
+pub(crate) struct Lease {
+    ends_at: Mutex<Instant>,
+    id: u64,
+    pub(crate) token: Token,
+    ttl: Duration,
+    /// Version of the holder's key.
+    version: u64,
+}
+
+impl Lease {
+    /// Returns whether the lease cannot have ended yet.
+    pub(crate) fn is_held(&self, now: Instant) -> bool {
+        now < *self.lock()
+    }
+
+    fn extend(&self, sent_at: Instant) {
+        *self.lock() = end(sent_at, self.ttl);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Instant> {
+        self.ends_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the instant until which a lease that was granted or renewed by a
+/// call sent at `sent_at` is used.
+fn end(sent_at: Instant, ttl: Duration) -> Instant {
+    sent_at + (ttl - ttl / MARGIN_DIVISOR)
+}
+
+/// Takes the lease unless another planner holds it.
+///
+/// The token is taken first. A planner that is paused between the two writes
+/// could take the lease under a token that is no longer the highest, so the
+/// token is read again afterwards.
+pub(crate) async fn acquire(shared: &Shared) -> Result<Option<Lease>, Error> {
+    let store = &shared.store;
+    if store.get(HOLDER_KEY).await.context(StoreSnafu)?.is_some() {
+        return Ok(None);
+    }
+    let Some(token) = take_token(store).await? else {
+        return Ok(None);
+    };
+    let ttl = shared.settings.lease;
+    let sent_at = Instant::now();
+    let id = store.lease_grant(ttl).await.context(StoreSnafu)?;
+    let Some(version) = write_holder(shared, token, id).await? else {
+        return Ok(None);
+    };
+    let lease = Lease {
+        ends_at: Mutex::new(end(sent_at, ttl)),
+        id,
+        token,
+        ttl,
+        version,
+    };
+    let (highest, _) = read_token(store).await?;
+    if highest != token.0 {
+        release(shared, &lease).await;
+        return Ok(None);
+    }
+    Ok(Some(lease))
+}
+
+/// Takes the next token, or `None` if another planner was faster or the answer
+/// was lost; a token is never taken twice.
+async fn take_token(store: &Client) -> Result<Option<Token>, Error> {
+    let (highest, version) = read_token(store).await?;
+    let token = highest + 1;
+    let value = TokenValue { token }.encode_to_vec();
+    let put = store.put(TOKEN_KEY, value, version, 0).await;
+    let put = put.context(StoreSnafu)?;
+    Ok(put.written.then_some(Token(token)))
+}
+
+async fn read_token(store: &Client) -> Result<(u64, u64), Error> {
+    let entry = store.get(TOKEN_KEY).await.context(StoreSnafu)?;
+    let Some(entry) = entry else {
+        return Ok((0, 0));
+    };
+    let value = TokenValue::decode(entry.value.as_slice()).ok();
+    let value = value.context(ValueSnafu { key: TOKEN_KEY })?;
+    Ok((value.token, entry.version))
+}
+
+/// Writes the holder's key under a lease and returns its version, or `None` if
+/// another planner holds it.
+async fn write_holder(shared: &Shared, token: Token, lease: u64) -> Result<Option<u64>, Error> {
+    let holder = Holder {
+        incarnation: shared.incarnation.to_be_bytes().to_vec(),
+        token: token.0,
+        planner: shared.settings.planner.clone(),
+        address: shared.address.clone(),
+    };
+    let value = holder.encode_to_vec();
+    match shared.store.put(HOLDER_KEY, value, 0, lease).await {
+        Ok(put) => Ok(put.written.then_some(put.version)),
+        Err(error) if error.is_without_effect() => Ok(None),
+        Err(_) => recognise(shared, &holder).await,
+    }
+}
+
+/// Finds out whether a write whose answer was lost took effect.
+async fn recognise(shared: &Shared, own: &Holder) -> Result<Option<u64>, Error> {
+    let entry = shared.store.get(HOLDER_KEY).await.context(StoreSnafu)?;
+    let is_own = |value: &[u8]| Holder::decode(value).is_ok_and(|found| found == *own);
+    Ok(entry.filter(|e| is_own(&e.value)).map(|e| e.version))
+}
+
+/// Returns the planner in charge.
+pub(crate) async fn holder(store: &Client) -> Result<Option<Holder>, Error> {
+    let entry = store.get(HOLDER_KEY).await.context(StoreSnafu)?;
+    let Some(entry) = entry else {
+        return Ok(None);
+    };
+    let holder = Holder::decode(entry.value.as_slice()).ok();
+    Ok(Some(holder.context(ValueSnafu { key: HOLDER_KEY })?))
+}
+
+/// Renews the lease until it may have ended.
+pub(crate) async fn keep(shared: &Shared, lease: &Lease) {
+    while lease.is_held(Instant::now()) {
+        Timer::after(lease.ttl / RENEWALS_PER_TTL).await;
+        let sent_at = Instant::now();
+        match shared.store.lease_keep_alive(lease.id).await {
+            Ok(true) => lease.extend(sent_at),
+            Ok(false) => return,
+            Err(error) => log::warn!(error:%; "lease_not_renewed"),
+        }
+    }
+}
+
+/// Gives the lease up, so that another planner need not wait for its end.
+pub(crate) async fn release(shared: &Shared, lease: &Lease) {
+    let deleted: Result<bool, StoreError> = shared.store.delete(HOLDER_KEY, lease.version).await;
+    if let Err(error) = deleted {
+        log::warn!(error:%; "lease_not_released");
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_planner/src/lib.rs
@@ -0,0 +1,26 @@
+//! Driver of `dotterelsill_fleet`: one of several planners acts, under the
+//! leased store key `planner`.
+
+mod acting;
+mod charges;
+mod daemon;
+mod drive;
+mod encode;
+mod error;
+mod lead;
+mod lease;
+mod maintenance;
+mod names;
+mod platform;
+mod service;
+mod settings;
+mod shared;
+mod takeover;
+mod text;
+mod topology;
+mod view;
+
+pub use daemon::{
+    run,
+    StartError, //
+};
--- /dev/null
+++ b/crates/dotterelsill_planner/src/platform.rs
@@ -0,0 +1,106 @@
+//! Client of the platform's instances.
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use dotterelsill_fleet::Stamp;
+use dotterelsill_proto::platform::{
+    platform_client::PlatformClient,
+    AskRequest,
+    AskResponse,
+    Instance,
+    ListInstancesRequest,
+    OrderKind,
+    OrderRequest,
+    Stamp as StampMessage, //
+};
+use dotterelsill_rpc::{
+    timeout,
+    Channel,
+    Tasks, //
+};
+use snafu::ResultExt;
+use tonic::{
+    Response,
+    Status, //
+};
+
+use crate::error::{
+    Error,
+    PlatformSnafu,
+    PlatformTimeoutSnafu, //
+};
+
+/// Longest time that one call may take. An order that takes longer is asked for
+/// again with the same stamp.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Client of the platform's instances.
+pub(crate) struct Platform {
+    grpc: PlatformClient<Channel>,
+}
+
+impl Platform {
+    /// Creates a client that connects with its first call.
+    pub(crate) fn new(address: SocketAddr, tasks: &Tasks) -> Self {
+        let channel = Channel::new(address, CALL_TIMEOUT, tasks);
+        let origin = tonic::codegen::http::Uri::from_static("http://platform");
+        Self {
+            grpc: PlatformClient::with_origin(channel, origin),
+        }
+    }
+
+    /// Lists all instances, as they were some time ago.
+    pub(crate) async fn list(&self) -> Result<Vec<Instance>, Error> {
+        let mut grpc = self.grpc.clone();
+        let answer = call("list", grpc.list_instances(ListInstancesRequest {})).await?;
+        Ok(answer.instances)
+    }
+
+    /// Sends an order and returns whether it took effect.
+    pub(crate) async fn order(
+        &self,
+        instance: &str,
+        kind: OrderKind,
+        pool: String,
+        stamp: Stamp,
+    ) -> Result<bool, Error> {
+        let request = OrderRequest {
+            instance: instance.to_owned(),
+            kind: kind.into(),
+            pool,
+            stamp: Some(message(stamp)),
+        };
+        let mut grpc = self.grpc.clone();
+        Ok(call("order", grpc.order(request)).await?.carried)
+    }
+
+    /// Asks an instance for its actual state.
+    pub(crate) async fn ask(&self, instance: &str, stamp: Stamp) -> Result<AskResponse, Error> {
+        let request = AskRequest {
+            instance: instance.to_owned(),
+            stamp: Some(message(stamp)),
+        };
+        let mut grpc = self.grpc.clone();
+        call("ask", grpc.ask(request)).await
+    }
+}
+
+fn message(stamp: Stamp) -> StampMessage {
+    StampMessage {
+        token: stamp.token.0,
+        version: stamp.version,
+    }
+}
+
+async fn call<T>(
+    call: &'static str,
+    answer: impl Future<Output = Result<Response<T>, Status>>,
+) -> Result<T, Error> {
+    let answer = timeout(CALL_TIMEOUT, answer).await;
+    let answer = answer.context(PlatformTimeoutSnafu { call })?;
+    Ok(answer.context(PlatformSnafu { call })?.into_inner())
+}
--- /dev/null
+++ b/crates/dotterelsill_planner/src/settings.rs
@@ -0,0 +1,69 @@
+//! Settings with their defaults.
+
+use std::time::Duration;
+
+use dotterelsill_fleet::{
+    MaintenanceRule,
+    WaveRule, //
+};
+use dotterelsill_proto::settings::PlannerSettings;
+
+const DEFAULT_LEASE_MS: u32 = 5_000;
+const DEFAULT_TICK_MS: u32 = 1_000;
+const DEFAULT_PLAN_HOUR_MS: u32 = 3_600_000;
+const DEFAULT_MOVE_LIMIT_MS: u32 = 30 * 60 * 1_000;
+
+/// Settings as the planner uses them.
+#[derive(Clone, Debug)]
+pub(crate) struct Settings {
+    pub(crate) lease: Duration,
+    pub(crate) maintenance: MaintenanceRule,
+    pub(crate) move_limit: Duration,
+    pub(crate) per_data_centre: u32,
+    pub(crate) per_rack: u32,
+    pub(crate) plan_hour_ms: u32,
+    pub(crate) planner: String,
+    pub(crate) tick: Duration,
+    pub(crate) wave: WaveRule,
+}
+
+impl Settings {
+    /// Returns the settings with the defaults filled in.
+    pub(crate) fn new(settings: &PlannerSettings) -> Self {
+        let ms = |value, default| Duration::from_millis(or(value, default).into());
+        let wave = WaveRule::default();
+        Self {
+            lease: ms(settings.lease_ms, DEFAULT_LEASE_MS),
+            maintenance: maintenance(settings.interval_h),
+            move_limit: ms(settings.move_limit_ms, DEFAULT_MOVE_LIMIT_MS),
+            per_data_centre: or(settings.per_data_centre, u32::MAX),
+            per_rack: or(settings.per_rack, u32::MAX),
+            plan_hour_ms: or(settings.plan_hour_ms, DEFAULT_PLAN_HOUR_MS),
+            planner: settings.planner.clone(),
+            tick: ms(settings.tick_ms, DEFAULT_TICK_MS),
+            wave: WaveRule {
+                soak: ms(settings.soak_ms, wave.soak.as_millis() as u32),
+                watch: ms(settings.watch_ms, wave.watch.as_millis() as u32),
+                ..wave
+            },
+        }
+    }
+}
+
+/// Returns the rule of the maintenance; a short interval has a short margin.
+fn maintenance(interval_h: u32) -> MaintenanceRule {
+    let rule = MaintenanceRule::default();
+    let interval_h = or(interval_h, rule.interval_h);
+    MaintenanceRule {
+        interval_h,
+        margin_h: rule.margin_h.min(interval_h / 6),
+        ..rule
+    }
+}
+
+fn or(value: u32, default: u32) -> u32 {
+    match value {
+        0 => default,
+        value => value,
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_planner/src/takeover.rs
@@ -0,0 +1,112 @@
+//! Start of this planner after it has taken the lease.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
+};
+
+use async_io::Timer;
+use dotterelsill_fleet::{
+    BudgetRecord,
+    Service,
+    Takeover,
+    TakeoverAction,
+    TakeoverEvent,
+    Versioned, //
+};
+
+use crate::{
+    acting::Acting,
+    error::Error,
+    topology::Topology, //
+};
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Stamps the budgets of all services, those without upstreams included.
+pub(crate) async fn run(acting: Acting<'_>, topology: &Topology) -> Result<Takeover, Error> {
+    let mut services: BTreeSet<Service> = topology.services.keys().copied().collect();
+    services.extend(acting.list_budgets().await?);
+    let mut takeover = Takeover::new(acting.token(), services.iter().copied());
+    let mut upstreams = BTreeMap::new();
+    for service in services {
+        let mut action = TakeoverAction::Read;
+        loop {
+            let event = perform(acting, service, &action, topology, &mut upstreams).await?;
+            match takeover.on(service, event) {
+                Some(TakeoverAction::Stop) => return Err(Error::Fenced),
+                Some(next) => action = next,
+                None => break,
+            }
+        }
+    }
+    Ok(takeover)
+}
+
+async fn perform(
+    acting: Acting<'_>,
+    service: Service,
+    action: &TakeoverAction,
+    topology: &Topology,
+    upstreams: &mut BTreeMap<Service, u32>,
+) -> Result<TakeoverEvent, Error> {
+    let result = match action {
+        TakeoverAction::Write(write) => {
+            let count = upstreams.get(&service).copied().unwrap_or(0);
+            let expected_version = write.expected_version;
+            let put = acting.write_budget(service, &write.value, count, expected_version);
+            put.await.map(|put| match put.written {
+                true => TakeoverEvent::Written { expected_version },
+                false => TakeoverEvent::Again,
+            })
+        }
+        TakeoverAction::Read | TakeoverAction::Stop => {
+            let read = read_or_create(acting, service, topology).await;
+            read.map(|read| match read {
+                Some((record, count)) => {
+                    upstreams.insert(service, count);
+                    TakeoverEvent::Read(record)
+                }
+                None => TakeoverEvent::Again,
+            })
+        }
+    };
+    match result {
+        Ok(event) => Ok(event),
+        Err(error) if error.ends_lead() => Err(error),
+        Err(error) => {
+            log::warn!(error:%; "takeover_delayed");
+            Timer::after(RETRY_PAUSE).await;
+            Ok(TakeoverEvent::Again)
+        }
+    }
+}
+
+/// Reads a budget; a service that has none gets one, which the next read finds.
+async fn read_or_create(
+    acting: Acting<'_>,
+    service: Service,
+    topology: &Topology,
+) -> Result<Option<(Versioned<BudgetRecord>, u32)>, Error> {
+    let read = acting.read_budget(service).await?;
+    if read.is_none() {
+        create_budget(acting, service, topology).await?;
+    }
+    Ok(read)
+}
+
+/// Creates the budget of a service unless it exists.
+pub(crate) async fn create_budget(
+    acting: Acting<'_>,
+    service: Service,
+    topology: &Topology,
+) -> Result<(), Error> {
+    let upstreams = topology.services.get(&service).map_or(0, |s| s.upstreams);
+    let record = BudgetRecord::new(acting.token(), upstreams);
+    acting.write_budget(service, &record, upstreams, 0).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/dotterelsill_planner/src/topology.rs
@@ -0,0 +1,159 @@
+//! The operators' configuration as the planner uses it.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use dotterelsill_config::Checked;
+use dotterelsill_fleet::{
+    BudgetRule,
+    DataCentre,
+    Instance,
+    Rack,
+    Service,
+    Upstream, //
+};
+use dotterelsill_proto::config::{
+    Document,
+    Head, //
+};
+use prost::Message as _;
+use sha2::{
+    Digest as _,
+    Sha256, //
+};
+use snafu::{
+    ensure,
+    OptionExt,
+    ResultExt, //
+};
+
+use crate::{
+    error::{
+        DigestSnafu,
+        Error,
+        MissingSnafu,
+        StoreSnafu,
+        TextSnafu,
+        ValueSnafu, //
+    },
+    names::Names,
+    settings::Settings,
+    shared::Shared, //
+};
+
+const HEAD_KEY: &str = "config/head";
+
+/// Services, their upstreams and the data centres that are out.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Topology {
+    pub(crate) members: BTreeMap<Instance, Member>,
+    pub(crate) out: BTreeSet<DataCentre>,
+    pub(crate) revision: u64,
+    pub(crate) services: BTreeMap<Service, ServiceRule>,
+}
+
+/// Upstream of a service. The service is the pool of the instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Member {
+    pub(crate) service: Service,
+    pub(crate) upstream: Upstream,
+}
+
+/// Limits of a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServiceRule {
+    pub(crate) rule: BudgetRule,
+    pub(crate) upstreams: u32,
+}
+
+impl Topology {
+    /// Returns the upstreams of a service.
+    pub(crate) fn of(&self, service: Service) -> impl Iterator<Item = Upstream> + '_ {
+        let members = self.members.values();
+        members
+            .filter(move |member| member.service == service)
+            .map(|member| member.upstream)
+    }
+
+    fn new(revision: u64, document: &Document, checked: &Checked, shared: &Shared) -> Self {
+        let names = &shared.names;
+        let out = document.data_centres_out.iter();
+        let mut topology = Self {
+            out: out.map(|name| DataCentre(names.number(name))).collect(),
+            revision,
+            ..Self::default()
+        };
+        for service in &checked.fleet().services {
+            topology.add(service, names, &shared.settings);
+        }
+        topology
+    }
+
+    fn add(
+        &mut self,
+        service: &dotterelsill_proto::config::Service,
+        names: &Names,
+        settings: &Settings,
+    ) {
+        let number = Service(names.number(&service.name));
+        let rule = ServiceRule {
+            rule: BudgetRule {
+                floor_percent: service.availability_floor_percent,
+                per_data_centre: settings.per_data_centre,
+                per_rack: settings.per_rack,
+            },
+            upstreams: service.upstreams.len() as u32,
+        };
+        self.services.insert(number, rule);
+        for upstream in &service.upstreams {
+            let upstream = Upstream {
+                data_centre: DataCentre(names.number(&upstream.data_centre)),
+                instance: Instance(names.number(&upstream.name)),
+                rack: Rack(names.rack(&upstream.data_centre, &upstream.rack)),
+            };
+            let member = Member {
+                service: number,
+                upstream,
+            };
+            self.members.insert(upstream.instance, member);
+        }
+    }
+}
+
+/// Reads the newest configuration, or `None` if the one known is the newest.
+pub(crate) async fn read(shared: &Shared, known: u64) -> Result<Option<Topology>, Error> {
+    let entry = shared.store.get(HEAD_KEY).await.context(StoreSnafu)?;
+    let Some(entry) = entry else {
+        return Ok(None);
+    };
+    let head = Head::decode(entry.value.as_slice()).ok();
+    let head = head.context(ValueSnafu { key: HEAD_KEY })?;
+    if head.revision <= known {
+        return Ok(None);
+    }
+    let document = fetch(shared, &head).await?;
+    let write_id = &head.write_id;
+    let checked = dotterelsill_config::parse(&document.text).map_err(|findings| {
+        let finding = findings.first().map(ToString::to_string);
+        let finding = finding.unwrap_or_default();
+        TextSnafu { write_id, finding }.build()
+    })?;
+    let topology = Topology::new(head.revision, &document, &checked, shared);
+    Ok(Some(topology))
+}
+
+async fn fetch(shared: &Shared, head: &Head) -> Result<Document, Error> {
+    let write_id = &head.write_id;
+    let key = format!("config/body/{write_id}");
+    let entry = shared.store.get(&key).await.context(StoreSnafu)?;
+    let entry = entry.context(MissingSnafu { key: &key })?;
+    let digest = Sha256::digest(&entry.value);
+    ensure!(
+        digest.as_slice() == head.document_sha256,
+        DigestSnafu { write_id }
+    );
+    let document = Document::decode(entry.value.as_slice()).ok();
+    document.context(ValueSnafu { key })
+}
--- /dev/null
+++ b/crates/dotterelsill_planner/tests/common/mod.rs
@@ -0,0 +1,314 @@
+//! Planners, the store and the platform as processes, and the observer.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write as _,
+    future::Future,
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use async_io::Timer;
+use dotterelsill_e2e::Process;
+use dotterelsill_proto::{
+    config::{
+        Document,
+        Head, //
+    },
+    planner::{
+        planner_client::PlannerClient,
+        ExplainRequest,
+        PlanRequest, //
+    },
+    platform::{
+        standin_platform_control_client::StandinPlatformControlClient,
+        ObserveRequest,
+        ObserveResponse,
+        OrderKind,
+        SetInstanceFaultsRequest, //
+    },
+    store::{
+        standin_control_client::StandinControlClient,
+        SetFaultsRequest, //
+    }, //
+};
+use dotterelsill_rpc::{
+    Channel,
+    Tasks, //
+};
+use dotterelsill_store::Client;
+use prost::Message as _;
+use sha2::{
+    Digest as _,
+    Sha256, //
+};
+use tonic::codegen::http::Uri;
+
+/// Instances of each service in the tests, and how many of them must stay.
+pub(crate) const INSTANCES: u32 = 4;
+pub(crate) const FLOOR: u32 = 2;
+
+const AWAIT_TIMEOUT: Duration = Duration::from_secs(25);
+
+pub(crate) struct World {
+    platform: Process,
+    pub(crate) store: Process,
+    tasks: Tasks,
+    client: Client,
+    revision: u64,
+}
+
+/// Runs a test on two threads of its own.
+pub(crate) fn run<F: Future<Output = ()>>(test: impl FnOnce(World) -> F) {
+    dotterelsill_rpc::run(2, |tasks| async move {
+        let mut world = World::start(&tasks);
+        world.configure(&text(&[]), &[]).await;
+        test(world).await;
+    });
+}
+
+impl World {
+    fn start(tasks: &Tasks) -> Self {
+        let store = Process::start(
+            "dotterelsill-standin-store",
+            "{ listen: \"127.0.0.1:0\" }",
+            1,
+        );
+        let mut settings = "listen: \"127.0.0.1:0\"\nlist_lag_ms: 200\ndrain_ms: 10\n\
+             empty_ms: 20\ndetach_ms: 10\nattach_ms: 10\nreboot_ms: 30\ninstances:\n"
+            .to_owned();
+        for (name, pool, data_centre, rack) in instances() {
+            let _ = writeln!(
+                settings,
+                "  - {{ name: {name}, pool: {pool}, data_centre: {data_centre}, rack: {rack} }}"
+            );
+        }
+        let platform = Process::start("dotterelsill-standin-platform", &settings, 1);
+        let client = Client::new(store.address(""), tasks);
+        Self {
+            platform,
+            store,
+            tasks: tasks.clone(),
+            client,
+            revision: 0,
+        }
+    }
+
+    /// Puts the next revision of the configuration in the store.
+    pub(crate) async fn configure(&mut self, text: &str, out: &[&str]) {
+        self.revision += 1;
+        let write_id = format!("write-{}", self.revision);
+        let document = Document {
+            write_id: write_id.clone(),
+            text: text.to_owned(),
+            data_centres_out: out.iter().map(ToString::to_string).collect(),
+            ..Document::default()
+        }
+        .encode_to_vec();
+        let head = Head {
+            revision: self.revision,
+            document_sha256: Sha256::digest(&document).to_vec(),
+            write_id: write_id.clone(),
+        };
+        let body = format!("config/body/{write_id}");
+        let put = self.client.put(&body, document, 0, 0).await;
+        assert!(put.is_ok_and(|put| put.written));
+        let found = self.client.get("config/head").await;
+        let found = found.expect("the store answers");
+        let version = found.map_or(0, |entry| entry.version);
+        let head = head.encode_to_vec();
+        let put = self.client.put("config/head", head, version, 0).await;
+        assert!(put.is_ok_and(|put| put.written));
+    }
+
+    /// Starts a planner that reaches the store through an address.
+    pub(crate) fn planner_through(&self, name: &str, store: SocketAddr) -> Process {
+        let settings = format!(
+            "planner: {name}\nlisten: \"127.0.0.1:0\"\nstore: \"{store}\"\nplatform: \"{}\"\n\
+             lease_ms: 1000\ntick_ms: 50\ninterval_h: 5000\nplan_hour_ms: 200\n\
+             soak_ms: 50\nwatch_ms: 2000\nmove_limit_ms: 10000\n",
+            self.platform.address("")
+        );
+        Process::start("dotterelsill-planner", &settings, 1)
+    }
+
+    pub(crate) fn planner(&self, name: &str) -> Process {
+        self.planner_through(name, self.store.address(""))
+    }
+
+    pub(crate) async fn observe(&self) -> ObserveResponse {
+        answer(self.control().observe(ObserveRequest {}).await)
+    }
+
+    pub(crate) async fn set_faults(&self, instance: &str, fails_reboot: bool, lose: u32) {
+        let request = SetInstanceFaultsRequest {
+            instance: instance.to_owned(),
+            fails_reboot,
+            lose_order_answers: lose,
+        };
+        answer(self.control().set_instance_faults(request).await);
+    }
+
+    pub(crate) async fn lose_write_answers(&self, lose_write_answers: u32) {
+        let channel = self.channel(self.store.address(""));
+        let origin = Uri::from_static("http://store");
+        let request = SetFaultsRequest {
+            lose_write_answers,
+            ..SetFaultsRequest::default()
+        };
+        let mut control = StandinControlClient::with_origin(channel, origin);
+        answer(control.set_faults(request).await);
+    }
+
+    /// Waits until the observer has seen what is asked for.
+    pub(crate) async fn until(&self, what: &str, is_so: impl Fn(&ObserveResponse) -> bool) {
+        let begin = Instant::now();
+        loop {
+            let seen = self.observe().await;
+            if is_so(&seen) {
+                return;
+            }
+            let is_late = begin.elapsed() >= AWAIT_TIMEOUT;
+            assert!(!is_late, "{what}: not seen: {seen:?}");
+            Timer::after(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Waits for the end of the round, and for a second one that must not come.
+    /// Then checks the floors at every instant and the steps of each instance.
+    pub(crate) async fn check_round(&self) {
+        self.until("the end of the round", |seen| {
+            let steps = steps(seen);
+            steps.len() == 2 * INSTANCES as usize && steps.values().all(|s| s.contains(&ATTACH))
+        })
+        .await;
+        Timer::after(Duration::from_millis(1000)).await;
+        let seen = self.observe().await;
+        println!("pools {:?}, overtaken {}", seen.pools, seen.overtaken);
+        check_safe(&seen);
+        for (instance, steps) in steps(&seen) {
+            assert_eq!(
+                steps,
+                [DRAIN, DETACH, REBOOT, ATTACH],
+                "{instance}: {seen:?}"
+            );
+        }
+        for pool in &seen.pools {
+            assert_eq!(pool.in_service, INSTANCES, "{seen:?}");
+        }
+    }
+
+    pub(crate) async fn plan(&self, planner: &Process) -> String {
+        let mut client = self.operator(planner);
+        let answer = client.plan(PlanRequest {}).await;
+        answer.map_or_else(|error| error.message().to_owned(), |a| a.into_inner().text)
+    }
+
+    pub(crate) async fn explain(&self, planner: &Process, instance: &str) -> String {
+        let instance = instance.to_owned();
+        let mut client = self.operator(planner);
+        let answer = client.explain(ExplainRequest { instance }).await;
+        answer.map_or_else(|error| error.message().to_owned(), |a| a.into_inner().text)
+    }
+
+    fn operator(&self, planner: &Process) -> PlannerClient<Channel> {
+        let channel = self.channel(planner.address(""));
+        PlannerClient::with_origin(channel, Uri::from_static("http://planner"))
+    }
+
+    fn control(&self) -> StandinPlatformControlClient<Channel> {
+        let channel = self.channel(self.platform.address(""));
+        let origin = Uri::from_static("http://platform");
+        StandinPlatformControlClient::with_origin(channel, origin)
+    }
+
+    fn channel(&self, address: SocketAddr) -> Channel {
+        Channel::new(address, Duration::from_secs(2), &self.tasks)
+    }
+}
+
+pub(crate) const DRAIN: i32 = OrderKind::Drain as i32;
+pub(crate) const DETACH: i32 = OrderKind::Detach as i32;
+pub(crate) const REBOOT: i32 = OrderKind::Reboot as i32;
+pub(crate) const ATTACH: i32 = OrderKind::Attach as i32;
+
+/// Returns the orders carried out by each instance. A step that a later planner
+/// repeats counts once.
+pub(crate) fn steps(seen: &ObserveResponse) -> BTreeMap<String, Vec<i32>> {
+    let mut steps = BTreeMap::<String, Vec<i32>>::new();
+    for change in &seen.changes {
+        let of = steps.entry(change.instance.clone()).or_default();
+        if of.last() != Some(&change.kind) {
+            of.push(change.kind);
+        }
+    }
+    steps
+}
+
+/// Checks the floors at every instant, and that each instance obeyed tokens
+/// that only grow.
+pub(crate) fn check_safe(seen: &ObserveResponse) {
+    assert_eq!(seen.harmful, 0, "{seen:?}");
+    assert_eq!(seen.pools.len(), 2, "{seen:?}");
+    for pool in &seen.pools {
+        assert!(pool.least_in_service >= FLOOR, "{seen:?}");
+    }
+    let mut tokens = BTreeMap::new();
+    for change in &seen.changes {
+        let last = tokens.insert(&change.instance, change.token).unwrap_or(0);
+        assert!(last <= change.token, "{seen:?}");
+    }
+}
+
+fn answer<T>(result: Result<tonic::Response<T>, tonic::Status>) -> T {
+    result.expect("the process answers").into_inner()
+}
+
+fn instances() -> Vec<(String, &'static str, &'static str, String)> {
+    let mut instances = Vec::new();
+    for service in ["permits", "sorting"] {
+        for index in 0..INSTANCES {
+            let data_centre = if index < 2 { "a" } else { "b" };
+            let rack = format!("{data_centre}{}", index % 2);
+            instances.push((format!("{service}-{index}"), service, data_centre, rack));
+        }
+    }
+    instances
+}
+
+/// Returns the operators' text, in which the instances given belong to the
+/// other service.
+pub(crate) fn text(moved: &[&str]) -> String {
+    let mut text = "isolation_limit_s: 60\ndata_centres:\n\
+         \x20 - { name: a, region: north }\n  - { name: b, region: north }\n\
+         teams:\n  - { name: red, share_percent: 100, floor_requests: 1, limit_requests: 8 }\n\
+         services:\n"
+        .to_owned();
+    for service in ["permits", "sorting"] {
+        let _ = write!(
+            text,
+            "  - name: {service}\n    depends_on: []\n\
+             \x20   availability_floor_percent: 50\n    upstreams:\n"
+        );
+        for (port, (name, pool, data_centre, rack)) in instances().iter().enumerate() {
+            if (*pool == service) != moved.contains(&name.as_str()) {
+                let port = 27_200 + port;
+                let _ = writeln!(
+                    text,
+                    "      - {{ name: {name}, address: \"127.0.0.1:{port}\", \
+                     data_centre: {data_centre}, rack: {rack}, slots: 8, connections: 64 }}"
+                );
+            }
+        }
+    }
+    text.push_str(
+        "queues:\n  - { name: open, service: permits, urgency: 0, open: true, \
+         repeatable: true, timeout_ms: 2000, max_run_ms: 5000 }\n\
+         \x20 - { name: report, service: sorting, urgency: 1, open: true, \
+         repeatable: true, timeout_ms: 2000, max_run_ms: 5000 }\n",
+    );
+    text
+}
--- /dev/null
+++ b/crates/dotterelsill_planner/tests/processes.rs
@@ -0,0 +1,216 @@
+//! Guards against maintenance that takes a service below its floor, forgets an
+//! instance or takes one twice, whatever happens to the planners, and against
+//! changes of the operators that are not followed.
+
+mod common;
+
+use std::time::Duration;
+
+use async_io::Timer;
+use common::{
+    check_safe,
+    run,
+    steps,
+    text,
+    REBOOT, //
+};
+
+/// Guards against a round that breaks a floor, and against answers to
+/// operators that do not fit what happens.
+#[test]
+fn one_planner_maintains_each_instance_once() {
+    run(|world| async move {
+        let planner = world.planner("one");
+        world.check_round().await;
+        let plan = world.plan(&planner).await;
+        println!("{plan}");
+        assert!(
+            plan.contains("budget permits: 0 of 4 out, floor 2"),
+            "{plan}"
+        );
+        assert!(plan.contains("permits-0 (budget permits)"), "{plan}");
+        let text = world.explain(&planner, "permits-0").await;
+        println!("{text}");
+        assert!(
+            text.starts_with("in pool permits; due for maintenance"),
+            "{text}"
+        );
+        let text = world.explain(&planner, "nobody").await;
+        assert!(text.contains("neither the text nor the store"), "{text}");
+    });
+}
+
+/// Guards against a move that is forgotten or started twice when its planner
+/// dies.
+#[test]
+fn another_planner_resumes_after_a_kill() {
+    run(|world| async move {
+        let mut first = world.planner("first");
+        world
+            .until("a reboot", |seen| !seen.changes.is_empty())
+            .await;
+        first.kill();
+        let _second = world.planner("second");
+        world.check_round().await;
+    });
+}
+
+/// Guards against a planner that acts on after its lease has ended.
+#[test]
+fn a_frozen_planner_stops_acting() {
+    run(|world| async move {
+        let first = world.planner("first");
+        world
+            .until("a change", |seen| !seen.changes.is_empty())
+            .await;
+        first.freeze();
+        let second = world.planner("second");
+        world
+            .until("a change by the second", |seen| {
+                seen.changes.iter().any(|change| change.token > 1)
+            })
+            .await;
+        first.resume();
+        world.check_round().await;
+        let log = first.log().join("\n");
+        assert!(log.contains("planner_stops_acting"), "{log}");
+        let plan = world.plan(&first).await;
+        assert!(plan.contains("planner second at"), "{plan}");
+        drop(second);
+    });
+}
+
+/// Guards against a write or an order that is taken for one without effect when
+/// its answer is lost.
+#[test]
+fn lost_answers_repeat_nothing() {
+    run(|world| async move {
+        world.lose_write_answers(6).await;
+        for index in 0..4 {
+            world
+                .set_faults(&format!("permits-{index}"), false, 2)
+                .await;
+        }
+        let _planner = world.planner("one");
+        for _ in 0..6 {
+            Timer::after(Duration::from_millis(150)).await;
+            world.lose_write_answers(4).await;
+        }
+        world.check_round().await;
+    });
+}
+
+/// Guards against two planners that act at the same time.
+#[test]
+fn one_of_two_planners_acts() {
+    run(|world| async move {
+        let first = world.planner("first");
+        let second = world.planner("second");
+        world.check_round().await;
+        let seen = world.observe().await;
+        let mut tokens: Vec<_> = seen.changes.iter().map(|change| change.token).collect();
+        tokens.dedup();
+        assert_eq!(tokens.len(), 1, "{tokens:?}");
+        let in_charge = |log: Vec<String>| log.iter().any(|l| l.contains("planner_in_charge"));
+        let both = in_charge(first.log()) && in_charge(second.log());
+        assert!(!both, "both planners were in charge");
+    });
+}
+
+/// Guards against a wave that goes on while instances fail, also under another
+/// planner, and against one that never goes on again.
+#[test]
+fn a_failing_instance_halts_the_wave() {
+    run(|world| async move {
+        for service in ["permits", "sorting"] {
+            for index in 0..4 {
+                world
+                    .set_faults(&format!("{service}-{index}"), true, 0)
+                    .await;
+            }
+        }
+        let mut first = world.planner("first");
+        world
+            .until("a failed reboot", |seen| {
+                seen.changes.iter().any(|c| c.kind == REBOOT)
+            })
+            .await;
+        Timer::after(Duration::from_millis(1500)).await;
+        let seen = world.observe().await;
+        let taken: Vec<_> = steps(&seen).into_keys().collect();
+        assert_eq!(taken.len(), 1, "{taken:?}");
+        let plan = world.plan(&first).await;
+        assert!(plan.contains("maintenance halted, failed: "), "{plan}");
+        let text = world.explain(&first, &taken[0]).await;
+        println!("{plan}{text}");
+        assert!(text.contains("it has failed"), "{text}");
+
+        first.kill();
+        let _second = world.planner("second");
+        Timer::after(Duration::from_millis(2500)).await;
+        let seen = world.observe().await;
+        assert_eq!(steps(&seen).len(), 1, "{seen:?}");
+
+        for service in ["permits", "sorting"] {
+            for index in 0..4 {
+                world
+                    .set_faults(&format!("{service}-{index}"), false, 0)
+                    .await;
+            }
+        }
+        world.check_round().await;
+    });
+}
+
+/// Guards against a voluntary outage while a data centre that is out has
+/// exhausted the budget.
+#[test]
+fn a_data_centre_that_is_out_is_charged() {
+    run(|mut world| async move {
+        world.configure(&text(&[]), &["a"]).await;
+        let planner = world.planner("one");
+        Timer::after(Duration::from_millis(2000)).await;
+        // Instances of that data centre may be taken: they are out already.
+        let seen = world.observe().await;
+        let is_out = |name: &String| name.ends_with('0') || name.ends_with('1');
+        let taken: Vec<_> = steps(&seen).into_keys().collect();
+        assert!(taken.iter().all(is_out), "{taken:?}");
+        let plan = world.plan(&planner).await;
+        assert!(
+            plan.contains("budget permits: 2 of 4 out, floor 2"),
+            "{plan}"
+        );
+        let waiting = world.explain(&planner, "permits-0").await;
+        println!("{plan}{waiting}");
+        assert!(
+            waiting.contains("have taken data centre a out"),
+            "{waiting}"
+        );
+        let waiting = world.explain(&planner, "permits-2").await;
+        println!("{waiting}");
+        assert!(waiting.contains("below its floor of 2"), "{waiting}");
+
+        world.configure(&text(&[]), &[]).await;
+        world.check_round().await;
+    });
+}
+
+/// Guards against an instance that stays in the pool of its former service.
+#[test]
+fn an_instance_follows_the_text_to_another_pool() {
+    run(|mut world| async move {
+        let _planner = world.planner("one");
+        world.check_round().await;
+        world.configure(&text(&["permits-3"]), &[]).await;
+        world
+            .until("the move", |seen| {
+                let count = |pool: &str| {
+                    let seen = seen.pools.iter().find(|seen| seen.pool == pool);
+                    seen.map_or(0, |seen| seen.in_service)
+                };
+                count("permits") == 3 && count("sorting") == 5
+            })
+            .await;
+        check_safe(&world.observe().await);
+    });
+}
--- a/crates/dotterelsill_proto/src/lib.rs
+++ b/crates/dotterelsill_proto/src/lib.rs
@@ -16,6 +16,18 @@
 #[path = "generated/dotterelsill.peer.rs"]
 pub mod peer;
 
+/// Calls of the planner and the values that it keeps in the store.
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/dotterelsill.planner.rs"]
+pub mod planner;
+
+/// The platform's instances.
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/dotterelsill.platform.rs"]
+pub mod platform;
+
 /// Settings of each binary.
 #[allow(missing_docs, unreachable_pub, clippy::all)]
 #[rustfmt::skip]
--- a/crates/dotterelsill_protogen/src/main.rs
+++ b/crates/dotterelsill_protogen/src/main.rs
@@ -21,9 +21,11 @@
 };
 
 /// Schema files, relative to the schema directory.
-const SCHEMA_FILES: [&str; 5] = [
+const SCHEMA_FILES: [&str; 7] = [
     "config.proto",
     "peer.proto",
+    "planner.proto",
+    "platform.proto",
     "settings.proto",
     "state.proto",
     "store.proto",
--- /dev/null
+++ b/crates/dotterelsill_standin_platform/src/main.rs
@@ -0,0 +1,79 @@
+//! Stand-in of the platform's instances for tests.
+//!
+//! Orders and questions pass the gate of their instance. What the instances
+//! did is recorded and can be read through `StandinPlatformControl`.
+
+mod control;
+mod instance;
+mod record;
+mod service;
+mod state;
+
+use std::{
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc, //
+};
+
+use argh::FromArgs;
+use dotterelsill_proto::{
+    platform::{
+        platform_server::PlatformServer,
+        standin_platform_control_server::StandinPlatformControlServer, //
+    },
+    settings::StandinPlatformSettings, //
+};
+use dotterelsill_rpc::{
+    serve_grpc,
+    termination_signal,
+    Listener,
+    Pair,
+    Tasks, //
+};
+use dotterelsill_telemetry::{
+    init_logs,
+    load_settings, //
+};
+use snafu::{
+    ResultExt,
+    Whatever, //
+};
+
+/// Stand-in of the platform's instances, for tests only.
+#[derive(FromArgs)]
+struct Args {
+    /// settings file in YAML
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match dotterelsill_rpc::run(1, |tasks| serve(args, tasks)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dotterelsill-standin-platform: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(args: Args, tasks: Tasks) -> Result<(), Whatever> {
+    let settings: StandinPlatformSettings =
+        load_settings(&args.settings).whatever_context("settings")?;
+    init_logs(&settings.log_level).whatever_context("log")?;
+    let listener = Listener::bind(&settings.listen).whatever_context("listen")?;
+    log::info!(address:% = listener.address(); "listening");
+
+    let shared = Arc::new(service::Shared::new(&settings));
+    let services = Pair::new(
+        PlatformServer::new(service::Service::new(shared.clone())),
+        StandinPlatformControlServer::new(control::Control::new(shared.clone())),
+    );
+    tasks.spawn(serve_grpc(listener, tasks.clone(), services));
+    tasks.spawn_until_stop(service::keep_list(shared));
+    termination_signal().await.whatever_context("signal")?;
+    tasks.stop();
+    tasks.join().await;
+    Ok(())
+}
