Generate the page of the settings from the schema

The keys of the settings files and of the operators' text were described in the comments of the schema only, which an operator does not read. A page kept by hand would drift from it, so the generator writes docs/settings.md from these comments, and `--check` compares it as it does the code.

The descriptors come from `protox::Compiler` with source information; the ones that the code is generated from stay without it, and the generated code is unchanged. Ruled out: reading the doc comments of the generated Rust code, which have no message paths, and `prost-types` as a dependency of its own, since `protox` re-exports `prost-reflect`.

--- a/crates/dotterelsill_protogen/src/main.rs
+++ b/crates/dotterelsill_protogen/src/main.rs
@@ -1,8 +1,11 @@
-//! Generates the Rust code of the schema under `proto/`.
+//! Generates the Rust code of the schema under `proto/` and the page
+//! `docs/settings.md`.
 //!
 //! The output is committed, so that a build needs no generator. With `--check`
-//! nothing is written and the exit code tells whether the committed code is
-//! the one that the schema gives.
+//! nothing committed is written and the exit code tells whether the code and
+//! the page are those that the schema gives.
+
+mod settings_page;
 
 use std::{
     fs,
@@ -29,10 +32,13 @@
     "store.proto",
 ];
 
-/// Generates crates/dotterelsill_proto/src/generated from proto/.
+/// Page of the settings, relative to the root of the repository.
+const PAGE_FILE: &str = "docs/settings.md";
+
+/// Generates crates/dotterelsill_proto/src/generated and docs/settings.md from proto/.
 #[derive(FromArgs)]
 struct Args {
-    /// compare with the committed code instead of writing it
+    /// compare with the committed files instead of writing them
     #[argh(switch)]
     check: bool,
     /// root of the repository (default: the current directory)
@@ -69,13 +75,18 @@
 
 fn run(args: &Args) -> Result<(), Error> {
     let committed = args.root.join("crates/dotterelsill_proto/src/generated");
+    let schema = args.root.join("proto");
+    let page = settings_page::generate(&schema).context(SchemaSnafu { path: &schema })?;
+    let page_path = args.root.join(PAGE_FILE);
     if !args.check {
-        return generate(&args.root.join("proto"), &committed);
+        generate(&schema, &committed)?;
+        return fs::write(&page_path, page).context(FileSnafu { path: &page_path });
     }
     let fresh = args.root.join("target/protogen");
     fs::create_dir_all(&fresh).context(FileSnafu { path: &fresh })?;
-    generate(&args.root.join("proto"), &fresh)?;
-    compare(&fresh, &committed)
+    generate(&schema, &fresh)?;
+    compare(&fresh, &committed)?;
+    compare_page(&page, page_path)
 }
 
 fn generate(schema: &Path, output: &Path) -> Result<(), Error> {
@@ -113,3 +124,11 @@
     }
     Ok(())
 }
+
+fn compare_page(expected: &str, path: PathBuf) -> Result<(), Error> {
+    let found = fs::read(&path).context(FileSnafu { path: &path })?;
+    if expected.as_bytes() != found {
+        return Err(Error::Stale { path });
+    }
+    Ok(())
+}
