--- a/crates/dotterelsill_entry/src/daemon.rs
+++ b/crates/dotterelsill_entry/src/daemon.rs
@@ -46,6 +46,7 @@
     admin,
     burn,
     callers,
+    instances,
     limits,
     maintain,
     members,
@@ -70,6 +71,11 @@
         address: String,
         source: std::net::AddrParseError,
     },
+    #[snafu(display("platform: {address:?} is not a socket address; write it as 10.0.0.1:80"))]
+    PlatformAddress {
+        address: String,
+        source: std::net::AddrParseError,
+    },
     #[snafu(display("metrics: {source}"))]
     Metrics { source: prometheus::Error },
     #[snafu(display("signal handlers: {source}"))]
@@ -80,6 +86,10 @@
 pub(crate) async fn run(settings: EntrySettings, tasks: Tasks) -> Result<(), StartError> {
     let address = &settings.store;
     let store: SocketAddr = address.parse().context(StoreAddressSnafu { address })?;
+    let platform = match settings.platform.as_str() {
+        "" => None,
+        address => Some(address.parse().context(PlatformAddressSnafu { address })?),
+    };
     let callers = bind("listen_callers", &settings.listen_callers)?;
     let peers = bind("listen_peers", &settings.listen_peers)?;
     let admin = bind("listen_admin", &settings.listen_admin)?;
@@ -95,6 +105,9 @@
     tasks.spawn_until_stop(sync::run(shared.clone()));
     shared.buckets.start(&shared);
     tasks.spawn_until_stop(limits::run(shared.clone()));
+    if let Some(platform) = platform {
+        tasks.spawn_until_stop(instances::run(shared.clone(), platform));
+    }
     tasks.spawn_until_stop(burn::run(shared.clone()));
     tasks.spawn_until_stop(maintain::run(shared.clone()));
     tasks.spawn_until_stop(members::run(shared.clone()));
--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -13,6 +13,7 @@
 mod daemon;
 mod edit;
 mod forward;
+mod instances;
 mod ledgers;
 mod limits;
 mod maintain;
--- a/crates/dotterelsill_entry/src/snapshot.rs
+++ b/crates/dotterelsill_entry/src/snapshot.rs
@@ -1,7 +1,10 @@
 //! One revision of the configuration in the form that requests need.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     sync::Arc,
     time::{
         Duration,
@@ -170,6 +173,16 @@
         self.teams.get(OPEN_TEAM)
     }
 
+    /// Marks the upstreams that the platform lists as leaving, and no others.
+    pub(crate) fn set_leaving(&self, leaving: &HashSet<&str>, now: Instant) {
+        for plan in self.services.values() {
+            for upstream in plan.set.upstreams() {
+                let is_leaving = leaving.contains(upstream.name());
+                plan.set.on_list(upstream.name(), is_leaving, now);
+            }
+        }
+    }
+
     /// Adapts each service to the upstreams that can be used now.
     pub(crate) fn maintain(&self, now: Instant) {
         for plan in self.services.values() {
