--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -43,8 +43,8 @@
 use argh::FromArgs;
 use dotterelsill_proto::settings::EntrySettings;
 use dotterelsill_telemetry::{
-    init_logs,
-    load_settings, //
+    exit_code,
+    start, //
 };
 use snafu::{
     ResultExt,
@@ -61,18 +61,14 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match start(&args) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("dotterelsill-entry: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    exit_code("dotterelsill-entry", run(&args))
 }
 
-fn start(args: &Args) -> Result<(), Whatever> {
-    let settings: EntrySettings = load_settings(&args.settings).whatever_context("settings")?;
-    init_logs(&settings.log_level).whatever_context("log")?;
+fn run(args: &Args) -> Result<(), Whatever> {
+    let settings = start(&args.settings, |settings: &EntrySettings| {
+        &settings.log_level
+    })
+    .whatever_context("start")?;
     dotterelsill_rpc::run(settings.threads, |tasks| daemon::run(settings, tasks))
         .whatever_context("entry")
 }
--- a/crates/dotterelsill_rpc/src/listener.rs
+++ b/crates/dotterelsill_rpc/src/listener.rs
@@ -9,6 +9,7 @@
         TcpListener,
         TcpStream, //
     },
+    pin::Pin,
     time::Duration, //
 };
 
@@ -122,22 +123,14 @@
                 let answer = handler(request);
                 async move { Ok::<_, Infallible>(answer.await) }
             });
-            let mut connection = std::pin::pin!(http1::Builder::new()
+            let connection = std::pin::pin!(http1::Builder::new()
                 .timer(SmolTimer::new())
                 .header_read_timeout(HEADER_READ_TIMEOUT)
                 .serve_connection(FuturesIo::new(stream), service));
-            let ended = async {
-                let _ = connection.as_mut().await;
-                true
-            };
-            let is_ended = ended.or(async {
-                stopping.stopped().await;
-                false
-            });
-            if !is_ended.await {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
+            until_stop(connection, &stopping, |connection| {
+                connection.graceful_shutdown();
+            })
+            .await;
         }
     })
     .await;
@@ -156,26 +149,40 @@
         let service = TowerToHyperService::new(service.clone());
         let stopping = tasks.clone();
         async move {
-            let mut connection = std::pin::pin!(http2::Builder::new(stopping.clone())
+            let connection = std::pin::pin!(http2::Builder::new(stopping.clone())
                 .timer(SmolTimer::new())
                 .serve_connection(FuturesIo::new(stream), service));
-            let ended = async {
-                let _ = connection.as_mut().await;
-                true
-            };
-            let is_ended = ended.or(async {
-                stopping.stopped().await;
-                false
-            });
-            if !is_ended.await {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
+            until_stop(connection, &stopping, |connection| {
+                connection.graceful_shutdown();
+            })
+            .await;
         }
     })
     .await;
 }
 
+/// Drives a connection to its end; when the group stops, lets it finish what is
+/// in flight.
+async fn until_stop<C: Future>(
+    mut connection: Pin<&mut C>,
+    stopping: &Tasks,
+    shut_down: impl FnOnce(Pin<&mut C>),
+) {
+    let ended = async {
+        // A broken connection has ended as well.
+        let _ = connection.as_mut().await;
+        true
+    };
+    let stopped = async {
+        stopping.stopped().await;
+        false
+    };
+    if !ended.or(stopped).await {
+        shut_down(connection.as_mut());
+        let _ = connection.await;
+    }
+}
+
 async fn accept_until_stop<F>(
     listener: &Listener,
     tasks: &Tasks,
--- a/crates/dotterelsill_telemetry/src/lib.rs
+++ b/crates/dotterelsill_telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 mod output;
 mod redact;
 mod settings;
+mod start;
 
 pub use event_limit::LINES_MAX;
 pub use line::line;
@@ -23,3 +24,8 @@
     load_settings,
     SettingsError, //
 };
+pub use start::{
+    exit_code,
+    start,
+    StartError, //
+};
