Answer truthfully after several attempts, and keep identifiers across registrations

Three faults, found by a read of the path and by trials of a store outage:

- A retry that could not start after a broken first attempt was answered not_run although the first may have run.
The answer is unknown now.
- Unreachable upstreams were tried without a pause until the deadline and answered unknown, which cost a refund its identifier.
Waiter and attempt now settle by one atomic whether anything is sent; what was never sent is not_run.
- A claim written during a store outage named an incarnation that was gone once the instance had registered anew, so the retry was unknown forever.
Claims name the process now, whose memory tells what it has run.

Ruled out: reporting unknown in all three cases, which is true as well but makes a caller give up a refund that never ran.

--- a/crates/dotterelsill_e2e/src/fleet.rs
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -101,23 +101,22 @@
     /// the entry that it replaces.
     pub fn start_entry(&self, index: usize) -> Entry {
         let store_link = Link::new(self.store.address(""));
-        // The port is known only after the start, so one is set aside first.
-        let reserved = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let peers = reserved.local_addr().expect("the socket is bound");
-        drop(reserved);
-        let peer_link = Link::new(peers);
+        // The entry's port is known only after its start.
+        let peer_link = Link::new(std::net::SocketAddr::from(([127, 0, 0, 1], 0)));
         let name = data_centre(index);
         let settings = format!(
             "instance: entry-{name}\ndata_centre: {name}\n\
-             listen_callers: \"127.0.0.1:0\"\nlisten_peers: \"{peers}\"\n\
+             listen_callers: \"127.0.0.1:0\"\nlisten_peers: \"127.0.0.1:0\"\n\
              listen_admin: \"127.0.0.1:0\"\nstore: \"{}\"\n\
              advertise_peers: \"{}\"\nthreads: 2\nbalancer_grace_ms: 100\n\
              shutdown_timeout_ms: 15000\n",
             store_link.address(),
             peer_link.address(),
         );
+        let process = Process::start("dotterelsill-entry", &settings, 3);
+        peer_link.set_target(process.address("listen_peers"));
         Entry {
-            process: Process::start("dotterelsill-entry", &settings, 3),
+            process,
             store_link,
             peer_link,
         }
--- a/crates/dotterelsill_e2e/src/link.rs
+++ b/crates/dotterelsill_e2e/src/link.rs
@@ -41,7 +41,7 @@
 }
 
 struct Shared {
-    target: SocketAddr,
+    target: Mutex<SocketAddr>,
     mode: AtomicU8,
     /// Connections numbered below this carry no bytes, whatever the mode.
     silenced_below: AtomicU8,
@@ -66,7 +66,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
         let address = listener.local_addr().expect("the socket is bound");
         let shared = Arc::new(Shared {
-            target,
+            target: Mutex::new(target),
             mode: AtomicU8::new(Mode::Pass as u8),
             silenced_below: AtomicU8::new(0),
             ended: AtomicBool::new(false),
@@ -86,6 +86,12 @@
         self.address
     }
 
+    /// Changes the target of new connections.
+    pub fn set_target(&self, target: SocketAddr) {
+        let current = &self.shared.target;
+        *current.lock().unwrap_or_else(PoisonError::into_inner) = target;
+    }
+
     /// Changes what the link does with open and new connections.
     pub fn set(&self, mode: Mode) {
         self.shared.mode.store(mode as u8, Ordering::SeqCst);
@@ -125,7 +131,8 @@
         if shared.mode.load(Ordering::SeqCst) == Mode::Cut as u8 {
             continue;
         }
-        let Ok(far) = TcpStream::connect(shared.target) else {
+        let target = *shared.target.lock().unwrap_or_else(PoisonError::into_inner);
+        let Ok(far) = TcpStream::connect(target) else {
             continue;
         };
         // A socket that cannot be set up is closed, as a broken link would do.
--- a/crates/dotterelsill_entry/src/attempt.rs
+++ b/crates/dotterelsill_entry/src/attempt.rs
@@ -8,7 +8,13 @@
 use std::{
     future::Future,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        atomic::{
+            AtomicU8,
+            Ordering, //
+        },
+        Arc, //
+    },
     time::{
         Duration,
         Instant, //
@@ -101,6 +107,34 @@
     pub(crate) when_isolated: WhenIsolated,
     pub(crate) deadline: Instant,
     pub(crate) max_run: Duration,
+    pub(crate) progress: Arc<Progress>,
+}
+
+/// Settles between an attempt and the request that waits for it whether
+/// anything is sent.
+#[derive(Debug, Default)]
+pub(crate) struct Progress(AtomicU8);
+
+const PENDING: u8 = 0;
+const SENT: u8 = 1;
+const ABANDONED: u8 = 2;
+
+impl Progress {
+    /// Returns whether the attempt may send; it counts as sent from then on.
+    fn try_send(&self) -> bool {
+        self.leave_pending(SENT)
+    }
+
+    /// Returns whether nothing was sent and nothing will be.
+    fn try_abandon(&self) -> bool {
+        self.leave_pending(ABANDONED)
+    }
+
+    fn leave_pending(&self, next: u8) -> bool {
+        self.0
+            .compare_exchange(PENDING, next, Ordering::SeqCst, Ordering::SeqCst)
+            .is_ok()
+    }
 }
 
 impl Attempt {
@@ -109,6 +143,7 @@
         let (sender, receiver) = async_channel::bounded(1);
         Started {
             tasks: self.shared.tasks.clone(),
+            progress: self.progress.clone(),
             run: Some(Box::pin(self.run(sender))),
             receiver,
         }
@@ -130,7 +165,7 @@
             }
         };
         // Making the connection may have taken long.
-        if !self.may_still_start() {
+        if !self.may_still_start() || !self.progress.try_send() {
             pool.put(open);
             self.plan
                 .set
@@ -193,11 +228,17 @@
 /// An attempt under way; it goes on as a task when this is dropped.
 pub(crate) struct Started {
     tasks: Tasks,
+    progress: Arc<Progress>,
     run: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
     receiver: Receiver<Attempted>,
 }
 
 impl Started {
+    /// Gives the attempt up; returns whether it ran nothing and never will.
+    pub(crate) fn abandon(&self) -> bool {
+        self.progress.try_abandon()
+    }
+
     /// Waits for the result; `None` when the attempt has ended without one.
     pub(crate) async fn result(&mut self) -> Option<Attempted> {
         let received = async { self.receiver.recv().await.ok() };
--- a/crates/dotterelsill_entry/src/callers.rs
+++ b/crates/dotterelsill_entry/src/callers.rs
@@ -28,25 +28,23 @@
 
 use crate::{
     access,
+    incoming::{
+        Incoming,
+        DEADLINE_HEADER, //
+    },
     once,
     outcome::{
         Outcome,
         Reason, //
     },
     plan::QueuePlan,
-    run::{
-        self,
-        Incoming, //
-    },
+    run,
     shared::Shared, //
 };
 
 /// Longest body of a request, in bytes.
 const BODY_LIMIT_BYTES: usize = 1024 * 1024;
 
-/// Header by which a caller allows less time than the queue, in milliseconds.
-const DEADLINE_HEADER: &str = "dotterelsill-deadline-ms";
-
 /// Serves one request of a caller.
 pub(crate) async fn serve(
     shared: Arc<Shared>,
--- a/crates/dotterelsill_entry/src/forward.rs
+++ b/crates/dotterelsill_entry/src/forward.rs
@@ -44,6 +44,7 @@
         incarnation,
         incarnation_bytes, //
     },
+    incoming::Incoming,
     once::{
         self,
         Answer, //
@@ -53,7 +54,6 @@
         Reason,
         Refusal, //
     },
-    run::Incoming,
     shared::Shared, //
 };
 
@@ -113,8 +113,8 @@
     Some(ClaimResponse { reply: Some(reply) })
 }
 
-/// Hands a request to the incarnation that holds its claim. The outer value is
-/// `None` when that incarnation does not answer, the inner one while the request
+/// Hands a request to the process that holds its claim. The outer value is
+/// `None` when that process does not answer, the inner one while the request
 /// is in flight there.
 pub(crate) async fn ask_claimant(
     shared: &Shared,
@@ -143,8 +143,11 @@
 
 fn member_of(shared: &Shared, claimant: Incarnation) -> Option<Member> {
     let members = shared.peers.members();
-    let text = dotterelsill_revision::Incarnation(claimant.0).to_string();
-    let member = members.iter().find(|member| member.incarnation == text);
+    let process = incarnation_bytes(claimant);
+    let member = members
+        .iter()
+        .rev()
+        .find(|member| member.process == process);
     member.cloned()
 }
 
--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -12,7 +12,9 @@
 mod claim_store;
 mod daemon;
 mod edit;
+mod follow;
 mod forward;
+mod incoming;
 mod instances;
 mod ledgers;
 mod limits;
@@ -48,7 +50,7 @@
 };
 use snafu::{
     ResultExt,
-    Whatever, //
+    Snafu, //
 };
 
 /// Takes callers' requests, admits, routes and forwards them.
@@ -64,11 +66,22 @@
     exit_code("dotterelsill-entry", run(&args))
 }
 
-fn run(args: &Args) -> Result<(), Whatever> {
+/// The daemon failed.
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("{source}"))]
+    Settings {
+        source: dotterelsill_telemetry::StartError,
+    },
+    #[snafu(display("{source}"))]
+    Daemon { source: daemon::StartError },
+}
+
+fn run(args: &Args) -> Result<(), Error> {
     let settings = start(&args.settings, |settings: &EntrySettings| {
         &settings.log_level
     })
-    .whatever_context("start")?;
+    .context(SettingsSnafu)?;
     dotterelsill_rpc::run(settings.threads, |tasks| daemon::run(settings, tasks))
-        .whatever_context("entry")
+        .context(DaemonSnafu)
 }
--- a/crates/dotterelsill_entry/src/once.rs
+++ b/crates/dotterelsill_entry/src/once.rs
@@ -18,7 +18,6 @@
     }, //
 };
 
-use arc_swap::ArcSwap;
 use async_io::Timer;
 use bytes::Bytes;
 use dotterelsill_claims::{
@@ -49,20 +48,20 @@
 
 use crate::{
     access,
-    buckets,
     forward::{
         self,
         Forwarded, //
     },
+    incoming::{
+        answered,
+        Incoming, //
+    },
     outcome::{
         Outcome,
         Reason,
         Refusal, //
     },
-    run::{
-        self,
-        Incoming, //
-    },
+    run,
     shared::Shared, //
 };
 
@@ -76,37 +75,32 @@
 /// Pause before a claimant is asked again about a request in flight.
 const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time after the deadline within which the path of a request tells its outcome.
+const DEADLINE_GRACE: Duration = Duration::from_millis(100);
+
 /// A kept answer, shared by all retries.
 pub(crate) type Answer = Arc<Response<Bytes>>;
 
-/// Runs of this incarnation.
+/// Runs of this process.
 pub(crate) struct Once {
-    current: ArcSwap<Incarnated>,
-    next_number: AtomicU64,
-}
-
-struct Incarnated {
-    incarnation: Incarnation,
     runs: Mutex<Runs<Answer>>,
     settled: Event,
+    next_number: AtomicU64,
 }
 
-impl Default for Once {
-    fn default() -> Self {
+impl Once {
+    /// Creates the state of a process that has run nothing.
+    pub(crate) fn new(process: Incarnation) -> Self {
         Self {
-            current: ArcSwap::from_pointee(Incarnated::new(Incarnation(0))),
+            runs: Mutex::new(Runs::new(process, RunLimits::default())),
+            settled: Event::new(),
             next_number: AtomicU64::new(1),
         }
     }
-}
 
-impl Incarnated {
-    fn new(incarnation: Incarnation) -> Self {
-        Self {
-            incarnation,
-            runs: Mutex::new(Runs::new(incarnation, RunLimits::default())),
-            settled: Event::new(),
-        }
+    /// Drops old answers and forgets identifiers whose claims have expired.
+    pub(crate) fn expire(&self, now: Instant) {
+        self.lock().expire(now);
     }
 
     fn lock(&self) -> MutexGuard<'_, Runs<Answer>> {
@@ -114,26 +108,6 @@
     }
 }
 
-impl Once {
-    /// Returns the runs of the current incarnation.
-    fn current(&self, shared: &Shared) -> Option<Arc<Incarnated>> {
-        let (incarnation, _) = buckets::current(shared)?;
-        self.current.rcu(|known| {
-            if known.incarnation == incarnation {
-                known.clone()
-            } else {
-                Arc::new(Incarnated::new(incarnation))
-            }
-        });
-        Some(self.current.load_full()).filter(|known| known.incarnation == incarnation)
-    }
-
-    /// Drops old answers and forgets identifiers whose claims have expired.
-    pub(crate) fn expire(&self, now: Instant) {
-        self.current.load().lock().expire(now);
-    }
-}
-
 /// Reads the identifier of a request.
 pub(crate) fn identify(queue: &str, team: &str, headers: &HeaderMap) -> Result<Key, Refusal> {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
@@ -166,27 +140,22 @@
 /// The path goes on as a task when the caller's time is over, so that a retry
 /// finds the answer.
 pub(crate) async fn serve(shared: &Arc<Shared>, key: Key, incoming: Incoming) -> Outcome {
-    let Some(once) = shared.once.current(shared) else {
-        return Outcome::NotRun(not_run(NotRunReason::NoAuthority));
-    };
+    let once = &shared.once;
     let origin = Origin {
-        incarnation: once.incarnation,
-        number: shared.once.next_number.fetch_add(1, Ordering::Relaxed),
+        incarnation: shared.process,
+        number: once.next_number.fetch_add(1, Ordering::Relaxed),
     };
     let (attempt, step) = Attempt::from_caller(key, origin, &once.lock());
-    let deadline = incoming.deadline.at();
-    await_outcome(shared, once, attempt, step, incoming, deadline)
+    // The path itself knows more at the deadline, so it answers first.
+    let until = incoming.deadline.at() + DEADLINE_GRACE;
+    await_outcome(shared, attempt, step, incoming, until)
         .await
         .unwrap_or_else(|| Outcome::Unknown(unknown(UnknownReason::Deadline)))
 }
 
-/// Runs a request that a peer handed over because this incarnation holds its
-/// claim; `None` while it is in flight.
+/// Runs a request that a peer handed over because this process holds its claim;
+/// `None` while it is in flight.
 pub(crate) async fn serve_forwarded(shared: &Arc<Shared>, forwarded: Forwarded) -> Option<Outcome> {
-    let gone = || Some(Outcome::Unknown(unknown(UnknownReason::ClaimantGone)));
-    let Some(once) = shared.once.current(shared) else {
-        return gone();
-    };
     let Forwarded {
         claimant,
         origin,
@@ -194,15 +163,14 @@
         incoming,
     } = forwarded;
     let now = Instant::now();
-    let (attempt, step) = Attempt::from_peer(key, claimant, origin, &mut once.lock(), now);
+    let (attempt, step) = Attempt::from_peer(key, claimant, origin, &mut shared.once.lock(), now);
     // The peer asks again, so a slow run does not hold its call open.
     let answer_by = now + forward::ANSWER_TIME;
-    await_outcome(shared, once, attempt, step, incoming, answer_by).await
+    await_outcome(shared, attempt, step, incoming, answer_by).await
 }
 
 async fn await_outcome(
     shared: &Arc<Shared>,
-    once: Arc<Incarnated>,
     attempt: Attempt,
     step: Step<Answer>,
     incoming: Incoming,
@@ -211,7 +179,6 @@
     let (sender, receiver) = async_channel::bounded(1);
     let path = Path {
         shared: shared.clone(),
-        once,
         attempt,
         incoming: Arc::new(incoming),
     };
@@ -231,7 +198,6 @@
 /// The path of one request.
 struct Path {
     shared: Arc<Shared>,
-    once: Arc<Incarnated>,
     attempt: Attempt,
     incoming: Arc<Incoming>,
 }
@@ -258,10 +224,10 @@
                     self.before_deadline(self.ask_claimant(claimant)).await
                 }
             };
-            let mut runs = self.once.lock();
+            let mut runs = self.shared.once.lock();
             let next = self.attempt.on_event(event, &mut runs, Instant::now());
             drop(runs);
-            self.once.settled.notify(usize::MAX);
+            self.shared.once.settled.notify(usize::MAX);
             // Every event above answers the step before, so it fits the state.
             step = match next {
                 Some(next) => next,
@@ -284,10 +250,10 @@
     async fn ask_owner(&self) -> AttemptEvent<Answer> {
         let claim = Claim {
             key: self.attempt.key(),
-            claimant: self.once.incarnation,
+            claimant: self.shared.process,
         };
         match forward::ask_owner(&self.shared, claim).await {
-            Some(ClaimReply::ClaimedBy(claimant)) if claimant == self.once.incarnation => {
+            Some(ClaimReply::ClaimedBy(claimant)) if claimant == self.shared.process => {
                 AttemptEvent::Owner(ClaimReply::Granted)
             }
             Some(reply) => AttemptEvent::Owner(reply),
@@ -302,18 +268,17 @@
         };
         let now = Instant::now();
         let decision = self.shared.authority.decide(plan.when_isolated(), now);
-        let is_same = buckets::current(&self.shared)
-            .is_some_and(|(incarnation, _)| incarnation == self.once.incarnation);
-        is_same && matches!(decision, Some(Decision::Start { .. }))
+        matches!(decision, Some(Decision::Start { .. }))
     }
 
     async fn settled(&self) -> AttemptEvent<Answer> {
         loop {
-            let settled = self.once.settled.listen();
+            let settled = self.shared.once.settled.listen();
             let report = self
+                .shared
                 .once
                 .lock()
-                .report(self.once.incarnation, self.attempt.key());
+                .report(self.shared.process, self.attempt.key());
             if !matches!(report, dotterelsill_claims::Report::InFlight) {
                 return AttemptEvent::RunSettled;
             }
@@ -360,7 +325,7 @@
 
 fn finished(outcome: ClaimOutcome<Answer>, last: Option<Reason>) -> Outcome {
     match outcome {
-        ClaimOutcome::Answered(answer) => run::answered(Response::clone(&answer)),
+        ClaimOutcome::Answered(answer) => answered(Response::clone(&answer)),
         ClaimOutcome::NotRun(reason) => Outcome::NotRun(last.unwrap_or_else(|| not_run(reason))),
         ClaimOutcome::Unknown(reason) => Outcome::Unknown(last.unwrap_or_else(|| unknown(reason))),
     }
--- a/crates/dotterelsill_entry/src/register.rs
+++ b/crates/dotterelsill_entry/src/register.rs
@@ -27,6 +27,7 @@
 };
 
 use crate::{
+    claim_store::incarnation_bytes,
     peers,
     shared::Shared,
     sync, //
@@ -149,6 +150,7 @@
         peer_address: shared.peer_address.clone(),
         state: "live".to_owned(),
         isolation_limit_ms: bounds.isolation_limit.as_millis() as u64,
+        process: incarnation_bytes(shared.process),
         max_run_ms: bounds.max_run.as_millis() as u64,
     };
     let member = member.encode_to_vec();
--- a/crates/dotterelsill_entry/src/run.rs
+++ b/crates/dotterelsill_entry/src/run.rs
@@ -1,4 +1,4 @@
-//! Runs an admitted request: attempts, retries and one hedge.
+//! Runs an admitted request: attempts one after the other until one is settled.
 
 use std::{
     sync::Arc,
@@ -9,41 +9,30 @@
 };
 
 use async_io::Timer;
-use bytes::Bytes;
 use dotterelsill_admission::End;
-use dotterelsill_routing::{
-    Deadline,
-    Hedge,
-    HedgeRequest,
-    Work, //
-};
-use futures_lite::FutureExt as _;
-use http::{
-    header,
-    HeaderMap,
-    HeaderValue,
-    Method,
-    StatusCode,
-    Uri, //
-};
-use http_body_util::Full;
-use hyper::{
-    Request,
-    Response, //
-};
+use dotterelsill_escrow::Credit;
+use dotterelsill_routing::Work;
+use http::StatusCode;
 
 use crate::{
     access,
     attempt::{
         Attempt,
-        Attempted,
-        Held,
-        Started, //
+        Held, //
+    },
+    follow::{
+        follow,
+        late, //
+    },
+    incoming::{
+        answered,
+        Incoming, //
     },
     outcome::{
         Outcome,
         Reason, //
     },
+    plan::QueuePlan,
     pool::Wanted,
     service::Permit,
     shared::Shared,
@@ -51,32 +40,32 @@
     start, //
 };
 
-/// Header that tells an upstream how long the caller still waits, in
-/// milliseconds.
-const DEADLINE_HEADER: &str = "dotterelsill-deadline-ms";
-
-/// Pause before another look at upstreams whose slots are all taken.
+/// Pause before another attempt when nothing was run, or another look at
+/// upstreams whose slots are all taken.
 const SLOT_PAUSE: Duration = Duration::from_millis(5);
 
-/// A request of a caller, read in full.
-pub(crate) struct Incoming {
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    /// Headers as the caller sent them.
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) deadline: Deadline,
-}
-
-/// What became of the first or another attempt.
-enum Step {
-    Done(Outcome),
-    /// Nothing was run; another attempt may follow, away from an upstream.
-    Again {
+/// What became of an attempt, with its hedge.
+pub(crate) struct Followed {
+    pub(crate) end: AttemptEnd,
+    /// Whether the attempt or its hedge may have run the work although neither
+    /// gave an answer.
+    pub(crate) may_have_run: bool,
+}
+
+/// How an attempt ended.
+pub(crate) enum AttemptEnd {
+    /// The upstream answered in full.
+    Answered(hyper::Response<bytes::Bytes>),
+    /// The caller's time is over.
+    Late,
+    /// Nothing was run; what was held comes back.
+    NotRun {
         held: Held,
         reason: String,
         avoid: String,
     },
+    /// The connection broke, or the work ran for longer than it may.
+    Broken(String),
 }
 
 /// Runs a request that was admitted.
@@ -84,6 +73,7 @@
     let mut held = Held::Permit(permit);
     let mut avoid = None;
     let mut last_reason = String::new();
+    let mut may_have_run = false;
     loop {
         let (snapshot, attempt) = match prepare(shared, incoming, held, avoid.as_deref()).await {
             Ok(Prepared::Attempt(snapshot, attempt)) => (snapshot, attempt),
@@ -91,16 +81,20 @@
                 held = returned;
                 if Instant::now() >= incoming.deadline.at() {
                     end(shared, incoming, held);
-                    return Outcome::NotRun(no_slot(&last_reason));
+                    return refused(busy(&last_reason), may_have_run);
                 }
                 Timer::after(SLOT_PAUSE).await;
                 continue;
             }
-            Err(reason) => return Outcome::NotRun(reason),
+            Err(reason) => return refused(reason, may_have_run),
         };
-        match follow(shared, incoming, &snapshot, attempt).await {
-            Step::Done(outcome) => return outcome,
-            Step::Again {
+        let followed = follow(shared, incoming, &snapshot, attempt).await;
+        may_have_run |= followed.may_have_run;
+        match followed.end {
+            AttemptEnd::Answered(answer) => return answered(answer),
+            AttemptEnd::Late if !may_have_run => return Outcome::NotRun(busy(&last_reason)),
+            AttemptEnd::Late => return late(incoming),
+            AttemptEnd::NotRun {
                 held: returned,
                 reason,
                 avoid: name,
@@ -108,11 +102,33 @@
                 held = returned;
                 last_reason = reason;
                 avoid = Some(name);
+                if Instant::now() >= incoming.deadline.at() {
+                    end(shared, incoming, held);
+                    return refused(busy(&last_reason), may_have_run);
+                }
+                Timer::after(SLOT_PAUSE).await;
             }
+            AttemptEnd::Broken(reason) => match retry_credit(shared, incoming) {
+                Some(credit) => {
+                    held = Held::Credit(credit);
+                    last_reason = reason;
+                }
+                None => return Outcome::Unknown(Reason::new(StatusCode::BAD_GATEWAY, reason)),
+            },
         }
     }
 }
 
+/// Returns the outcome of a request that goes no further. It was not run only if
+/// no earlier attempt may have run it.
+fn refused(reason: Reason, may_have_run: bool) -> Outcome {
+    if may_have_run {
+        Outcome::Unknown(Reason::new(StatusCode::BAD_GATEWAY, reason.text))
+    } else {
+        Outcome::NotRun(reason)
+    }
+}
+
 enum Prepared {
     Attempt(Arc<Snapshot>, Box<Attempt>),
     NoSlot(Held),
@@ -125,8 +141,7 @@
     held: Held,
     avoid: Option<&str>,
 ) -> Result<Prepared, Reason> {
-    let deadline = incoming.deadline.at();
-    let snapshot = match permitted(shared, incoming, deadline).await {
+    let snapshot = match permitted(shared, incoming).await {
         Ok(snapshot) => snapshot,
         Err(reason) => {
             end(shared, incoming, held);
@@ -146,45 +161,63 @@
         avoid,
     };
     let Some(slot) = plan.service.set.choose(work, now, rand::random) else {
-        if plan.service.set.capacity(now) == 0 {
-            plan.service.end(held, End::NotRun);
-            return Err(Reason::new(
-                StatusCode::SERVICE_UNAVAILABLE,
-                format!("service {} has no upstream in use", plan.queue.service),
-            ));
+        if plan.service.set.capacity(now) > 0 {
+            return Ok(Prepared::NoSlot(held));
         }
-        return Ok(Prepared::NoSlot(held));
+        plan.service.end(held, End::NotRun);
+        return Err(Reason::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            format!("service {} has no upstream in use", plan.queue.service),
+        ));
     };
     let wanted = if plan.queue.repeatable {
         Wanted::Idle
     } else {
         Wanted::RecentlyUsed
     };
-    let attempt = Attempt {
+    let attempt = attempt(
+        shared,
+        incoming,
+        snapshot.revision,
+        plan,
+        slot,
+        held,
+        wanted,
+    );
+    Ok(Prepared::Attempt(snapshot, Box::new(attempt)))
+}
+
+/// Creates an attempt on a reserved slot.
+pub(crate) fn attempt(
+    shared: &Arc<Shared>,
+    incoming: &Incoming,
+    revision: u64,
+    plan: &QueuePlan,
+    slot: dotterelsill_routing::Slot,
+    held: Held,
+    wanted: Wanted,
+) -> Attempt {
+    Attempt {
         shared: shared.clone(),
         plan: plan.service.clone(),
         latency: plan.latency.clone(),
         slot,
         held,
-        request: forwarded(incoming),
+        request: incoming.forwarded(),
         wanted,
-        revision: snapshot.revision,
+        revision,
         when_isolated: plan.when_isolated(),
-        deadline,
+        deadline: incoming.deadline.at(),
         max_run: Duration::from_millis(plan.queue.max_run_ms.into()),
-    };
-    Ok(Prepared::Attempt(snapshot, Box::new(attempt)))
+        progress: Arc::default(),
+    }
 }
 
 /// Returns the configuration under which the work may start now.
-async fn permitted(
-    shared: &Shared,
-    incoming: &Incoming,
-    deadline: Instant,
-) -> Result<Arc<Snapshot>, Reason> {
+async fn permitted(shared: &Shared, incoming: &Incoming) -> Result<Arc<Snapshot>, Reason> {
     let snapshot = shared.snapshot.load_full();
     let plan = access::queue_plan(&snapshot, incoming.uri.path())?;
-    let snapshot = start::permit(shared, plan, deadline).await?;
+    let snapshot = start::permit(shared, plan, incoming.deadline.at()).await?;
     // The key may have been withdrawn while the request waited.
     let plan = access::queue_plan(&snapshot, incoming.uri.path())?;
     access::authorize(&snapshot, plan, &incoming.headers)?;
@@ -200,173 +233,17 @@
     }
 }
 
-/// Starts an attempt and waits for its result, with a hedge when it is slow.
-async fn follow(
-    shared: &Arc<Shared>,
-    incoming: &Incoming,
-    snapshot: &Arc<Snapshot>,
-    attempt: Box<Attempt>,
-) -> Step {
-    let plan = attempt.plan.clone();
-    let sent_at = Instant::now();
-    plan.service.retries.on_request(sent_at);
-    let first_upstream = attempt.slot.upstream().name().to_owned();
-    let mut first = attempt.start();
-    let Ok(queue) = access::queue_plan(snapshot, incoming.uri.path()) else {
-        return Step::Done(result(first.result().await, incoming));
-    };
-    let mut hedge = HedgeRequest {
-        sent_at,
-        deadline: incoming.deadline,
-        repeatable: queue.queue.repeatable,
-        hedged: false,
-    };
-    let due = loop {
-        let now = Instant::now();
-        match Hedge::decide(&hedge, &queue.latency, &plan.service.retries, now) {
-            Hedge::Never => break false,
-            Hedge::Send => break true,
-            Hedge::WaitUntil(at) => {
-                if let Some(attempted) = until(&mut first, at).await {
-                    return step(attempted, incoming, shared, hedge.repeatable).await;
-                }
-            }
-        }
-    };
-    hedge.hedged = due;
-    let second = due
-        .then(|| start_hedge(shared, incoming, snapshot, &first_upstream))
-        .flatten();
-    let deadline = incoming.deadline.at();
-    let attempted = match second {
-        Some(mut second) => race(&mut first, &mut second, deadline).await,
-        None => until(&mut first, deadline).await,
-    };
-    match attempted {
-        Some(attempted) => step(attempted, incoming, shared, hedge.repeatable).await,
-        None => Step::Done(late(incoming)),
-    }
-}
-
-/// Starts a hedge on another upstream and a new connection, when the team has a
-/// credit for it.
-fn start_hedge(
-    shared: &Arc<Shared>,
-    incoming: &Incoming,
-    snapshot: &Arc<Snapshot>,
-    first_upstream: &str,
-) -> Option<Started> {
-    let plan = access::queue_plan(snapshot, incoming.uri.path()).ok()?;
-    let team = access::authorize(snapshot, plan, &incoming.headers).ok()?;
-    let credit = shared.limits.take(team.name())?;
-    let work = Work {
-        repeatable: true,
-        avoid: Some(first_upstream),
-    };
-    let slot = plan
-        .service
-        .set
-        .choose(work, Instant::now(), rand::random)?;
-    let attempt = Attempt {
-        shared: shared.clone(),
-        plan: plan.service.clone(),
-        latency: plan.latency.clone(),
-        slot,
-        held: Held::Credit(credit),
-        request: forwarded(incoming),
-        wanted: Wanted::New,
-        revision: snapshot.revision,
-        when_isolated: plan.when_isolated(),
-        deadline: incoming.deadline.at(),
-        max_run: Duration::from_millis(plan.queue.max_run_ms.into()),
-    };
-    Some(attempt.start())
-}
-
-/// Returns the first answer of two attempts, or the later failure.
-async fn race(first: &mut Started, second: &mut Started, deadline: Instant) -> Option<Attempted> {
-    let one = async { (true, until(first, deadline).await) };
-    let other = async { (false, until(second, deadline).await) };
-    let (is_first, attempted) = one.or(other).await;
-    match attempted {
-        Some(Attempted::Answered(answer)) => Some(Attempted::Answered(answer)),
-        None => None,
-        // What the failed attempt held ends with it; the other one decides.
-        Some(_) if is_first => until(second, deadline).await,
-        Some(_) => until(first, deadline).await,
-    }
-}
-
-async fn until(attempt: &mut Started, at: Instant) -> Option<Attempted> {
-    let attempted = attempt.result();
-    let late = async {
-        Timer::at(at).await;
-        None
-    };
-    attempted.or(late).await
-}
-
-/// Decides whether a failed attempt is followed by another one.
-async fn step(
-    attempted: Attempted,
-    incoming: &Incoming,
-    shared: &Arc<Shared>,
-    repeatable: bool,
-) -> Step {
-    match attempted {
-        Attempted::NotRun(not_run) => Step::Again {
-            held: not_run.held,
-            reason: not_run.reason,
-            avoid: not_run.avoid,
-        },
-        Attempted::Broken(reason) if repeatable => match retry_credit(shared, incoming) {
-            Some(credit) => Step::Again {
-                held: Held::Credit(credit),
-                reason,
-                avoid: String::new(),
-            },
-            None => Step::Done(result(Some(Attempted::Broken(reason)), incoming)),
-        },
-        attempted => Step::Done(result(Some(attempted), incoming)),
-    }
-}
-
-/// Takes a credit for a retry when the retry budget allows one.
-fn retry_credit(
-    shared: &Arc<Shared>,
-    incoming: &Incoming,
-) -> Option<Option<dotterelsill_escrow::Credit>> {
+/// Takes a credit for another attempt at work that may run twice, when the retry
+/// budget allows one.
+fn retry_credit(shared: &Shared, incoming: &Incoming) -> Option<Option<Credit>> {
     let snapshot = shared.snapshot.load_full();
     let plan = access::queue_plan(&snapshot, incoming.uri.path()).ok()?;
     let team = access::authorize(&snapshot, plan, &incoming.headers).ok()?;
-    let retries = &plan.service.service.retries;
-    retries
-        .try_retry(Instant::now())
-        .then(|| shared.limits.take(team.name()))?
-}
-
-fn result(attempted: Option<Attempted>, incoming: &Incoming) -> Outcome {
-    match attempted {
-        Some(Attempted::Answered(answer)) => answered(answer),
-        Some(Attempted::Broken(reason)) => {
-            Outcome::Unknown(Reason::new(StatusCode::BAD_GATEWAY, reason))
-        }
-        Some(Attempted::NotRun(not_run)) => Outcome::NotRun(no_slot(&not_run.reason)),
-        Some(Attempted::RunTimeOver) | None => late(incoming),
-    }
+    let may_retry = plan.queue.repeatable && plan.service.service.retries.try_retry(Instant::now());
+    may_retry.then(|| shared.limits.take(team.name()))?
 }
 
-fn late(incoming: &Incoming) -> Outcome {
-    Outcome::Unknown(Reason::new(
-        StatusCode::GATEWAY_TIMEOUT,
-        format!(
-            "{}: no answer within the time allowed; it may still run",
-            incoming.uri.path()
-        ),
-    ))
-}
-
-fn no_slot(last_reason: &str) -> Reason {
+fn busy(last_reason: &str) -> Reason {
     let reason = match last_reason {
         "" => "all upstreams are busy",
         reason => reason,
@@ -376,42 +253,3 @@
         format!("{reason}; send the request again later"),
     )
 }
-
-/// Tells an answer and a failed run apart.
-pub(crate) fn answered(mut answer: Response<Bytes>) -> Outcome {
-    for name in [header::CONNECTION, header::TRANSFER_ENCODING] {
-        answer.headers_mut().remove(name);
-    }
-    if answer.status().is_server_error() {
-        Outcome::Failed(answer)
-    } else {
-        Outcome::Answered(answer)
-    }
-}
-
-/// Returns the request as it is sent to an upstream: without the headers that
-/// are meant for this hop, and without the key.
-fn forwarded(incoming: &Incoming) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(incoming.body.clone()));
-    *request.method_mut() = incoming.method.clone();
-    *request.uri_mut() = incoming.uri.clone();
-    let mut headers = incoming.headers.clone();
-    for name in [
-        header::AUTHORIZATION,
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-    ] {
-        headers.remove(name);
-    }
-    let left_ms = incoming
-        .deadline
-        .upstream_ms(Instant::now(), Duration::ZERO);
-    headers.insert(DEADLINE_HEADER, HeaderValue::from(left_ms.unwrap_or(0)));
-    *request.headers_mut() = headers;
-    request
-}
--- a/crates/dotterelsill_entry/src/shared.rs
+++ b/crates/dotterelsill_entry/src/shared.rs
@@ -9,6 +9,7 @@
 };
 
 use arc_swap::ArcSwap;
+use dotterelsill_claims::Incarnation;
 use dotterelsill_proto::settings::EntrySettings;
 use dotterelsill_rpc::Tasks;
 use dotterelsill_store::Client;
@@ -42,6 +43,9 @@
     pub(crate) limits: Arc<Limits>,
     /// Claim logs of the buckets that this instance owns.
     pub(crate) buckets: Buckets,
+    /// Number of this process. Claims are bound to it, because its memory tells
+    /// what it has run, also when it registers anew.
+    pub(crate) process: Incarnation,
     /// Runs of requests that may not be repeated.
     pub(crate) once: Once,
     pub(crate) burn: Burn,
@@ -63,6 +67,7 @@
         tasks: Tasks,
         metrics: Metrics,
     ) -> Arc<Self> {
+        let process = Incarnation(rand::random());
         Arc::new(Self {
             settings,
             snapshot: ArcSwap::from_pointee(Snapshot::empty(Instant::now())),
@@ -73,7 +78,8 @@
             store,
             limits: Arc::default(),
             buckets: Buckets::default(),
-            once: Once::default(),
+            process,
+            once: Once::new(process),
             burn: Burn::new(Instant::now()),
             requests: tasks.new_group(),
             tasks,
