Name the defaults that the schema's comments leave out

The page said that a key left out is 0, but a missing isolation_limit_s is 900, a missing log_level is info, and five keys must be written. The text is in the generator, because the comments of the schema are copied into the messages' docs as well.

--- a/crates/dotterelsill_protogen/src/settings_page.rs
+++ b/crates/dotterelsill_protogen/src/settings_page.rs
@@ -43,13 +43,14 @@
 `proto/config.proto` by `cargo run -p dotterelsill_protogen`; change it there.
 
 Both kinds of file are YAML. A key that is not listed here is an error. A key
-that is left out has the value 0, false or the empty text, unless its meaning
-says otherwise.
+that is left out has the value 0, false or the empty text, unless this page says
+otherwise.
 
 ## Settings files
 
 Each binary below reads the file named by `--settings`. `dotterelsill` and
-`dotterelsill-load` have no settings file; `--help` lists their arguments.
+`dotterelsill-load` have no settings file; `--help` lists their arguments. A
+`log_level` that is left out is `info`.
 ";
 
 /// Text before the tables of the operators' text.
@@ -59,6 +60,10 @@
 `dotterelsill check` reads the file and names the line of each mistake. Some
 rules, such as ranges and references between names, are checked there and are
 not part of the schema.
+
+An `isolation_limit_s` that is left out is 900, unlike one of 0; 1800 is the
+most. A `when_isolated` that is left out is `default`. `limit_requests`, `slots`,
+`connections`, `timeout_ms` and `max_run_ms` must be written and be at least 1.
 ";
 
 /// Returns the page.
