Delete documents after 16 revisions; write output of the command line without panics

The head names the writes whose documents are kept, about 600 bytes with 16 of them. A reader of the command line that closes the pipe is no error any more.

--- a/crates/dotterelsill_cli/src/commands.rs
+++ b/crates/dotterelsill_cli/src/commands.rs
@@ -53,6 +53,7 @@
     },
     print::{
         self,
+        outln,
         EXIT_REFUSED, //
     }, //
 };
@@ -136,7 +137,7 @@
     let Some(checked) = check(file, &read(file)?) else {
         return Ok(ExitCode::from(EXIT_REFUSED));
     };
-    print!("{}", explain(&checked));
+    print::out(&explain(&checked));
     Ok(ExitCode::SUCCESS)
 }
 
@@ -161,10 +162,10 @@
     let in_force = answer.into_inner();
     match parse(&in_force.text) {
         Ok(old) => {
-            println!("changes to revision {}:", in_force.revision);
-            print!("{}", diff_text(&diff(&old, new)));
+            outln!("changes to revision {}:", in_force.revision);
+            print::out(&diff_text(&diff(&old, new)));
         }
-        Err(_) => println!("no text is in force; everything is new"),
+        Err(_) => outln!("no text is in force; everything is new"),
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -179,8 +180,8 @@
     let answer = client.give_key(request).await.context(CallSnafu)?;
     let answer = answer.into_inner();
     if answer.state() != ChangeState::Refused {
-        println!("key: {key}");
-        println!("fingerprint: {}", hex::encode(&Sha256::digest(&key)[..8]));
+        outln!("key: {key}");
+        outln!("fingerprint: {}", hex::encode(&Sha256::digest(&key)[..8]));
     }
     Ok(print::change(&answer))
 }
@@ -188,7 +189,7 @@
 async fn run_burn(client: &mut Client, burn: &ReportBurn) -> Result<ExitCode, CommandError> {
     let answer = client.burn(BurnRequest {}).await.context(CallSnafu)?;
     let report = answer.into_inner();
-    print!("{}", report.text);
+    print::out(&report.text);
     if let Some(path) = &burn.svg {
         fs::write(path, report.svg).context(FileSnafu { path })?;
     }
--- a/crates/dotterelsill_cli/src/print.rs
+++ b/crates/dotterelsill_cli/src/print.rs
@@ -1,6 +1,20 @@
 //! What the commands print.
 
-use std::process::ExitCode;
+/// Writes a line to standard output.
+macro_rules! outln {
+    ($($arguments:tt)*) => {
+        $crate::print::out(&(format!($($arguments)*) + "\n"))
+    };
+}
+pub(crate) use outln;
+
+use std::{
+    io::{
+        self,
+        Write as _, //
+    },
+    process::ExitCode, //
+};
 
 use dotterelsill_config::Finding;
 use dotterelsill_proto::peer::{
@@ -18,10 +32,16 @@
 /// Exit code of a change of which it is not known whether it was stored.
 const EXIT_UNKNOWN: u8 = 4;
 
+/// Writes text to standard output. A reader that has gone, as `head` does, is no
+/// error.
+pub(crate) fn out(text: &str) {
+    let _ = io::stdout().write_all(text.as_bytes());
+}
+
 /// Prints the findings of a check, each with its file.
 pub(crate) fn findings(file: &str, findings: &[Finding]) {
     for finding in findings {
-        println!("{file}:{finding}");
+        outln!("{file}:{finding}");
     }
 }
 
@@ -29,28 +49,30 @@
 pub(crate) fn change(answer: &ChangeResponse) -> ExitCode {
     match answer.state() {
         ChangeState::InForce => {
-            println!("revision {} is in force", answer.revision);
+            outln!("revision {} is in force", answer.revision);
             ExitCode::SUCCESS
         }
         ChangeState::Stored => {
-            println!("revision {} is stored, not yet in force", answer.revision);
+            outln!("revision {} is stored, not yet in force", answer.revision);
             for member in &answer.unconfirmed {
-                println!(
+                outln!(
                     "  {}: {} (at most {} s)",
-                    member.instance, member.reason, member.at_most_s
+                    member.instance,
+                    member.reason,
+                    member.at_most_s
                 );
             }
             if answer.unconfirmed.is_empty() {
-                println!("  waiting for credits above a lowered limit, or for the store");
+                outln!("  waiting for credits above a lowered limit, or for the store");
             }
             ExitCode::from(EXIT_STORED)
         }
         ChangeState::Refused => {
-            println!("refused: {}", answer.reason);
+            outln!("refused: {}", answer.reason);
             ExitCode::from(EXIT_REFUSED)
         }
         ChangeState::Unknown | ChangeState::Unspecified => {
-            println!("not known whether it was stored: {}", answer.reason);
+            outln!("not known whether it was stored: {}", answer.reason);
             ExitCode::from(EXIT_UNKNOWN)
         }
     }
@@ -62,27 +84,33 @@
         [] => "none".to_owned(),
         names => names.join(", "),
     };
-    println!("instance           {}", status.instance);
-    println!("incarnation        {}", status.incarnation);
-    println!("revision in force  {}", status.revision);
-    println!("authority          {}", status.authority);
-    println!("proof age          {} ms", status.proof_age_ms);
-    println!("data centres out   {out}");
-    println!("store calls        {}", status.store_calls);
+    outln!("instance           {}", status.instance);
+    outln!("incarnation        {}", status.incarnation);
+    outln!("revision in force  {}", status.revision);
+    outln!("authority          {}", status.authority);
+    outln!("proof age          {} ms", status.proof_age_ms);
+    outln!("data centres out   {out}");
+    outln!("store calls        {}", status.store_calls);
     for member in &status.members {
-        println!(
+        outln!(
             "member             {} in {} at {} ({})",
-            member.instance, member.data_centre, member.peer_address, member.state
+            member.instance,
+            member.data_centre,
+            member.peer_address,
+            member.state
         );
     }
     for credit in &status.credits {
-        println!(
+        outln!(
             "credits            {}: {} in use of {} here, {} in the whole fleet",
-            credit.team, credit.in_use, credit.allowed, credit.limit
+            credit.team,
+            credit.in_use,
+            credit.allowed,
+            credit.limit
         );
     }
     for key in &status.keys {
-        println!(
+        outln!(
             "key                {} of {}",
             hex::encode(&key.fingerprint),
             key.team
--- a/crates/dotterelsill_entry/src/change.rs
+++ b/crates/dotterelsill_entry/src/change.rs
@@ -51,6 +51,10 @@
 /// Number of times that a change is tried again after another change came first.
 const CONFLICT_RETRIES: usize = 8;
 
+/// Documents of earlier revisions that are kept; by them a change whose store
+/// answer was lost is recognised.
+const KEPT_DOCUMENTS: usize = 16;
+
 /// Pause before a call is made again that got no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -119,18 +123,55 @@
     };
     let deadline = Instant::now() + STORE_LIMIT;
     let change = Change::new(WriteId::new(write_id), base, deadline);
-    Ok(store(shared, change, &document.encode_to_vec()).await)
+    let (kept, expired) = kept_after(head.as_ref());
+    let outcome = store(shared, change, &document.encode_to_vec(), &kept).await;
+    if matches!(outcome, Outcome::Stored { .. }) {
+        delete_documents(shared, &expired).await;
+    }
+    Ok(outcome)
+}
+
+/// Returns the writes whose documents are kept after a change of a head, and
+/// those whose documents are deleted.
+fn kept_after(head: Option<&Head>) -> (Vec<String>, Vec<String>) {
+    let Some(head) = head else {
+        return (Vec::new(), Vec::new());
+    };
+    let mut kept = head.kept_write_ids.clone();
+    kept.push(head.write_id.clone());
+    let excess = kept.len().saturating_sub(KEPT_DOCUMENTS);
+    let expired = kept.drain(..excess).collect();
+    (kept, expired)
+}
+
+/// Deletes documents of old revisions. One whose deletion fails stays for ever,
+/// which costs space only.
+async fn delete_documents(shared: &Shared, write_ids: &[String]) {
+    for write_id in write_ids {
+        let key = body_key(write_id);
+        let deleted = async {
+            let version = shared
+                .store
+                .get(&key)
+                .await?
+                .map_or(0, |entry| entry.version);
+            shared.store.delete(&key, version).await
+        };
+        if let Err(error) = deleted.await {
+            log::debug!(key, error:%; "document_not_deleted");
+        }
+    }
 }
 
 /// Makes the calls that store a change.
-async fn store(shared: &Shared, mut change: Change, body: &[u8]) -> Outcome {
+async fn store(shared: &Shared, mut change: Change, body: &[u8], kept: &[String]) -> Outcome {
     loop {
         let action = change.next();
         let result = match &action {
             Action::WriteBody => write_body(shared, &mut change, body).await,
             Action::SwapHead {
                 expected_version, ..
-            } => swap_head(shared, &mut change, *expected_version, body).await,
+            } => swap_head(shared, &mut change, *expected_version, body, kept).await,
             Action::ReadHead => read_back_head(shared, &mut change).await,
             Action::ReadBody { write_id } => read_predecessor(shared, &mut change, write_id).await,
             Action::Done(outcome) => return outcome.clone(),
@@ -170,12 +211,14 @@
     change: &mut Change,
     expected_version: u64,
     body: &[u8],
+    kept: &[String],
 ) -> Result<(), SyncError> {
     let next = change.head();
     let head = Head {
         revision: next.revision,
         write_id: next.write_id.as_str().to_owned(),
         document_sha256: Sha256::digest(body).to_vec(),
+        kept_write_ids: kept.to_vec(),
     };
     let value = head.encode_to_vec();
     let put = shared
