--- a/crates/dotterelsill_planner/src/daemon.rs
+++ b/crates/dotterelsill_planner/src/daemon.rs
@@ -81,13 +81,15 @@
     let platform = parse("platform", &settings.platform)?;
     let listener = Listener::bind(&settings.listen).context(ListenSnafu)?;
     log::info!(address:% = listener.address(); "listening");
+    // Stopping a group ends its connections, and the lease is released last.
+    let connections = tasks.new_group();
     let shared = Arc::new(Shared {
         address: listener.address().to_string(),
         incarnation: rand::random(),
         names: Names::default(),
-        platform: Platform::new(platform, &tasks),
+        platform: Platform::new(platform, &connections),
         settings: Settings::new(&settings),
-        store: Client::new(store, &tasks),
+        store: Client::new(store, &connections),
         view: View::default(),
     });
     let service = PlannerServer::new(Service::new(shared.clone()));
@@ -96,6 +98,8 @@
     termination_signal().await.context(SignalSnafu)?;
     tasks.stop();
     tasks.join().await;
+    connections.stop();
+    connections.join().await;
     Ok(())
 }
 
--- a/crates/dotterelsill_planner/tests/common/mod.rs
+++ b/crates/dotterelsill_planner/tests/common/mod.rs
@@ -252,6 +252,19 @@
         answer.map_or_else(|error| error.message().to_owned(), |a| a.into_inner().text)
     }
 
+    /// Waits until the plan has a text, and returns it.
+    pub(crate) async fn until_plan(&self, planner: &Process, text: &str) -> String {
+        let begin = Instant::now();
+        loop {
+            let plan = self.plan(planner).await;
+            if plan.contains(text) {
+                return plan;
+            }
+            assert!(begin.elapsed() < AWAIT_TIMEOUT, "no {text:?} in {plan}");
+            Timer::after(Duration::from_millis(10)).await;
+        }
+    }
+
     pub(crate) async fn explain(&self, planner: &Process, instance: &str) -> String {
         let instance = instance.to_owned();
         let mut client = self.operator(planner);
--- a/crates/dotterelsill_planner/tests/operators/mod.rs
+++ b/crates/dotterelsill_planner/tests/operators/mod.rs
@@ -22,13 +22,11 @@
     run(|mut world| async move {
         world.configure(&text(&[]), &["a"]).await;
         let planner = world.planner("one");
+        let charged = "budget permits: 2 of 4 out, floor 3";
+        world.until_plan(&planner, charged).await;
         Timer::after(Duration::from_millis(2000)).await;
         assert_eq!(world.observe().await.changes, []);
-        let plan = world.plan(&planner).await;
-        assert!(
-            plan.contains("budget permits: 2 of 4 out, floor 3"),
-            "{plan}"
-        );
+        let plan = world.until_plan(&planner, charged).await;
         let waiting = world.explain(&planner, "permits-0").await;
         println!("{plan}{waiting}");
         assert!(
@@ -96,10 +94,7 @@
                 steps.iter().filter(is_back).count() == 4
             })
             .await;
-        let plan = world.plan(&planner).await;
-        assert!(
-            plan.contains("budget permits: 0 of 3 out, floor 3"),
-            "{plan}"
-        );
+        let charged = "budget permits: 0 of 3 out, floor 3";
+        world.until_plan(&planner, charged).await;
     });
 }
--- a/crates/dotterelsill_planner/tests/processes.rs
+++ b/crates/dotterelsill_planner/tests/processes.rs
@@ -146,8 +146,8 @@
         let seen = world.observe().await;
         let taken: Vec<_> = steps(&seen).into_keys().collect();
         assert_eq!(taken.len(), 1, "{taken:?}");
-        let plan = world.plan(&first).await;
-        assert!(plan.contains("maintenance halted, failed: "), "{plan}");
+        let halted = "maintenance halted, failed: ";
+        let plan = world.until_plan(&first, halted).await;
         let text = world.explain(&first, &taken[0]).await;
         println!("{plan}{text}");
         assert!(text.contains("it has failed"), "{text}");
