--- a/crates/dotterelsill_cli/src/args.rs
+++ b/crates/dotterelsill_cli/src/args.rs
@@ -16,6 +16,9 @@
     /// socket address of an entry instance's peer port
     #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 7071))")]
     pub(crate) entry: SocketAddr,
+    /// socket address of a planner
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 7072))")]
+    pub(crate) planner: SocketAddr,
     #[argh(subcommand)]
     pub(crate) command: Command,
 }
@@ -27,7 +30,9 @@
     Apply(Apply),
     Check(Check),
     Dc(Dc),
+    Explain(Explain),
     Key(Key),
+    Plan(Plan),
     Report(Report),
     Status(Status),
 }
@@ -84,6 +89,35 @@
     }
 }
 
+/// Tells why something is where it is, or why it waits.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct Explain {
+    #[argh(subcommand)]
+    pub(crate) command: ExplainCommand,
+}
+
+/// Subcommands of `explain`.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum ExplainCommand {
+    Instance(ExplainInstance),
+}
+
+/// Tells why an instance is in its pool and state, or why it waits.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "instance")]
+pub(crate) struct ExplainInstance {
+    /// name of the instance
+    #[argh(positional)]
+    pub(crate) name: String,
+}
+
+/// Prints what the planner does next and which budget it takes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "plan")]
+pub(crate) struct Plan {}
+
 /// Gives and withdraws keys.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "key")]
--- a/crates/dotterelsill_cli/src/client.rs
+++ b/crates/dotterelsill_cli/src/client.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use dotterelsill_proto::peer::operator_client::OperatorClient;
+use dotterelsill_proto::{
+    peer::operator_client::OperatorClient,
+    planner::planner_client::PlannerClient, //
+};
 use dotterelsill_rpc::{
     Channel,
     Tasks, //
@@ -20,11 +23,21 @@
 
 /// Creates a client that connects with its first call.
 pub(crate) fn connect(entry: SocketAddr, tasks: &Tasks) -> Client {
-    let origin = Uri::builder()
+    let channel = Channel::new(entry, CONNECT_TIMEOUT, tasks);
+    OperatorClient::with_origin(channel, origin(entry))
+}
+
+/// Creates a client of a planner that connects with its first call.
+pub(crate) fn connect_planner(planner: SocketAddr, tasks: &Tasks) -> PlannerClient<Channel> {
+    let channel = Channel::new(planner, CONNECT_TIMEOUT, tasks);
+    PlannerClient::with_origin(channel, origin(planner))
+}
+
+fn origin(address: SocketAddr) -> Uri {
+    Uri::builder()
         .scheme("http")
-        .authority(entry.to_string())
+        .authority(address.to_string())
         .path_and_query("/")
         .build()
-        .expect("a socket address is a valid authority");
-    OperatorClient::with_origin(Channel::new(entry, CONNECT_TIMEOUT, tasks), origin)
+        .expect("a socket address is a valid authority")
 }
--- a/crates/dotterelsill_cli/src/commands.rs
+++ b/crates/dotterelsill_cli/src/commands.rs
@@ -17,15 +17,21 @@
     parse,
     Checked, //
 };
-use dotterelsill_proto::peer::{
-    ApplyRequest,
-    BurnRequest,
-    ChangeState,
-    GiveKeyRequest,
-    SetDataCentreRequest,
-    StatusRequest,
-    TextRequest,
-    WithdrawKeyRequest, //
+use dotterelsill_proto::{
+    peer::{
+        ApplyRequest,
+        BurnRequest,
+        ChangeState,
+        GiveKeyRequest,
+        SetDataCentreRequest,
+        StatusRequest,
+        TextRequest,
+        WithdrawKeyRequest, //
+    },
+    planner::{
+        ExplainRequest,
+        PlanRequest, //
+    }, //
 };
 use dotterelsill_rpc::Tasks;
 use sha2::{
@@ -43,12 +49,14 @@
         Args,
         Command,
         Direction,
+        ExplainCommand,
         KeyCommand,
         ReportBurn,
         ReportCommand, //
     },
     client::{
         connect,
+        connect_planner,
         Client, //
     },
     print::{
@@ -70,6 +78,11 @@
         text: String,
         source: hex::FromHexError,
     },
+    #[snafu(display("planner: {}; name another one with --planner", source.message()))]
+    Planner {
+        #[snafu(source(from(tonic::Status, Box::new)))]
+        source: Box<tonic::Status>,
+    },
     #[snafu(display("entry instance: {}; name another one with --entry", source.message()))]
     Call {
         #[snafu(source(from(tonic::Status, Box::new)))]
@@ -92,6 +105,23 @@
             let answer = client.set_data_centre(request).await.context(CallSnafu)?;
             Ok(print::change(&answer.into_inner()))
         }
+        Command::Explain(explain) => match explain.command {
+            ExplainCommand::Instance(explain) => {
+                let mut planner = connect_planner(args.planner, tasks);
+                let request = ExplainRequest {
+                    instance: explain.name,
+                };
+                let answer = planner.explain(request).await.context(PlannerSnafu)?;
+                print::out(&answer.into_inner().text);
+                Ok(ExitCode::SUCCESS)
+            }
+        },
+        Command::Plan(_) => {
+            let mut planner = connect_planner(args.planner, tasks);
+            let answer = planner.plan(PlanRequest {}).await.context(PlannerSnafu)?;
+            print::out(&answer.into_inner().text);
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Key(key) => match key.command {
             KeyCommand::Give(give) => run_key_give(&mut client, give.team).await,
             KeyCommand::Withdraw(withdraw) => {
--- a/crates/dotterelsill_planner/tests/common/mod.rs
+++ b/crates/dotterelsill_planner/tests/common/mod.rs
@@ -133,6 +133,7 @@
             revision: self.revision,
             document_sha256: Sha256::digest(&document).to_vec(),
             write_id: write_id.clone(),
+            ..Head::default()
         };
         let body = format!("config/body/{write_id}");
         let put = self.client.put(&body, document, 0, 0).await;
