Observe runs and answers independently of the entries

The upstream stand-in logs start and end of each run with the number of the caller's attempt, so that runs of a killed upstream stay known and the number running at once over the whole fleet can be computed from all logs. The observer records every attempt and its outcome, and reports violations of P3 to P8. Its own tests feed it one violation of each kind.

A log line was chosen over a counter that is read over HTTP: a counter is lost with the process, and each upstream sees only its own peak.

Links can shorten answers and change their target.

--- a/crates/dotterelsill_e2e/src/fleet.rs
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::{
     fmt::Write as _,
+    net::SocketAddr,
+    sync::atomic::AtomicU64,
     time::{
         Duration,
         Instant, //
@@ -9,37 +11,25 @@
 };
 
 use async_io::Timer;
-use dotterelsill_proto::{
-    peer::{
-        operator_client::OperatorClient,
-        ApplyRequest,
-        ChangeResponse,
-        GiveKeyRequest,
-        SetDataCentreRequest,
-        StatusRequest,
-        StatusResponse,
-        WithdrawKeyRequest, //
-    },
-    store::{
-        standin_control_client::StandinControlClient,
-        CountsRequest,
-        CountsResponse,
-        SetFaultsRequest, //
-    }, //
+use dotterelsill_proto::store::{
+    standin_control_client::StandinControlClient,
+    CountsRequest,
+    CountsResponse,
+    SetFaultsRequest, //
 };
 use dotterelsill_rpc::{
     Channel,
     Tasks, //
 };
-use sha2::{
-    Digest as _,
-    Sha256, //
-};
 
 use crate::{
+    clock_us,
+    read_runs,
     Caller,
     Link,
-    Process, //
+    Mode,
+    Process,
+    Run, //
 };
 
 /// Longest time to wait for a state that must come.
@@ -68,7 +58,8 @@
     pub store: Process,
     /// Group of the tasks of callers and operators.
     pub tasks: Tasks,
-    next_write: u64,
+    pub(crate) next_write: AtomicU64,
+    retired: Vec<Vec<Run>>,
 }
 
 impl Fleet {
@@ -85,7 +76,8 @@
             upstream_links: Vec::new(),
             store,
             tasks: tasks.clone(),
-            next_write: 0,
+            next_write: AtomicU64::new(0),
+            retired: Vec::new(),
         };
         for index in 0..data_centres {
             let upstream = start_upstream(service_time_ms);
@@ -101,28 +93,50 @@
     /// the entry that it replaces.
     pub fn start_entry(&self, index: usize) -> Entry {
         let store_link = Link::new(self.store.address(""));
-        // The port is known only after the start, so one is set aside first.
-        let reserved = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let peers = reserved.local_addr().expect("the socket is bound");
-        drop(reserved);
-        let peer_link = Link::new(peers);
+        // The port of the peers is known only after the start. One that is set
+        // aside before may be taken by a connection in between.
+        let peer_link = Link::new(store_link.address());
+        peer_link.set(Mode::Cut);
         let name = data_centre(index);
         let settings = format!(
             "instance: entry-{name}\ndata_centre: {name}\n\
-             listen_callers: \"127.0.0.1:0\"\nlisten_peers: \"{peers}\"\n\
+             listen_callers: \"127.0.0.1:0\"\nlisten_peers: \"127.0.0.1:0\"\n\
              listen_admin: \"127.0.0.1:0\"\nstore: \"{}\"\n\
              advertise_peers: \"{}\"\nthreads: 2\nbalancer_grace_ms: 100\n\
              shutdown_timeout_ms: 15000\n",
             store_link.address(),
             peer_link.address(),
         );
+        let process = Process::start("dotterelsill-entry", &settings, 3);
+        peer_link.set_target(process.address("listen_peers"));
+        peer_link.set(Mode::Pass);
         Entry {
-            process: Process::start("dotterelsill-entry", &settings, 3),
+            process,
             store_link,
             peer_link,
         }
     }
 
+    /// Kills an upstream and starts another one behind its link.
+    pub fn replace_upstream(&mut self, index: usize, service_time_ms: u32) {
+        let upstream = &mut self.upstreams[index];
+        upstream.kill();
+        let runs = read_runs(index, &upstream.log(), Some(clock_us()));
+        self.retired.push(runs);
+        *upstream = start_upstream(service_time_ms);
+        self.upstream_links[index].set_target(upstream.address(""));
+    }
+
+    /// Returns every run that the upstreams have logged, also those that were
+    /// replaced.
+    pub fn logged_runs(&self) -> Vec<Run> {
+        let mut runs = self.retired.concat();
+        for (index, upstream) in self.upstreams.iter().enumerate() {
+            runs.extend(read_runs(index, &upstream.log(), None));
+        }
+        runs
+    }
+
     /// Returns the operators' text of the fleet: the service `work` with all
     /// upstreams; the queues `open`, `keyed` (repeatable) and `once` (not
     /// repeatable); the teams `red` (limit 4) and `blue` (limit 8).
@@ -195,53 +209,6 @@
         runs
     }
 
-    /// Applies a text through the entry of an index.
-    pub async fn apply(&mut self, index: usize, text: &str) -> ChangeResponse {
-        let request = ApplyRequest {
-            write_id: self.write_id(),
-            text: text.to_owned(),
-        };
-        let mut operator = self.operator(index);
-        answer(operator.apply(request).await)
-    }
-
-    /// Gives a key to a team through the entry of an index.
-    pub async fn give_key(&mut self, index: usize, team: &str, key: &str) -> ChangeResponse {
-        let request = GiveKeyRequest {
-            write_id: self.write_id(),
-            team: team.to_owned(),
-            sha256: Sha256::digest(key).to_vec(),
-        };
-        let mut operator = self.operator(index);
-        answer(operator.give_key(request).await)
-    }
-
-    /// Withdraws a key through the entry of an index.
-    pub async fn withdraw_key(&mut self, index: usize, key: &str) -> ChangeResponse {
-        let request = WithdrawKeyRequest {
-            write_id: self.write_id(),
-            sha256: Sha256::digest(key).to_vec(),
-        };
-        let mut operator = self.operator(index);
-        answer(operator.withdraw_key(request).await)
-    }
-
-    /// Takes a data centre out or brings it back through the entry of an index.
-    pub async fn set_data_centre(&mut self, index: usize, name: &str, out: bool) -> ChangeResponse {
-        let request = SetDataCentreRequest {
-            write_id: self.write_id(),
-            data_centre: name.to_owned(),
-            out,
-        };
-        let mut operator = self.operator(index);
-        answer(operator.set_data_centre(request).await)
-    }
-
-    /// Returns the status of the entry of an index.
-    pub async fn status(&self, index: usize) -> StatusResponse {
-        answer(self.operator(index).status(StatusRequest {}).await)
-    }
-
     /// Waits until the entries of all indexes have a revision in force.
     ///
     /// # Panics
@@ -285,26 +252,15 @@
         )
     }
 
-    /// Returns a client for the operators' calls of the entry of an index.
-    pub fn operator(&self, index: usize) -> OperatorClient<Channel> {
-        let address = self.entries[index].process.address("listen_peers");
-        let origin = tonic::codegen::http::Uri::from_static("http://entry");
-        OperatorClient::with_origin(self.channel(address), origin)
-    }
-
-    fn channel(&self, address: std::net::SocketAddr) -> Channel {
+    pub(crate) fn channel(&self, address: SocketAddr) -> Channel {
         Channel::new(address, Duration::from_secs(2), &self.tasks)
     }
-
-    fn write_id(&mut self) -> String {
-        self.next_write += 1;
-        format!("write-{}", self.next_write)
-    }
 }
 
 fn start_upstream(service_time_ms: u32) -> Process {
     let settings = format!(
-        "{{ listen: \"127.0.0.1:0\", slots: 8, connections: 64, service_time_us: {} }}",
+        "{{ listen: \"127.0.0.1:0\", slots: 8, connections: 64, service_time_us: {}, \
+         log_level: debug }}",
         service_time_ms * 1000
     );
     Process::start("dotterelsill-standin-upstream", &settings, 1)
@@ -314,6 +270,6 @@
     char::from(b'a' + index as u8)
 }
 
-fn answer<T>(result: Result<tonic::Response<T>, tonic::Status>) -> T {
+pub(crate) fn answer<T>(result: Result<tonic::Response<T>, tonic::Status>) -> T {
     result.expect("the process answers").into_inner()
 }
--- a/crates/dotterelsill_e2e/src/lib.rs
+++ b/crates/dotterelsill_e2e/src/lib.rs
@@ -7,7 +7,11 @@
 mod caller;
 mod fleet;
 mod link;
+mod observer;
+mod operate;
 mod process;
+mod run_log;
+mod violations;
 
 pub use caller::{
     Answer,
@@ -21,4 +25,21 @@
     Link,
     Mode, //
 };
-pub use process::Process;
+pub use observer::{
+    Observer,
+    Sent,
+    Work, //
+};
+pub use process::{
+    Process,
+    Terminator, //
+};
+pub use run_log::{
+    clock_us,
+    read_runs,
+    Run, //
+};
+pub use violations::{
+    peak,
+    violations, //
+};
--- a/crates/dotterelsill_e2e/src/link.rs
+++ b/crates/dotterelsill_e2e/src/link.rs
@@ -38,10 +38,12 @@
     Cut = 1,
     /// Accepts connections and carries no bytes in either direction.
     Silent = 2,
+    /// Carries requests, and of each answer all but the last byte; then closes.
+    Shorten = 3,
 }
 
 struct Shared {
-    target: SocketAddr,
+    target: Mutex<SocketAddr>,
     mode: AtomicU8,
     /// Connections numbered below this carry no bytes, whatever the mode.
     silenced_below: AtomicU8,
@@ -66,7 +68,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
         let address = listener.local_addr().expect("the socket is bound");
         let shared = Arc::new(Shared {
-            target,
+            target: Mutex::new(target),
             mode: AtomicU8::new(Mode::Pass as u8),
             silenced_below: AtomicU8::new(0),
             ended: AtomicBool::new(false),
@@ -86,6 +88,15 @@
         self.address
     }
 
+    /// Lets new connections go to another target.
+    pub fn set_target(&self, target: SocketAddr) {
+        *self
+            .shared
+            .target
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = target;
+    }
+
     /// Changes what the link does with open and new connections.
     pub fn set(&self, mode: Mode) {
         self.shared.mode.store(mode as u8, Ordering::SeqCst);
@@ -125,7 +136,8 @@
         if shared.mode.load(Ordering::SeqCst) == Mode::Cut as u8 {
             continue;
         }
-        let Ok(far) = TcpStream::connect(shared.target) else {
+        let target = *shared.target.lock().unwrap_or_else(PoisonError::into_inner);
+        let Ok(far) = TcpStream::connect(target) else {
             continue;
         };
         // A socket that cannot be set up is closed, as a broken link would do.
@@ -144,10 +156,10 @@
         .threads
         .lock()
         .unwrap_or_else(PoisonError::into_inner);
-    for (from, to) in [(near, far), back] {
+    for (from, to, is_answer) in [(near, far, false), (back.0, back.1, true)] {
         let shared = shared.clone();
         threads.push(thread::spawn(move || {
-            carry(&from, &to, &shared, generation);
+            carry(&from, &to, &shared, generation, is_answer);
             let _ = from.shutdown(Shutdown::Both);
             let _ = to.shutdown(Shutdown::Both);
         }));
@@ -155,7 +167,13 @@
     Ok(())
 }
 
-fn carry(mut from: &TcpStream, mut to: &TcpStream, shared: &Shared, generation: u8) {
+fn carry(
+    mut from: &TcpStream,
+    mut to: &TcpStream,
+    shared: &Shared,
+    generation: u8,
+    is_answer: bool,
+) {
     let mut buffer = [0; 16 * 1024];
     loop {
         if shared.ended.load(Ordering::SeqCst) {
@@ -171,6 +189,11 @@
             Err(error) if is_timeout(&error) => continue,
             Err(_) => return,
         };
+        if is_answer && mode == Mode::Shorten as u8 {
+            // The connection is closed below in any case.
+            let _ = to.write_all(&buffer[..length - 1]);
+            return;
+        }
         let is_silenced = shared.silenced_below.load(Ordering::SeqCst) != generation;
         let is_silent = shared.mode.load(Ordering::SeqCst) == Mode::Silent as u8;
         if !is_silenced && !is_silent && to.write_all(&buffer[..length]).is_err() {
--- a/crates/dotterelsill_e2e/src/process.rs
+++ b/crates/dotterelsill_e2e/src/process.rs
@@ -44,6 +44,17 @@
 
 static NEXT_FILE: AtomicU32 = AtomicU32::new(0);
 
+/// Asks a process to shut down while others hold its handle.
+#[derive(Clone, Copy, Debug)]
+pub struct Terminator(Pid);
+
+impl Terminator {
+    /// Asks the process to shut down; does nothing when it has ended.
+    pub fn terminate(self) {
+        let _ = kill_process(self.0, Signal::TERM);
+    }
+}
+
 /// A process that is killed when its handle is dropped.
 pub struct Process {
     child: Child,
@@ -139,6 +150,12 @@
         self.signal(Signal::TERM);
     }
 
+    /// Returns a handle with which the process can be asked to shut down; it is
+    /// to be used only until the process has been waited for.
+    pub fn terminator(&self) -> Terminator {
+        Terminator(Pid::from_child(&self.child))
+    }
+
     /// Waits for the end of the process.
     ///
     /// # Panics
@@ -148,6 +165,15 @@
         self.child.wait().expect("the process is a child")
     }
 
+    /// Returns the status of the process if it has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process cannot be waited for.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("the process is a child")
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         kill_process(pid, signal).expect("the process is a child that was not waited for");
--- /dev/null
+++ b/crates/dotterelsill_e2e/tests/observer.rs
@@ -0,0 +1,133 @@
+//! Guards against an observer that sees no violation.
+
+use std::{
+    io::{
+        Read as _,
+        Write as _, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    thread,
+    time::Duration, //
+};
+
+use dotterelsill_e2e::{
+    clock_us,
+    violations,
+    Observer,
+    Run,
+    Work, //
+};
+
+const LIMITS: [(&str, usize); 1] = [("red", 1)];
+
+/// Sends work to a port at which nothing listens, so that its outcome is
+/// `broken`, and returns what the observer says of the given runs.
+fn found(works: &[Work], runs: &[Run], before: impl Fn(&Observer)) -> Vec<String> {
+    dotterelsill_rpc::run(1, |tasks| async move {
+        let observer = Observer::default();
+        let closed = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = closed.local_addr().expect("the socket is bound");
+        drop(closed);
+        for work in works {
+            observer.send(address, work, &tasks).await;
+        }
+        before(&observer);
+        violations(&observer, runs, &LIMITS)
+    })
+}
+
+fn run(attempt: u64, start_us: u64, end_us: u64) -> Run {
+    Run {
+        attempt,
+        upstream: 0,
+        start_us,
+        end_us: Some(end_us),
+    }
+}
+
+fn red() -> Work {
+    Work {
+        queue: "keyed",
+        team: "red",
+        key: "key-of-red".to_owned(),
+        ..Work::default()
+    }
+}
+
+/// Guards against overlapping runs that go unseen, and against runs that only
+/// touch and are taken for overlapping ones.
+#[test]
+fn runs_over_the_limit_are_found() {
+    let works = [red(), red()];
+    let overlapping = [run(0, 10, 20), run(1, 19, 30)];
+    let one_by_one = [run(0, 10, 20), run(1, 20, 30)];
+    assert!(found(&works, &overlapping, |_| ())[0].starts_with("P4"));
+    assert!(found(&works, &one_by_one, |_| ()).is_empty());
+}
+
+/// Guards against late starts under an older revision that go unseen.
+#[test]
+fn starts_after_a_change_are_found() {
+    let after = |late: Duration| {
+        let start_us = clock_us() + late.as_micros() as u64;
+        [run(0, start_us, start_us + 1)]
+    };
+    let withdrawn = |observer: &Observer| observer.on_withdrawn("key-of-red");
+    let out = |observer: &Observer| observer.on_out(0);
+    let late = after(Duration::from_secs(5));
+    assert!(found(&[red()], &late, withdrawn)[0].starts_with("P3"));
+    assert!(found(&[red()], &late, out)[0].starts_with("P5"));
+    let in_time = after(Duration::from_secs(1));
+    assert!(found(&[red()], &in_time, withdrawn).is_empty());
+    assert!(found(&[red()], &in_time, out).is_empty());
+}
+
+/// Guards against another caller's answer, and against a false refusal, that go
+/// unseen.
+#[test]
+fn wrong_answers_are_found() {
+    let check = |outcome, runs: &[Run]| {
+        dotterelsill_rpc::run(1, |tasks| async move {
+            let observer = Observer::default();
+            let address = answer_once(outcome);
+            observer.send(address, &red(), &tasks).await;
+            violations(&observer, runs, &LIMITS)
+        })
+    };
+    assert!(check("answered", &[run(0, 10, 20)])[0].starts_with("P6"));
+    assert!(check("not_run", &[run(0, 10, 20)])[0].starts_with("P7"));
+    assert!(check("not_run", &[]).is_empty());
+    assert!(check("unknown", &[run(0, 10, 20)]).is_empty());
+}
+
+/// Answers one request with a body that is not its own.
+fn answer_once(outcome: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a caller connects");
+        // The request is short and arrives whole.
+        let _ = stream.read(&mut [0; 4096]);
+        let head = format!("HTTP/1.1 200 OK\r\ndotterelsill-outcome: {outcome}\r\n");
+        let answer = format!("{head}content-length: 5\r\n\r\nother");
+        stream
+            .write_all(answer.as_bytes())
+            .expect("the caller waits");
+    });
+    address
+}
+
+/// Guards against a second run of an identifier that goes unseen.
+#[test]
+fn second_runs_are_found() {
+    let once = Work {
+        identifier: "refund".to_owned(),
+        ..red()
+    };
+    let works = [once.clone(), once];
+    let runs = [run(0, 10, 20), run(1, 30, 40)];
+    assert!(found(&works, &runs, |_| ())[0].starts_with("P8"));
+}
--- a/crates/dotterelsill_e2e/tests/once.rs
+++ b/crates/dotterelsill_e2e/tests/once.rs
@@ -19,7 +19,7 @@
 const KEY: &str = "key-of-blue";
 
 async fn start(data_centres: usize, service_time_ms: u32, tasks: &Tasks) -> Fleet {
-    let mut fleet = Fleet::start(data_centres, service_time_ms, tasks);
+    let fleet = Fleet::start(data_centres, service_time_ms, tasks);
     let text = fleet.text(60);
     fleet.apply(0, &text).await;
     let given = fleet.give_key(0, "blue", KEY).await;
--- a/crates/dotterelsill_e2e/tests/partition.rs
+++ b/crates/dotterelsill_e2e/tests/partition.rs
@@ -29,7 +29,7 @@
 const LAPSE: Duration = Duration::from_secs(6);
 
 async fn start(isolation_limit_s: u32, tasks: &Tasks) -> Fleet {
-    let mut fleet = Fleet::start(2, 1, tasks);
+    let fleet = Fleet::start(2, 1, tasks);
     let text = fleet.text(isolation_limit_s);
     fleet.apply(0, &text).await;
     let given = fleet.give_key(0, "red", KEY).await;
@@ -64,7 +64,7 @@
 #[test]
 fn withdrawn_key_is_refused_everywhere_once_in_force() {
     dotterelsill_rpc::run(1, |tasks| async move {
-        let mut fleet = start(60, &tasks).await;
+        let fleet = start(60, &tasks).await;
         assert_eq!(send(&fleet, 1, "/q/keyed/x").await, answered());
         let begin = Instant::now();
         let change = fleet.withdraw_key(0, KEY).await;
@@ -82,7 +82,7 @@
 #[test]
 fn entry_without_store_stays_fresh_through_its_peer() {
     dotterelsill_rpc::run(1, |tasks| async move {
-        let mut fleet = start(0, &tasks).await;
+        let fleet = start(0, &tasks).await;
         fleet.entries[1].store_link.set(Mode::Cut);
         Timer::after(LAPSE).await;
         assert_eq!(send(&fleet, 1, "/q/keyed/x").await, answered());
@@ -101,7 +101,7 @@
 fn isolated_entry_serves_and_holds_back_acceptance_until_it_heals() {
     for mode in [Mode::Cut, Mode::Silent] {
         dotterelsill_rpc::run(1, |tasks| async move {
-            let mut fleet = start(60, &tasks).await;
+            let fleet = start(60, &tasks).await;
             cut_entry(&fleet, 1, mode);
             Timer::after(LAPSE).await;
             assert_eq!(fleet.status(1).await.authority, "isolated");
@@ -128,7 +128,7 @@
 #[test]
 fn without_isolation_a_change_is_in_force_in_time_despite_a_cut() {
     dotterelsill_rpc::run(1, |tasks| async move {
-        let mut fleet = start(0, &tasks).await;
+        let fleet = start(0, &tasks).await;
         cut_entry(&fleet, 1, Mode::Silent);
         let begin = Instant::now();
         let change = fleet.withdraw_key(0, KEY).await;
@@ -144,7 +144,7 @@
 #[test]
 fn paused_entry_checks_its_authority_before_it_starts_work() {
     dotterelsill_rpc::run(1, |tasks| async move {
-        let mut fleet = start(0, &tasks).await;
+        let fleet = start(0, &tasks).await;
         fleet.entries[1].process.freeze();
         let change = fleet.withdraw_key(0, KEY).await;
         assert_eq!(change.state(), ChangeState::InForce, "{change:?}");
@@ -165,7 +165,7 @@
 #[test]
 fn change_with_lost_store_answers_is_made_once() {
     dotterelsill_rpc::run(1, |tasks| async move {
-        let mut fleet = start(60, &tasks).await;
+        let fleet = start(60, &tasks).await;
         for lost in 1..=4 {
             let before = fleet.status(0).await.revision;
             fleet
@@ -187,7 +187,7 @@
 #[test]
 fn racing_operators_lose_no_change() {
     dotterelsill_rpc::run(1, |tasks| async move {
-        let mut fleet = start(60, &tasks).await;
+        let fleet = start(60, &tasks).await;
         let mut first = fleet.operator(0);
         let mut second = fleet.operator(1);
         let out = SetDataCentreRequest {
--- a/crates/dotterelsill_e2e/tests/whole_path.rs
+++ b/crates/dotterelsill_e2e/tests/whole_path.rs
@@ -7,7 +7,7 @@
 #[test]
 fn request_is_answered_from_end_to_end() {
     dotterelsill_rpc::run(1, |tasks| async move {
-        let mut fleet = Fleet::start(2, 1, &tasks);
+        let fleet = Fleet::start(2, 1, &tasks);
         let text = fleet.text(60);
         fleet.apply(0, &text).await;
         fleet.give_key(1, "red", "key-of-red").await;
--- a/crates/dotterelsill_standin_upstream/src/service.rs
+++ b/crates/dotterelsill_standin_upstream/src/service.rs
@@ -4,7 +4,9 @@
     collections::HashMap,
     sync::{
         atomic::{
+            AtomicU16,
             AtomicU32,
+            AtomicU64,
             Ordering, //
         },
         Mutex,
@@ -34,11 +36,22 @@
 /// Path at which the number of runs of a body is told.
 const COUNT_PATH: &str = "/_count";
 
+/// Path that sets the status of all answers to come to the number in its body.
+const STATUS_PATH: &str = "/_status";
+
+/// Header by which a request overrides the time that it takes, in milliseconds.
+const SERVICE_TIME_HEADER: &str = "standin-service-time-ms";
+
+/// Header by which a test recognises an attempt in the log.
+const ATTEMPT_HEADER: &str = "standin-attempt";
+
 /// An upstream with a fixed number of slots.
 pub(crate) struct Upstream {
     slots: u32,
     service_time: Duration,
     running: AtomicU32,
+    status: AtomicU16,
+    next_run: AtomicU64,
     /// Number of runs of each body, for tests of at-most-once execution.
     runs: Mutex<HashMap<Bytes, u32>>,
 }
@@ -50,6 +63,8 @@
             slots: settings.slots,
             service_time: Duration::from_micros(settings.service_time_us.into()),
             running: AtomicU32::new(0),
+            status: AtomicU16::new(StatusCode::OK.as_u16()),
+            next_run: AtomicU64::new(0),
             runs: Mutex::default(),
         }
     }
@@ -58,8 +73,10 @@
     ///
     /// The path [`COUNT_PATH`] answers how often its body was run instead.
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        if request.uri().path() == COUNT_PATH {
-            return self.count(request).await;
+        match request.uri().path() {
+            COUNT_PATH => return self.count(request).await,
+            STATUS_PATH => return self.set_status(request).await,
+            _ => {}
         }
         let Some(_slot) = self.take_slot() else {
             let mut refusal = plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
@@ -67,15 +84,42 @@
             refusal.headers_mut().insert(NOT_RUN_HEADER, not_run);
             return refusal;
         };
+        let service_time = number(request.headers(), SERVICE_TIME_HEADER)
+            .map_or(self.service_time, Duration::from_millis);
+        let attempt = number(request.headers(), ATTEMPT_HEADER);
         let Ok(body) = request.into_body().collect().await else {
             return plain(StatusCode::BAD_REQUEST, Bytes::new());
         };
         let body = body.to_bytes();
+        let _run = attempt.map(|attempt| self.log_run(attempt));
         *self.lock().entry(body.clone()).or_default() += 1;
-        if !self.service_time.is_zero() {
-            Timer::after(self.service_time).await;
+        if !service_time.is_zero() {
+            Timer::after(service_time).await;
         }
-        plain(StatusCode::OK, body)
+        let status = StatusCode::from_u16(self.status.load(Ordering::SeqCst));
+        plain(status.unwrap_or(StatusCode::OK), body)
+    }
+
+    async fn set_status(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let Ok(body) = request.into_body().collect().await else {
+            return plain(StatusCode::BAD_REQUEST, Bytes::new());
+        };
+        let body = body.to_bytes();
+        let Some(status) = std::str::from_utf8(&body)
+            .ok()
+            .and_then(|text| text.parse().ok())
+        else {
+            return plain(StatusCode::BAD_REQUEST, Bytes::new());
+        };
+        self.status.store(status, Ordering::SeqCst);
+        plain(StatusCode::OK, Bytes::new())
+    }
+
+    /// Logs the start of a run, and its end when the value is dropped.
+    fn log_run(&self, attempt: u64) -> LoggedRun {
+        let run = self.next_run.fetch_add(1, Ordering::Relaxed);
+        log::debug!(run, attempt; "run_start");
+        LoggedRun(run)
     }
 
     async fn count(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
@@ -108,6 +152,19 @@
     }
 }
 
+/// A run whose end is logged, also when its connection is closed before.
+struct LoggedRun(u64);
+
+impl Drop for LoggedRun {
+    fn drop(&mut self) {
+        log::debug!(run = self.0; "run_end");
+    }
+}
+
+fn number(headers: &http::HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
 fn plain(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
