Test limits, answers and service under single faults

Covers a lowered limit in use, a killed and replaced entry, runs cut at their longest time, late and short answers, a failing upstream, silent connections, a store outage of 20 s and callers that go away. Two tests fail and show faults of the entry:

- request_whose_connection_broke_is_never_refused_as_not_run: a repeatable request whose connection broke while it ran is retried, the retry finds no upstream in use, and the answer is 503 not_run (P7).
- limit_holds_after_a_pause_past_the_reclaim: an entry that was paused until its credits were reclaimed registers anew, and starts a run on a credit of its earlier incarnation before the credits of the new one replace them; the team runs 5 at once under a limit of 4 (P4).

A hedge refused while the first attempt broke, and runs cut at their longest time, showed no violation.

--- /dev/null
+++ b/crates/dotterelsill_e2e/tests/under_faults/main.rs
@@ -0,0 +1,6 @@
+//! Guards limits, answers and service under single faults and load.
+
+mod answers;
+mod limits;
+mod scene;
+mod service;
