Run every step of the protocols under every fault

14 steps as rows and 16 faults as columns, 224 cells, each over real processes with background load, in 32 fleets. The observer checks P3 to P8 after each cell, the row of the graceful shutdown checks P10, and a monitor of each entry checks P11. A column goes on after a violation, so that one fault hides no cell below it. P1, P2 and P9 concern parts that do not run in these fleets.

--- /dev/null
+++ b/crates/dotterelsill_e2e/tests/matrix/recovery.rs
@@ -0,0 +1,96 @@
+//! The return to service after a fault.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use async_io::Timer;
+use dotterelsill_proto::peer::StatusRequest;
+
+use crate::{
+    fault::Fault,
+    load::{
+        blue,
+        open, //
+    },
+    stage::Stage,
+    step::Step, //
+};
+
+/// Time within which a fleet without faults serves again.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(25);
+
+impl Stage {
+    /// Replaces the entries that have ended.
+    pub(crate) async fn restart_ended(&mut self, step: Step) {
+        if step == Step::GracefulShutdown {
+            let begin = Instant::now();
+            while self.fleet.entries[2].process.ended().is_none() {
+                assert!(begin.elapsed() < RECOVERY_LIMIT, "P10: shutdown never ends");
+                Timer::after(Duration::from_millis(50)).await;
+            }
+        }
+        for index in 0..3 {
+            if let Some(status) = self.fleet.entries[index].process.ended() {
+                let is_leaving = step == Step::GracefulShutdown && index == 2;
+                assert!(!is_leaving || status.success(), "P10: {status}");
+                self.replace_entry(index);
+            }
+        }
+    }
+
+    /// Waits until all entries are fresh under one revision and serve.
+    pub(crate) async fn recover(&self, step: Step, fault: Fault) {
+        let begin = Instant::now();
+        let mut reason = self.not_recovered().await;
+        while let Some(found) = &reason {
+            let is_late = begin.elapsed() > RECOVERY_LIMIT;
+            assert!(!is_late, "{step:?} x {fault:?}: not recovered: {found}");
+            Timer::after(Duration::from_millis(100)).await;
+            reason = self.not_recovered().await;
+        }
+    }
+
+    async fn not_recovered(&self) -> Option<String> {
+        let mut revisions = Vec::new();
+        for index in 0..3 {
+            let mut client = self.fleet.operator(index);
+            let status = match client.status(StatusRequest {}).await {
+                Ok(status) => status.into_inner(),
+                Err(error) => return Some(error.to_string()),
+            };
+            if status.authority != "fresh" {
+                return Some(format!("entry {index}: {}", status.authority));
+            }
+            revisions.push(status.revision);
+        }
+        if revisions.iter().any(|revision| *revision != revisions[0]) {
+            return Some(format!("{revisions:?}"));
+        }
+        for index in 0..3 {
+            for work in [open(5), blue("key-of-blue", 5), self.callers.once(5)] {
+                let answer = self.callers.send(index, &work).await;
+                if answer.outcome != "answered" {
+                    return Some(format!("entry {index}: {} {answer:?}", work.queue));
+                }
+            }
+        }
+        None
+    }
+
+    /// Checks that a key is refused by all entries once they know its
+    /// withdrawal, also when that was never reported in force.
+    pub(crate) async fn check_withdrawn(&self, key: &str) {
+        if !self.callers.observer.withdrawn().iter().any(|k| k.0 == key) {
+            return;
+        }
+        for index in 0..3 {
+            let answer = self.callers.send(index, &blue(key, 5)).await;
+            assert_eq!(
+                answer.status, 401,
+                "P3: entry {index} takes {key}: {answer:?}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_e2e/tests/matrix/stage.rs
@@ -0,0 +1,257 @@
+//! One fleet with its callers and operators.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use async_io::Timer;
+use dotterelsill_e2e::{
+    peak,
+    violations,
+    Fleet, //
+};
+use dotterelsill_proto::peer::{
+    ChangeState,
+    GiveKeyRequest,
+    SetDataCentreRequest,
+    StatusRequest, //
+};
+use dotterelsill_rpc::Tasks;
+use futures_lite::future::zip;
+use rand::{
+    rngs::StdRng,
+    RngExt as _,
+    SeedableRng as _, //
+};
+use sha2::{
+    Digest as _,
+    Sha256, //
+};
+
+use crate::{
+    fault::Fault,
+    load::Callers,
+    operators::Operators,
+    step::Step, //
+};
+
+/// Upper limits in the text of the fleet.
+const LIMITS: [(&str, usize); 2] = [("red", 4), ("blue", 8)];
+
+/// A fleet of three data centres with load.
+pub(crate) struct Stage {
+    pub(crate) fleet: Fleet,
+    pub(crate) callers: Callers,
+    tasks: Tasks,
+    random: StdRng,
+    cells: u32,
+    monitors: Vec<Arc<AtomicBool>>,
+    decreases: Arc<Mutex<Vec<String>>>,
+    found: Vec<String>,
+}
+
+impl Stage {
+    pub(crate) async fn start(seed: u64, tasks: &Tasks) -> Self {
+        let fleet = Fleet::start(3, 20, tasks);
+        fleet.apply(0, &fleet.text(1)).await;
+        fleet.give_key(0, "red", "key-of-red").await;
+        fleet.give_key(0, "blue", "key-of-blue").await;
+        let given = fleet.give_key(0, "blue", "key-0").await;
+        fleet.await_revision(given.revision).await;
+        // Members, leases and credits are listed within two rounds.
+        Timer::after(Duration::from_secs(3)).await;
+        let mut stage = Self {
+            fleet,
+            callers: Callers::new(tasks),
+            tasks: tasks.clone(),
+            random: StdRng::seed_from_u64(seed),
+            cells: 0,
+            monitors: Vec::new(),
+            decreases: Arc::default(),
+            found: Vec::new(),
+        };
+        stage.set_targets();
+        stage.callers.add_key("key-of-blue");
+        stage.callers.add_key("key-0");
+        for index in 0..3 {
+            let monitor = stage.monitor(index);
+            stage.monitors.push(monitor);
+        }
+        stage.callers.start(seed);
+        stage
+    }
+
+    /// Exercises a step while a fault strikes, waits until the fleet serves
+    /// again and checks everything.
+    pub(crate) async fn run_cell(&mut self, step: Step, fault: Fault) {
+        let begin = Instant::now();
+        let key = format!("key-{}", self.cells);
+        let callers = self.callers.clone();
+        step.begin(self);
+        let operators = Operators::new(self, &key);
+        let lead = step.lead(self.random.random_range(0..200));
+        let is_long = self.cells % 2 == 1;
+        let strike = async {
+            Timer::after(lead).await;
+            fault.show(self, step.victim(fault), is_long).await;
+        };
+        zip(step.exercise(&callers, &operators), strike).await;
+        self.restart_ended(step).await;
+        self.recover(step, fault).await;
+        if step == Step::Change {
+            self.check_withdrawn(&key).await;
+        }
+        self.check(step, fault);
+        self.cells += 1;
+        self.renew_configuration(&key).await;
+        println!("{step:?} x {fault:?}: {} ms", begin.elapsed().as_millis());
+    }
+
+    /// Checks everything once more and that the load was not idle.
+    pub(crate) fn end(&mut self, fault: Fault) {
+        self.check(Step::GracefulShutdown, fault);
+        let sent = self.callers.observer.sent();
+        let count = |outcome| sent.iter().filter(|sent| sent.outcome == outcome).count();
+        println!(
+            "{fault:?}: {} attempts, {} answered, {} not run, {} unknown, {} failed, {} broken",
+            sent.len(),
+            count("answered"),
+            count("not_run"),
+            count("unknown"),
+            count("failed"),
+            count("broken"),
+        );
+        assert!(count("answered") > 300, "the load was too small");
+        let runs = self.fleet.logged_runs();
+        let peaks = LIMITS.map(|(team, limit)| (team, peak(&sent, &runs, team), limit));
+        let observer = &self.callers.observer;
+        let withdrawn = observer.withdrawn().len();
+        let out = observer.out().len();
+        println!("{fault:?}: peaks {peaks:?}, {withdrawn} keys withdrawn, {out} times out");
+        assert_eq!(peaks[0].1, 4, "the limit of red was never in use");
+        assert!(withdrawn > 2 && out > 0, "too few changes were in force");
+        assert!(self.found.is_empty(), "{:#?}", self.found);
+    }
+
+    pub(crate) fn replace_entry(&mut self, index: usize) {
+        self.fleet.entries[index].process.kill();
+        self.fleet.entries[index] = self.fleet.start_entry(index);
+        self.monitors[index].store(true, Ordering::SeqCst);
+        self.monitors[index] = self.monitor(index);
+        self.set_targets();
+    }
+
+    /// Lets two operators change the configuration at once.
+    pub(crate) async fn race_operators(&mut self) {
+        let mut first = self.fleet.operator(0);
+        let mut second = self.fleet.operator(1);
+        let number: u64 = self.random.random();
+        let out = SetDataCentreRequest {
+            write_id: self.fleet.write_id(),
+            data_centre: "b".to_owned(),
+            out: true,
+        };
+        let give = GiveKeyRequest {
+            write_id: self.fleet.write_id(),
+            team: "blue".to_owned(),
+            sha256: Sha256::digest(number.to_le_bytes()).to_vec(),
+        };
+        let (out, give) = zip(first.set_data_centre(out), second.give_key(give)).await;
+        let out = out.expect("the entry answers").into_inner();
+        let give = give.expect("the entry answers").into_inner();
+        assert_ne!(out.state(), ChangeState::Unknown, "{out:?}");
+        assert_ne!(give.state(), ChangeState::Unknown, "{give:?}");
+        if out.state() == ChangeState::InForce {
+            self.callers.observer.on_out(1);
+        }
+    }
+
+    /// Notes the violations since the last cell; the column goes on, so that one
+    /// fault hides no cell below it.
+    fn check(&mut self, step: Step, fault: Fault) {
+        let runs = self.fleet.logged_runs();
+        let mut found = violations(&self.callers.observer, &runs, &LIMITS);
+        let decreases = self
+            .decreases
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        found.extend(decreases.iter().cloned());
+        for line in found {
+            if !self.found.iter().any(|known| known.ends_with(&line)) {
+                self.found.push(format!("{step:?} x {fault:?}: {line}"));
+            }
+        }
+    }
+
+    /// Brings all data centres back and gives a new key for the next cell. The
+    /// old key stays in use, and in some cells a data centre stays out.
+    async fn renew_configuration(&mut self, old_key: &str) {
+        let is_out = self.fleet.status(0).await.data_centres_out;
+        for (index, name) in [(1, "b"), (2, "c")] {
+            if !is_out.iter().any(|out| out == name) {
+                continue;
+            }
+            self.callers.observer.on_back(index);
+            let back = self.fleet.set_data_centre(0, name, false).await;
+            assert_ne!(back.state(), ChangeState::Refused, "{back:?}");
+        }
+        let withdrawn = self.fleet.withdraw_key(0, old_key).await;
+        if withdrawn.state() == ChangeState::InForce {
+            self.callers.observer.on_withdrawn(old_key);
+        }
+        if self.cells % 4 == 2 {
+            let out = self.fleet.set_data_centre(0, "c", true).await;
+            if out.state() == ChangeState::InForce {
+                self.callers.observer.on_out(2);
+            }
+        }
+        let key = format!("key-{}", self.cells);
+        let given = self.fleet.give_key(0, "blue", &key).await;
+        assert_ne!(given.state(), ChangeState::Refused, "{given:?}");
+        self.fleet.await_revision(given.revision).await;
+        self.callers.add_key(&key);
+    }
+
+    fn set_targets(&self) {
+        let address = |entry: &dotterelsill_e2e::Entry| entry.process.address("listen_callers");
+        let targets = self.fleet.entries.iter().map(address).collect();
+        self.callers.set_targets(targets);
+    }
+
+    /// Watches that the revision in force never decreases on an entry (P11),
+    /// until the returned flag is set.
+    fn monitor(&self, index: usize) -> Arc<AtomicBool> {
+        let ended = Arc::new(AtomicBool::new(false));
+        let until = ended.clone();
+        let mut client = self.fleet.operator(index);
+        let decreases = self.decreases.clone();
+        self.tasks.spawn_until_stop(async move {
+            let mut last = 0;
+            while !until.load(Ordering::SeqCst) {
+                if let Ok(status) = client.status(StatusRequest {}).await {
+                    let revision = status.into_inner().revision;
+                    if revision < last && !until.load(Ordering::SeqCst) {
+                        let line = format!("P11: entry {index} went from {last} to {revision}");
+                        let mut lines = decreases.lock().unwrap_or_else(PoisonError::into_inner);
+                        lines.push(line);
+                    }
+                    last = revision;
+                }
+                Timer::after(Duration::from_millis(100)).await;
+            }
+        });
+        ended
+    }
+}
