--- a/crates/dotterelsill_e2e/tests/matrix/recovery.rs
+++ b/crates/dotterelsill_e2e/tests/matrix/recovery.rs
@@ -79,8 +79,8 @@
         None
     }
 
-    /// Checks that a key is refused by all entries once they know its
-    /// withdrawal, also when that was never reported in force.
+    /// Checks that a key is refused by all entries when its withdrawal was
+    /// reported in force.
     pub(crate) async fn check_withdrawn(&self, key: &str) {
         if !self.callers.observer.withdrawn().iter().any(|k| k.0 == key) {
             return;
