--- a/crates/dotterelsill_e2e/src/link.rs
+++ b/crates/dotterelsill_e2e/src/link.rs
@@ -38,6 +38,8 @@
     Cut = 1,
     /// Accepts connections and carries no bytes in either direction.
     Silent = 2,
+    /// Carries requests, and of each answer all but the last byte; then closes.
+    Shorten = 3,
 }
 
 struct Shared {
@@ -86,10 +88,13 @@
         self.address
     }
 
-    /// Changes the target of new connections.
+    /// Lets new connections go to another target.
     pub fn set_target(&self, target: SocketAddr) {
-        let current = &self.shared.target;
-        *current.lock().unwrap_or_else(PoisonError::into_inner) = target;
+        *self
+            .shared
+            .target
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = target;
     }
 
     /// Changes what the link does with open and new connections.
@@ -151,10 +156,10 @@
         .threads
         .lock()
         .unwrap_or_else(PoisonError::into_inner);
-    for (from, to) in [(near, far), back] {
+    for (from, to, is_answer) in [(near, far, false), (back.0, back.1, true)] {
         let shared = shared.clone();
         threads.push(thread::spawn(move || {
-            carry(&from, &to, &shared, generation);
+            carry(&from, &to, &shared, generation, is_answer);
             let _ = from.shutdown(Shutdown::Both);
             let _ = to.shutdown(Shutdown::Both);
         }));
@@ -162,7 +167,13 @@
     Ok(())
 }
 
-fn carry(mut from: &TcpStream, mut to: &TcpStream, shared: &Shared, generation: u8) {
+fn carry(
+    mut from: &TcpStream,
+    mut to: &TcpStream,
+    shared: &Shared,
+    generation: u8,
+    is_answer: bool,
+) {
     let mut buffer = [0; 16 * 1024];
     loop {
         if shared.ended.load(Ordering::SeqCst) {
@@ -178,6 +189,11 @@
             Err(error) if is_timeout(&error) => continue,
             Err(_) => return,
         };
+        if is_answer && mode == Mode::Shorten as u8 {
+            // The connection is closed below in any case.
+            let _ = to.write_all(&buffer[..length - 1]);
+            return;
+        }
         let is_silenced = shared.silenced_below.load(Ordering::SeqCst) != generation;
         let is_silent = shared.mode.load(Ordering::SeqCst) == Mode::Silent as u8;
         if !is_silenced && !is_silent && to.write_all(&buffer[..length]).is_err() {
--- a/crates/dotterelsill_e2e/tests/attempts.rs
+++ b/crates/dotterelsill_e2e/tests/attempts.rs
@@ -53,7 +53,7 @@
 #[test]
 fn unreachable_upstreams_give_not_run() {
     dotterelsill_rpc::run(1, |tasks| async move {
-        let mut fleet = Fleet::start(1, 1, &tasks);
+        let fleet = Fleet::start(1, 1, &tasks);
         let address = fleet.upstream_links[0].address().to_string();
         // Nothing listens on port 1, so connections are refused.
         let text = fleet.text(60).replace(&address, "127.0.0.1:1");
--- a/crates/dotterelsill_entry/src/attempt.rs
+++ b/crates/dotterelsill_entry/src/attempt.rs
@@ -28,7 +28,6 @@
 use async_io::Timer;
 use bytes::Bytes;
 use dotterelsill_admission::End;
-use dotterelsill_escrow::Credit;
 use dotterelsill_revision::{
     Decision,
     WhenIsolated, //
@@ -48,6 +47,7 @@
 };
 
 use crate::{
+    limits::Loan,
     plan::ServicePlan,
     pool::{
         ExchangeError,
@@ -68,7 +68,19 @@
     /// Slot of the service and credit of a first attempt.
     Permit(Permit),
     /// Credit of a retry or hedge, which takes no slot of the service.
-    Credit(Option<Credit>),
+    Credit(Option<Loan>),
+}
+
+impl Held {
+    /// Returns whether the credit, if there is one, is held by the current
+    /// incarnation of this instance.
+    pub(crate) fn is_current(&self, shared: &Shared) -> bool {
+        let loan = match self {
+            Self::Permit(permit) => &permit.credit,
+            Self::Credit(loan) => loan,
+        };
+        loan.as_ref().is_none_or(|loan| loan.is_current(shared))
+    }
 }
 
 /// What came of an attempt.
@@ -221,7 +233,8 @@
         let now = Instant::now();
         let decision = self.shared.authority.decide(self.when_isolated, now);
         let revision = self.revision;
-        now < self.deadline && decision == Some(Decision::Start { revision })
+        let is_current = self.held.is_current(&self.shared);
+        now < self.deadline && is_current && decision == Some(Decision::Start { revision })
     }
 }
 
--- a/crates/dotterelsill_entry/src/authority.rs
+++ b/crates/dotterelsill_entry/src/authority.rs
@@ -21,6 +21,7 @@
 use dotterelsill_revision::{
     Decision,
     Head,
+    Incarnation,
     Instance,
     Mode,
     Snapshot,
@@ -35,7 +36,7 @@
 #[derive(Default)]
 pub(crate) struct Published {
     instance: Mutex<Option<Instance>>,
-    snapshot: ArcSwapOption<Snapshot>,
+    snapshot: ArcSwapOption<(Incarnation, Snapshot)>,
     /// Newest head with its digest.
     head: ArcSwap<config::Head>,
     changed: Event,
@@ -60,16 +61,17 @@
     /// Returns what may be done with work of a queue, or `None` before the
     /// first registration.
     pub(crate) fn decide(&self, when_isolated: WhenIsolated, now: Instant) -> Option<Decision> {
-        let snapshot = self.snapshot.load();
-        Some(snapshot.as_ref()?.decide(when_isolated, now))
+        let published = self.snapshot.load();
+        let (_, snapshot) = published.as_deref()?;
+        Some(snapshot.decide(when_isolated, now))
     }
 
     /// Returns the mode of this incarnation.
     pub(crate) fn mode(&self, now: Instant) -> Mode {
-        let snapshot = self.snapshot.load();
-        snapshot
-            .as_ref()
-            .map_or(Mode::Lapsed, |snapshot| snapshot.verdict(now).mode)
+        let published = self.snapshot.load();
+        published
+            .as_deref()
+            .map_or(Mode::Lapsed, |(_, snapshot)| snapshot.verdict(now).mode)
     }
 
     /// Returns whether an incarnation was ever registered.
@@ -79,7 +81,13 @@
 
     /// Returns the current incarnation as text.
     pub(crate) fn incarnation(&self) -> Option<String> {
-        Some(self.update().as_ref()?.incarnation().to_string())
+        let published = self.snapshot.load();
+        Some(published.as_deref()?.0.to_string())
+    }
+
+    /// Returns the number of the current incarnation.
+    pub(crate) fn current_incarnation(&self) -> Option<u128> {
+        Some(self.snapshot.load().as_deref()?.0 .0)
     }
 
     /// Returns the age of the proof, if there is one.
@@ -125,8 +133,11 @@
 
 impl Drop for Update<'_> {
     fn drop(&mut self) {
-        let snapshot = self.guard.as_ref().map(Instance::snapshot).map(Arc::new);
-        self.published.snapshot.store(snapshot);
+        let published = self
+            .guard
+            .as_ref()
+            .map(|instance| Arc::new((instance.incarnation(), instance.snapshot())));
+        self.published.snapshot.store(published);
         self.published.changed.notify(usize::MAX);
     }
 }
--- a/crates/dotterelsill_entry/src/limits.rs
+++ b/crates/dotterelsill_entry/src/limits.rs
@@ -56,9 +56,27 @@
 
 type Holders = HashMap<(String, Incarnation), Holder>;
 
+/// A credit on loan, with the incarnation that holds it.
+///
+/// Work may start on it only under the authority of that incarnation: the
+/// credits of an earlier one may have been reclaimed already.
+#[must_use = "the credit is returned when it is dropped"]
+pub(crate) struct Loan {
+    _credit: Credit,
+    incarnation: Incarnation,
+}
+
+impl Loan {
+    /// Returns whether the current incarnation of this instance holds the credit.
+    pub(crate) fn is_current(&self, shared: &Shared) -> bool {
+        shared.authority.current_incarnation() == Some(self.incarnation.0)
+    }
+}
+
 /// What requests need of a team's credits.
 struct TeamCredits {
     credits: Credits,
+    incarnation: Incarnation,
     waiting: AtomicU32,
 }
 
@@ -89,15 +107,22 @@
 impl Limits {
     /// Takes a credit for one request. The inner value is `None` for the team
     /// that has no upper limit; the outer one when no credit is free.
-    pub(crate) fn take(&self, team: &str) -> Option<Option<Credit>> {
+    pub(crate) fn take(&self, team: &str) -> Option<Option<Loan>> {
         if team == OPEN_TEAM {
             return Some(None);
         }
-        let credit = self.teams.load().get(team)?.credits.try_start();
-        if credit.is_none() {
-            self.wanted.notify(1);
+        let teams = self.teams.load();
+        let team = teams.get(team)?;
+        match team.credits.try_start() {
+            Some(credit) => Some(Some(Loan {
+                _credit: credit,
+                incarnation: team.incarnation,
+            })),
+            None => {
+                self.wanted.notify(1);
+                None
+            }
         }
-        Some(Some(credit?))
     }
 
     /// Counts a request that waits for a slot or a credit of a team.
@@ -165,6 +190,7 @@
                 .map_or(0, |team| team.waiting.load(Ordering::Relaxed));
             let team = TeamCredits {
                 credits: holder.credits().clone(),
+                incarnation,
                 waiting: AtomicU32::new(waiting),
             };
             (name.clone(), Arc::new(team))
--- a/crates/dotterelsill_entry/src/plan.rs
+++ b/crates/dotterelsill_entry/src/plan.rs
@@ -13,7 +13,6 @@
     Team,
     Teams, //
 };
-use dotterelsill_escrow::Credit;
 use dotterelsill_proto::config::{
     self,
     Queue, //
@@ -32,6 +31,7 @@
         NotRun, //
     },
     burn::Counts,
+    limits::Loan,
     metrics::QueueMetrics,
     pool::Pool,
     service::Service, //
@@ -108,7 +108,7 @@
 
     /// Ends the use of the service's slot after the connection broke, and returns
     /// the credit.
-    pub(crate) fn end_slot(&self, held: Held) -> Option<Credit> {
+    pub(crate) fn end_slot(&self, held: Held) -> Option<Loan> {
         match held {
             Held::Permit(mut permit) => {
                 let credit = permit.credit.take();
--- a/crates/dotterelsill_entry/src/run.rs
+++ b/crates/dotterelsill_entry/src/run.rs
@@ -10,7 +10,6 @@
 
 use async_io::Timer;
 use dotterelsill_admission::End;
-use dotterelsill_escrow::Credit;
 use dotterelsill_routing::Work;
 use http::StatusCode;
 
@@ -28,6 +27,7 @@
         answered,
         Incoming, //
     },
+    limits::Loan,
     outcome::{
         Outcome,
         Reason, //
@@ -148,6 +148,13 @@
             return Err(reason);
         }
     };
+    if !held.is_current(shared) {
+        end(shared, incoming, held);
+        return Err(Reason::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this instance has registered anew; send the request again",
+        ));
+    }
     let plan = match access::queue_plan(&snapshot, incoming.uri.path()) {
         Ok(plan) => plan,
         Err(reason) => {
@@ -235,7 +242,7 @@
 
 /// Takes a credit for another attempt at work that may run twice, when the retry
 /// budget allows one.
-fn retry_credit(shared: &Shared, incoming: &Incoming) -> Option<Option<Credit>> {
+fn retry_credit(shared: &Shared, incoming: &Incoming) -> Option<Option<Loan>> {
     let snapshot = shared.snapshot.load_full();
     let plan = access::queue_plan(&snapshot, incoming.uri.path()).ok()?;
     let team = access::authorize(&snapshot, plan, &incoming.headers).ok()?;
--- a/crates/dotterelsill_entry/src/service.rs
+++ b/crates/dotterelsill_entry/src/service.rs
@@ -24,13 +24,15 @@
     Teams,
     Ticket, //
 };
-use dotterelsill_escrow::Credit;
 use dotterelsill_routing::RetryBudget;
 use futures_lite::FutureExt as _;
 use http::StatusCode;
 
 use crate::{
-    limits::Limits,
+    limits::{
+        Limits,
+        Loan, //
+    },
     outcome::Reason, //
 };
 
@@ -41,7 +43,7 @@
 /// team's upper limit unless the queue is open.
 pub(crate) struct Permit {
     pub(crate) running: Running,
-    pub(crate) credit: Option<Credit>,
+    pub(crate) credit: Option<Loan>,
 }
 
 /// What a waiting request is told.
@@ -196,7 +198,7 @@
         }
     }
 
-    fn hand_over(&self, started: Started<Waiter>, credit: Option<Credit>) {
+    fn hand_over(&self, started: Started<Waiter>, credit: Option<Loan>) {
         let permit = Permit {
             running: started.running,
             credit,
--- a/crates/dotterelsill_protogen/tests/check.rs
+++ b/crates/dotterelsill_protogen/tests/check.rs
@@ -31,6 +31,10 @@
         fs::create_dir_all(&to).expect("the directory is created");
         for entry in fs::read_dir(from).expect("the directory is listed") {
             let entry = entry.expect("the entry is read");
+            // docs/ has directories too, which the generator does not read.
+            if entry.path().is_dir() {
+                continue;
+            }
             fs::copy(entry.path(), to.join(entry.file_name())).expect("the file is copied");
         }
     }
