--- a/crates/dotterelsill_telemetry/src/logs.rs
+++ b/crates/dotterelsill_telemetry/src/logs.rs
@@ -62,8 +62,8 @@
 /// Returns a logger that writes lines of key=value pairs to `out`, and the
 /// highest level that it writes.
 ///
-/// At most [`LINES_MAX`](crate::LINES_MAX) lines of one event name are written
-/// in a second. The number of further ones is written as the event
+/// At levels up to info, at most [`LINES_MAX`](crate::LINES_MAX) lines of one
+/// event name are written in a second. The number of further ones is written as the event
 /// `events_suppressed` with the first event of any name in another second, or
 /// when the logger is flushed.
 ///
--- a/crates/dotterelsill_telemetry/src/output.rs
+++ b/crates/dotterelsill_telemetry/src/output.rs
@@ -13,6 +13,7 @@
 };
 
 use log::{
+    Level,
     Log,
     Metadata,
     Record, //
@@ -77,7 +78,10 @@
         let name = name(record.args());
         let (suppressed, is_allowed) = {
             let mut limit = locked(&self.limit);
-            (limit.start(second(now)), limit.allows(&name))
+            // Debug and trace are switched on to see every event.
+            let is_unlimited = record.level() > Level::Info;
+            let suppressed = limit.start(second(now));
+            (suppressed, is_unlimited || limit.allows(&name))
         };
         self.write_suppressed(now, suppressed);
         if is_allowed {
--- a/crates/dotterelsill_telemetry/tests/logs.rs
+++ b/crates/dotterelsill_telemetry/tests/logs.rs
@@ -206,6 +206,16 @@
     }
 }
 
+/// Guards against a trace that misses events because it was switched on.
+#[test]
+fn debug_events_are_not_limited() {
+    let fixture = Fixture::new("debug");
+    for _ in 0..25 {
+        fixture.log(Level::Debug, "module", "traced", Value::from_display(&1));
+    }
+    assert_eq!(fixture.lines().len(), 25);
+}
+
 /// Guards against a log that a repeated event fills, one that hides how many
 /// lines are missing, and a limit that hides other events.
 #[test]
