Read fewer escrow records, hedge when credits come, test leaving upstreams

Fault found by a test that failed once: a hedge for which the team had no credit at that instant was given up, so a request on a silent connection ran into its deadline. The hedge is tried again every 50 ms. When it answers first on the same upstream, the connection of the first attempt and those opened before it count as silent, so that later requests do not wait on them one by one.

--- a/crates/dotterelsill_e2e/src/fleet.rs
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -56,6 +56,9 @@
     pub upstream_links: Vec<Link>,
     /// The store.
     pub store: Process,
+    /// The platform's list of instances, which lags by 1 s; the entries know the
+    /// upstreams' states only from it.
+    pub platform: Option<Process>,
     /// Group of the tasks of callers and operators.
     pub tasks: Tasks,
     pub(crate) next_write: AtomicU64,
@@ -65,6 +68,21 @@
 impl Fleet {
     /// Starts a fleet with one entry and one upstream in each data centre.
     pub fn start(data_centres: usize, service_time_ms: u32, tasks: &Tasks) -> Self {
+        Self::start_on(None, data_centres, service_time_ms, tasks)
+    }
+
+    /// Starts a fleet as [`Self::start`] does, with the platform's list.
+    pub fn start_with_platform(data_centres: usize, service_time_ms: u32, tasks: &Tasks) -> Self {
+        let platform = start_platform(data_centres);
+        Self::start_on(Some(platform), data_centres, service_time_ms, tasks)
+    }
+
+    fn start_on(
+        platform: Option<Process>,
+        data_centres: usize,
+        service_time_ms: u32,
+        tasks: &Tasks,
+    ) -> Self {
         let store = Process::start(
             "dotterelsill-standin-store",
             "{ listen: \"127.0.0.1:0\" }",
@@ -75,6 +93,7 @@
             upstreams: Vec::new(),
             upstream_links: Vec::new(),
             store,
+            platform,
             tasks: tasks.clone(),
             next_write: AtomicU64::new(0),
             retired: Vec::new(),
@@ -98,12 +117,14 @@
         let peer_link = Link::new(store_link.address());
         peer_link.set(Mode::Cut);
         let name = data_centre(index);
+        let platform = self.platform.as_ref();
+        let platform = platform.map_or(String::new(), |platform| platform.address("").to_string());
         let settings = format!(
             "instance: entry-{name}\ndata_centre: {name}\n\
              listen_callers: \"127.0.0.1:0\"\nlisten_peers: \"127.0.0.1:0\"\n\
              listen_admin: \"127.0.0.1:0\"\nstore: \"{}\"\n\
              advertise_peers: \"{}\"\nthreads: 2\nbalancer_grace_ms: 100\n\
-             shutdown_timeout_ms: 15000\n",
+             shutdown_timeout_ms: 15000\nplatform: \"{platform}\"\n",
             store_link.address(),
             peer_link.address(),
         );
@@ -196,19 +217,28 @@
     /// Panics when an upstream does not answer.
     pub async fn runs(&self, body: &str) -> u32 {
         let mut runs = 0;
-        for upstream in &self.upstreams {
-            let caller = Caller {
-                address: upstream.address(""),
-                key: None,
-                tasks: self.tasks.clone(),
-            };
-            let answer = caller.send("/_count", body).await;
-            let text = String::from_utf8_lossy(&answer.body);
-            runs += text.parse::<u32>().expect("the upstream answers a number");
+        for index in 0..self.upstreams.len() {
+            runs += self.runs_on(index, body).await;
         }
         runs
     }
 
+    /// Returns how often the upstream of an index ran a body.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the upstream does not answer.
+    pub async fn runs_on(&self, index: usize, body: &str) -> u32 {
+        let caller = Caller {
+            address: self.upstreams[index].address(""),
+            key: None,
+            tasks: self.tasks.clone(),
+        };
+        let answer = caller.send("/_count", body).await;
+        let text = String::from_utf8_lossy(&answer.body);
+        text.parse().expect("the upstream answers a number")
+    }
+
     /// Waits until the entries of all indexes have a revision in force.
     ///
     /// # Panics
@@ -257,6 +287,18 @@
     }
 }
 
+fn start_platform(data_centres: usize) -> Process {
+    let mut settings = "listen: \"127.0.0.1:0\"\nlist_lag_ms: 1000\ninstances:\n".to_owned();
+    for index in 0..data_centres {
+        let name = data_centre(index);
+        let _ = writeln!(
+            settings,
+            "  - {{ name: work-{name}, pool: work, rack: {name}1, data_centre: {name} }}"
+        );
+    }
+    Process::start("dotterelsill-standin-platform", &settings, 1)
+}
+
 fn start_upstream(service_time_ms: u32) -> Process {
     let settings = format!(
         "{{ listen: \"127.0.0.1:0\", slots: 8, connections: 64, service_time_us: {}, \
--- a/crates/dotterelsill_entry/src/attempt.rs
+++ b/crates/dotterelsill_entry/src/attempt.rs
@@ -13,7 +13,8 @@
             AtomicU8,
             Ordering, //
         },
-        Arc, //
+        Arc,
+        OnceLock, //
     },
     time::{
         Duration,
@@ -34,6 +35,7 @@
 };
 use dotterelsill_routing::{
     Answer,
+    Connection,
     Latency,
     Slot, //
 };
@@ -124,8 +126,12 @@
 
 /// Settles between an attempt and the request that waits for it whether
 /// anything is sent.
-#[derive(Debug, Default)]
-pub(crate) struct Progress(AtomicU8);
+#[derive(Default)]
+pub(crate) struct Progress {
+    state: AtomicU8,
+    /// Connection on which the request was sent.
+    connection: OnceLock<Arc<Connection>>,
+}
 
 const PENDING: u8 = 0;
 const SENT: u8 = 1;
@@ -143,7 +149,7 @@
     }
 
     fn leave_pending(&self, next: u8) -> bool {
-        self.0
+        self.state
             .compare_exchange(PENDING, next, Ordering::SeqCst, Ordering::SeqCst)
             .is_ok()
     }
@@ -186,6 +192,8 @@
             self.plan.give_back(self.held, reason, &upstream, &result);
             return;
         }
+        // This is set only once.
+        let _ = self.progress.connection.set(open.counted().clone());
         let sent_at = Instant::now();
         let run_end = sent_at + self.max_run;
         let exchanged = open.exchange(self.request, self.deadline, run_end).await;
@@ -252,6 +260,14 @@
         self.progress.try_abandon()
     }
 
+    /// Marks the connection of the attempt, and all that were opened before it,
+    /// as silent.
+    pub(crate) fn mark_silent(&self) {
+        if let Some(connection) = self.progress.connection.get() {
+            connection.went_silent();
+        }
+    }
+
     /// Waits for the result; `None` when the attempt has ended without one.
     pub(crate) async fn result(&mut self) -> Option<Attempted> {
         let received = async { self.receiver.recv().await.ok() };
--- a/crates/dotterelsill_entry/src/follow.rs
+++ b/crates/dotterelsill_entry/src/follow.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use async_io::Timer;
@@ -42,6 +45,9 @@
     snapshot::Snapshot, //
 };
 
+/// Pause before another try to start a hedge for which there was no credit.
+const HEDGE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Starts an attempt and waits for its end, at most until the caller's deadline.
 pub(crate) async fn follow(
     shared: &Arc<Shared>,
@@ -63,15 +69,26 @@
         return settled(attempted, &[&first]);
     }
     let deadline = incoming.deadline.at();
-    match start_hedge(shared, incoming, snapshot, plan, &first_upstream) {
-        Some(mut second) => race(&mut first, &mut second, &service, deadline).await,
-        None => {
-            let attempted = until(&mut first, deadline).await;
-            settled(attempted, &[&first])
+    loop {
+        if let Some(hedge) = start_hedge(shared, incoming, snapshot, plan, &first_upstream) {
+            return race(&mut first, hedge, &service, deadline).await;
+        }
+        // The team asks for a credit now; attempts that got no answer hold some.
+        let at = deadline.min(Instant::now() + HEDGE_PAUSE);
+        let attempted = until(&mut first, at).await;
+        if attempted.is_some() || at == deadline {
+            return settled(attempted, &[&first]);
         }
     }
 }
 
+/// A hedge under way.
+struct StartedHedge {
+    attempt: Started,
+    /// Whether it runs on the upstream of the first attempt.
+    is_same_upstream: bool,
+}
+
 /// Returns the outcome of a request whose time is over.
 pub(crate) fn late(incoming: &Incoming) -> Outcome {
     Outcome::Unknown(Reason::new(
@@ -121,7 +138,7 @@
     snapshot: &Snapshot,
     plan: &QueuePlan,
     first_upstream: &str,
-) -> Option<Started> {
+) -> Option<StartedHedge> {
     let team = access::authorize(snapshot, plan, &incoming.headers).ok()?;
     let credit = shared.limits.take(team.name())?;
     let work = Work {
@@ -130,19 +147,27 @@
     };
     let set = &plan.service.set;
     let slot = set.choose(work, Instant::now(), rand::random)?;
+    let is_same_upstream = slot.upstream().name() == first_upstream;
     let held = Held::Credit(credit);
     let revision = snapshot.revision;
     let hedge = run::attempt(shared, incoming, revision, plan, slot, held, Wanted::New);
-    Some(hedge.start())
+    Some(StartedHedge {
+        attempt: hedge.start(),
+        is_same_upstream,
+    })
 }
 
 /// Returns the first answer of two attempts, or the end of the later one.
+///
+/// When the hedge answers first on a new connection to the same upstream, the
+/// connection of the first attempt counts as silent.
 async fn race(
     first: &mut Started,
-    second: &mut Started,
+    mut hedge: StartedHedge,
     service: &ServicePlan,
     deadline: Instant,
 ) -> Followed {
+    let second = &mut hedge.attempt;
     let one = async { (true, until(first, deadline).await) };
     let other = async { (false, until(second, deadline).await) };
     let (is_first, attempted) = one.or(other).await;
@@ -152,7 +177,13 @@
             false
         }
         Some(Attempted::Broken(_)) => true,
-        attempted => return settled(attempted, &[first, second]),
+        attempted => {
+            let has_answer = matches!(attempted, Some(Attempted::Answered(_)));
+            if has_answer && !is_first && hedge.is_same_upstream {
+                first.mark_silent();
+            }
+            return settled(attempted, &[first, second]);
+        }
     };
     let later = if is_first { second } else { first };
     let attempted = until(later, deadline).await;
--- a/crates/dotterelsill_entry/src/ledgers.rs
+++ b/crates/dotterelsill_entry/src/ledgers.rs
@@ -40,6 +40,21 @@
     Ok(records)
 }
 
+/// Reads the records of some teams; those that do not exist are left out.
+pub(crate) async fn read(
+    shared: &Shared,
+    teams: &[String],
+) -> Result<HashMap<String, Versioned>, dotterelsill_store::Error> {
+    let mut records = HashMap::with_capacity(teams.len());
+    for team in teams {
+        let key = format!("{PREFIX}{team}");
+        if let Some(entry) = shared.store.get(&key).await? {
+            records.insert(team.clone(), (entry.version, decode(&entry.value)));
+        }
+    }
+    Ok(records)
+}
+
 /// Writes a record when it still has a version, and returns the new version.
 ///
 /// `None` means that the write failed, lost against another one, or got no
--- a/crates/dotterelsill_entry/src/limits.rs
+++ b/crates/dotterelsill_entry/src/limits.rs
@@ -36,15 +36,16 @@
 use futures_lite::FutureExt as _;
 
 use crate::{
+    escrow_reader::Reader,
     ledgers,
     shared::Shared,
     snapshot::Snapshot, //
 };
 
-/// Time between two looks at all records while nobody waits for a credit.
+/// Time between two looks at the records while nobody waits for a credit.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Least time between two looks at all records.
+/// Least time between two looks at the records.
 const BUSY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Longest time that a shutdown waits for credits to be given back.
@@ -149,6 +150,31 @@
         self.holders.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the teams whose requests run or wait here, or of which this
+    /// instance holds more than its reserve.
+    pub(crate) fn active(&self, limits: &HashMap<String, u32>, live_instances: u32) -> Vec<String> {
+        let holders = self.lock();
+        let is_active = |(team, holder): (&String, &Holder)| {
+            let limit = limits.get(team).copied().unwrap_or(0);
+            let reserve = reserve_of(limit, live_instances);
+            let running = holder.credits().counts().running;
+            running > 0 || self.waiting_count(team) > 0 || holder.state().held > reserve
+        };
+        let mut active: Vec<String> = holders
+            .iter()
+            .filter(|((team, _), holder)| is_active((team, holder)))
+            .map(|((team, _), _)| team.clone())
+            .collect();
+        active.sort_unstable();
+        active.dedup();
+        active
+    }
+
+    /// Replaces the incarnations that the records list.
+    pub(crate) fn set_listed(&self, incarnations: HashSet<Incarnation>) {
+        self.listed.store(Arc::new(incarnations));
+    }
+
     /// Returns the incarnations that the records listed when read last.
     pub(crate) fn listed(&self) -> HashSet<Incarnation> {
         HashSet::clone(&self.listed.load())
@@ -215,10 +241,11 @@
 
 /// Moves credits between the records and this instance until the program stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut reader = Reader::default();
     loop {
         let wanted = shared.limits.wanted.listen();
         let begin = Instant::now();
-        step(&shared).await;
+        step(&shared, &mut reader).await;
         Timer::at(begin + BUSY_INTERVAL).await;
         let idle = async {
             Timer::at(begin + IDLE_INTERVAL).await;
@@ -227,53 +254,66 @@
     }
 }
 
-/// Looks at all records once and makes the operations that are due.
-async fn step(shared: &Shared) {
+/// Looks at the records once and makes the operations that are due.
+async fn step(shared: &Shared, reader: &mut Reader) {
     let Some(incarnation) = current_incarnation(shared) else {
         return;
     };
     let snapshot = shared.snapshot.load_full();
     shared.limits.adopt(incarnation, &snapshot);
-    let records = match ledgers::list(shared).await {
+    let begin = Instant::now();
+    let records = match reader.read(shared, incarnation, &snapshot).await {
         Ok(records) => records,
         Err(error) => {
-            log::debug!(error:%; "escrow_not_listed");
+            log::debug!(error:%; "escrow_not_read");
             return;
         }
     };
-    let listed = records.values().flat_map(|(_, ledger)| ledger);
-    let listed = listed
-        .flat_map(Ledger::holdings)
-        .map(|share| share.incarnation);
-    shared.limits.listed.store(Arc::new(listed.collect()));
     for (team, limit) in &snapshot.limits {
-        let (version, ledger) = match records.get(team) {
-            Some((version, Some(ledger))) => (*version, Some(ledger)),
-            Some((version, None)) => (*version, None),
-            None => (0, None),
-        };
-        let revision = snapshot.revision;
-        match ledger {
-            None => match Ledger::new(*limit, revision) {
-                Ok(created) => {
-                    ledgers::write(shared, team, version, &created).await;
-                }
-                Err(error) => log::error!(team, error:%; "limit_not_set"),
-            },
-            // An error means that a newer revision has set the limit.
-            Some(ledger) if ledger.limit() != *limit => {
-                if let Ok(changed) = ledger.set_limit(*limit, revision) {
-                    ledgers::write(shared, team, version, &changed).await;
-                } else {
-                    operate(shared, team, version, ledger).await;
-                }
+        match records.get(team) {
+            Some((version, Some(ledger))) => {
+                follow_limit(shared, team, *limit, *version, ledger, snapshot.revision).await;
             }
-            Some(ledger) => operate(shared, team, version, ledger).await,
+            // Only a list of all records shows that one does not exist.
+            Some((_, None)) => {}
+            None if reader.has_listed_since(begin) => {
+                create(shared, team, *limit, snapshot.revision).await;
+            }
+            None => {}
         }
     }
     snapshot.start_waiting();
 }
 
+/// Sets the limit of a record to the one configured, or else makes the next
+/// operations on it.
+async fn follow_limit(
+    shared: &Shared,
+    team: &str,
+    limit: u32,
+    version: u64,
+    ledger: &Ledger,
+    revision: u64,
+) {
+    if ledger.limit() != limit {
+        // An error means that a newer revision has set the limit.
+        if let Ok(changed) = ledger.set_limit(limit, revision) {
+            ledgers::write(shared, team, version, &changed).await;
+            return;
+        }
+    }
+    operate(shared, team, version, ledger).await;
+}
+
+async fn create(shared: &Shared, team: &str, limit: u32, revision: u64) {
+    match Ledger::new(limit, revision) {
+        Ok(created) => {
+            ledgers::write(shared, team, 0, &created).await;
+        }
+        Err(error) => log::error!(team, error:%; "limit_not_set"),
+    }
+}
+
 /// Makes the next operation of each holder of a team.
 async fn operate(shared: &Shared, team: &str, mut version: u64, ledger: &Ledger) {
     let mut ledger = ledger.clone();
@@ -340,7 +380,8 @@
     }
     let begin = Instant::now();
     while begin.elapsed() < LEAVE_LIMIT {
-        step(shared).await;
+        // A new reader lists all records.
+        step(shared, &mut Reader::default()).await;
         let has_left = |holder: &Holder| holder.has_left() || holder.is_fenced();
         if shared.limits.lock().values().all(has_left) {
             return;
--- a/crates/dotterelsill_entry/src/main.rs
+++ b/crates/dotterelsill_entry/src/main.rs
@@ -12,6 +12,7 @@
 mod claim_store;
 mod daemon;
 mod edit;
+mod escrow_reader;
 mod follow;
 mod forward;
 mod incoming;
--- a/crates/dotterelsill_entry/src/pool.rs
+++ b/crates/dotterelsill_entry/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::Instant, //
 };
 
@@ -63,11 +64,16 @@
 /// An open connection, with its place in the order of opening.
 pub(crate) struct Open {
     http: Http1Connection,
-    counted: Connection,
+    counted: Arc<Connection>,
     last_used: Instant,
 }
 
 impl Open {
+    /// Returns the place of the connection in the order of opening.
+    pub(crate) fn counted(&self) -> &Arc<Connection> {
+        &self.counted
+    }
+
     /// Sends a request and reads the whole answer; `None` when the work must
     /// have ended before.
     ///
@@ -133,7 +139,7 @@
             .map_err(ExchangeError::Http)?;
         Ok(Open {
             http,
-            counted,
+            counted: Arc::new(counted),
             last_used: Instant::now(),
         })
     }
