Start the planner and the platform stand-in as the other daemons start

Both had their own copy of reading settings, setting up logs and printing the error. The planner's copy also printed only which part failed and not why, as the entry's once did; it prints the cause now.

--- a/crates/dotterelsill_planner/src/main.rs
+++ b/crates/dotterelsill_planner/src/main.rs
@@ -8,12 +8,12 @@
 use argh::FromArgs;
 use dotterelsill_proto::settings::PlannerSettings;
 use dotterelsill_telemetry::{
-    init_logs,
-    load_settings, //
+    exit_code,
+    start, //
 };
 use snafu::{
     ResultExt,
-    Whatever, //
+    Snafu, //
 };
 
 /// Executor threads; the planner is rarely busy.
@@ -27,20 +27,29 @@
     settings: PathBuf,
 }
 
+/// The daemon failed.
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("{source}"))]
+    Settings {
+        source: dotterelsill_telemetry::StartError,
+    },
+    #[snafu(display("{source}"))]
+    Daemon {
+        source: dotterelsill_planner::StartError,
+    },
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match start(&args) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("dotterelsill-planner: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    exit_code("dotterelsill-planner", run(&args))
 }
 
-fn start(args: &Args) -> Result<(), Whatever> {
-    let settings: PlannerSettings = load_settings(&args.settings).whatever_context("settings")?;
-    init_logs(&settings.log_level).whatever_context("log")?;
+fn run(args: &Args) -> Result<(), Error> {
+    let settings = start(&args.settings, |settings: &PlannerSettings| {
+        &settings.log_level
+    })
+    .context(SettingsSnafu)?;
     dotterelsill_rpc::run(THREADS, |tasks| dotterelsill_planner::run(settings, tasks))
-        .whatever_context("planner")
+        .context(DaemonSnafu)
 }
--- a/crates/dotterelsill_standin_platform/src/main.rs
+++ b/crates/dotterelsill_standin_platform/src/main.rs
@@ -31,8 +31,8 @@
     Tasks, //
 };
 use dotterelsill_telemetry::{
-    init_logs,
-    load_settings, //
+    exit_code,
+    start, //
 };
 use snafu::{
     ResultExt,
@@ -49,19 +49,15 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match dotterelsill_rpc::run(1, |tasks| serve(args, tasks)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("dotterelsill-standin-platform: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    let result = dotterelsill_rpc::run(1, |tasks| serve(args, tasks));
+    exit_code("dotterelsill-standin-platform", result)
 }
 
 async fn serve(args: Args, tasks: Tasks) -> Result<(), Whatever> {
-    let settings: StandinPlatformSettings =
-        load_settings(&args.settings).whatever_context("settings")?;
-    init_logs(&settings.log_level).whatever_context("log")?;
+    let settings = start(&args.settings, |settings: &StandinPlatformSettings| {
+        &settings.log_level
+    })
+    .whatever_context("start")?;
     let listener = Listener::bind(&settings.listen).whatever_context("listen")?;
     log::info!(address:% = listener.address(); "listening");
 
