Keep the credit of a cut run until its upstream has stopped

Cause: at max_run_ms the entry closed the connection and gave the team's credit back at the same instant, and likewise at the end of the run time after a broken connection. The upstream ends the run when it sees the connection close, which is later, so that the next run started elsewhere while the cut one still went on: "P4: red ran 5 at once, its limit is 4" in 1 of 3 runs of limit_holds_when_runs_are_cut.

The matrix's case (upstream_killed) is another one: the observer took the runs of a killed upstream as running until the upstream was replaced, up to seconds later. It now takes the instant at which the kill was carried out.

Ruled out: the upstream's log as the source of the overlap; it writes the end of a run before the answer leaves.

--- a/crates/dotterelsill_e2e/src/fleet.rs
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -142,7 +142,7 @@
     pub fn replace_upstream(&mut self, index: usize, service_time_ms: u32) {
         let upstream = &mut self.upstreams[index];
         upstream.kill();
-        let runs = read_runs(index, &upstream.log(), Some(clock_us()));
+        let runs = read_runs(index, &upstream.log(), upstream.killed_at_us());
         self.retired.push(runs);
         *upstream = start_upstream(service_time_ms);
         self.upstream_links[index].set_target(upstream.address(""));
--- a/crates/dotterelsill_e2e/src/process.rs
+++ b/crates/dotterelsill_e2e/src/process.rs
@@ -39,6 +39,8 @@
     Signal, //
 };
 
+use crate::clock_us;
+
 /// Longest time that a process may take to listen.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -62,6 +64,7 @@
     log: Arc<Mutex<Vec<String>>>,
     reader: Option<JoinHandle<()>>,
     settings: PathBuf,
+    killed_at_us: Option<u64>,
 }
 
 impl Process {
@@ -101,6 +104,7 @@
             log,
             reader: Some(reader),
             settings: path,
+            killed_at_us: None,
         };
         for _ in 0..listeners {
             let Ok((name, address)) = listening.recv_timeout(START_TIMEOUT) else {
@@ -133,6 +137,13 @@
         // It may have ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        self.killed_at_us.get_or_insert_with(clock_us);
+    }
+
+    /// Returns when the process was first killed, in microseconds since the
+    /// epoch.
+    pub fn killed_at_us(&self) -> Option<u64> {
+        self.killed_at_us
     }
 
     /// Stops the process from running until [`Self::resume`].
--- a/crates/dotterelsill_entry/src/attempt.rs
+++ b/crates/dotterelsill_entry/src/attempt.rs
@@ -26,7 +26,6 @@
     Receiver,
     Sender, //
 };
-use async_io::Timer;
 use bytes::Bytes;
 use dotterelsill_admission::End;
 use dotterelsill_revision::{
@@ -224,15 +223,14 @@
                 let reason = format!("upstream {}: {error}", upstream.name());
                 send(&result, Attempted::Broken(reason));
                 // The upstream may go on without its connection.
-                let credit = self.plan.end_slot(self.held);
-                if credit.is_some() {
-                    Timer::at(run_end).await;
-                }
+                self.plan.end_cut(self.held, run_end).await;
             }
             None => {
                 self.plan.set.report(self.slot, Answer::Failure, now);
-                self.plan.end(self.held, End::Cut);
                 send(&result, Attempted::RunTimeOver);
+                // Closes the connection, which tells the upstream to stop.
+                drop(open);
+                self.plan.end_cut(self.held, run_end).await;
             }
         }
     }
--- a/crates/dotterelsill_entry/src/plan.rs
+++ b/crates/dotterelsill_entry/src/plan.rs
@@ -8,11 +8,13 @@
 };
 
 use async_channel::Sender;
+use async_io::Timer;
 use dotterelsill_admission::{
     End,
     Team,
     Teams, //
 };
+use dotterelsill_escrow::free_after_cut;
 use dotterelsill_proto::config::{
     self,
     Queue, //
@@ -31,7 +33,6 @@
         NotRun, //
     },
     burn::Counts,
-    limits::Loan,
     metrics::QueueMetrics,
     pool::Pool,
     service::Service, //
@@ -106,16 +107,21 @@
         }
     }
 
-    /// Ends the use of the service's slot after the connection broke, and returns
-    /// the credit.
-    pub(crate) fn end_slot(&self, held: Held) -> Option<Loan> {
-        match held {
+    /// Ends the use of the service's slot after a run without an answer, and
+    /// keeps the credit until the upstream has surely stopped.
+    pub(crate) async fn end_cut(&self, held: Held, run_end: Instant) {
+        let credit = match held {
             Held::Permit(mut permit) => {
                 let credit = permit.credit.take();
                 self.service.finish(permit, End::Cut);
                 credit
             }
             Held::Credit(credit) => credit,
+        };
+        if credit.is_some() {
+            Timer::at(free_after_cut(run_end)).await;
+            drop(credit);
+            self.service.start_waiting();
         }
     }
 
--- a/crates/dotterelsill_entry/src/reclaim.rs
+++ b/crates/dotterelsill_entry/src/reclaim.rs
@@ -18,7 +18,8 @@
     Member as MemberRecord,
     Reclaim,
     ReclaimLimits,
-    Reclaimable, //
+    Reclaimable,
+    CUT_SETTLE, //
 };
 use dotterelsill_proto::peer::Member;
 use dotterelsill_revision::{
@@ -142,7 +143,7 @@
     ReclaimLimits {
         isolation_limit,
         lease: LEASE,
-        max_run: max_run.max(current),
+        max_run: max_run.max(current) + CUT_SETTLE,
     }
 }
 
--- a/crates/dotterelsill_escrow/src/lib.rs
+++ b/crates/dotterelsill_escrow/src/lib.rs
@@ -13,6 +13,7 @@
 //! even after the key was deleted and created again.
 
 mod credits;
+mod cut;
 mod decision;
 mod error;
 mod holder;
@@ -30,6 +31,10 @@
     Credit,
     Credits, //
 };
+pub use cut::{
+    free_after_cut,
+    CUT_SETTLE, //
+};
 pub use error::LedgerError;
 pub use holder::Holder;
 pub use incarnation::Incarnation;
--- a/crates/dotterelsill_escrow/src/reclaim.rs
+++ b/crates/dotterelsill_escrow/src/reclaim.rs
@@ -17,7 +17,7 @@
     pub isolation_limit: Duration,
     /// Duration of the lease.
     pub lease: Duration,
-    /// Longest run time of any queue.
+    /// Longest run time of any queue, with [`crate::CUT_SETTLE`].
     pub max_run: Duration,
 }
 
