--- /dev/null
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -0,0 +1,484 @@
+//! Workers that come and go, their leases, and what they list.
+
+use std::time::Duration;
+
+use crate::{
+    ends::End,
+    job::{
+        Job,
+        Run, //
+    },
+    worker::Booked,
+    How,
+    JobId,
+    ListedEnd,
+    ListedRun,
+    Look,
+    Room,
+    RunState,
+    Scheduler,
+    TaskId,
+    WorkerKey,
+    WorkerReport, //
+};
+
+/// Most ends that a worker lists at a time; with as many, runs may be missing
+/// from both lists.
+const ENDS_LISTED: usize = 500;
+
+/// Room that a task of an unknown job counts for: more than any worker has.
+const UNKNOWN_TASK_CPU_MILLI: u64 = 1_000_000;
+
+impl Scheduler {
+    /// Notes what a worker says of itself; returns its key, and whether this
+    /// life of the worker is new.
+    pub fn on_report(&mut self, report: WorkerReport, now: Duration) -> (WorkerKey, bool) {
+        self.needs_plan = true;
+        if let Some(&key) = self.by_id.get(&report.id) {
+            let worker = self.workers.get_mut(&key).expect("by_id names workers");
+            if worker.report.born_unix_ms == report.born_unix_ms || worker.report.born_unix_ms == 0
+            {
+                worker.report = report;
+                worker.is_listed = true;
+                return (key, false);
+            }
+            log::info!(worker = report.id; "worker_born_again");
+            self.lose(key, now);
+            self.remove_worker(key);
+        }
+        let key = self.new_worker(report, now);
+        (key, true)
+    }
+
+    /// Notes a worker that an earlier scheduler has granted a lease and that is
+    /// not listed.
+    pub fn expect(&mut self, id: &str, address: &str, now: Duration) -> Option<WorkerKey> {
+        if self.by_id.contains_key(id) {
+            return None;
+        }
+        let report = WorkerReport {
+            id: id.to_owned(),
+            born_unix_ms: 0,
+            address: address.to_owned(),
+            pool: String::new(),
+            data_centre: String::new(),
+            labels: Vec::new(),
+            capacity: Room::default(),
+            is_draining: true,
+        };
+        let key = self.new_worker(report, now);
+        if let Some(worker) = self.workers.get_mut(&key) {
+            worker.is_listed = false;
+        }
+        Some(key)
+    }
+
+    /// Notes that a worker is no longer listed. What it runs counts until its
+    /// lease has surely ended.
+    pub fn on_unlisted(&mut self, id: &str, now: Duration) {
+        if let Some(worker) = self.by_id.get(id).and_then(|key| self.workers.get_mut(key)) {
+            if worker.is_listed {
+                log::info!(worker = id, runs = worker.booked.len() as u64; "worker_unlisted");
+                worker.is_listed = false;
+                worker.unlisted_at = now;
+            }
+        }
+    }
+
+    /// Returns whether a worker is not stored yet as one that may run tasks.
+    pub fn has_ungranted(&self) -> bool {
+        self.workers.values().any(|worker| !worker.may_grant)
+    }
+
+    /// Returns the identifiers and addresses of all workers that may hold a lease.
+    pub fn granted(&self) -> Vec<(String, String)> {
+        let name = |worker: &crate::worker::Worker| {
+            (worker.report.id.clone(), worker.report.address.clone())
+        };
+        self.workers.values().map(name).collect()
+    }
+
+    /// Notes that workers are stored as those that may run tasks.
+    pub fn on_granted_stored(&mut self, ids: &[(String, String)]) {
+        for (id, _) in ids {
+            if let Some(worker) = self.by_id.get(id).and_then(|key| self.workers.get_mut(key)) {
+                worker.may_grant = true;
+            }
+        }
+        self.needs_plan = true;
+    }
+
+    /// Returns the identifier and the address of a worker.
+    pub fn worker_address(&self, key: WorkerKey) -> Option<(&str, &str)> {
+        let report = &self.workers.get(&key)?.report;
+        Some((&report.id, &report.address))
+    }
+
+    /// Returns whether a worker is still known.
+    pub fn has_worker(&self, key: WorkerKey) -> bool {
+        self.workers.contains_key(&key)
+    }
+
+    /// Returns the end of the lease to send with a request to a worker, on the
+    /// worker's clock. It is extended only while this scheduler holds its
+    /// authority.
+    pub fn lease_end(&mut self, key: WorkerKey, may_extend: bool, now: Duration) -> Option<u64> {
+        let lease = self.limits.lease;
+        let worker = self.workers.get_mut(&key)?;
+        if may_extend && worker.may_grant {
+            worker.grant(lease, now)
+        } else {
+            worker.granted()
+        }
+    }
+
+    /// Returns the number up to which a worker may forget its ends.
+    pub fn acknowledged(&self, key: WorkerKey) -> u64 {
+        self.workers
+            .get(&key)
+            .map_or(0, |worker| worker.acknowledged_end)
+    }
+
+    /// Returns whether ends of a worker wait to be stored.
+    pub fn has_pending_ends(&self, key: WorkerKey) -> bool {
+        self.workers
+            .get(&key)
+            .is_some_and(|worker| !worker.pending_ends.is_empty())
+    }
+
+    /// Returns whether a worker has something to list: runs, or ends that are
+    /// not acknowledged.
+    pub fn is_busy(&self, key: WorkerKey) -> bool {
+        self.workers
+            .get(&key)
+            .is_some_and(|worker| !worker.booked.is_empty() || !worker.pending_ends.is_empty())
+    }
+
+    /// Returns whether both serving and filling tasks run on a worker.
+    pub fn is_mixed(&self, key: WorkerKey) -> bool {
+        self.workers.get(&key).is_some_and(|worker| {
+            let mut booked = worker.booked.values();
+            worker.booked.values().any(|run| run.target.is_some())
+                && booked.any(|run| run.is_filler)
+        })
+    }
+
+    /// Notes that a call of a worker was not answered; it gets no new tasks until
+    /// it answers.
+    pub fn on_silence(&mut self, key: WorkerKey, now: Duration) {
+        if let Some(worker) = self.workers.get_mut(&key) {
+            if !worker.is_silent {
+                worker.is_silent = true;
+                let age_ms = now.saturating_sub(worker.answered_at).as_millis() as u64;
+                log::warn!(worker = worker.report.id, age_ms; "worker_silent");
+            }
+        }
+    }
+
+    /// Notes what a worker lists.
+    pub fn on_look(&mut self, key: WorkerKey, look: &Look, now: Duration) {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        let born = worker.report.born_unix_ms;
+        if look.born_unix_ms != 0 && born != 0 && look.born_unix_ms != born {
+            // The list of another life; its report comes through the store.
+            log::info!(worker = worker.report.id; "look_of_another_life");
+            return;
+        }
+        worker.on_clock(look.worker_ms, look.sent_at, look.read_at);
+        let was_known = worker.is_known;
+        worker.is_known = true;
+        if !was_known {
+            self.needs_plan = true;
+        }
+        for end in &look.ended {
+            self.note_listed_end(key, end, now);
+        }
+        for run in &look.running {
+            self.note_listed_run(key, run, now);
+        }
+        if look.ended.len() < ENDS_LISTED {
+            self.end_unlisted_runs(key, look, now);
+        }
+        self.acknowledge_stored();
+        self.pace(key, now);
+    }
+
+    fn note_listed_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Duration) {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        if end.number <= worker.processed_end {
+            return;
+        }
+        worker.processed_end = end.number;
+        let change = self.end_run(
+            key,
+            &End {
+                task: end.task,
+                attempt: end.attempt,
+                how: end.how,
+                checkpoint: &end.checkpoint,
+            },
+            now,
+        );
+        if let Some(worker) = self.workers.get_mut(&key) {
+            worker.pending_ends.push_back(crate::worker::PendingEnd {
+                number: end.number,
+                job: end.task.step.job,
+                change,
+            });
+        }
+    }
+
+    fn note_listed_run(&mut self, key: WorkerKey, listed: &ListedRun, now: Duration) {
+        let task = listed.task;
+        let booked = self
+            .workers
+            .get_mut(&key)
+            .and_then(|worker| worker.booked.get_mut(&task))
+            .filter(|booked| booked.attempt == listed.attempt);
+        let Some(booked) = booked else {
+            self.adopt(key, listed, now);
+            return;
+        };
+        if booked.target.is_some() {
+            booked.tail = Duration::from_millis(listed.measure);
+        }
+        let job = self.jobs.get_mut(&task.step.job);
+        if let Some(job) = job {
+            job.has_begun = true;
+            if let Some(state) = job.task(task.step, task.index) {
+                if !listed.checkpoint.is_empty() {
+                    state.checkpoint.clone_from(&listed.checkpoint);
+                }
+            }
+        }
+        if let Some(run) = self.run_mut(key, task, listed.attempt) {
+            if run.state == RunState::Ordered {
+                run.state = RunState::Running;
+            }
+            if run.percent != listed.percent {
+                run.percent = listed.percent;
+                run.advanced_at = now;
+            }
+        }
+    }
+
+    /// Takes over a run that this scheduler did not order, or stops it.
+    fn adopt(&mut self, key: WorkerKey, listed: &ListedRun, now: Duration) {
+        let task = listed.task;
+        let job = self.jobs.get_mut(&task.step.job);
+        let wanted = job.and_then(|job| wanted_run(job, task));
+        let is_wanted = wanted.is_some();
+        let booked = match wanted {
+            Some(ref booked) => booked.clone(),
+            None => self.booking_of(task),
+        };
+        let booked = Booked {
+            attempt: listed.attempt,
+            ..booked
+        };
+        let workspace = self.workspace_of(task.step.job);
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        if worker.booked.contains_key(&task) {
+            // Another start of the task is booked; this one is older or late.
+            log::warn!(task:%, attempt = listed.attempt, worker = worker.report.id; "stray_run_stopped");
+            self.stop(key, task, listed.attempt);
+            return;
+        }
+        log::info!(
+            task:%, attempt = listed.attempt, worker = worker.report.id, is_wanted;
+            "run_adopted"
+        );
+        let room = booked.room;
+        worker.book(task, booked);
+        self.add_usage(workspace, &room);
+        if !is_wanted {
+            self.stop(key, task, listed.attempt);
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.has_begun = true;
+            if let Some(state) = job.task(task.step, task.index) {
+                state.next_attempt = state.next_attempt.max(listed.attempt + 1);
+                state.checkpoint.clone_from(&listed.checkpoint);
+                state.runs.push(Run {
+                    worker: key,
+                    attempt: listed.attempt,
+                    state: RunState::Running,
+                    ordered_at: now,
+                    percent: listed.percent,
+                    advanced_at: now,
+                });
+            }
+        }
+    }
+
+    /// Returns a booking for a run that is to be stopped. Of a task that is not
+    /// known the room is not known either, so the worker counts as full.
+    fn booking_of(&self, task: TaskId) -> Booked {
+        let job = self.jobs.get(&task.step.job);
+        let step = job.and_then(|job| job.spec.steps.get(task.step.step as usize));
+        let unknown = Room {
+            cpu_milli: UNKNOWN_TASK_CPU_MILLI,
+            ..Room::default()
+        };
+        Booked {
+            attempt: 0,
+            room: step.map_or(unknown, crate::Step::counted_room),
+            is_lasting: false,
+            is_filler: false,
+            target: None,
+            pace_percent: 100,
+            tail: Duration::ZERO,
+            confirmed_at: None,
+            is_stopping: false,
+        }
+    }
+
+    /// Ends runs that were confirmed before a look that does not list them.
+    fn end_unlisted_runs(&mut self, key: WorkerKey, look: &Look, now: Duration) {
+        let Some(worker) = self.workers.get(&key) else {
+            return;
+        };
+        let is_listed = |task: &TaskId, attempt: u32| {
+            look.running
+                .iter()
+                .any(|run| run.task == *task && run.attempt == attempt)
+        };
+        let gone: Vec<(TaskId, u32)> = worker
+            .booked
+            .iter()
+            .filter(|(_, booked)| booked.confirmed_at.is_some_and(|at| at < look.sent_at))
+            .filter(|(task, booked)| !is_listed(task, booked.attempt))
+            .map(|(task, booked)| (*task, booked.attempt))
+            .collect();
+        for (task, attempt) in gone {
+            log::warn!(task:%, attempt, worker = self.workers[&key].report.id; "run_gone");
+            let end = End {
+                task,
+                attempt,
+                how: How::Lapsed,
+                checkpoint: "",
+            };
+            self.end_run(key, &end, now);
+        }
+    }
+
+    /// Ends the runs of workers whose leases have surely ended, and forgets
+    /// workers that are gone.
+    pub fn expire_leases(&mut self, now: Duration) {
+        let lapsed: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !worker.booked.is_empty() || !worker.is_listed)
+            .filter(|(_, worker)| worker.has_lapsed(now))
+            .map(|(&key, _)| key)
+            .collect();
+        for key in lapsed {
+            let worker = &self.workers[&key];
+            let is_listed = worker.is_listed;
+            if !worker.booked.is_empty() || !is_listed {
+                let silent_ms = now.saturating_sub(worker.answered_at).as_millis() as u64;
+                log::warn!(
+                    worker = worker.report.id, runs = worker.booked.len() as u64, silent_ms,
+                    is_listed; "lease_lapsed"
+                );
+            }
+            self.lose(key, now);
+            if !is_listed {
+                self.remove_worker(key);
+            }
+        }
+    }
+
+    /// Notes that another worker answers at the address of a worker, which has
+    /// therefore ended.
+    pub fn on_other_worker(&mut self, key: WorkerKey, now: Duration) {
+        if let Some(worker) = self.workers.get_mut(&key) {
+            log::info!(worker = worker.report.id; "worker_replaced");
+            worker.is_listed = false;
+            worker.has_ended = true;
+            self.lose(key, now);
+        }
+    }
+
+    /// Ends all runs of a worker that runs nothing any more.
+    fn lose(&mut self, key: WorkerKey, now: Duration) {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        worker.is_known = false;
+        self.needs_plan = true;
+        let runs: Vec<(TaskId, u32)> = worker
+            .booked
+            .iter()
+            .map(|(task, booked)| (*task, booked.attempt))
+            .collect();
+        for (task, attempt) in runs {
+            let end = End {
+                task,
+                attempt,
+                how: How::Lapsed,
+                checkpoint: "",
+            };
+            self.end_run(key, &end, now);
+        }
+    }
+
+    fn remove_worker(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.remove(&key) {
+            if self.by_id.get(&worker.report.id) == Some(&key) {
+                self.by_id.remove(&worker.report.id);
+            }
+        }
+    }
+
+    /// Returns whether an earlier scheduler's runs may still be on workers whose
+    /// lists were not read.
+    pub(crate) fn is_unsettled(&self, pool: &str, now: Duration) -> bool {
+        self.workers.values().any(|worker| {
+            let is_of_pool = worker.report.pool.is_empty() || worker.report.pool == pool;
+            is_of_pool && !worker.is_known && now < worker.unknown_until
+        })
+    }
+
+    pub(crate) fn workspace_of(&self, id: JobId) -> Option<String> {
+        self.jobs.get(&id)?.spec.workspace.clone()
+    }
+
+    pub(crate) fn add_usage(&mut self, workspace: Option<String>, room: &Room) {
+        if let Some(workspace) = workspace {
+            self.usage.entry(workspace).or_default().add(room);
+        }
+    }
+}
+
+/// Returns the booking of a listed run if the task still needs one.
+fn wanted_run(job: &mut Job, task: TaskId) -> Option<Booked> {
+    if !job.is_open() || task.step.step as usize >= job.spec.steps.len() {
+        return None;
+    }
+    if task.step.occurrence >= job.spec.occurrences() {
+        return None;
+    }
+    job.ensure(task.step.occurrence);
+    let step = job.spec.steps[task.step.step as usize].clone();
+    let state = job.task(task.step, task.index)?;
+    let is_wanted = !state.is_done && (state.runs.is_empty() || step.is_speculative);
+    is_wanted.then(|| Booked {
+        attempt: 0,
+        room: step.counted_room(),
+        is_lasting: step.is_lasting,
+        is_filler: step.is_filler,
+        target: step.target,
+        pace_percent: 100,
+        tail: Duration::ZERO,
+        confirmed_at: Some(Duration::ZERO),
+        is_stopping: false,
+    })
+}
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -0,0 +1,66 @@
+//! Decisions on jobs: their life cycle, the placement of their tasks on workers,
+//! the limits of workspaces, and what a new scheduler takes over.
+//!
+//! Nothing here does I/O or reads a clock. A [`Scheduler`] is told what happened
+//! and when, and hands out [`Order`]s for workers and [`Change`]s for the store.
+
+mod catalogue;
+mod changes;
+mod ends;
+mod fleet;
+mod health;
+mod ids;
+mod job;
+mod order;
+mod pace;
+mod place;
+mod plan;
+mod rank;
+mod room;
+mod scheduler;
+mod spec;
+mod worker;
+
+pub use catalogue::{
+    CallerLimits,
+    Catalogue,
+    Pool,
+    Queue,
+    Requests,
+    Wave,
+    Workspace, //
+};
+pub use changes::Change;
+pub use ids::{
+    JobId,
+    StepId,
+    TaskId,
+    WorkerKey, //
+};
+pub use job::{
+    Run,
+    RunState, //
+};
+pub use order::{
+    Addressed,
+    Answer,
+    How,
+    ListedEnd,
+    ListedRun,
+    Look,
+    Order, //
+};
+pub use room::Room;
+pub use scheduler::{
+    JobState,
+    Limits,
+    Scheduler, //
+};
+pub use spec::{
+    JobSpec,
+    Schedule,
+    SpecError,
+    Step,
+    FORMAT, //
+};
+pub use worker::WorkerReport;
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/place.rs
@@ -0,0 +1,120 @@
+//! Choice of the worker for a task.
+
+use std::time::Duration;
+
+use crate::{
+    worker::Worker,
+    Requests,
+    Room,
+    Step,
+    StepId,
+    WorkerKey, //
+};
+
+/// Time for which a worker that is no longer listed still gets tasks if it
+/// answers: after an outage of the store the list is complete only by then.
+const UNLISTED_GRACE: Duration = Duration::from_secs(2);
+
+/// A worker that may get tasks, with what it has left in this round.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) key: WorkerKey,
+    pub(crate) free: Room,
+}
+
+/// Returns the room that a worker has left, if it may get tasks at all.
+pub(crate) fn candidate(
+    key: WorkerKey,
+    worker: &Worker,
+    requests: &Requests,
+    now: Duration,
+) -> Option<Candidate> {
+    let is_in = !requests.out.contains(&worker.report.data_centre);
+    let takes_tasks = worker.is_known
+        && (worker.is_listed || now < worker.unlisted_at + UNLISTED_GRACE)
+        && worker.may_grant
+        && !worker.is_silent
+        && !worker.reserved
+        && !worker.report.is_draining
+        && !worker.health.is_aside(now);
+    if !(is_in && takes_tasks) {
+        return None;
+    }
+    let mut free = worker.report.capacity;
+    free.subtract(&worker.used);
+    Some(Candidate { key, free })
+}
+
+/// Returns the index of the best candidate for a task: on the rack of its data
+/// if possible, then away from tasks that it would disturb, then where the least
+/// processor time is left over, so that large tasks find room and idle workers
+/// stay idle.
+pub(crate) fn choose<'a>(
+    candidates: &[Candidate],
+    worker: impl Fn(WorkerKey) -> Option<&'a Worker>,
+    wanted: &Wanted<'_>,
+) -> Option<usize> {
+    let mut best: Option<(usize, (bool, bool, bool, u64))> = None;
+    for (index, candidate) in candidates.iter().enumerate() {
+        let room = &wanted.room;
+        if !candidate.free.fits(&Room::default(), room) {
+            continue;
+        }
+        let Some(worker) = worker(candidate.key) else {
+            continue;
+        };
+        if !wanted.allows(worker) {
+            continue;
+        }
+        let rack = wanted.rack.or(wanted.step.near_rack.as_deref());
+        let is_far = rack.is_some() && worker.rack() != rack;
+        let left = candidate.free.cpu_milli - room.cpu_milli;
+        let score = (
+            wanted.avoid == Some(candidate.key),
+            is_far,
+            wanted.disturbs(worker),
+            left,
+        );
+        if best.is_none_or(|(_, other)| score < other) {
+            best = Some((index, score));
+        }
+    }
+    best.map(|(index, _)| index)
+}
+
+/// A task that looks for a worker.
+pub(crate) struct Wanted<'a> {
+    pub(crate) id: StepId,
+    pub(crate) step: &'a Step,
+    pub(crate) room: Room,
+    /// Worker on which the last run failed.
+    pub(crate) avoid: Option<WorkerKey>,
+    /// Rack on which the other tasks of a rack-local step run.
+    pub(crate) rack: Option<&'a str>,
+}
+
+impl Wanted<'_> {
+    fn allows(&self, worker: &Worker) -> bool {
+        let has_label = self
+            .step
+            .required_label
+            .as_ref()
+            .is_none_or(|label| worker.report.labels.contains(label));
+        let most = self
+            .step
+            .max_per_worker
+            .map_or(usize::MAX, |most| most as usize);
+        has_label && worker.count_of_step(self.id) < most
+    }
+
+    fn disturbs(&self, worker: &Worker) -> bool {
+        let mut booked = worker.booked.values();
+        if self.step.is_filler {
+            booked.any(|run| run.target.is_some())
+        } else if self.step.target.is_some() {
+            booked.any(|run| run.is_filler)
+        } else {
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/rank.rs
@@ -0,0 +1,62 @@
+//! Order in which waiting steps get room.
+//!
+//! Load pattern: the queues ask by turns for about five times their mean, more
+//! than their pool holds, for some seconds. What waits then is ranked by urgency,
+//! by whether its workspace is over its share, and by the latest time at which
+//! it can start and still be on time; what cannot be on time any more comes
+//! after what can.
+
+use std::{
+    cmp::Ordering,
+    time::Duration, //
+};
+
+use crate::{
+    job::Job,
+    Queue,
+    StepId, //
+};
+
+/// Rank of a waiting step; the lowest goes first.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Rank {
+    pub(crate) step: StepId,
+    urgency: u32,
+    is_late: bool,
+    latest_start: Duration,
+}
+
+impl Rank {
+    /// Ranks a step of a job.
+    pub(crate) fn new(step: StepId, job: &Job, queue: &Queue, now: Duration) -> Self {
+        let chain = job.chains.iter().max().copied().unwrap_or_default();
+        let objective = chain.mul_f64(queue.slack_factor.max(0.0)) + queue.target;
+        let remaining = job.chains[step.step as usize];
+        let since_due = match job.spec.schedule {
+            // Occurrences are opened when they are due.
+            Some(schedule) => schedule.interval * step.occurrence,
+            None => Duration::ZERO,
+        };
+        let due = job.known_at + since_due + objective;
+        let latest_start = due.saturating_sub(remaining);
+        Self {
+            step,
+            urgency: queue.urgency,
+            is_late: latest_start < now,
+            latest_start,
+        }
+    }
+}
+
+impl Ord for Rank {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let key = |rank: &Self| (rank.urgency, rank.is_late, rank.latest_start, rank.step);
+        key(self).cmp(&key(other))
+    }
+}
+
+impl PartialOrd for Rank {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -0,0 +1,418 @@
+//! The scheduler: which jobs there are and what runs where.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap,
+        HashSet,
+        VecDeque, //
+    },
+    sync::Arc,
+    time::Duration, //
+};
+
+use dotterelsill_proto::jobs::{
+    JobRecord,
+    Phase,
+    ProgressRecord, //
+};
+
+use crate::{
+    job::Job,
+    worker::{
+        Worker,
+        WorkerReport, //
+    },
+    Addressed,
+    Catalogue,
+    JobId,
+    JobSpec,
+    Order,
+    Requests,
+    Room,
+    RunState,
+    SpecError,
+    StepId,
+    TaskId,
+    WorkerKey, //
+};
+
+/// Times that the scheduler keeps.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time for which a worker's lease is granted.
+    pub lease: Duration,
+    /// Time for which the end of a job is known.
+    pub keep_ended: Duration,
+    /// Time at which a leader that was cut off has stopped to grant leases, from
+    /// the start of this one.
+    pub takeover_margin: Duration,
+    /// Time for which a serving or lasting task that is not at work counts as
+    /// away.
+    pub notice: Duration,
+    /// Time within which a stop ends a run.
+    pub stop_timeout: Duration,
+}
+
+/// State of a job as callers see it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct JobState {
+    /// Phase.
+    pub phase: Phase,
+    /// Whether a task has started.
+    pub has_begun: bool,
+}
+
+/// Decides for all pools under one fencing token.
+///
+/// It does no I/O: methods note what happened at a time, orders and changes are
+/// taken out by the caller. Times are those of a clock that goes on while the
+/// machine is suspended.
+pub struct Scheduler {
+    pub(crate) token: u64,
+    pub(crate) limits: Limits,
+    pub(crate) catalogue: Arc<Catalogue>,
+    pub(crate) requests: Arc<Requests>,
+    pub(crate) jobs: HashMap<JobId, Job>,
+    pub(crate) workers: BTreeMap<WorkerKey, Worker>,
+    pub(crate) by_id: HashMap<String, WorkerKey>,
+    next_worker: u32,
+    /// Steps with tasks that wait for a worker, by pool.
+    pub(crate) ready: BTreeMap<String, BTreeSet<StepId>>,
+    /// Room that runs and orders of each workspace take.
+    pub(crate) usage: HashMap<String, Room>,
+    pub(crate) orders: Vec<Addressed>,
+    /// Jobs whose progress is to be stored.
+    pub(crate) dirty: VecDeque<JobId>,
+    /// Jobs in `dirty`.
+    pub(crate) is_dirty: HashSet<JobId>,
+    /// Jobs that wait for the time of an occurrence.
+    scheduled: BTreeSet<JobId>,
+    ended: VecDeque<JobId>,
+    started_at: Duration,
+    pub(crate) needs_plan: bool,
+}
+
+impl Scheduler {
+    /// Creates a scheduler that knows nothing yet; `token` fences all of its
+    /// orders.
+    pub fn new(token: u64, limits: Limits, now: Duration) -> Self {
+        Self {
+            token,
+            limits,
+            catalogue: Arc::default(),
+            requests: Arc::default(),
+            jobs: HashMap::new(),
+            workers: BTreeMap::new(),
+            by_id: HashMap::new(),
+            next_worker: 0,
+            ready: BTreeMap::new(),
+            usage: HashMap::new(),
+            orders: Vec::new(),
+            dirty: VecDeque::new(),
+            is_dirty: HashSet::new(),
+            scheduled: BTreeSet::new(),
+            ended: VecDeque::new(),
+            started_at: now,
+            needs_plan: true,
+        }
+    }
+
+    /// Returns the fencing token.
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Sets the configuration and what the operators ask for.
+    pub fn configure(&mut self, catalogue: Arc<Catalogue>, requests: Arc<Requests>) {
+        self.catalogue = catalogue;
+        self.requests = requests;
+        self.needs_plan = true;
+    }
+
+    /// Takes over a job that an earlier scheduler has stored.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the record cannot be used.
+    pub fn restore(
+        &mut self,
+        id: JobId,
+        record: &JobRecord,
+        progress: Option<(&ProgressRecord, u64)>,
+        now: Duration,
+    ) -> Result<(), SpecError> {
+        let spec = Arc::new(JobSpec::try_from(record)?);
+        let mut job = Job::new(id, spec, self.token, now);
+        if let Some((progress, revision)) = progress {
+            job.restore(progress, revision);
+        }
+        self.add(job, now);
+        Ok(())
+    }
+
+    /// Notes a job that ended under an earlier scheduler.
+    pub fn restore_ended(
+        &mut self,
+        id: JobId,
+        progress: &ProgressRecord,
+        revision: u64,
+        now: Duration,
+    ) {
+        let spec = JobSpec {
+            queue: String::new(),
+            workspace: None,
+            text: "".into(),
+            steps: Vec::new(),
+            schedule: None,
+            accepted_token: 0,
+            accepted_unix: Duration::ZERO,
+        };
+        let mut job = Job::new(id, Arc::new(spec), self.token, now);
+        job.restore(progress, revision);
+        self.add(job, now);
+    }
+
+    /// Adds a job that is stored.
+    pub fn submit(&mut self, id: JobId, spec: JobSpec, now: Duration, unix: Duration) {
+        if !self.jobs.contains_key(&id) {
+            let job = Job::new(id, Arc::new(spec), self.token, now);
+            self.add(job, now);
+            self.open_due(id, unix);
+        }
+    }
+
+    /// Returns whether a job is known.
+    pub fn knows(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
+    fn add(&mut self, job: Job, now: Duration) {
+        let id = job.id;
+        if job.is_open() {
+            self.scheduled.insert(id);
+            let steps: Vec<StepId> = steps_of(&job).collect();
+            self.jobs.insert(id, job);
+            for step in steps {
+                self.make_ready(step);
+            }
+        } else {
+            self.jobs.insert(id, job);
+            self.note_ended(id, now);
+        }
+        self.needs_plan = true;
+    }
+
+    /// Opens the occurrences of all jobs that are due.
+    pub fn open_due_jobs(&mut self, unix: Duration) {
+        let ids: Vec<JobId> = self.scheduled.iter().copied().collect();
+        for id in ids {
+            self.open_due(id, unix);
+        }
+    }
+
+    fn open_due(&mut self, id: JobId, unix: Duration) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.scheduled.remove(&id);
+            return;
+        };
+        let opened = job.open_due(unix);
+        let is_last = job.next_occurrence >= job.spec.occurrences();
+        if is_last || !job.is_open() {
+            self.scheduled.remove(&id);
+        }
+        let count = job.spec.steps.len() as u32;
+        for occurrence in opened {
+            for step in 0..count {
+                self.make_ready(StepId {
+                    job: id,
+                    occurrence,
+                    step,
+                });
+            }
+        }
+    }
+
+    /// Lists a step as ready if its turn has come.
+    pub(crate) fn make_ready(&mut self, step: StepId) {
+        let Some(job) = self.jobs.get(&step.job) else {
+            return;
+        };
+        if !job.is_open() || !job.is_ready(step) {
+            return;
+        }
+        let Some(queue) = self.catalogue.queue(&job.spec.queue) else {
+            // A queue that is not configured any more, or not yet known; the
+            // steps are listed again with the next configuration.
+            self.ready.entry(String::new()).or_default().insert(step);
+            return;
+        };
+        let pool = queue.pool.clone();
+        self.ready.entry(pool).or_default().insert(step);
+        self.needs_plan = true;
+    }
+
+    /// Cancels a job; returns whether it is known.
+    pub fn cancel(&mut self, id: JobId, now: Duration) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        if job.is_open() {
+            job.cancel();
+            self.end_job(id, now);
+        }
+        true
+    }
+
+    /// Returns whether everything that is known of a job is stored.
+    pub fn is_stored(&self, id: JobId) -> bool {
+        self.jobs
+            .get(&id)
+            .is_none_or(|job| job.stored_changes == job.changes)
+    }
+
+    /// Returns the state of a job as far as it is stored; `None` if it is not
+    /// known.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        let job = self.jobs.get(&id)?;
+        let is_stored = job.stored_changes == job.changes;
+        let phase = if is_stored { job.phase } else { Phase::Open };
+        Some(JobState {
+            phase,
+            has_begun: job.has_begun,
+        })
+    }
+
+    /// Returns how many jobs of a queue have not begun.
+    pub fn pending(&self, queue: &str) -> u64 {
+        let is_pending = |job: &&Job| job.is_open() && !job.has_begun && job.spec.queue == queue;
+        self.jobs.values().filter(is_pending).count() as u64
+    }
+
+    /// Stops what runs of a job that has ended, and has its end stored.
+    pub(crate) fn end_job(&mut self, id: JobId, now: Duration) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        log::info!(
+            job:% = id, phase:? = job.phase, changes = job.changes,
+            age_ms = now.saturating_sub(job.known_at).as_millis() as u64; "job_ended"
+        );
+        let mut running = Vec::new();
+        for step in steps_of(job) {
+            if let Some(ready) = self
+                .catalogue
+                .queue(&job.spec.queue)
+                .and_then(|queue| self.ready.get_mut(&queue.pool))
+            {
+                ready.remove(&step);
+            }
+            let state = &job.occurrences[&step.occurrence].steps[step.step as usize];
+            for (index, task) in state.tasks.iter().enumerate() {
+                for run in &task.runs {
+                    running.push((run.worker, step.task(index as u32), run.attempt));
+                }
+            }
+        }
+        for (worker, task, attempt) in running {
+            self.stop(worker, task, attempt);
+        }
+        self.mark_dirty(id);
+        self.note_ended(id, now);
+    }
+
+    fn note_ended(&mut self, id: JobId, now: Duration) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.ended_at = Some(now);
+            self.ended.push_back(id);
+        }
+    }
+
+    /// Orders a run to stop; its room stays booked until the end is listed.
+    pub(crate) fn stop(&mut self, key: WorkerKey, task: TaskId, attempt: u32) {
+        if let Some(run) = self.run_mut(key, task, attempt) {
+            if run.state == RunState::Stopping {
+                return;
+            }
+            run.state = RunState::Stopping;
+        }
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        if let Some(booked) = worker.booked.get_mut(&task) {
+            booked.is_stopping |= booked.attempt == attempt;
+        }
+        self.orders.push(Addressed {
+            worker: key,
+            order: Order::Stop { task, attempt },
+        });
+    }
+
+    pub(crate) fn run_mut(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        attempt: u32,
+    ) -> Option<&mut crate::Run> {
+        let job = self.jobs.get_mut(&task.step.job)?;
+        let state = job.task(task.step, task.index)?;
+        let is_it = |run: &&mut crate::Run| run.worker == key && run.attempt == attempt;
+        state.runs.iter_mut().find(is_it)
+    }
+
+    pub(crate) fn mark_dirty(&mut self, id: JobId) {
+        if self.is_dirty.insert(id) {
+            self.dirty.push_back(id);
+        }
+    }
+
+    pub(crate) fn new_worker(&mut self, report: WorkerReport, now: Duration) -> WorkerKey {
+        let key = WorkerKey(self.next_worker);
+        self.next_worker += 1;
+        let unknown_until = self.started_at + self.limits.takeover_margin;
+        self.by_id.insert(report.id.clone(), key);
+        self.workers
+            .insert(key, Worker::new(report, unknown_until, now));
+        key
+    }
+
+    /// Removes jobs whose end is no longer told; returns them.
+    pub fn forget_ended(&mut self, now: Duration) -> Vec<JobId> {
+        let mut forgotten = Vec::new();
+        while let Some(&id) = self.ended.front() {
+            let Some(job) = self.jobs.get(&id) else {
+                self.ended.pop_front();
+                continue;
+            };
+            let is_kept = job
+                .ended_at
+                .is_none_or(|ended| now < ended + self.limits.keep_ended);
+            let has_runs = job.occurrences.values().any(|occurrence| {
+                let tasks = occurrence.steps.iter().flat_map(|step| &step.tasks);
+                tasks.into_iter().any(|task| !task.runs.is_empty())
+            });
+            if is_kept || has_runs || !self.is_stored(id) {
+                break;
+            }
+            self.ended.pop_front();
+            self.jobs.remove(&id);
+            forgotten.push(id);
+        }
+        forgotten
+    }
+}
+
+/// Returns the steps of all occurrences that are open.
+pub(crate) fn steps_of(job: &Job) -> impl Iterator<Item = StepId> + '_ {
+    let id = job.id;
+    job.occurrences
+        .iter()
+        .flat_map(move |(&occurrence, state)| {
+            (0..state.steps.len() as u32).map(move |step| StepId {
+                job: id,
+                occurrence,
+                step,
+            })
+        })
+}
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -0,0 +1,223 @@
+//! State of one life of a worker.
+
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    time::Duration, //
+};
+
+use crate::{
+    health::Health,
+    JobId,
+    Room,
+    TaskId, //
+};
+
+/// Share by which a worker's clock may be slow, as a divisor: 2%.
+const SLOW_CLOCK_DIVISOR: u32 = 50;
+
+/// Time that is added before a lease counts as lapsed, for the end of its runs.
+const LAPSE_MARGIN: Duration = Duration::from_millis(150);
+
+/// What a worker says of itself in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkerReport {
+    /// Identifier that the worker registers under.
+    pub id: String,
+    /// Time of its start; a worker may start again under one identifier.
+    pub born_unix_ms: u64,
+    /// Socket address.
+    pub address: String,
+    /// Pool.
+    pub pool: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Labels; the rack is among them.
+    pub labels: Vec<String>,
+    /// Room.
+    pub capacity: Room,
+    /// Whether the worker is leaving.
+    pub is_draining: bool,
+}
+
+impl WorkerReport {
+    /// Returns whether this is the report of the same life as another.
+    pub fn is_same_life(&self, other: &Self) -> bool {
+        self.id == other.id && self.born_unix_ms == other.born_unix_ms
+    }
+}
+
+/// Relation of a worker's clock to the scheduler's.
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    worker_ms: u64,
+    /// Time at which the request whose answer held the reading was sent.
+    sent_at: Duration,
+    /// Time at which the answer arrived.
+    read_at: Duration,
+}
+
+/// A run as the worker counts it.
+#[derive(Clone, Debug)]
+pub(crate) struct Booked {
+    pub(crate) attempt: u32,
+    pub(crate) room: Room,
+    pub(crate) is_lasting: bool,
+    pub(crate) is_filler: bool,
+    pub(crate) target: Option<Duration>,
+    /// Share of the work that a filler may do, in percent.
+    pub(crate) pace_percent: u32,
+    /// Tail latency of a serving task as listed last.
+    pub(crate) tail: Duration,
+    /// Time of the worker's last answer that settled where the run is.
+    pub(crate) confirmed_at: Option<Duration>,
+    /// Whether the end of the stop that was ordered is still to come.
+    pub(crate) is_stopping: bool,
+}
+
+/// An end whose acknowledgement waits for the store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingEnd {
+    pub(crate) number: u64,
+    pub(crate) job: JobId,
+    /// Change of the job that must be stored first.
+    pub(crate) change: u64,
+}
+
+/// A worker that the scheduler knows.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) report: WorkerReport,
+    /// Whether the worker is listed in the store.
+    pub(crate) is_listed: bool,
+    /// Time at which it was no longer listed.
+    pub(crate) unlisted_at: Duration,
+    /// Whether this life of the worker has surely ended.
+    pub(crate) has_ended: bool,
+    /// Whether its lists were read under the scheduler's fencing token.
+    pub(crate) is_known: bool,
+    pub(crate) used: Room,
+    pub(crate) booked: BTreeMap<TaskId, Booked>,
+    pub(crate) pending_ends: VecDeque<PendingEnd>,
+    /// Highest number of an end that was processed.
+    pub(crate) processed_end: u64,
+    /// Highest number of an end that may be acknowledged.
+    pub(crate) acknowledged_end: u64,
+    pub(crate) health: Health,
+    clock: Option<ClockReading>,
+    /// Latest end of a lease that was granted, on the worker's clock.
+    granted_until_ms: u64,
+    /// Time at which every lease of an earlier scheduler has surely ended.
+    pub(crate) unknown_until: Duration,
+    pub(crate) answered_at: Duration,
+    /// Whether the last call was not answered.
+    pub(crate) is_silent: bool,
+    /// Time from which the worker gets no more tasks because it is due for
+    /// maintenance or a move.
+    pub(crate) reserved: bool,
+    /// Whether the worker is in the stored record of those that may run tasks.
+    pub(crate) may_grant: bool,
+}
+
+impl Worker {
+    pub(crate) fn new(report: WorkerReport, unknown_until: Duration, now: Duration) -> Self {
+        Self {
+            report,
+            is_listed: true,
+            unlisted_at: Duration::ZERO,
+            has_ended: false,
+            is_known: false,
+            used: Room::default(),
+            booked: BTreeMap::new(),
+            pending_ends: VecDeque::new(),
+            processed_end: 0,
+            acknowledged_end: 0,
+            health: Health::default(),
+            clock: None,
+            granted_until_ms: 0,
+            unknown_until,
+            answered_at: now,
+            is_silent: false,
+            reserved: false,
+            may_grant: false,
+        }
+    }
+
+    /// Notes the worker's clock in an answer.
+    pub(crate) fn on_clock(&mut self, worker_ms: u64, sent_at: Duration, read_at: Duration) {
+        self.on_answer(read_at);
+        let is_newer = |clock: ClockReading| sent_at >= clock.sent_at;
+        if self.clock.is_none_or(is_newer) {
+            self.clock = Some(ClockReading {
+                worker_ms,
+                sent_at,
+                read_at,
+            });
+        }
+    }
+
+    /// Notes any answer of the worker.
+    pub(crate) fn on_answer(&mut self, now: Duration) {
+        self.answered_at = now;
+        self.is_silent = false;
+    }
+
+    /// Grants a lease from now on, and returns its end on the worker's clock.
+    pub(crate) fn grant(&mut self, lease: Duration, now: Duration) -> Option<u64> {
+        let clock = self.clock?;
+        let passed = now.saturating_sub(clock.read_at);
+        let until_ms = clock.worker_ms + (passed + lease).as_millis() as u64;
+        self.granted_until_ms = self.granted_until_ms.max(until_ms);
+        Some(self.granted_until_ms)
+    }
+
+    /// Returns the end of the lease that was granted, on the worker's clock.
+    pub(crate) fn granted(&self) -> Option<u64> {
+        (self.granted_until_ms > 0).then_some(self.granted_until_ms)
+    }
+
+    /// Returns whether the lease has surely ended, with all runs.
+    pub(crate) fn has_lapsed(&self, now: Duration) -> bool {
+        if self.has_ended {
+            return true;
+        }
+        let Some(clock) = self.clock else {
+            return now >= self.unknown_until;
+        };
+        let passed = now.saturating_sub(clock.read_at);
+        let at_least = passed - passed / SLOW_CLOCK_DIVISOR;
+        let lower = Duration::from_millis(clock.worker_ms) + at_least;
+        let is_over = lower > Duration::from_millis(self.granted_until_ms) + LAPSE_MARGIN;
+        is_over && (self.is_known || now >= self.unknown_until)
+    }
+
+    /// Books a run.
+    pub(crate) fn book(&mut self, task: TaskId, booked: Booked) {
+        self.used.add(&booked.room);
+        self.booked.insert(task, booked);
+    }
+
+    /// Frees a run; returns whether it was booked.
+    pub(crate) fn free(&mut self, task: TaskId, attempt: u32) -> Option<Booked> {
+        if self.booked.get(&task)?.attempt != attempt {
+            return None;
+        }
+        let booked = self.booked.remove(&task)?;
+        self.used.subtract(&booked.room);
+        Some(booked)
+    }
+
+    /// Returns the number of booked tasks of the step of a task.
+    pub(crate) fn count_of_step(&self, step: crate::StepId) -> usize {
+        self.booked
+            .range(step.task(0)..=step.task(u32::MAX))
+            .count()
+    }
+
+    /// Returns the rack, the last label by the platform's convention.
+    pub(crate) fn rack(&self) -> Option<&str> {
+        self.report.labels.last().map(String::as_str)
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/authority.rs
@@ -0,0 +1,63 @@
+//! Whether this instance still holds the scheduler's lease.
+
+use std::{
+    sync::atomic::{
+        AtomicBool,
+        AtomicU64,
+        Ordering, //
+    },
+    time::Duration, //
+};
+
+use event_listener::Event;
+
+/// Part of the lease that is left out of account for the drift of clocks.
+const DRIFT_DIVISOR: u32 = 50;
+
+/// Authority of one scheduler.
+#[derive(Default)]
+pub(crate) struct Authority {
+    /// Time up to which the lease surely lives, in microseconds since the start
+    /// of the machine.
+    valid_until_us: AtomicU64,
+    is_lost: AtomicBool,
+    lost: Event,
+}
+
+impl Authority {
+    /// Notes a renewal that was answered; the lease runs from its arrival, which
+    /// is not before it was sent.
+    pub(crate) fn on_renewed(&self, sent_at: Duration, ttl: Duration) {
+        let until = sent_at + ttl - ttl / DRIFT_DIVISOR;
+        self.valid_until_us
+            .fetch_max(until.as_micros() as u64, Ordering::SeqCst);
+    }
+
+    /// Returns whether no other scheduler can exist.
+    pub(crate) fn is_valid(&self, now: Duration) -> bool {
+        !self.is_lost() && now.as_micros() < self.valid_until_us.load(Ordering::SeqCst).into()
+    }
+
+    /// Notes that the lease has ended, or that another scheduler was seen.
+    pub(crate) fn lose(&self, reason: &str) {
+        if !self.is_lost.swap(true, Ordering::SeqCst) {
+            log::warn!(reason; "authority_lost");
+        }
+        self.lost.notify(usize::MAX);
+    }
+
+    pub(crate) fn is_lost(&self) -> bool {
+        self.is_lost.load(Ordering::SeqCst)
+    }
+
+    /// Waits until the authority is lost.
+    pub(crate) async fn lost(&self) {
+        loop {
+            let listener = self.lost.listen();
+            if self.is_lost() {
+                return;
+            }
+            listener.await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -0,0 +1,240 @@
+//! Requests of callers.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use dotterelsill_jobs::{
+    Catalogue,
+    JobId,
+    JobSpec,
+    JobState,
+    Queue, //
+};
+use dotterelsill_platform as platform;
+use dotterelsill_proto::jobs::Outcome;
+use dotterelsill_store::Operations;
+use http::{
+    header::RETRY_AFTER,
+    HeaderMap,
+    HeaderValue,
+    Method,
+    StatusCode, //
+};
+use http_body_util::{
+    BodyExt as _,
+    Full,
+    Limited, //
+};
+use hyper::{
+    body::Incoming,
+    Request,
+    Response, //
+};
+
+use crate::{
+    clock,
+    intake,
+    leader_link::LeaderLink,
+    operators::Operators, //
+};
+
+/// Time that is left to answer before the caller gives up.
+const ANSWER_RESERVE: Duration = Duration::from_millis(150);
+
+/// Time for which a caller waits that names no deadline.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
+
+/// Longest time that is given to the scheduler before the store is asked.
+const SCHEDULER_LIMIT: Duration = Duration::from_millis(1200);
+
+/// Time after which a caller may come back: by then another instance schedules,
+/// or a short outage of the store is over.
+const COME_BACK_AFTER_S: u64 = 1;
+
+/// Handles that requests need.
+pub(crate) struct Callers {
+    pub(crate) operators: Arc<Operators>,
+    pub(crate) link: Arc<LeaderLink>,
+    pub(crate) store: Arc<Operations>,
+}
+
+/// A request that was found to be allowed.
+struct Allowed<'a> {
+    queue: &'a Queue,
+    workspace: Option<&'a str>,
+    /// What follows the queue's prefix in the path.
+    rest: &'a str,
+}
+
+/// Answers one request.
+pub(crate) async fn serve(
+    callers: Arc<Callers>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let begin = clock::now();
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let response = answer(&callers, request).await;
+    let took_ms = clock::now().saturating_sub(begin).as_millis() as u64;
+    let status = response.status().as_u16();
+    if method != Method::GET || status >= 400 {
+        log::info!(method:% = method, path, status, took_ms; "answered");
+    }
+    response
+}
+
+async fn answer(callers: &Callers, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let view = callers.operators.view();
+    if view.revision == 0 {
+        return come_back("no configuration yet");
+    }
+    let (head, body) = request.into_parts();
+    let host = platform::host(&head.headers, &head.uri).to_owned();
+    let path = head.uri.path().to_owned();
+    let allowed = match allow(&view.catalogue, &host, &path, &head.headers) {
+        Ok(allowed) => allowed,
+        Err((status, reason)) => return text(status, reason),
+    };
+    let deadline = platform::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
+    let limit = deadline.saturating_sub(ANSWER_RESERVE);
+    if allowed.rest.is_empty() && head.method == Method::GET {
+        return pending(callers, allowed.queue, limit).await;
+    }
+    let Some(id) = platform::parse_job_id(allowed.rest) else {
+        return text(StatusCode::NOT_FOUND, "the path names no job");
+    };
+    match head.method {
+        Method::POST => {
+            let limited = Limited::new(body, view.catalogue.limits.body_bytes);
+            match limited.collect().await {
+                Ok(body) => submit(callers, &allowed, id, &body.to_bytes(), limit).await,
+                Err(error) => text(StatusCode::PAYLOAD_TOO_LARGE, error.to_string()),
+            }
+        }
+        Method::GET => state(callers, id, limit).await,
+        Method::DELETE => cancel(callers, id, limit).await,
+        _ => text(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE"),
+    }
+}
+
+/// Finds the queue of a request and checks its key.
+fn allow<'a>(
+    catalogue: &'a Catalogue,
+    host: &str,
+    path: &'a str,
+    headers: &HeaderMap,
+) -> Result<Allowed<'a>, (StatusCode, &'static str)> {
+    let queue = catalogue
+        .queue_of(host, path)
+        .ok_or((StatusCode::NOT_FOUND, "no such queue"))?;
+    let rest = &path[queue.path_prefix.len()..];
+    let workspace = platform::key(headers).and_then(|key| catalogue.keys.get(key));
+    if workspace.is_none() && !queue.is_open {
+        return Err((StatusCode::UNAUTHORIZED, "the key is not known"));
+    }
+    Ok(Allowed {
+        queue,
+        workspace: workspace.map(String::as_str),
+        rest,
+    })
+}
+
+async fn submit(
+    callers: &Callers,
+    allowed: &Allowed<'_>,
+    id: JobId,
+    body: &[u8],
+    limit: Duration,
+) -> Response<Full<Bytes>> {
+    let begin = clock::now();
+    let mut record = match platform::decode_job(body) {
+        Ok(record) => record,
+        Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    allowed.queue.name.clone_into(&mut record.queue);
+    record.workspace = allowed.workspace.unwrap_or_default().to_owned();
+    if let Err(error) = JobSpec::try_from(&record) {
+        return text(StatusCode::BAD_REQUEST, error.to_string());
+    }
+    let first = callers
+        .link
+        .submit(id, &record, limit.min(SCHEDULER_LIMIT))
+        .await;
+    if first == Outcome::Done {
+        return json(StatusCode::OK, "{}".to_owned());
+    }
+    let left = limit.saturating_sub(clock::now().saturating_sub(begin));
+    let stored = dotterelsill_rpc::timeout(left, intake::submit(&callers.store, id, &record)).await;
+    match (first, stored.unwrap_or(Outcome::Unknown)) {
+        (_, Outcome::Done) => json(StatusCode::OK, "{}".to_owned()),
+        (Outcome::Refused, Outcome::Refused) => come_back("the job was not stored"),
+        _ => text(
+            StatusCode::GATEWAY_TIMEOUT,
+            "the job may be stored; send it again",
+        ),
+    }
+}
+
+async fn state(callers: &Callers, id: JobId, limit: Duration) -> Response<Full<Bytes>> {
+    let begin = clock::now();
+    let (outcome, state) = callers.link.state(id, limit.min(SCHEDULER_LIMIT)).await;
+    match (outcome, state) {
+        (Outcome::Done, Some(state)) => return state_answer(Some(state)),
+        (Outcome::Absent, _) => return state_answer(None),
+        _ => {}
+    }
+    let left = limit.saturating_sub(clock::now().saturating_sub(begin));
+    match dotterelsill_rpc::timeout(left, intake::state(&callers.store, id)).await {
+        Ok(Ok(state)) => state_answer(state),
+        Ok(Err(error)) => come_back(&error.to_string()),
+        Err(error) => come_back(&error.to_string()),
+    }
+}
+
+fn state_answer(state: Option<JobState>) -> Response<Full<Bytes>> {
+    match state {
+        Some(state) => json(StatusCode::OK, platform::state_body(state)),
+        None => text(StatusCode::GONE, "no such job"),
+    }
+}
+
+async fn cancel(callers: &Callers, id: JobId, limit: Duration) -> Response<Full<Bytes>> {
+    match callers.link.cancel(id, limit).await {
+        Outcome::Done => json(StatusCode::OK, "{}".to_owned()),
+        Outcome::Absent => text(StatusCode::GONE, "no such job"),
+        Outcome::Refused | Outcome::Unknown => come_back("the scheduler does not answer"),
+    }
+}
+
+async fn pending(callers: &Callers, queue: &Queue, limit: Duration) -> Response<Full<Bytes>> {
+    match callers.link.pending(&queue.name, limit).await {
+        (Outcome::Done, pending) => json(StatusCode::OK, platform::pending_body(pending)),
+        _ => come_back("the scheduler does not answer"),
+    }
+}
+
+/// Returns a refusal with the time after which to come back.
+fn come_back(reason: &str) -> Response<Full<Bytes>> {
+    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, reason.to_owned());
+    let after = HeaderValue::from(COME_BACK_AFTER_S);
+    response.headers_mut().insert(RETRY_AFTER, after);
+    response
+}
+
+fn json(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = text(status, body);
+    let kind = HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
+    response
+}
+
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -0,0 +1,317 @@
+//! Starts and stops the parts of the daemon.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc, //
+    },
+    time::Duration, //
+};
+
+use arc_swap::ArcSwapOption;
+use async_io::Timer;
+use dotterelsill_jobs::Scheduler;
+use dotterelsill_platform::Settings;
+use dotterelsill_proto::jobs::scheduler_server::SchedulerServer;
+use dotterelsill_rpc::{
+    serve_grpc,
+    serve_http1,
+    termination_signal,
+    ListenError,
+    Listener,
+    Tasks, //
+};
+use dotterelsill_store::{
+    OperationError,
+    Operations, //
+};
+use futures_lite::FutureExt as _;
+use http::{
+    Response,
+    StatusCode, //
+};
+use http_body_util::Full;
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+
+use crate::{
+    callers::{
+        self,
+        Callers, //
+    },
+    clock,
+    election::{
+        self,
+        Leader,
+        Won, //
+    },
+    intake,
+    lead::{
+        self,
+        Lead, //
+    },
+    leader_link::LeaderLink,
+    operators::{
+        self,
+        Operators, //
+    },
+    peer::Peer,
+    restore,
+    workers_followed,
+    writer, //
+};
+
+/// Part of the platform's grace after SIGTERM that is left for the end of the
+/// process.
+const EXIT_RESERVE: Duration = Duration::from_millis(1500);
+
+/// Longest time that a scheduler which leaves waits until its changes are stored.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+
+/// Longest time that the answers in flight take after the listeners are closed.
+const CLOSE_LIMIT: Duration = Duration::from_millis(700);
+
+/// The daemon cannot start.
+#[derive(Debug, Snafu)]
+pub(crate) enum StartError {
+    /// A listener cannot be bound.
+    #[snafu(display("{source}"))]
+    Listen { source: ListenError },
+    /// The signal handler cannot be installed.
+    #[snafu(display("signals: {source}"))]
+    Signal { source: std::io::Error },
+}
+
+/// What the parts of the daemon share.
+struct Node {
+    settings: Arc<Settings>,
+    store: Arc<Operations>,
+    operators: Arc<Operators>,
+    leader: Arc<ArcSwapOption<Leader>>,
+    leading: Arc<ArcSwapOption<Lead>>,
+    is_leaving: AtomicBool,
+    tasks: Tasks,
+}
+
+/// Runs the daemon until SIGTERM.
+pub(crate) async fn run(settings: Settings, tasks: Tasks) -> Result<(), StartError> {
+    let callers_listener = bind(settings.callers_address)?;
+    let readiness_listener = bind(settings.readiness_address)?;
+    let peers_listener = bind(settings.peers_address)?;
+    log::info!(
+        instance = settings.instance, data_centre = settings.data_centre,
+        callers:% = settings.callers_address; "started"
+    );
+    let settings = Arc::new(settings);
+    let node = Arc::new(Node {
+        store: Arc::new(dotterelsill_platform::operations(
+            settings.store_address,
+            &tasks,
+        )),
+        settings: settings.clone(),
+        operators: Arc::default(),
+        leader: Arc::default(),
+        leading: Arc::default(),
+        is_leaving: AtomicBool::new(false),
+        tasks: tasks.clone(),
+    });
+    let serving = tasks.new_group();
+    let link = LeaderLink::new(node.leader.clone(), node.leading.clone(), &tasks);
+    let callers = Arc::new(Callers {
+        operators: node.operators.clone(),
+        link: Arc::new(link),
+        store: node.store.clone(),
+    });
+    serving.spawn(serve_http1(
+        callers_listener,
+        serving.clone(),
+        move |request| callers::serve(callers.clone(), request),
+    ));
+    let readiness = node.clone();
+    tasks.spawn(serve_http1(readiness_listener, tasks.clone(), move |_| {
+        std::future::ready(ready(&readiness))
+    }));
+    let peer = Peer {
+        leading: node.leading.clone(),
+    };
+    tasks.spawn(serve_grpc(
+        peers_listener,
+        tasks.clone(),
+        SchedulerServer::new(peer),
+    ));
+    tasks.spawn_until_stop(operators::follow(
+        node.store.clone(),
+        node.operators.clone(),
+    ));
+    let leaving = tasks.new_group();
+    let electing = node.clone();
+    let stop_electing = leaving.clone();
+    tasks.spawn(async move { elect(&electing, &stop_electing).await });
+
+    termination_signal().await.context(SignalSnafu)?;
+    log::info!("stopping");
+    node.is_leaving.store(true, Ordering::SeqCst);
+    leaving.stop();
+    let grace = settings.bounds.shutdown_grace;
+    Timer::after(grace.saturating_sub(EXIT_RESERVE + CLOSE_LIMIT)).await;
+    serving.stop();
+    let closed = async {
+        serving.join().await;
+        true
+    };
+    let late = async {
+        Timer::after(CLOSE_LIMIT).await;
+        false
+    };
+    let is_closed = closed.or(late).await;
+    tasks.stop();
+    log::info!(is_closed; "stopped");
+    Ok(())
+}
+
+fn bind(address: std::net::SocketAddr) -> Result<Listener, StartError> {
+    Listener::bind(&address.to_string()).context(ListenSnafu)
+}
+
+fn ready(node: &Node) -> Response<Full<bytes::Bytes>> {
+    let is_ready = !node.is_leaving.load(Ordering::SeqCst) && node.operators.view().revision > 0;
+    let mut response = Response::new(Full::default());
+    if !is_ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+/// Follows the scheduler, and schedules when nobody does, until this instance
+/// leaves.
+async fn elect(node: &Arc<Node>, leaving: &Tasks) {
+    loop {
+        let stepped = async { Some(elect_once(node, leaving).await) };
+        let stopped = async {
+            leaving.stopped().await;
+            None
+        };
+        // A scheduler ends by itself when the instance leaves.
+        if node.leading.load().is_none() && leaving.is_stopping() {
+            return;
+        }
+        match stepped.or(stopped).await {
+            Some(Ok(())) => {}
+            Some(Err(error)) => {
+                log::warn!(error:%; "election_failed");
+                election::pause().await;
+            }
+            None => return,
+        }
+    }
+}
+
+async fn elect_once(node: &Arc<Node>, leaving: &Tasks) -> Result<(), OperationError> {
+    election::follow(&node.store, &node.leader).await?;
+    if leaving.is_stopping() {
+        return Ok(());
+    }
+    let settings = &node.settings;
+    let won = election::stand(&node.store, &settings.instance, settings.peers_address).await?;
+    if let Some(won) = won {
+        let group = node.tasks.new_group();
+        let node = node.clone();
+        let leaving = leaving.clone();
+        let (ended, end) = async_channel::bounded::<()>(1);
+        // A task of its own, so that it hands over in order when the instance
+        // leaves.
+        node.tasks.clone().spawn(async move {
+            schedule(&node, won, &group, &leaving).await;
+            drop(ended);
+        });
+        // The channel closes when the scheduler has ended.
+        let _ = end.recv().await;
+    }
+    Ok(())
+}
+
+/// Schedules until the authority is lost or the instance leaves.
+async fn schedule(node: &Arc<Node>, won: Won, group: &Tasks, leaving: &Tasks) {
+    let Won {
+        token,
+        lease,
+        authority,
+    } = won;
+    log::info!(token, lease; "scheduling");
+    let renewing = (node.store.clone(), authority.clone());
+    group.spawn_until_stop(async move { election::renew(&renewing.0, lease, &renewing.1).await });
+    let mut scheduler = Scheduler::new(token, lead::limits(&node.settings), clock::now());
+    let view = node.operators.view();
+    scheduler.configure(view.catalogue.clone(), view.requests.clone());
+    loop {
+        match restore::restore(&node.store, &mut scheduler, clock::now).await {
+            Ok(()) => break,
+            Err(error) => {
+                log::warn!(error:%; "jobs_not_restored");
+                if authority.is_lost() || leaving.is_stopping() {
+                    end(node, lease, group).await;
+                    return;
+                }
+                scheduler = Scheduler::new(token, lead::limits(&node.settings), clock::now());
+                scheduler.configure(view.catalogue.clone(), view.requests.clone());
+                election::pause().await;
+            }
+        }
+    }
+    let lead = Arc::new(Lead::new(
+        scheduler,
+        node.settings.clone(),
+        node.store.clone(),
+        authority.clone(),
+        node.operators.clone(),
+        group.clone(),
+    ));
+    node.leader.store(Some(Arc::new(Leader {
+        instance: node.settings.instance.clone(),
+        address: node.settings.peers_address,
+        token,
+    })));
+    node.leading.store(Some(lead.clone()));
+    let (planning, ticking, writing) = (lead.clone(), lead.clone(), lead.clone());
+    group.spawn_until_stop(async move { planning.plan().await });
+    group.spawn_until_stop(async move { ticking.tick().await });
+    group.spawn_until_stop(async move { writer::run(&writing).await });
+    group.spawn_until_stop(workers_followed::follow(lead.clone()));
+    group.spawn_until_stop(intake::follow(lead.clone()));
+    authority.lost().or(leaving.stopped()).await;
+    if !authority.is_lost() {
+        flush(&lead).await;
+    }
+    node.leading.store(None);
+    node.leader.store(None);
+    authority.lose("scheduling ends here");
+    end(node, lease, group).await;
+}
+
+/// Waits until what is known is stored, for a short time.
+async fn flush(lead: &Lead) {
+    let until = clock::now() + FLUSH_LIMIT;
+    while clock::now() < until {
+        let stored = lead.stored.listen();
+        if lead.submissions.is_empty() && !lead.scheduler().has_change() {
+            return;
+        }
+        lead.write_wanted.set();
+        let late = async {
+            Timer::at(std::time::Instant::now() + until.saturating_sub(clock::now())).await;
+        };
+        stored.or(late).await;
+    }
+}
+
+async fn end(node: &Node, lease: u64, group: &Tasks) {
+    group.stop();
+    election::end_lease(&node.store, lease).await;
+    group.join().await;
+    log::info!(lease; "scheduling_ended");
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/keys.rs
@@ -0,0 +1,29 @@
+//! Keys in the store.
+
+use dotterelsill_jobs::JobId;
+
+/// Lease of the scheduler.
+pub(crate) const LEADER: &str = "leader";
+
+/// Workers that may run tasks.
+pub(crate) const GRANTED: &str = "granted";
+
+/// Prefix of accepted jobs that have not ended.
+pub(crate) const JOBS: &str = "jobs/";
+
+/// Prefix of the progress of jobs.
+pub(crate) const PROGRESS: &str = "progress/";
+
+/// Prefix of jobs that were accepted while no scheduler answered.
+pub(crate) const INTAKE: &str = "intake/";
+
+/// Returns the key of a job below a prefix.
+pub(crate) fn of_job(prefix: &str, id: JobId) -> String {
+    format!("{prefix}{id}")
+}
+
+/// Reads the job from a key below a prefix.
+pub(crate) fn job_of(prefix: &str, key: &str) -> Option<JobId> {
+    let digits = key.strip_prefix(prefix)?;
+    u64::from_str_radix(digits, 16).ok().map(JobId)
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -0,0 +1,183 @@
+//! Scheduling on the instance that holds the scheduler's lease.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration, //
+};
+
+use async_channel::Sender;
+use async_io::Timer;
+use dotterelsill_jobs::{
+    Limits,
+    Order,
+    Scheduler,
+    WorkerKey, //
+};
+use dotterelsill_platform::Settings;
+use dotterelsill_rpc::Tasks;
+use dotterelsill_store::Operations;
+use event_listener::Event;
+
+use crate::{
+    authority::Authority,
+    clock,
+    operators::Operators,
+    signal::Signal,
+    submission::Submissions, //
+};
+
+/// Time for which workers are granted leases: longer than it takes until another
+/// instance schedules after this one has died, with a reserve of 3 s.
+const WORKER_LEASE: Duration = Duration::from_millis(5500);
+
+/// Time beyond the leases of an earlier scheduler before a worker that does not
+/// answer counts as empty: its clock may be 2% slow.
+const TAKEOVER_RESERVE: Duration = Duration::from_millis(500);
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time for which events are gathered before a plan is made.
+const PLAN_PAUSE: Duration = Duration::from_millis(3);
+
+/// What the loops of a worker listen on.
+pub(crate) struct Handle {
+    pub(crate) orders: Sender<Order>,
+    pub(crate) wake: Arc<Signal>,
+}
+
+/// The scheduler with what its loops share.
+pub(crate) struct Lead {
+    scheduler: Mutex<Scheduler>,
+    handles: Mutex<HashMap<WorkerKey, Handle>>,
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) store: Arc<Operations>,
+    pub(crate) authority: Arc<Authority>,
+    pub(crate) operators: Arc<Operators>,
+    pub(crate) submissions: Submissions,
+    pub(crate) tasks: Tasks,
+    pub(crate) token: u64,
+    plan_wanted: Signal,
+    pub(crate) write_wanted: Signal,
+    /// Notified when changes of jobs are stored.
+    pub(crate) stored: Event,
+}
+
+/// Returns the times that the scheduler keeps on this platform.
+pub(crate) fn limits(settings: &Settings) -> Limits {
+    let bounds = &settings.bounds;
+    let lease = WORKER_LEASE.min(bounds.longest_lease);
+    Limits {
+        lease,
+        keep_ended: bounds.keep_ended,
+        takeover_margin: lease + lease / 50 + TAKEOVER_RESERVE,
+        notice: bounds.notice,
+        stop_timeout: bounds.stop_timeout,
+    }
+}
+
+impl Lead {
+    /// Creates the state around a scheduler that has taken over.
+    pub(crate) fn new(
+        scheduler: Scheduler,
+        settings: Arc<Settings>,
+        store: Arc<Operations>,
+        authority: Arc<Authority>,
+        operators: Arc<Operators>,
+        tasks: Tasks,
+    ) -> Self {
+        Self {
+            token: scheduler.token(),
+            scheduler: Mutex::new(scheduler),
+            handles: Mutex::default(),
+            settings,
+            store,
+            authority,
+            operators,
+            submissions: Submissions::default(),
+            tasks,
+            plan_wanted: Signal::default(),
+            write_wanted: Signal::default(),
+            stored: Event::new(),
+        }
+    }
+
+    /// Locks the scheduler; it is never held across a suspension.
+    pub(crate) fn scheduler(&self) -> MutexGuard<'_, Scheduler> {
+        self.scheduler
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn handles(&self) -> MutexGuard<'_, HashMap<WorkerKey, Handle>> {
+        self.handles.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether no other instance can schedule.
+    pub(crate) fn is_valid(&self) -> bool {
+        self.authority.is_valid(clock::now())
+    }
+
+    /// Notes that the scheduler's state has changed.
+    pub(crate) fn on_changed(&self) {
+        self.plan_wanted.set();
+        if self.scheduler().has_change() {
+            self.write_wanted.set();
+        }
+    }
+
+    /// Makes plans until the group stops.
+    pub(crate) async fn plan(&self) {
+        loop {
+            self.plan_wanted.wait().await;
+            Timer::after(PLAN_PAUSE).await;
+            if self.authority.is_lost() {
+                return;
+            }
+            let (orders, has_change) = {
+                let mut scheduler = self.scheduler();
+                let orders = scheduler.plan(clock::now());
+                (orders, scheduler.has_change())
+            };
+            if has_change {
+                self.write_wanted.set();
+            }
+            let handles = self.handles();
+            for order in orders {
+                if let Some(handle) = handles.get(&order.worker) {
+                    // The loop of a worker that is gone has ended with it.
+                    let _ = handle.orders.try_send(order.order);
+                    handle.wake.set();
+                }
+            }
+        }
+    }
+
+    /// Notes the passing of time until the group stops.
+    pub(crate) async fn tick(&self) {
+        let mut configured = (0, None);
+        loop {
+            Timer::after(TICK).await;
+            let view = self.operators.view();
+            let requests = Arc::as_ptr(&view.requests) as usize;
+            let mut scheduler = self.scheduler();
+            if configured != (view.revision, Some(requests)) {
+                configured = (view.revision, Some(requests));
+                scheduler.configure(view.catalogue.clone(), view.requests.clone());
+            }
+            let now = clock::now();
+            scheduler.expire_leases(now);
+            scheduler.open_due_jobs(clock::unix());
+            scheduler.forget_ended(now);
+            scheduler.replan();
+            drop(scheduler);
+            self.on_changed();
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/leader_link.rs
@@ -0,0 +1,170 @@
+//! Calls the scheduler, here or on another instance.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration, //
+};
+
+use arc_swap::ArcSwapOption;
+use dotterelsill_jobs::{
+    JobId,
+    JobState, //
+};
+use dotterelsill_proto::jobs::{
+    scheduler_client::SchedulerClient,
+    CancelRequest,
+    JobRecord,
+    Outcome,
+    PendingRequest,
+    StateRequest,
+    SubmitRequest, //
+};
+use dotterelsill_rpc::{
+    timeout,
+    Channel,
+    Tasks, //
+};
+
+use crate::{
+    election::Leader,
+    lead::Lead,
+    requests, //
+};
+
+/// Time within which a connection to the scheduler is made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Handles of the scheduler.
+pub(crate) struct LeaderLink {
+    pub(crate) leader: Arc<ArcSwapOption<Leader>>,
+    pub(crate) leading: Arc<ArcSwapOption<Lead>>,
+    channel: Mutex<Option<(SocketAddr, Channel)>>,
+    tasks: Tasks,
+}
+
+impl LeaderLink {
+    /// Creates a link that connects with its first call.
+    pub(crate) fn new(
+        leader: Arc<ArcSwapOption<Leader>>,
+        leading: Arc<ArcSwapOption<Lead>>,
+        tasks: &Tasks,
+    ) -> Self {
+        Self {
+            leader,
+            leading,
+            channel: Mutex::default(),
+            tasks: tasks.clone(),
+        }
+    }
+
+    /// Hands in a job.
+    pub(crate) async fn submit(&self, id: JobId, record: &JobRecord, limit: Duration) -> Outcome {
+        if let Some(lead) = self.leading.load_full() {
+            return requests::submit(&lead, id, record.clone(), limit).await;
+        }
+        let Some(mut client) = self.client() else {
+            return Outcome::Refused;
+        };
+        let request = SubmitRequest {
+            job: id.0,
+            record: Some(record.clone()),
+        };
+        match timeout(limit, client.submit(request)).await {
+            Ok(Ok(response)) => response.into_inner().outcome(),
+            Ok(Err(error)) => unanswered("submit", id, &error),
+            Err(error) => unanswered("submit", id, &error),
+        }
+    }
+
+    /// Asks for the state of a job.
+    pub(crate) async fn state(&self, id: JobId, limit: Duration) -> (Outcome, Option<JobState>) {
+        if let Some(lead) = self.leading.load_full() {
+            return requests::state(&lead, id).await;
+        }
+        let Some(mut client) = self.client() else {
+            return (Outcome::Refused, None);
+        };
+        match timeout(limit, client.state(StateRequest { job: id.0 })).await {
+            Ok(Ok(response)) => {
+                let response = response.into_inner();
+                let state = JobState {
+                    phase: response.phase(),
+                    has_begun: response.has_begun,
+                };
+                (response.outcome(), Some(state))
+            }
+            Ok(Err(error)) => (unanswered("state", id, &error), None),
+            Err(error) => (unanswered("state", id, &error), None),
+        }
+    }
+
+    /// Cancels a job.
+    pub(crate) async fn cancel(&self, id: JobId, limit: Duration) -> Outcome {
+        if let Some(lead) = self.leading.load_full() {
+            return requests::cancel(&lead, id, limit).await;
+        }
+        let Some(mut client) = self.client() else {
+            return Outcome::Refused;
+        };
+        match timeout(limit, client.cancel(CancelRequest { job: id.0 })).await {
+            Ok(Ok(response)) => response.into_inner().outcome(),
+            Ok(Err(error)) => unanswered("cancel", id, &error),
+            Err(error) => unanswered("cancel", id, &error),
+        }
+    }
+
+    /// Asks how many jobs of a queue have not begun.
+    pub(crate) async fn pending(&self, queue: &str, limit: Duration) -> (Outcome, u64) {
+        if let Some(lead) = self.leading.load_full() {
+            return requests::pending(&lead, queue);
+        }
+        let Some(mut client) = self.client() else {
+            return (Outcome::Refused, 0);
+        };
+        let request = PendingRequest {
+            queue: queue.to_owned(),
+        };
+        match timeout(limit, client.pending(request)).await {
+            Ok(Ok(response)) => {
+                let response = response.into_inner();
+                (response.outcome(), response.pending)
+            }
+            Ok(Err(error)) => {
+                log::warn!(call = "pending", queue, error:% = error.message(); "scheduler_unanswered");
+                (Outcome::Unknown, 0)
+            }
+            Err(error) => {
+                log::warn!(call = "pending", queue, error:%; "scheduler_unanswered");
+                (Outcome::Unknown, 0)
+            }
+        }
+    }
+
+    fn client(&self) -> Option<SchedulerClient<Channel>> {
+        let leader = self.leader.load_full()?;
+        let mut known = self.channel.lock().unwrap_or_else(PoisonError::into_inner);
+        let channel = match &*known {
+            Some((address, channel)) if *address == leader.address => channel.clone(),
+            _ => {
+                let channel = Channel::new(leader.address, CONNECT_TIMEOUT, &self.tasks);
+                *known = Some((leader.address, channel.clone()));
+                channel
+            }
+        };
+        Some(SchedulerClient::with_origin(
+            channel,
+            dotterelsill_rpc::origin(leader.address),
+        ))
+    }
+}
+
+/// Logs a call whose outcome is not known.
+fn unanswered(call: &str, id: JobId, error: &dyn std::fmt::Display) -> Outcome {
+    log::warn!(call, job:% = id, error:%; "scheduler_unanswered");
+    Outcome::Unknown
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/main.rs
@@ -0,0 +1,66 @@
+//! Node daemon: takes jobs, schedules their tasks and maintains instances.
+
+mod authority;
+mod callers;
+mod clock;
+mod daemon;
+mod election;
+mod intake;
+mod keys;
+mod lead;
+mod leader_link;
+mod operators;
+mod peer;
+mod requests;
+mod restore;
+mod signal;
+mod submission;
+mod worker_loops;
+mod workers_followed;
+mod writer;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use dotterelsill_telemetry::{
+    exit_code,
+    init_logs, //
+};
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+
+/// Takes jobs, schedules their tasks and maintains instances.
+#[derive(FromArgs)]
+struct Args {
+    /// level of the log, such as info or info,dotterelsill_jobs=debug
+    #[argh(option, default = "String::from(\"info\")")]
+    log_level: String,
+}
+
+/// The daemon failed.
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("{source}"))]
+    Log {
+        source: dotterelsill_telemetry::LogError,
+    },
+    #[snafu(display("{source}"))]
+    Settings {
+        source: dotterelsill_platform::SettingsError,
+    },
+    #[snafu(display("{source}"))]
+    Daemon { source: daemon::StartError },
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    exit_code("dotterelsill-node", run(&args))
+}
+
+fn run(args: &Args) -> Result<(), Error> {
+    init_logs(&args.log_level).context(LogSnafu)?;
+    let settings = dotterelsill_platform::load().context(SettingsSnafu)?;
+    dotterelsill_rpc::run(settings.cores, |tasks| daemon::run(settings, tasks)).context(DaemonSnafu)
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/peer.rs
@@ -0,0 +1,108 @@
+//! Calls of other instances to the scheduler.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use arc_swap::ArcSwapOption;
+use dotterelsill_jobs::JobId;
+use dotterelsill_proto::jobs::{
+    scheduler_server::Scheduler,
+    CancelRequest,
+    CancelResponse,
+    Outcome,
+    PendingRequest,
+    PendingResponse,
+    StateRequest,
+    StateResponse,
+    SubmitRequest,
+    SubmitResponse, //
+};
+use tonic::{
+    Request,
+    Response,
+    Status, //
+};
+
+use crate::{
+    lead::Lead,
+    requests, //
+};
+
+/// Longest time that a call waits for the store.
+pub(crate) const CALL_LIMIT: Duration = Duration::from_millis(2200);
+
+/// Serves the calls while this instance schedules.
+#[derive(Clone)]
+pub(crate) struct Peer {
+    pub(crate) leading: Arc<ArcSwapOption<Lead>>,
+}
+
+#[tonic::async_trait]
+impl Scheduler for Peer {
+    async fn submit(
+        &self,
+        request: Request<SubmitRequest>,
+    ) -> Result<Response<SubmitResponse>, Status> {
+        let SubmitRequest { job, record } = request.into_inner();
+        let outcome = match (self.leading.load_full(), record) {
+            (Some(lead), Some(record)) => {
+                requests::submit(&lead, JobId(job), record, CALL_LIMIT).await
+            }
+            _ => Outcome::Refused,
+        };
+        Ok(Response::new(SubmitResponse {
+            outcome: outcome.into(),
+        }))
+    }
+
+    async fn state(
+        &self,
+        request: Request<StateRequest>,
+    ) -> Result<Response<StateResponse>, Status> {
+        let id = JobId(request.into_inner().job);
+        let (outcome, state) = match self.leading.load_full() {
+            Some(lead) => requests::state(&lead, id).await,
+            None => (Outcome::Refused, None),
+        };
+        let mut response = StateResponse {
+            outcome: outcome.into(),
+            ..StateResponse::default()
+        };
+        if let Some(state) = state {
+            response.phase = state.phase.into();
+            response.has_begun = state.has_begun;
+        }
+        Ok(Response::new(response))
+    }
+
+    async fn cancel(
+        &self,
+        request: Request<CancelRequest>,
+    ) -> Result<Response<CancelResponse>, Status> {
+        let id = JobId(request.into_inner().job);
+        let outcome = match self.leading.load_full() {
+            Some(lead) => requests::cancel(&lead, id, CALL_LIMIT).await,
+            None => Outcome::Refused,
+        };
+        Ok(Response::new(CancelResponse {
+            outcome: outcome.into(),
+        }))
+    }
+
+    async fn pending(
+        &self,
+        request: Request<PendingRequest>,
+    ) -> Result<Response<PendingResponse>, Status> {
+        let queue = request.into_inner().queue;
+        let (outcome, pending) = match self.leading.load_full() {
+            Some(lead) => requests::pending(&lead, &queue),
+            None => (Outcome::Refused, 0),
+        };
+        Ok(Response::new(PendingResponse {
+            outcome: outcome.into(),
+            pending,
+        }))
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/restore.rs
@@ -0,0 +1,97 @@
+//! What a new scheduler takes over from the store.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use dotterelsill_jobs::{
+    JobId,
+    Scheduler, //
+};
+use dotterelsill_proto::jobs::{
+    GrantedRecord,
+    JobRecord,
+    Phase,
+    ProgressRecord, //
+};
+use dotterelsill_store::{
+    OperationError,
+    Operations,
+    Staleness, //
+};
+use prost::Message as _;
+
+use crate::keys;
+
+/// Reads all jobs and the workers that may run tasks into a scheduler.
+pub(crate) async fn restore(
+    store: &Operations,
+    scheduler: &mut Scheduler,
+    now: impl Fn() -> Duration,
+) -> Result<(), OperationError> {
+    let begin = now();
+    // A job's record is removed in the transaction that stores its end, so that
+    // records are read first and no job is missed.
+    let (jobs, _) = store.list(keys::JOBS, Staleness::Current).await?;
+    let (progress, _) = store.list(keys::PROGRESS, Staleness::Current).await?;
+    let granted = (store.get)(keys::GRANTED).await?;
+    let mut of_job: HashMap<JobId, (ProgressRecord, u64)> = HashMap::new();
+    for item in &progress {
+        let id = keys::job_of(keys::PROGRESS, &item.key);
+        match (id, ProgressRecord::decode(item.value.as_slice())) {
+            (Some(id), Ok(record)) => {
+                of_job.insert(id, (record, item.revision));
+            }
+            (_, result) => {
+                log::error!(key = item.key, error:? = result.err(); "progress_unusable");
+            }
+        }
+    }
+    let mut open = 0_u64;
+    for item in &jobs {
+        let Some(id) = keys::job_of(keys::JOBS, &item.key) else {
+            log::error!(key = item.key; "job_key_unusable");
+            continue;
+        };
+        let progress = of_job.remove(&id);
+        let record = match JobRecord::decode(item.value.as_slice()) {
+            Ok(record) => record,
+            Err(error) => {
+                log::error!(job:% = id, error:%; "job_unusable");
+                continue;
+            }
+        };
+        let progress = progress
+            .as_ref()
+            .map(|(record, revision)| (record, *revision));
+        match scheduler.restore(id, &record, progress, now()) {
+            Ok(()) => open += 1,
+            Err(error) => log::error!(job:% = id, error:%; "job_unusable"),
+        }
+    }
+    for (id, (record, revision)) in &of_job {
+        if record.phase() != Phase::Open {
+            scheduler.restore_ended(*id, record, *revision, now());
+        }
+    }
+    let workers = match granted {
+        Some(item) => match GrantedRecord::decode(item.value.as_slice()) {
+            Ok(record) => record.workers,
+            Err(error) => {
+                log::error!(error:%; "granted_unusable");
+                Vec::new()
+            }
+        },
+        None => Vec::new(),
+    };
+    for worker in &workers {
+        scheduler.expect(&worker.id, &worker.address, now());
+    }
+    log::info!(
+        token = scheduler.token(), open, ended = of_job.len() as u64,
+        workers = workers.len() as u64,
+        took_ms = now().saturating_sub(begin).as_millis() as u64; "jobs_restored"
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/workers_followed.rs
@@ -0,0 +1,168 @@
+//! Follows the workers that are registered, and stores which may run tasks.
+
+use std::{
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
+    sync::Arc,
+    time::Duration, //
+};
+
+use async_io::Timer;
+use dotterelsill_jobs::WorkerReport;
+use dotterelsill_platform::{
+    decode_report,
+    worker_id,
+    REPORT_PREFIX, //
+};
+use dotterelsill_proto::jobs::{
+    GrantedRecord,
+    GrantedWorker, //
+};
+use dotterelsill_store::{
+    Committed,
+    Event,
+    Item,
+    OperationError,
+    Staleness,
+    Transaction,
+    Write, //
+};
+use prost::Message as _;
+
+use crate::{
+    clock,
+    keys,
+    lead::Lead,
+    worker_loops, //
+};
+
+/// Time for which one watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
+
+/// Time between two watches. Workers write about every 1.5 s each, and every
+/// answer costs a call; a worker that leaves must be known within 2 s.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time after which everything is read again, should a watch have missed a
+/// change.
+const READ_AGAIN: Duration = Duration::from_secs(5);
+
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Follows the registered workers until the group stops.
+pub(crate) async fn follow(lead: Arc<Lead>) {
+    loop {
+        if let Err(error) = follow_from_list(&lead).await {
+            log::warn!(error:%; "workers_unreachable");
+            Timer::after(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn follow_from_list(lead: &Arc<Lead>) -> Result<(), OperationError> {
+    let (list, mut revision) = lead.store.list(REPORT_PREFIX, Staleness::Current).await?;
+    let mut registered = BTreeSet::new();
+    for item in &list {
+        note_written(lead, item);
+        registered.extend(worker_id(&item.key).map(str::to_owned));
+    }
+    note_absent(lead, &registered);
+    store_granted(lead).await;
+    let read_at = clock::now();
+    while clock::now() < read_at + READ_AGAIN {
+        let watched = match (lead.store.watch)(REPORT_PREFIX, revision, WATCH_WAIT).await {
+            Ok(watched) => watched,
+            Err(OperationError::HistoryDropped { .. }) => return Ok(()),
+            Err(error) => return Err(error),
+        };
+        revision = revision.max(watched.revision);
+        let mut newest: HashMap<&str, &Event> = HashMap::new();
+        for event in &watched.events {
+            let key = match event {
+                Event::Written(item) => &item.key,
+                Event::Removed { key } => key,
+            };
+            newest.insert(key, event);
+        }
+        for event in newest.into_values() {
+            match event {
+                Event::Written(item) => note_written(lead, item),
+                Event::Removed { key } => {
+                    if let Some(id) = worker_id(key) {
+                        lead.scheduler().on_unlisted(id, clock::now());
+                    }
+                }
+            }
+        }
+        store_granted(lead).await;
+        lead.on_changed();
+        Timer::after(WATCH_PAUSE).await;
+    }
+    Ok(())
+}
+
+fn note_written(lead: &Arc<Lead>, item: &Item) {
+    let Some(id) = worker_id(&item.key) else {
+        return;
+    };
+    match decode_report(id, &item.value) {
+        Some(report) => note_report(lead, report),
+        None => lead.scheduler().on_unlisted(id, clock::now()),
+    }
+}
+
+fn note_report(lead: &Arc<Lead>, report: WorkerReport) {
+    let (key, is_new) = lead.scheduler().on_report(report, clock::now());
+    if is_new || !lead.handles().contains_key(&key) {
+        worker_loops::start(lead, key);
+    }
+}
+
+/// Notes workers that are no longer registered.
+fn note_absent(lead: &Lead, registered: &BTreeSet<String>) {
+    let mut scheduler = lead.scheduler();
+    let known: Vec<String> = scheduler.granted().into_iter().map(|(id, _)| id).collect();
+    for id in known.iter().filter(|id| !registered.contains(*id)) {
+        scheduler.on_unlisted(id, clock::now());
+    }
+}
+
+/// Stores which workers may run tasks, before any of them is granted a lease.
+async fn store_granted(lead: &Lead) {
+    let granted = {
+        let scheduler = lead.scheduler();
+        if !scheduler.has_ungranted() {
+            return;
+        }
+        scheduler.granted()
+    };
+    let worker = |(id, address): &(String, String)| GrantedWorker {
+        id: id.clone(),
+        address: address.clone(),
+    };
+    let record = GrantedRecord {
+        workers: granted.iter().map(worker).collect(),
+    };
+    let transaction = Transaction {
+        expected: vec![(keys::LEADER.to_owned(), lead.token)],
+        writes: vec![Write {
+            key: keys::GRANTED.to_owned(),
+            value: record.encode_to_vec(),
+            lease: 0,
+        }],
+        removes: Vec::new(),
+    };
+    match (lead.store.commit)(transaction).await {
+        Ok(Committed::Done { .. }) => {
+            log::info!(workers = granted.len() as u64; "granted_workers_stored");
+            lead.scheduler().on_granted_stored(&granted);
+        }
+        Ok(Committed::Conflict { .. }) => {
+            lead.authority.lose("the scheduler's key has changed");
+        }
+        Err(error) => log::warn!(error:%; "granted_workers_not_stored"),
+    }
+}
--- a/crates/dotterelsill_proto/src/lib.rs
+++ b/crates/dotterelsill_proto/src/lib.rs
@@ -10,6 +10,12 @@
 #[path = "generated/dotterelsill.config.rs"]
 pub mod config;
 
+/// Jobs: calls to the scheduler and the values that it keeps in the store.
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/dotterelsill.jobs.rs"]
+pub mod jobs;
+
 /// Calls between entry instances and calls of the command line.
 #[allow(missing_docs, unreachable_pub, clippy::all)]
 #[rustfmt::skip]
--- a/crates/dotterelsill_protogen/src/main.rs
+++ b/crates/dotterelsill_protogen/src/main.rs
@@ -24,8 +24,9 @@
 };
 
 /// Schema files, relative to the schema directory.
-const SCHEMA_FILES: [&str; 7] = [
+const SCHEMA_FILES: [&str; 8] = [
     "config.proto",
+    "jobs.proto",
     "peer.proto",
     "planner.proto",
     "platform.proto",
--- a/crates/dotterelsill_rpc/src/channel.rs
+++ b/crates/dotterelsill_rpc/src/channel.rs
@@ -176,3 +176,17 @@
         })
     }
 }
+
+/// Returns the origin of the calls to a server.
+///
+/// # Panics
+///
+/// Never panics: a socket address is a valid authority.
+pub fn origin(address: SocketAddr) -> http::Uri {
+    http::Uri::builder()
+        .scheme("http")
+        .authority(address.to_string())
+        .path_and_query("/")
+        .build()
+        .expect("a socket address is a valid authority")
+}
--- a/crates/dotterelsill_rpc/src/http1.rs
+++ b/crates/dotterelsill_rpc/src/http1.rs
@@ -105,6 +105,11 @@
         self.sender.is_ready()
     }
 
+    /// Returns whether the server keeps the connection open after an answer.
+    pub fn is_usable(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Sends a request and reads the whole answer, up to a length in bytes.
     ///
     /// # Errors
--- a/crates/dotterelsill_rpc/src/lib.rs
+++ b/crates/dotterelsill_rpc/src/lib.rs
@@ -11,6 +11,7 @@
 mod tasks;
 
 pub use channel::{
+    origin,
     Channel,
     ChannelError, //
 };
--- a/crates/dotterelsill_store/src/lib.rs
+++ b/crates/dotterelsill_store/src/lib.rs
@@ -3,6 +3,22 @@
 //! Every call has a timeout and is counted. An error of a write does not tell
 //! whether the write took effect, unless [`Error::is_without_effect`] says so.
 
+mod operations;
+
+pub use operations::{
+    Committed,
+    Event,
+    Item,
+    OperationError,
+    Operations,
+    Page,
+    Pending,
+    Staleness,
+    Transaction,
+    Watched,
+    Write, //
+};
+
 use std::{
     net::SocketAddr,
     sync::{
