List the steps of restored jobs as ready, and keep leases until their bound

A run that a worker listed before the first tick created the job's occurrence, and an occurrence that existed was not listed as ready by the tick.

A lease now counts as lapsed only after the bound of the earlier scheduler. A lease is also granted from the lower bound of the worker's clock, which may be 2% slow.

Ruled out: two schedulers at once; the log shows one token only.

--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -167,7 +167,9 @@
                 break;
             }
             self.next_occurrence += 1;
-            if !self.done_occurrences.contains(&number) && self.ensure(number) {
+            // It may exist already, by stored progress or by a run that was found.
+            self.ensure(number);
+            if !self.done_occurrences.contains(&number) {
                 opened.push(number);
             }
         }
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -168,7 +168,10 @@
     pub(crate) fn grant(&mut self, lease: Duration, now: Duration) -> Option<u64> {
         let clock = self.clock?;
         let passed = now.saturating_sub(clock.read_at);
-        let until_ms = clock.worker_ms + (passed + lease).as_millis() as u64;
+        // The worker's clock shows at least this much, so that the lease is not
+        // longer than asked for.
+        let at_least = passed - passed / SLOW_CLOCK_DIVISOR;
+        let until_ms = clock.worker_ms + (at_least + lease).as_millis() as u64;
         self.granted_until_ms = self.granted_until_ms.max(until_ms);
         Some(self.granted_until_ms)
     }
@@ -190,7 +193,7 @@
         let at_least = passed - passed / SLOW_CLOCK_DIVISOR;
         let lower = Duration::from_millis(clock.worker_ms) + at_least;
         let is_over = lower > Duration::from_millis(self.granted_until_ms) + LAPSE_MARGIN;
-        is_over && (self.is_known || now >= self.unknown_until)
+        is_over && now >= self.unknown_until
     }
 
     /// Books a run.
