Carry out maintenance waves and move idle instances to where demand is

Now short tasks end before an instance has its maintenance, lasting tasks are counted against what their step may miss, idle instances follow the waiting work and are switched off after 2.5 s.

Open: the last instances of each wave are not begun.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -399,8 +399,15 @@
     /// Notes that another worker answers at the address of a worker, which has
     /// therefore ended.
     pub fn on_other_worker(&mut self, key: WorkerKey, now: Duration) {
-        if let Some(worker) = self.workers.get_mut(&key) {
+        if let Some(worker) = self.workers.get(&key) {
             log::info!(worker = worker.report.id; "worker_replaced");
+            self.on_worker_ended(key, now);
+        }
+    }
+
+    /// Notes that this life of a worker has surely ended, with all runs.
+    pub(crate) fn on_worker_ended(&mut self, key: WorkerKey, now: Duration) {
+        if let Some(worker) = self.workers.get_mut(&key) {
             worker.is_listed = false;
             worker.has_ended = true;
             self.lose(key, now);
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -10,7 +10,9 @@
 mod fleet;
 mod health;
 mod ids;
+mod instance;
 mod job;
+mod moves;
 mod order;
 mod pace;
 mod place;
@@ -19,6 +21,7 @@
 mod room;
 mod scheduler;
 mod spec;
+mod upkeep;
 mod worker;
 
 pub use catalogue::{
@@ -37,6 +40,13 @@
     TaskId,
     WorkerKey, //
 };
+pub use instance::{
+    Instance,
+    InstanceAction,
+    InstanceAnswer,
+    InstanceOrder,
+    InstanceState, //
+};
 pub use job::{
     Run,
     RunState, //
@@ -63,4 +73,5 @@
     Step,
     FORMAT, //
 };
+pub use upkeep::WaveChange;
 pub use worker::WorkerReport;
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/moves.rs
@@ -0,0 +1,272 @@
+//! Which instances move to which pool.
+//!
+//! Load pattern: each queue in its turn asks for several times its mean for some
+//! seconds, more than its pool holds, and for next to nothing in between. Idle
+//! instances follow the demand; what nobody needs is switched off in the standby
+//! pool, since every second of an instance in another pool is paid for.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use crate::{
+    job::Task,
+    InstanceAction,
+    InstanceOrder,
+    InstanceState,
+    Scheduler, //
+};
+
+/// Instances that a pool keeps although it is idle, in percent of the instances
+/// that it had when first seen: they carry the begin of the next burst until
+/// others have come.
+const RESERVE_PERCENT: usize = 60;
+
+/// Time for which an instance must have been idle before it is switched off:
+/// two moves cost as much as about 2.3 s in a pool.
+const IDLE_BEFORE_OFF: Duration = Duration::from_millis(2500);
+
+/// Time for which an instance must have been idle before another pool takes it.
+const IDLE_BEFORE_TAKEN: Duration = Duration::from_millis(400);
+
+/// Waiting work that a pool clears by itself soon, in percent of its room.
+const CLEARED_PERCENT: u64 = 25;
+
+/// Longest time for which an instance that was ordered counts as on its way.
+const ARRIVAL_LIMIT: Duration = Duration::from_secs(5);
+
+/// What a pool has and needs.
+#[derive(Debug, Default)]
+struct Balance {
+    /// Instances that are up.
+    up: usize,
+    /// Processor time of instances on their way, in thousandths of a core.
+    arriving_milli: u64,
+    /// Processor time of the instances that are up.
+    room_milli: u64,
+    /// Processor time of tasks that wait.
+    waiting_milli: u64,
+    /// Idle instances, the longest idle first.
+    idle: Vec<(Duration, String)>,
+}
+
+impl Scheduler {
+    /// Plans moves of idle instances.
+    pub(crate) fn plan_moves(&mut self, orders: &mut Vec<InstanceOrder>, now: Duration) {
+        self.note_idle(now);
+        let mut balances = self.balances(now);
+        let standby: Vec<String> = balances
+            .keys()
+            .filter(|pool| self.is_standby(pool))
+            .cloned()
+            .collect();
+        self.note_first_sizes(&balances);
+        let mut wanting: Vec<(u64, String)> = balances
+            .iter()
+            .filter(|(pool, _)| !self.is_standby(pool))
+            .map(|(pool, balance)| (wanted_milli(balance), pool.clone()))
+            .filter(|(wanted, _)| *wanted > 0)
+            .collect();
+        wanting.sort_unstable_by(|a, b| b.cmp(a));
+        for (mut wanted, pool) in wanting {
+            while wanted > 0 {
+                let Some((name, room)) = self.take_idle(&mut balances, &pool, now) else {
+                    break;
+                };
+                wanted = wanted.saturating_sub(room);
+                self.order_move(&name, &pool, orders);
+            }
+        }
+        let Some(off) = standby.first() else {
+            return;
+        };
+        self.switch_off(&mut balances, off, orders, now);
+    }
+
+    /// Switches off what has been idle for long, beyond each pool's reserve.
+    fn switch_off(
+        &mut self,
+        balances: &mut BTreeMap<String, Balance>,
+        off: &str,
+        orders: &mut Vec<InstanceOrder>,
+        now: Duration,
+    ) {
+        for (pool, balance) in balances {
+            if self.is_standby(pool) || balance.waiting_milli > 0 {
+                continue;
+            }
+            let reserve = self.reserve_of(pool);
+            let mut spare = balance.up.saturating_sub(reserve);
+            for (since, name) in std::mem::take(&mut balance.idle) {
+                if spare == 0 || now < since + IDLE_BEFORE_OFF {
+                    break;
+                }
+                spare -= 1;
+                self.order_move(&name, off, orders);
+            }
+        }
+    }
+
+    /// Returns the number of instances that a pool keeps.
+    fn reserve_of(&self, pool: &str) -> usize {
+        let first = self.first_sizes.get(pool).copied().unwrap_or_default();
+        (first * RESERVE_PERCENT).div_ceil(100)
+    }
+
+    fn note_first_sizes(&mut self, balances: &BTreeMap<String, Balance>) {
+        for (pool, balance) in balances {
+            let size = self.first_sizes.entry(pool.clone()).or_default();
+            *size = (*size).max(balance.up);
+        }
+    }
+
+    /// Takes an idle instance for a pool: from the one with the least demand, and
+    /// one that is switched off if there is no other.
+    fn take_idle(
+        &self,
+        balances: &mut BTreeMap<String, Balance>,
+        wanting: &str,
+        now: Duration,
+    ) -> Option<(String, u64)> {
+        let mut best: Option<(bool, usize, String)> = None;
+        for (pool, balance) in balances.iter() {
+            if pool == wanting || balance.waiting_milli > 0 {
+                continue;
+            }
+            let is_standby = self.is_standby(pool);
+            let spare = if is_standby {
+                balance.idle.len()
+            } else {
+                balance.up.saturating_sub(self.reserve_of(pool))
+            };
+            let is_ready = balance.idle.iter().any(|(since, name)| {
+                (is_standby || now >= *since + IDLE_BEFORE_TAKEN)
+                    && !self.instances[name].refused_pools.contains(wanting)
+            });
+            let key = (!is_standby, spare, pool.clone());
+            if spare > 0 && is_ready && best.as_ref().is_none_or(|best| key > *best) {
+                best = Some(key);
+            }
+        }
+        let (_, _, pool) = best?;
+        let balance = balances.get_mut(&pool)?;
+        let place = balance
+            .idle
+            .iter()
+            .position(|(_, name)| !self.instances[name].refused_pools.contains(wanting))?;
+        let (_, name) = balance.idle.remove(place);
+        balance.up = balance.up.saturating_sub(1);
+        let room = self.instances[&name].instance.capacity.cpu_milli.max(1);
+        Some((name, room))
+    }
+
+    fn order_move(&mut self, name: &str, pool: &str, orders: &mut Vec<InstanceOrder>) {
+        let order = InstanceOrder {
+            instance: name.to_owned(),
+            action: InstanceAction::Move {
+                pool: pool.to_owned(),
+            },
+        };
+        self.reserve(name, true);
+        self.note_ordered(&order);
+        orders.push(order);
+    }
+
+    /// Notes since when each instance is idle.
+    fn note_idle(&mut self, now: Duration) {
+        for (name, known) in &self.instances {
+            let worker = self
+                .by_id
+                .get(&known.instance.worker)
+                .and_then(|key| self.workers.get(key));
+            let is_idle = match worker {
+                Some(worker) => worker.booked.is_empty() && worker.is_known && !worker.reserved,
+                None => false,
+            };
+            if is_idle {
+                self.idle_since.entry(name.clone()).or_insert(now);
+            } else {
+                self.idle_since.remove(name);
+            }
+        }
+        let instances = &self.instances;
+        self.idle_since
+            .retain(|name, _| instances.contains_key(name));
+    }
+
+    fn balances(&self, now: Duration) -> BTreeMap<String, Balance> {
+        let mut balances: BTreeMap<String, Balance> = BTreeMap::new();
+        for pool in self.catalogue.pools.keys() {
+            balances.insert(pool.clone(), Balance::default());
+        }
+        for (name, known) in &self.instances {
+            let instance = &known.instance;
+            let Some(balance) = balances.get_mut(&instance.pool) else {
+                continue;
+            };
+            let cpu_milli = instance.capacity.cpu_milli;
+            if let Some(order) = &known.ordered {
+                // A move in flight counts for the pool that it goes to.
+                if let InstanceAction::Move { pool } = &order.action {
+                    if let Some(target) = balances.get_mut(pool) {
+                        target.arriving_milli += cpu_milli;
+                    }
+                }
+                continue;
+            }
+            let has_worker = self
+                .worker_of(name)
+                .is_some_and(|key| self.workers[&key].is_known);
+            let is_recent = known.done_at.is_some_and(|at| now < at + ARRIVAL_LIMIT);
+            let is_standby = self.is_standby(&instance.pool);
+            if is_standby {
+                if instance.state == InstanceState::Up && now >= known.late_until {
+                    balance.idle.push((Duration::ZERO, name.clone()));
+                }
+            } else if has_worker {
+                balance.up += 1;
+                balance.room_milli += cpu_milli;
+                if let Some(since) = self.idle_since.get(name) {
+                    if now >= known.late_until && instance.state == InstanceState::Up {
+                        balance.idle.push((*since, name.clone()));
+                    }
+                }
+            } else if is_recent {
+                balance.arriving_milli += cpu_milli;
+            }
+        }
+        for balance in balances.values_mut() {
+            balance.idle.sort_unstable();
+        }
+        for (pool, steps) in &self.ready {
+            let Some(balance) = balances.get_mut(pool) else {
+                continue;
+            };
+            for id in steps {
+                let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
+                    continue;
+                };
+                let step = &job.spec.steps[id.step as usize];
+                if !self.is_within_cap(job.spec.workspace.as_deref(), &step.counted_room()) {
+                    continue;
+                }
+                let Some(occurrence) = job.occurrences.get(&id.occurrence) else {
+                    continue;
+                };
+                let tasks = &occurrence.steps[id.step as usize].tasks;
+                let waiting = tasks.iter().filter(|task| Task::is_waiting(task)).count() as u64;
+                balance.waiting_milli += waiting * step.room.cpu_milli;
+            }
+        }
+        balances
+    }
+}
+
+/// Returns the processor time that a pool wants beyond what it has or gets.
+fn wanted_milli(balance: &Balance) -> u64 {
+    let cleared = balance.room_milli * CLEARED_PERCENT / 100;
+    balance
+        .waiting_milli
+        .saturating_sub(cleared + balance.arriving_milli)
+}
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -257,7 +257,7 @@
     }
 
     /// Returns whether a workspace may have another room running.
-    fn is_within_cap(&self, workspace: Option<&str>, room: &Room) -> bool {
+    pub(crate) fn is_within_cap(&self, workspace: Option<&str>, room: &Room) -> bool {
         let Some(name) = workspace else {
             return true;
         };
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -20,6 +20,10 @@
 
 use crate::{
     job::Job,
+    upkeep::{
+        Known,
+        WaveState, //
+    },
     worker::{
         Worker,
         WorkerReport, //
@@ -53,6 +57,11 @@
     pub notice: Duration,
     /// Time within which a stop ends a run.
     pub stop_timeout: Duration,
+    /// Time within which two schedulers must not give orders to one instance by
+    /// turns.
+    pub turn: Duration,
+    /// Time that the maintenance of an instance takes.
+    pub maintenance_time: Duration,
 }
 
 /// State of a job as callers see it.
@@ -90,8 +99,18 @@
     /// Jobs that wait for the time of an occurrence.
     scheduled: BTreeSet<JobId>,
     ended: VecDeque<JobId>,
-    started_at: Duration,
+    pub(crate) started_at: Duration,
     pub(crate) needs_plan: bool,
+    pub(crate) instances: BTreeMap<String, Known>,
+    /// Whether the list of instances was read.
+    pub(crate) has_instances: bool,
+    pub(crate) waves: BTreeMap<u64, WaveState>,
+    /// Start and finished instances of waves by an earlier scheduler.
+    pub(crate) restored_waves: BTreeMap<u64, (Duration, Vec<String>)>,
+    /// Since when instances are idle.
+    pub(crate) idle_since: BTreeMap<String, Duration>,
+    /// Most instances that were seen in each pool.
+    pub(crate) first_sizes: BTreeMap<String, usize>,
 }
 
 impl Scheduler {
@@ -116,6 +135,12 @@
             ended: VecDeque::new(),
             started_at: now,
             needs_plan: true,
+            instances: BTreeMap::new(),
+            has_instances: false,
+            waves: BTreeMap::new(),
+            restored_waves: BTreeMap::new(),
+            idle_since: BTreeMap::new(),
+            first_sizes: BTreeMap::new(),
         }
     }
 
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -117,6 +117,8 @@
     /// Time from which the worker gets no more tasks because it is due for
     /// maintenance or a move.
     pub(crate) reserved: bool,
+    /// Whether its instance was given an order that ends the worker.
+    pub(crate) is_ending: bool,
     /// Whether the worker is in the stored record of those that may run tasks.
     pub(crate) may_grant: bool,
 }
@@ -141,6 +143,7 @@
             answered_at: now,
             is_silent: false,
             reserved: false,
+            is_ending: false,
             may_grant: false,
         }
     }
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -14,7 +14,10 @@
 use arc_swap::ArcSwapOption;
 use async_io::Timer;
 use dotterelsill_jobs::Scheduler;
-use dotterelsill_platform::Settings;
+use dotterelsill_platform::{
+    Instances,
+    Settings, //
+};
 use dotterelsill_proto::jobs::scheduler_server::SchedulerServer;
 use dotterelsill_rpc::{
     serve_grpc,
@@ -50,6 +53,7 @@
         Leader,
         Won, //
     },
+    instance_orders,
     intake,
     lead::{
         self,
@@ -265,7 +269,11 @@
     }
     let lead = Arc::new(Lead::new(
         scheduler,
-        node.settings.clone(),
+        Instances::new(
+            node.settings.instances_address,
+            &node.settings.instance,
+            group,
+        ),
         node.store.clone(),
         authority.clone(),
         node.operators.clone(),
@@ -283,6 +291,8 @@
     group.spawn_until_stop(async move { writer::run(&writing).await });
     group.spawn_until_stop(workers_followed::follow(lead.clone()));
     group.spawn_until_stop(intake::follow(lead.clone()));
+    group.spawn_until_stop(instance_orders::run(lead.clone()));
+    group.spawn_until_stop(instance_orders::follow(lead.clone()));
     authority.lost().or(leaving.stopped()).await;
     if !authority.is_lost() {
         flush(&lead).await;
--- a/crates/dotterelsill_node/src/keys.rs
+++ b/crates/dotterelsill_node/src/keys.rs
@@ -17,6 +17,9 @@
 /// Prefix of jobs that were accepted while no scheduler answered.
 pub(crate) const INTAKE: &str = "intake/";
 
+/// Prefix of the maintenance waves that were begun.
+pub(crate) const WAVES: &str = "waves/";
+
 /// Returns the key of a job below a prefix.
 pub(crate) fn of_job(prefix: &str, id: JobId) -> String {
     format!("{prefix}{id}")
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -19,7 +19,10 @@
     Scheduler,
     WorkerKey, //
 };
-use dotterelsill_platform::Settings;
+use dotterelsill_platform::{
+    Instances,
+    Settings, //
+};
 use dotterelsill_rpc::Tasks;
 use dotterelsill_store::Operations;
 use event_listener::Event;
@@ -56,7 +59,7 @@
 pub(crate) struct Lead {
     scheduler: Mutex<Scheduler>,
     handles: Mutex<HashMap<WorkerKey, Handle>>,
-    pub(crate) settings: Arc<Settings>,
+    pub(crate) instances: Instances,
     pub(crate) store: Arc<Operations>,
     pub(crate) authority: Arc<Authority>,
     pub(crate) operators: Arc<Operators>,
@@ -79,6 +82,8 @@
         takeover_margin: lease + lease / 50 + TAKEOVER_RESERVE,
         notice: bounds.notice,
         stop_timeout: bounds.stop_timeout,
+        turn: bounds.turn,
+        maintenance_time: bounds.maintenance_time,
     }
 }
 
@@ -86,7 +91,7 @@
     /// Creates the state around a scheduler that has taken over.
     pub(crate) fn new(
         scheduler: Scheduler,
-        settings: Arc<Settings>,
+        instances: Instances,
         store: Arc<Operations>,
         authority: Arc<Authority>,
         operators: Arc<Operators>,
@@ -96,7 +101,7 @@
             token: scheduler.token(),
             scheduler: Mutex::new(scheduler),
             handles: Mutex::default(),
-            settings,
+            instances,
             store,
             authority,
             operators,
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod daemon;
 mod election;
+mod instance_orders;
 mod intake;
 mod keys;
 mod lead;
--- a/crates/dotterelsill_node/src/restore.rs
+++ b/crates/dotterelsill_node/src/restore.rs
@@ -13,9 +13,11 @@
     GrantedRecord,
     JobRecord,
     Phase,
-    ProgressRecord, //
+    ProgressRecord,
+    WaveRecord, //
 };
 use dotterelsill_store::{
+    Item,
     OperationError,
     Operations,
     Staleness, //
@@ -88,6 +90,10 @@
     for worker in &workers {
         scheduler.expect(&worker.id, &worker.address, now());
     }
+    let (waves, _) = store.list(keys::WAVES, Staleness::Current).await?;
+    for item in &waves {
+        restore_wave(scheduler, item);
+    }
     log::info!(
         token = scheduler.token(), open, ended = of_job.len() as u64,
         workers = workers.len() as u64,
@@ -95,3 +101,19 @@
     );
     Ok(())
 }
+
+fn restore_wave(scheduler: &mut Scheduler, item: &Item) {
+    let number = item
+        .key
+        .strip_prefix(keys::WAVES)
+        .and_then(|digits| digits.parse().ok());
+    match (number, WaveRecord::decode(item.value.as_slice())) {
+        (Some(number), Ok(record)) => {
+            let started = Duration::from_millis(record.started_unix_ms);
+            scheduler.restore_wave(number, started, &record.done);
+        }
+        (_, result) => {
+            log::error!(key = item.key, error:? = result.err(); "wave_unusable");
+        }
+    }
+}
--- a/crates/dotterelsill_store/src/lib.rs
+++ b/crates/dotterelsill_store/src/lib.rs
@@ -6,6 +6,9 @@
 mod operations;
 
 pub use operations::{
+    CallOfKey,
+    CallOfPrefix,
+    CallWith,
     Committed,
     Event,
     Item,
