Judge lapsed leases only with authority, record early ends, evict one by one

Leases now count as lapsed only while this scheduler's own lease lives.

The end now opens the occurrence.

Waves: two tasks of one step on one instance, with one that may be missed, kept the instance draining for ever. Tasks are now stopped one by one as far as the step can miss them, and tasks of a step are spread where room allows.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use dotterelsill_proto::jobs::Phase;
-
 use crate::{
     job::RunState,
     Answer,
@@ -53,6 +51,11 @@
         if task.step.step as usize >= job.spec.steps.len() {
             return 0;
         }
+        if task.step.occurrence >= job.spec.occurrences() {
+            return 0;
+        }
+        // The end may be listed before the occurrence is opened by its time.
+        job.ensure(task.step.occurrence);
         let is_lasting = job.spec.steps[task.step.step as usize].is_lasting;
         if let Some(state) = job.task(task.step, task.index) {
             state
@@ -83,9 +86,6 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return 0;
         };
-        if job.is_open() || job.phase == Phase::Cancelled {
-            job.ensure(task.step.occurrence);
-        }
         let was_open = job.is_open();
         let is_new = job.complete(task.step, task.index);
         let changes = job.changes;
--- a/crates/dotterelsill_jobs/src/place.rs
+++ b/crates/dotterelsill_jobs/src/place.rs
@@ -45,6 +45,9 @@
     Some(Candidate { key, free })
 }
 
+/// What counts against a worker, the weightiest first.
+type Score = (bool, bool, bool, bool, u64);
+
 /// Returns the index of the best candidate for a task: on the rack of its data
 /// if possible, then away from tasks that it would disturb, then where the least
 /// processor time is left over, so that large tasks find room and idle workers
@@ -54,7 +57,7 @@
     worker: impl Fn(WorkerKey) -> Option<&'a Worker>,
     wanted: &Wanted<'_>,
 ) -> Option<usize> {
-    let mut best: Option<(usize, (bool, bool, bool, u64))> = None;
+    let mut best: Option<(usize, Score)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
         let room = &wanted.room;
         if !candidate.free.fits(&Room::default(), room) {
@@ -73,6 +76,7 @@
             wanted.avoid == Some(candidate.key),
             is_far,
             wanted.disturbs(worker),
+            wanted.is_crowded(worker),
             left,
         );
         if best.is_none_or(|(_, other)| score < other) {
@@ -107,6 +111,14 @@
         has_label && worker.count_of_step(self.id) < most
     }
 
+    /// Returns whether the worker already runs as many tasks of the step as may be
+    /// missed at once, so that its end would break the step's budget.
+    fn is_crowded(&self, worker: &Worker) -> bool {
+        self.step
+            .may_miss
+            .is_some_and(|may_miss| worker.count_of_step(self.id) >= may_miss as usize)
+    }
+
     fn disturbs(&self, worker: &Worker) -> bool {
         let mut booked = worker.booked.values();
         if self.step.is_filler {
--- a/crates/dotterelsill_jobs/src/upkeep.rs
+++ b/crates/dotterelsill_jobs/src/upkeep.rs
@@ -13,13 +13,16 @@
 };
 
 use crate::{
+    job::Task,
     Instance,
     InstanceAction,
     InstanceAnswer,
     InstanceOrder,
     InstanceState,
+    RunState,
     Scheduler,
     StepId,
+    TaskId,
     Wave,
     WorkerKey, //
 };
@@ -213,6 +216,8 @@
                 self.note_ordered(&order);
                 state.due.insert(name, Due::Ordered);
                 orders.push(order);
+            } else {
+                self.evict(&name);
             }
         }
         let has_open = |(name, due): (&String, &Due)| {
@@ -349,39 +354,61 @@
         if has_short && now < since + DRAIN_LIMIT {
             return false;
         }
-        let mut here: BTreeMap<StepId, usize> = BTreeMap::new();
-        for task in worker.booked.keys() {
-            *here.entry(task.step).or_default() += 1;
+        self.at_work_on(key)
+            .into_iter()
+            .all(|(step, tasks)| self.can_miss(step, tasks.len()))
+    }
+
+    /// Stops lasting tasks of a draining instance as far as their steps can miss
+    /// them, where more run on it than may be missed at once.
+    fn evict(&mut self, name: &str) {
+        let Some(key) = self.worker_of(name) else {
+            return;
+        };
+        for (step, tasks) in self.at_work_on(key) {
+            if self.can_miss(step, tasks.len()) || !self.can_miss(step, 1) {
+                continue;
+            }
+            let (task, attempt) = tasks[0];
+            log::info!(task:%, attempt, instance = name; "task_evicted");
+            self.stop(key, task, attempt);
+        }
+    }
+
+    /// Returns the lasting tasks that are at work on a worker, by step.
+    fn at_work_on(&self, key: WorkerKey) -> BTreeMap<StepId, Vec<(TaskId, u32)>> {
+        let mut here: BTreeMap<StepId, Vec<(TaskId, u32)>> = BTreeMap::new();
+        for (task, booked) in &self.workers[&key].booked {
+            let job = self.jobs.get(&task.step.job);
+            let state = job.and_then(|job| job.task_state(task.step, task.index));
+            if booked.is_lasting && state.is_some_and(|state| self.is_at_work(state)) {
+                let tasks = here.entry(task.step).or_default();
+                tasks.push((*task, booked.attempt));
+            }
         }
-        here.into_iter()
-            .all(|(step, count)| self.can_miss(step, count, key))
+        here
+    }
+
+    fn is_at_work(&self, task: &Task) -> bool {
+        let is_staying = |key: WorkerKey| self.workers.get(&key).is_some_and(|w| !w.is_ending);
+        task.runs.iter().any(|run| {
+            run.state == RunState::Running && run.percent >= 100 && is_staying(run.worker)
+        })
     }
 
-    /// Returns whether a step that lasts can miss so many more tasks, those on a
-    /// worker.
-    fn can_miss(&self, id: StepId, count: usize, key: WorkerKey) -> bool {
+    /// Returns whether a step that lasts can miss so many more of its tasks.
+    fn can_miss(&self, id: StepId, count: usize) -> bool {
         let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
             return true;
         };
-        let step = &job.spec.steps[id.step as usize];
-        if !step.is_lasting {
-            return true;
-        }
-        let Some(may_miss) = step.may_miss else {
+        let Some(may_miss) = job.spec.steps[id.step as usize].may_miss else {
             return true;
         };
         let Some(occurrence) = job.occurrences.get(&id.occurrence) else {
             return true;
         };
-        let is_ending = |key: WorkerKey| self.workers.get(&key).is_none_or(|w| w.is_ending);
-        let is_away = |task: &&crate::job::Task| {
-            !task
-                .runs
-                .iter()
-                .any(|run| run.worker == key || run.percent >= 100 && !is_ending(run.worker))
-        };
         let tasks = &occurrence.steps[id.step as usize].tasks;
-        let away = tasks.iter().filter(is_away).count();
+        let away = tasks.iter().filter(|task| !self.is_at_work(task)).count();
         away + count <= may_miss as usize
     }
 
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -177,7 +177,11 @@
                 scheduler.configure(view.catalogue.clone(), view.requests.clone());
             }
             let now = clock::now();
-            scheduler.expire_leases(now);
+            // Another scheduler may have renewed the leases once this one's own
+            // lease is over.
+            if self.is_valid() {
+                scheduler.expire_leases(now);
+            }
             scheduler.open_due_jobs(clock::unix());
             scheduler.forget_ended(now);
             scheduler.replan();
