Call the store over peers when it turns an instance away; end silent leases

A look without an answer may be carried out, so the lease never surely ended and the tasks of the worker counted as at work.

An instance that the store turns away makes its calls over a peer, which keeps submissions, states and the scheduler's lease going. Peers are found in the store. An instance reports itself ready while it reaches the store or the scheduler; cut off from both, it closes callers' connections after each answer.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -121,11 +121,13 @@
 
     /// Returns the end of the lease to send with a request to a worker, on the
     /// worker's clock. It is extended only while this scheduler holds its
-    /// authority.
+    /// authority and the worker answers.
     pub fn lease_end(&mut self, key: WorkerKey, may_extend: bool, now: Duration) -> Option<u64> {
         let lease = self.limits.lease;
         let worker = self.workers.get_mut(&key)?;
-        if may_extend && worker.may_grant {
+        // A request to a worker that is silent may be carried out all the same, so
+        // that its lease would never surely end.
+        if may_extend && worker.may_grant && !worker.is_silent {
             worker.grant(lease, now)
         } else {
             worker.granted()
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -17,7 +17,10 @@
 use dotterelsill_proto::jobs::Outcome;
 use dotterelsill_store::Operations;
 use http::{
-    header::RETRY_AFTER,
+    header::{
+        CONNECTION,
+        RETRY_AFTER, //
+    },
     HeaderMap,
     HeaderValue,
     Method,
@@ -38,7 +41,8 @@
     clock,
     intake,
     leader_link::LeaderLink,
-    operators::Operators, //
+    operators::Operators,
+    reach::Reach, //
 };
 
 /// Time that is left to answer before the caller gives up.
@@ -50,15 +54,19 @@
 /// Longest time that is given to the scheduler before the store is asked.
 const SCHEDULER_LIMIT: Duration = Duration::from_millis(1200);
 
-/// Time after which a caller may come back: by then another instance schedules,
-/// or a short outage of the store is over.
+/// Time after which a caller may come back: by then another instance schedules.
 const COME_BACK_AFTER_S: u64 = 1;
 
+/// Time after which a caller may come back to an instance that is cut off: by
+/// then the balancer sends it elsewhere.
+const CUT_OFF_COME_BACK_AFTER_S: u64 = 2;
+
 /// Handles that requests need.
 pub(crate) struct Callers {
     pub(crate) operators: Arc<Operators>,
     pub(crate) link: Arc<LeaderLink>,
     pub(crate) store: Arc<Operations>,
+    pub(crate) reach: Arc<Reach>,
 }
 
 /// A request that was found to be allowed.
@@ -77,7 +85,15 @@
     let begin = clock::now();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
-    let response = answer(&callers, request).await;
+    let mut response = answer(&callers, request).await;
+    if !callers.reach.can_serve(clock::now()) {
+        // A new connection reaches another instance.
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        if headers.contains_key(RETRY_AFTER) {
+            headers.insert(RETRY_AFTER, HeaderValue::from(CUT_OFF_COME_BACK_AFTER_S));
+        }
+    }
     let took_ms = clock::now().saturating_sub(begin).as_millis() as u64;
     let status = response.status().as_u16();
     if method != Method::GET || status >= 400 {
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -18,13 +18,17 @@
     Instances,
     Settings, //
 };
-use dotterelsill_proto::jobs::scheduler_server::SchedulerServer;
+use dotterelsill_proto::jobs::{
+    node_server::NodeServer,
+    scheduler_server::SchedulerServer, //
+};
 use dotterelsill_rpc::{
     serve_grpc,
     serve_http1,
     termination_signal,
     ListenError,
     Listener,
+    Pair,
     Tasks, //
 };
 use dotterelsill_store::{
@@ -64,7 +68,16 @@
         self,
         Operators, //
     },
-    peer::Peer,
+    peer::{
+        Neighbour,
+        Peer, //
+    },
+    peers::{
+        self,
+        Peers, //
+    },
+    reach::Reach,
+    relay,
     restore,
     workers_followed,
     writer, //
@@ -95,10 +108,12 @@
 struct Node {
     settings: Arc<Settings>,
     store: Arc<Operations>,
+    reach: Arc<Reach>,
     operators: Arc<Operators>,
     leader: Arc<ArcSwapOption<Leader>>,
     leading: Arc<ArcSwapOption<Lead>>,
     is_leaving: AtomicBool,
+    was_ready: AtomicBool,
     tasks: Tasks,
 }
 
@@ -112,16 +127,18 @@
         callers:% = settings.callers_address; "started"
     );
     let settings = Arc::new(settings);
+    let peers = Arc::new(Peers::new(settings.peers_address, &tasks));
+    let reach = Arc::new(Reach::default());
+    let store = || dotterelsill_platform::operations(settings.store_address, &tasks);
     let node = Arc::new(Node {
-        store: Arc::new(dotterelsill_platform::operations(
-            settings.store_address,
-            &tasks,
-        )),
+        store: Arc::new(relay::operations(store(), peers.clone(), reach.clone())),
+        reach: reach.clone(),
         settings: settings.clone(),
         operators: Arc::default(),
         leader: Arc::default(),
         leading: Arc::default(),
         is_leaving: AtomicBool::new(false),
+        was_ready: AtomicBool::new(false),
         tasks: tasks.clone(),
     });
     let serving = tasks.new_group();
@@ -130,6 +147,7 @@
         operators: node.operators.clone(),
         link: Arc::new(link),
         store: node.store.clone(),
+        reach: node.reach.clone(),
     });
     serving.spawn(serve_http1(
         callers_listener,
@@ -143,11 +161,32 @@
     let peer = Peer {
         leading: node.leading.clone(),
     };
+    let neighbour = Neighbour {
+        leading: node.leading.clone(),
+        direct: Arc::new(store()),
+    };
     tasks.spawn(serve_grpc(
         peers_listener,
         tasks.clone(),
-        SchedulerServer::new(peer),
+        Pair::new(SchedulerServer::new(peer), NodeServer::new(neighbour)),
+    ));
+    tasks.spawn_until_stop(peers::follow(node.store.clone(), peers.clone()));
+    tasks.spawn_until_stop(peers::ping(
+        peers,
+        node.leader.clone(),
+        node.leading.clone(),
+        reach,
     ));
+    let registering = node.clone();
+    tasks.spawn_until_stop(async move {
+        let settings = &registering.settings;
+        peers::register(
+            &registering.store,
+            &settings.instance,
+            settings.peers_address,
+        )
+        .await;
+    });
     tasks.spawn_until_stop(operators::follow(
         node.store.clone(),
         node.operators.clone(),
@@ -161,6 +200,7 @@
     log::info!("stopping");
     node.is_leaving.store(true, Ordering::SeqCst);
     leaving.stop();
+    peers::leave(&node.store, &settings.instance).await;
     let grace = settings.bounds.shutdown_grace;
     Timer::after(grace.saturating_sub(EXIT_RESERVE + CLOSE_LIMIT)).await;
     serving.stop();
@@ -183,7 +223,12 @@
 }
 
 fn ready(node: &Node) -> Response<Full<bytes::Bytes>> {
-    let is_ready = !node.is_leaving.load(Ordering::SeqCst) && node.operators.view().revision > 0;
+    let is_leaving = node.is_leaving.load(Ordering::SeqCst);
+    let is_configured = node.operators.view().revision > 0;
+    let is_ready = !is_leaving && is_configured && node.reach.can_serve(clock::now());
+    if node.was_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
+        log::info!(is_ready, is_leaving, is_configured; "readiness_changed");
+    }
     let mut response = Response::new(Full::default());
     if !is_ready {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/dotterelsill_node/src/election.rs
+++ b/crates/dotterelsill_node/src/election.rs
@@ -35,13 +35,13 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Pause before a renewal that failed is tried again.
-const RENEW_RETRY: Duration = Duration::from_millis(100);
+const RENEW_RETRY: Duration = Duration::from_millis(200);
 
 /// Time for which one watch of the scheduler's key waits.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
 /// Pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Longest random pause before an instance stands for election, so that most
 /// find the key taken.
--- a/crates/dotterelsill_node/src/keys.rs
+++ b/crates/dotterelsill_node/src/keys.rs
@@ -20,6 +20,9 @@
 /// Prefix of the maintenance waves that were begun.
 pub(crate) const WAVES: &str = "waves/";
 
+/// Prefix of the instances that run the daemon.
+pub(crate) const NODES: &str = "nodes/";
+
 /// Returns the key of a job below a prefix.
 pub(crate) fn of_job(prefix: &str, id: JobId) -> String {
     format!("{prefix}{id}")
--- a/crates/dotterelsill_node/src/operators.rs
+++ b/crates/dotterelsill_node/src/operators.rs
@@ -36,7 +36,7 @@
 const READ_AGAIN: Duration = Duration::from_secs(3);
 
 /// Pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// What the operators have written, as known last.
 #[derive(Default)]
--- a/crates/dotterelsill_node/src/peer.rs
+++ b/crates/dotterelsill_node/src/peer.rs
@@ -1,4 +1,4 @@
-//! Calls of other instances to the scheduler.
+//! Calls of other instances.
 
 use std::{
     sync::Arc,
@@ -8,17 +8,23 @@
 use arc_swap::ArcSwapOption;
 use dotterelsill_jobs::JobId;
 use dotterelsill_proto::jobs::{
+    node_server::Node,
     scheduler_server::Scheduler,
     CancelRequest,
     CancelResponse,
     Outcome,
     PendingRequest,
     PendingResponse,
+    PingRequest,
+    PingResponse,
+    RelayRequest,
+    RelayResponse,
     StateRequest,
     StateResponse,
     SubmitRequest,
     SubmitResponse, //
 };
+use dotterelsill_store::Operations;
 use tonic::{
     Request,
     Response,
@@ -27,6 +33,7 @@
 
 use crate::{
     lead::Lead,
+    relay,
     requests, //
 };
 
@@ -106,3 +113,32 @@
         }))
     }
 }
+
+/// Serves the calls of any instance.
+#[derive(Clone)]
+pub(crate) struct Neighbour {
+    pub(crate) leading: Arc<ArcSwapOption<Lead>>,
+    /// The store without a way over peers, so that no call goes in circles.
+    pub(crate) direct: Arc<Operations>,
+}
+
+#[tonic::async_trait]
+impl Node for Neighbour {
+    async fn ping(&self, _: Request<PingRequest>) -> Result<Response<PingResponse>, Status> {
+        let is_scheduling = self
+            .leading
+            .load()
+            .as_ref()
+            .is_some_and(|lead| lead.is_valid());
+        Ok(Response::new(PingResponse { is_scheduling }))
+    }
+
+    async fn relay(
+        &self,
+        request: Request<RelayRequest>,
+    ) -> Result<Response<RelayResponse>, Status> {
+        let call = request.into_inner().call;
+        let call = call.ok_or_else(|| Status::invalid_argument("no call is named"))?;
+        Ok(Response::new(relay::serve(&self.direct, call).await))
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/peers.rs
@@ -0,0 +1,199 @@
+//! The other instances.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration, //
+};
+
+use arc_swap::ArcSwapOption;
+use async_io::Timer;
+use dotterelsill_proto::jobs::{
+    node_client::NodeClient,
+    NodeRecord,
+    PingRequest, //
+};
+use dotterelsill_rpc::{
+    timeout,
+    Channel,
+    Tasks, //
+};
+use dotterelsill_store::{
+    Operations,
+    Staleness,
+    Transaction,
+    Write, //
+};
+use prost::Message as _;
+
+use crate::{
+    clock,
+    election::Leader,
+    keys,
+    lead::Lead,
+    reach::Reach, //
+};
+
+/// Time within which a connection to a peer is made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time between two calls that ask whether the scheduler answers.
+const PING_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Longest time that such a call takes.
+const PING_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time between two reads of the registered instances.
+const READ_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Pause before another try after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Connections to the other instances.
+pub(crate) struct Peers {
+    own: SocketAddr,
+    channels: Mutex<BTreeMap<SocketAddr, Channel>>,
+    next: AtomicUsize,
+    tasks: Tasks,
+}
+
+impl Peers {
+    /// Creates an empty list for the instance at an address.
+    pub(crate) fn new(own: SocketAddr, tasks: &Tasks) -> Self {
+        Self {
+            own,
+            channels: Mutex::default(),
+            next: AtomicUsize::new(0),
+            tasks: tasks.clone(),
+        }
+    }
+
+    /// Returns clients of all peers, beginning with another one each time.
+    pub(crate) fn clients(&self) -> Vec<NodeClient<Channel>> {
+        let channels = self.lock();
+        let count = channels.len().max(1);
+        let first = self.next.fetch_add(1, Ordering::Relaxed) % count;
+        let all = channels.values().cycle().skip(first).take(channels.len());
+        all.map(client).collect()
+    }
+
+    fn client_of(&self, address: SocketAddr) -> NodeClient<Channel> {
+        let mut channels = self.lock();
+        let channel = channels
+            .entry(address)
+            .or_insert_with(|| Channel::new(address, CONNECT_TIMEOUT, &self.tasks));
+        client(channel)
+    }
+
+    fn set(&self, addresses: &[SocketAddr]) {
+        let mut channels = self.lock();
+        channels.retain(|address, _| addresses.contains(address));
+        for &address in addresses.iter().filter(|address| **address != self.own) {
+            channels
+                .entry(address)
+                .or_insert_with(|| Channel::new(address, CONNECT_TIMEOUT, &self.tasks));
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Channel>> {
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn client(channel: &Channel) -> NodeClient<Channel> {
+    NodeClient::with_origin(channel.clone(), dotterelsill_rpc::origin(channel.address()))
+}
+
+/// Registers this instance.
+pub(crate) async fn register(store: &Operations, instance: &str, own: SocketAddr) {
+    let record = NodeRecord {
+        address: own.to_string(),
+    };
+    let write = || Transaction {
+        writes: vec![Write {
+            key: key_of(instance),
+            value: record.encode_to_vec(),
+            lease: 0,
+        }],
+        ..Transaction::default()
+    };
+    while let Err(error) = (store.commit)(write()).await {
+        log::warn!(error:%; "instance_not_registered");
+        Timer::after(RETRY_PAUSE).await;
+    }
+}
+
+/// Removes the entry of this instance, which leaves.
+pub(crate) async fn leave(store: &Operations, instance: &str) {
+    let remove = Transaction {
+        removes: vec![key_of(instance)],
+        ..Transaction::default()
+    };
+    if let Err(error) = (store.commit)(remove).await {
+        log::warn!(error:%; "instance_still_registered");
+    }
+}
+
+fn key_of(instance: &str) -> String {
+    format!("{}{instance}", keys::NODES)
+}
+
+/// Follows the registered instances until the program stops.
+pub(crate) async fn follow(store: Arc<Operations>, peers: Arc<Peers>) {
+    loop {
+        match store.list(keys::NODES, Staleness::Stale).await {
+            Ok((items, _)) => {
+                let address = |item: &dotterelsill_store::Item| {
+                    let record = NodeRecord::decode(item.value.as_slice()).ok()?;
+                    record.address.parse::<SocketAddr>().ok()
+                };
+                let addresses: Vec<SocketAddr> = items.iter().filter_map(address).collect();
+                peers.set(&addresses);
+                Timer::after(READ_INTERVAL).await;
+            }
+            Err(error) => {
+                log::debug!(error:%; "instances_not_read");
+                Timer::after(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Asks the scheduler whether it answers, until the program stops.
+pub(crate) async fn ping(
+    peers: Arc<Peers>,
+    leader: Arc<ArcSwapOption<Leader>>,
+    leading: Arc<ArcSwapOption<Lead>>,
+    reach: Arc<Reach>,
+) {
+    loop {
+        Timer::after(PING_INTERVAL).await;
+        if let Some(lead) = leading.load_full() {
+            if lead.is_valid() {
+                reach.on_scheduler(clock::now());
+            }
+            continue;
+        }
+        let Some(leader) = leader.load_full() else {
+            continue;
+        };
+        let mut client = peers.client_of(leader.address);
+        match timeout(PING_TIMEOUT, client.ping(PingRequest {})).await {
+            Ok(Ok(response)) if response.get_ref().is_scheduling => {
+                reach.on_scheduler(clock::now());
+            }
+            Ok(Ok(_)) => log::debug!(scheduler = leader.instance; "scheduler_has_ended"),
+            Ok(Err(error)) => log::debug!(error:% = error.message(); "scheduler_unreached"),
+            Err(error) => log::debug!(error:%; "scheduler_unreached"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/reach.rs
@@ -0,0 +1,45 @@
+//! Whether this instance reaches what it needs to serve callers.
+
+use std::{
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
+    time::Duration, //
+};
+
+/// Time after the last answer of the store for which it counts as reached. A
+/// watch is answered once a second.
+const STORE_FRESH: Duration = Duration::from_millis(1300);
+
+/// Time after the last answer of the scheduler for which it counts as reached.
+const SCHEDULER_FRESH: Duration = Duration::from_millis(900);
+
+/// Times of the last answers, in microseconds since the start of the machine.
+#[derive(Default)]
+pub(crate) struct Reach {
+    store_us: AtomicU64,
+    scheduler_us: AtomicU64,
+}
+
+impl Reach {
+    /// Notes an answer of the store, direct or over a peer.
+    pub(crate) fn on_store(&self, now: Duration) {
+        self.store_us
+            .fetch_max(now.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// Notes an answer of the scheduler.
+    pub(crate) fn on_scheduler(&self, now: Duration) {
+        self.scheduler_us
+            .fetch_max(now.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// Returns whether callers can be served: jobs are accepted over either.
+    pub(crate) fn can_serve(&self, now: Duration) -> bool {
+        let is_fresh = |at: &AtomicU64, limit: Duration| {
+            now < Duration::from_micros(at.load(Ordering::Relaxed)) + limit
+        };
+        is_fresh(&self.store_us, STORE_FRESH) || is_fresh(&self.scheduler_us, SCHEDULER_FRESH)
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_node/src/relay.rs
@@ -0,0 +1,467 @@
+//! Calls of the store, over a peer where the store turns this instance away.
+//!
+//! The store may refuse some instances while it serves the others. A call that
+//! it did not carry out is made by a peer instead, so that an instance which is
+//! turned away goes on serving and, if it schedules, scheduling.
+
+use std::{
+    future::Future,
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Arc, //
+    },
+    time::Duration, //
+};
+
+use dotterelsill_proto::jobs::{
+    relay_request::Call,
+    ChangeEntry,
+    CommitCall,
+    RangeCall,
+    RelayError,
+    RelayRequest,
+    RelayResponse,
+    StoredItem,
+    WatchCall, //
+};
+use dotterelsill_rpc::timeout;
+use dotterelsill_store::{
+    Committed,
+    Event,
+    Item,
+    OperationError,
+    Operations,
+    Page,
+    Pending,
+    Staleness,
+    Transaction,
+    Watched,
+    Write, //
+};
+
+use crate::{
+    clock,
+    peers::Peers,
+    reach::Reach, //
+};
+
+/// Time for which calls go over a peer at once after the store has turned this
+/// instance away.
+const AVOID_DIRECT: Duration = Duration::from_secs(1);
+
+/// Time for which peers are not asked after none of them reached the store.
+const AVOID_PEERS: Duration = Duration::from_millis(700);
+
+/// Longest time that a peer takes for a call that does not wait.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Peers that are asked for one call.
+const PEERS_ASKED: usize = 3;
+
+/// The store, called directly or over a peer.
+pub(crate) struct Relayed {
+    direct: Operations,
+    peers: Arc<Peers>,
+    reach: Arc<Reach>,
+    /// Time until which calls go over a peer at once, in microseconds.
+    avoid_until_us: AtomicU64,
+    /// Time until which no peer is asked, since none reached the store.
+    peers_fail_until_us: AtomicU64,
+}
+
+/// Returns operations that go over a peer where the store turns this instance
+/// away.
+pub(crate) fn operations(direct: Operations, peers: Arc<Peers>, reach: Arc<Reach>) -> Operations {
+    let relayed = Arc::new(Relayed {
+        direct,
+        peers,
+        reach,
+        avoid_until_us: AtomicU64::new(0),
+        peers_fail_until_us: AtomicU64::new(0),
+    });
+    let shared = || relayed.clone();
+    let (get, range, watch, commit) = (shared(), shared(), shared(), shared());
+    let (grant, keep, end) = (shared(), shared(), shared());
+    Operations {
+        get: Box::new(move |key| {
+            let call = Call::Get(key.to_owned());
+            let key = key.to_owned();
+            let direct = get.clone();
+            get.clone()
+                .call(call, item_of, move || (direct.direct.get)(&key))
+        }),
+        range: Box::new(move |prefix, after, staleness| {
+            let call = Call::Range(RangeCall {
+                prefix: prefix.to_owned(),
+                after: after.clone(),
+                is_stale: staleness == Staleness::Stale,
+            });
+            let prefix = prefix.to_owned();
+            let direct = range.clone();
+            range.clone().call(call, page_of, move || {
+                (direct.direct.range)(&prefix, after.clone(), staleness)
+            })
+        }),
+        watch: Box::new(move |prefix, after, wait| {
+            let call = Call::Watch(WatchCall {
+                prefix: prefix.to_owned(),
+                after,
+                wait_ms: wait.as_millis() as u64,
+            });
+            let prefix = prefix.to_owned();
+            let direct = watch.clone();
+            watch.clone().call(call, watched_of, move || {
+                (direct.direct.watch)(&prefix, after, wait)
+            })
+        }),
+        commit: Box::new(move |transaction| {
+            let call = Call::Commit(commit_call(&transaction));
+            let direct = commit.clone();
+            commit.clone().call(call, committed_of, move || {
+                (direct.direct.commit)(transaction.clone())
+            })
+        }),
+        grant: Box::new(move |ttl| {
+            let call = Call::GrantMs(ttl.as_millis() as u64);
+            let direct = grant.clone();
+            grant.clone().call(
+                call,
+                |response| response.lease,
+                move || (direct.direct.grant)(ttl),
+            )
+        }),
+        keep: Box::new(move |lease| {
+            let direct = keep.clone();
+            keep.clone().call(
+                Call::Keep(lease),
+                |_| (),
+                move || (direct.direct.keep)(lease),
+            )
+        }),
+        end: Box::new(move |lease| {
+            let direct = end.clone();
+            end.clone()
+                .call(Call::End(lease), |_| (), move || (direct.direct.end)(lease))
+        }),
+    }
+}
+
+impl Relayed {
+    fn call<T: Send + 'static>(
+        self: Arc<Self>,
+        call: Call,
+        decode: fn(RelayResponse) -> T,
+        direct: impl Fn() -> Pending<T> + Send + Sync + 'static,
+    ) -> Pending<T> {
+        Box::pin(async move {
+            let is_before = |at: &AtomicU64| {
+                clock::now().as_micros() < at.load(Ordering::Relaxed).into()
+            };
+            let avoids = is_before(&self.avoid_until_us);
+            let peers_fail = is_before(&self.peers_fail_until_us);
+            if avoids && !peers_fail {
+                match self.over_peers(&call).await {
+                    Err(OperationError::NotDone { .. }) => {}
+                    result => return result.map(decode),
+                }
+            }
+            let result = direct().await;
+            match &result {
+                Err(OperationError::NotDone { .. }) if !avoids && !peers_fail => {
+                    self.avoid_direct();
+                    self.over_peers(&call).await.map(decode)
+                }
+                Err(OperationError::Unknown { .. }) => {
+                    // It may be carried out; later calls take the other way.
+                    self.avoid_direct();
+                    result
+                }
+                Err(OperationError::NotDone { .. }) => result,
+                _ => {
+                    self.reach.on_store(clock::now());
+                    result
+                }
+            }
+        })
+    }
+
+    fn avoid_direct(&self) {
+        let until = clock::now() + AVOID_DIRECT;
+        self.avoid_until_us
+            .store(until.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// Has a peer make a call.
+    async fn over_peers(&self, call: &Call) -> Result<RelayResponse, OperationError> {
+        let wait = match call {
+            Call::Watch(watch) => Duration::from_millis(watch.wait_ms),
+            _ => Duration::ZERO,
+        };
+        let mut last = OperationError::NotDone {
+            reason: "no peer is known".to_owned(),
+        };
+        for mut client in self.peers.clients().into_iter().take(PEERS_ASKED) {
+            let request = RelayRequest {
+                call: Some(call.clone()),
+            };
+            let answer = timeout(RELAY_TIMEOUT + wait, client.relay(request)).await;
+            let response = match answer {
+                Ok(Ok(response)) => response.into_inner(),
+                Ok(Err(error)) => {
+                    let reason = error.message().to_owned();
+                    if !is_unsent(&error) && changes_something(call) {
+                        return Err(OperationError::Unknown { reason });
+                    }
+                    last = OperationError::NotDone { reason };
+                    continue;
+                }
+                Err(error) => {
+                    let reason = error.to_string();
+                    if changes_something(call) {
+                        return Err(OperationError::Unknown { reason });
+                    }
+                    last = OperationError::NotDone { reason };
+                    continue;
+                }
+            };
+            match result_of(call, response) {
+                Err(OperationError::NotDone { reason }) => {
+                    last = OperationError::NotDone { reason };
+                }
+                result => {
+                    if !matches!(result, Err(OperationError::Unknown { .. })) {
+                        self.reach.on_store(clock::now());
+                    }
+                    return result;
+                }
+            }
+        }
+        let until = clock::now() + AVOID_PEERS;
+        self.peers_fail_until_us
+            .store(until.as_micros() as u64, Ordering::Relaxed);
+        Err(last)
+    }
+}
+
+/// Returns whether the call surely did not leave this instance.
+fn is_unsent(error: &tonic::Status) -> bool {
+    error.message().starts_with("connect to ")
+}
+
+fn changes_something(call: &Call) -> bool {
+    matches!(call, Call::Commit(_) | Call::GrantMs(_))
+}
+
+/// Makes a call for a peer, directly.
+pub(crate) async fn serve(direct: &Operations, call: Call) -> RelayResponse {
+    match call {
+        Call::Get(key) => {
+            respond((direct.get)(&key), |item| RelayResponse {
+                items: item.into_iter().map(stored).collect(),
+                ..RelayResponse::default()
+            })
+            .await
+        }
+        Call::Range(range) => {
+            let staleness = if range.is_stale {
+                Staleness::Stale
+            } else {
+                Staleness::Current
+            };
+            let page = (direct.range)(&range.prefix, range.after, staleness);
+            respond(page, |page| RelayResponse {
+                items: page.items.into_iter().map(stored).collect(),
+                has_more: page.has_more,
+                revision: page.revision,
+                ..RelayResponse::default()
+            })
+            .await
+        }
+        Call::Watch(watch) => {
+            let wait = Duration::from_millis(watch.wait_ms);
+            let watched = (direct.watch)(&watch.prefix, watch.after, wait);
+            respond(watched, |watched| RelayResponse {
+                changes: watched.events.into_iter().map(change_entry).collect(),
+                revision: watched.revision,
+                ..RelayResponse::default()
+            })
+            .await
+        }
+        Call::Commit(commit) => {
+            let committed = (direct.commit)(transaction_of(commit));
+            respond(committed, |committed| match committed {
+                Committed::Done { revision } => RelayResponse {
+                    revision,
+                    ..RelayResponse::default()
+                },
+                Committed::Conflict { current } => RelayResponse {
+                    is_conflict: true,
+                    items: current.into_iter().map(stored).collect(),
+                    ..RelayResponse::default()
+                },
+            })
+            .await
+        }
+        Call::GrantMs(ms) => {
+            let lease = (direct.grant)(Duration::from_millis(ms));
+            respond(lease, |lease| RelayResponse {
+                lease,
+                ..RelayResponse::default()
+            })
+            .await
+        }
+        Call::Keep(lease) => respond((direct.keep)(lease), |()| RelayResponse::default()).await,
+        Call::End(lease) => respond((direct.end)(lease), |()| RelayResponse::default()).await,
+    }
+}
+
+async fn respond<T>(
+    result: impl Future<Output = Result<T, OperationError>>,
+    encode: impl FnOnce(T) -> RelayResponse,
+) -> RelayResponse {
+    let (error, reason) = match result.await {
+        Ok(value) => return encode(value),
+        Err(OperationError::NotDone { reason }) => (RelayError::NotDone, reason),
+        Err(OperationError::Unknown { reason }) => (RelayError::Unknown, reason),
+        Err(OperationError::HistoryDropped { .. }) => (RelayError::HistoryDropped, String::new()),
+        Err(OperationError::LeaseEnded { .. }) => (RelayError::LeaseEnded, String::new()),
+    };
+    RelayResponse {
+        error: error.into(),
+        reason,
+        ..RelayResponse::default()
+    }
+}
+
+/// Returns the error of a response, if there is one.
+fn result_of(call: &Call, response: RelayResponse) -> Result<RelayResponse, OperationError> {
+    let reason = response.reason.clone();
+    match response.error() {
+        RelayError::None => Ok(response),
+        RelayError::NotDone => Err(OperationError::NotDone { reason }),
+        RelayError::Unknown => Err(OperationError::Unknown { reason }),
+        RelayError::HistoryDropped => {
+            let after = match call {
+                Call::Watch(watch) => watch.after,
+                _ => 0,
+            };
+            Err(OperationError::HistoryDropped { after })
+        }
+        RelayError::LeaseEnded => {
+            let lease = match call {
+                Call::Keep(lease) | Call::End(lease) => *lease,
+                _ => 0,
+            };
+            Err(OperationError::LeaseEnded { lease })
+        }
+    }
+}
+
+fn stored(item: Item) -> StoredItem {
+    StoredItem {
+        key: item.key,
+        value: item.value,
+        revision: item.revision,
+        lease: 0,
+    }
+}
+
+fn item(stored: StoredItem) -> Item {
+    Item {
+        key: stored.key,
+        value: stored.value,
+        revision: stored.revision,
+    }
+}
+
+fn item_of(response: RelayResponse) -> Option<Item> {
+    response.items.into_iter().next().map(item)
+}
+
+fn page_of(response: RelayResponse) -> Page {
+    Page {
+        items: response.items.into_iter().map(item).collect(),
+        has_more: response.has_more,
+        revision: response.revision,
+    }
+}
+
+fn watched_of(response: RelayResponse) -> Watched {
+    let event = |entry: ChangeEntry| match entry.written {
+        Some(written) => Event::Written(item(written)),
+        None => Event::Removed {
+            key: entry.removed_key,
+        },
+    };
+    Watched {
+        events: response.changes.into_iter().map(event).collect(),
+        revision: response.revision,
+    }
+}
+
+fn change_entry(event: Event) -> ChangeEntry {
+    match event {
+        Event::Written(item) => ChangeEntry {
+            written: Some(stored(item)),
+            removed_key: String::new(),
+        },
+        Event::Removed { key } => ChangeEntry {
+            written: None,
+            removed_key: key,
+        },
+    }
+}
+
+fn committed_of(response: RelayResponse) -> Committed {
+    if response.is_conflict {
+        Committed::Conflict {
+            current: response.items.into_iter().map(item).collect(),
+        }
+    } else {
+        Committed::Done {
+            revision: response.revision,
+        }
+    }
+}
+
+fn commit_call(transaction: &Transaction) -> CommitCall {
+    let expected = |(key, revision): &(String, u64)| StoredItem {
+        key: key.clone(),
+        revision: *revision,
+        ..StoredItem::default()
+    };
+    let write = |write: &Write| StoredItem {
+        key: write.key.clone(),
+        value: write.value.clone(),
+        lease: write.lease,
+        ..StoredItem::default()
+    };
+    CommitCall {
+        expected: transaction.expected.iter().map(expected).collect(),
+        writes: transaction.writes.iter().map(write).collect(),
+        removes: transaction.removes.clone(),
+    }
+}
+
+fn transaction_of(call: CommitCall) -> Transaction {
+    Transaction {
+        expected: call
+            .expected
+            .into_iter()
+            .map(|expected| (expected.key, expected.revision))
+            .collect(),
+        writes: call
+            .writes
+            .into_iter()
+            .map(|write| Write {
+                key: write.key,
+                value: write.value,
+                lease: write.lease,
+            })
+            .collect(),
+        removes: call.removes,
+    }
+}
--- a/crates/dotterelsill_node/src/workers_followed.rs
+++ b/crates/dotterelsill_node/src/workers_followed.rs
@@ -50,7 +50,7 @@
 const READ_AGAIN: Duration = Duration::from_secs(5);
 
 /// Pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// Follows the registered workers until the group stops.
 pub(crate) async fn follow(lead: Arc<Lead>) {
--- a/crates/dotterelsill_node/src/writer.rs
+++ b/crates/dotterelsill_node/src/writer.rs
@@ -38,7 +38,7 @@
 const GATHER: Duration = Duration::from_millis(80);
 
 /// Pause before another try after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Stores what is to be stored until the group stops.
 pub(crate) async fn run(lead: &Lead) {
