Start lasting tasks first, and count runs of silent workers as away

Tasks that last now go before all others.

Runs on workers that do not answer count as away.

Also: refusals at once while cut off, four transactions in flight, instances in data centres that are out are switched off.

--- a/crates/dotterelsill_jobs/src/moves.rs
+++ b/crates/dotterelsill_jobs/src/moves.rs
@@ -49,6 +49,8 @@
     waiting_milli: u64,
     /// Idle instances, the longest idle first.
     idle: Vec<(Duration, String)>,
+    /// Idle instances in data centres that are out.
+    useless: Vec<(Duration, String)>,
 }
 
 impl Scheduler {
@@ -93,7 +95,15 @@
         now: Duration,
     ) {
         for (pool, balance) in balances {
-            if self.is_standby(pool) || balance.waiting_milli > 0 {
+            if self.is_standby(pool) {
+                continue;
+            }
+            for (since, name) in std::mem::take(&mut balance.useless) {
+                if now >= since + IDLE_BEFORE_OFF {
+                    self.order_move(&name, off, orders);
+                }
+            }
+            if balance.waiting_milli > 0 {
                 continue;
             }
             let reserve = self.reserve_of(pool);
@@ -206,6 +216,15 @@
                 continue;
             };
             let cpu_milli = instance.capacity.cpu_milli;
+            if self.requests.out.contains(&instance.data_centre) {
+                // It gets no tasks, so it is of use to no pool.
+                if let Some(since) = self.idle_since.get(name) {
+                    if known.ordered.is_none() && now >= known.late_until {
+                        balance.useless.push((*since, name.clone()));
+                    }
+                }
+                continue;
+            }
             if let Some(order) = &known.ordered {
                 // A move in flight counts for the pool that it goes to.
                 if let InstanceAction::Move { pool } = &order.action {
--- a/crates/dotterelsill_jobs/src/rank.rs
+++ b/crates/dotterelsill_jobs/src/rank.rs
@@ -2,9 +2,10 @@
 //!
 //! Load pattern: the queues ask by turns for about five times their mean, more
 //! than their pool holds, for some seconds. What waits then is ranked by urgency,
-//! by whether its workspace is over its share, and by the latest time at which
+//! by the latest time at which
 //! it can start and still be on time; what cannot be on time any more comes
-//! after what can.
+//! after what can. Tasks that last go first: they are few, must be restarted
+//! within seconds however full the pool is, and would wait behind each burst.
 
 use std::{
     cmp::Ordering,
@@ -21,6 +22,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Rank {
     pub(crate) step: StepId,
+    is_finite: bool,
     urgency: u32,
     is_late: bool,
     latest_start: Duration,
@@ -41,6 +43,7 @@
         let latest_start = due.saturating_sub(remaining);
         Self {
             step,
+            is_finite: !job.spec.steps[step.step as usize].is_lasting,
             urgency: queue.urgency,
             is_late: latest_start < now,
             latest_start,
@@ -50,7 +53,15 @@
 
 impl Ord for Rank {
     fn cmp(&self, other: &Self) -> Ordering {
-        let key = |rank: &Self| (rank.urgency, rank.is_late, rank.latest_start, rank.step);
+        let key = |rank: &Self| {
+            (
+                rank.is_finite,
+                rank.urgency,
+                rank.is_late,
+                rank.latest_start,
+                rank.step,
+            )
+        };
         key(self).cmp(&key(other))
     }
 }
--- a/crates/dotterelsill_jobs/src/upkeep.rs
+++ b/crates/dotterelsill_jobs/src/upkeep.rs
@@ -390,7 +390,11 @@
     }
 
     fn is_at_work(&self, task: &Task) -> bool {
-        let is_staying = |key: WorkerKey| self.workers.get(&key).is_some_and(|w| !w.is_ending);
+        // The runs of a worker that does not answer may have ended long ago.
+        let is_staying = |key: WorkerKey| {
+            let worker = self.workers.get(&key);
+            worker.is_some_and(|worker| worker.is_known && !worker.is_silent && !worker.is_ending)
+        };
         task.runs.iter().any(|run| {
             run.state == RunState::Running && run.percent >= 100 && is_staying(run.worker)
         })
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -114,6 +114,11 @@
         Ok(allowed) => allowed,
         Err((status, reason)) => return text(status, reason),
     };
+    if !callers.reach.can_serve(clock::now()) {
+        // What is sent now may be carried out once the partition heals; nothing
+        // is sent, so that the refusal holds.
+        return come_back("this instance is cut off");
+    }
     let deadline = platform::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
     let limit = deadline.saturating_sub(ANSWER_RESERVE);
     if allowed.rest.is_empty() && head.method == Method::GET {
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -330,10 +330,10 @@
         token,
     })));
     node.leading.store(Some(lead.clone()));
-    let (planning, ticking, writing) = (lead.clone(), lead.clone(), lead.clone());
+    let (planning, ticking) = (lead.clone(), lead.clone());
     group.spawn_until_stop(async move { planning.plan().await });
     group.spawn_until_stop(async move { ticking.tick().await });
-    group.spawn_until_stop(async move { writer::run(&writing).await });
+    group.spawn_until_stop(writer::run(lead.clone()));
     group.spawn_until_stop(workers_followed::follow(lead.clone()));
     group.spawn_until_stop(intake::follow(lead.clone()));
     group.spawn_until_stop(instance_orders::run(lead.clone()));
--- a/crates/dotterelsill_node/src/relay.rs
+++ b/crates/dotterelsill_node/src/relay.rs
@@ -157,9 +157,8 @@
         direct: impl Fn() -> Pending<T> + Send + Sync + 'static,
     ) -> Pending<T> {
         Box::pin(async move {
-            let is_before = |at: &AtomicU64| {
-                clock::now().as_micros() < at.load(Ordering::Relaxed).into()
-            };
+            let is_before =
+                |at: &AtomicU64| clock::now().as_micros() < at.load(Ordering::Relaxed).into();
             let avoids = is_before(&self.avoid_until_us);
             let peers_fail = is_before(&self.peers_fail_until_us);
             if avoids && !peers_fail {
--- a/crates/dotterelsill_node/src/writer.rs
+++ b/crates/dotterelsill_node/src/writer.rs
@@ -2,10 +2,12 @@
 
 use std::{
     collections::HashMap,
+    sync::Arc,
     time::Duration, //
 };
 
 use async_io::Timer;
+use async_lock::Semaphore;
 use dotterelsill_jobs::{
     Change,
     JobSpec, //
@@ -40,10 +42,15 @@
 /// Pause before another try after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Transactions in flight at once. No two of them hold the same job.
+const IN_FLIGHT_MAX: usize = 4;
+
 /// Stores what is to be stored until the group stops.
-pub(crate) async fn run(lead: &Lead) {
+pub(crate) async fn run(lead: Arc<Lead>) {
+    let slots = Arc::new(Semaphore::new(IN_FLIGHT_MAX));
     loop {
-        wait_for_work(lead).await;
+        let slot = slots.acquire_arc().await;
+        wait_for_work(&lead).await;
         let most = (ENTRIES_MAX - 1) / ENTRIES_PER_JOB;
         let submissions = lead.submissions.take(most);
         let changes = lead
@@ -53,7 +60,11 @@
             Timer::after(RETRY_PAUSE).await;
             continue;
         }
-        store(lead, submissions, changes).await;
+        let storing = lead.clone();
+        lead.tasks.spawn_until_stop(async move {
+            store(&storing, submissions, changes).await;
+            drop(slot);
+        });
     }
 }
 
