--- a/crates/dotterelsill_node/src/authority.rs
+++ b/crates/dotterelsill_node/src/authority.rs
@@ -14,12 +14,18 @@
 /// Part of the lease that is left out of account for the drift of clocks.
 const DRIFT_DIVISOR: u32 = 50;
 
+/// Time after the last renewal for which a scheduler counts as connected: two
+/// renewals and the time of one call.
+const FRESH: Duration = Duration::from_millis(1200);
+
 /// Authority of one scheduler.
 #[derive(Default)]
 pub(crate) struct Authority {
     /// Time up to which the lease surely lives, in microseconds since the start
     /// of the machine.
     valid_until_us: AtomicU64,
+    /// Time of the last renewal, in microseconds since the start of the machine.
+    renewed_us: AtomicU64,
     is_lost: AtomicBool,
     lost: Event,
 }
@@ -31,6 +37,15 @@
         let until = sent_at + ttl - ttl / DRIFT_DIVISOR;
         self.valid_until_us
             .fetch_max(until.as_micros() as u64, Ordering::SeqCst);
+        self.renewed_us
+            .fetch_max(sent_at.as_micros() as u64, Ordering::SeqCst);
+    }
+
+    /// Returns whether the lease was renewed lately, so that callers are best
+    /// served here.
+    pub(crate) fn is_fresh(&self, now: Duration) -> bool {
+        let renewed = Duration::from_micros(self.renewed_us.load(Ordering::SeqCst));
+        self.is_valid(now) && now < renewed + FRESH
     }
 
     /// Returns whether no other scheduler can exist.
--- a/crates/dotterelsill_node/src/election.rs
+++ b/crates/dotterelsill_node/src/election.rs
@@ -29,10 +29,10 @@
 };
 
 /// Time for which the scheduler's lease lives without a renewal.
-pub(crate) const LEASE_TTL: Duration = Duration::from_millis(2500);
+pub(crate) const LEASE_TTL: Duration = Duration::from_millis(2000);
 
 /// Time between two renewals: four in the time of a lease.
-const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+const RENEW_INTERVAL: Duration = Duration::from_millis(450);
 
 /// Pause before a renewal that failed is tried again.
 const RENEW_RETRY: Duration = Duration::from_millis(200);
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -37,7 +37,7 @@
 
 /// Time for which workers are granted leases: longer than it takes until another
 /// instance schedules after this one has died, with a reserve of 3 s.
-const WORKER_LEASE: Duration = Duration::from_millis(5500);
+const WORKER_LEASE: Duration = Duration::from_millis(5000);
 
 /// Time beyond the leases of an earlier scheduler before a worker that does not
 /// answer counts as empty: its clock may be 2% slow.
--- a/crates/dotterelsill_node/src/peer.rs
+++ b/crates/dotterelsill_node/src/peer.rs
@@ -32,6 +32,7 @@
 };
 
 use crate::{
+    clock,
     lead::Lead,
     relay,
     requests, //
@@ -129,7 +130,7 @@
             .leading
             .load()
             .as_ref()
-            .is_some_and(|lead| lead.is_valid());
+            .is_some_and(|lead| lead.authority.is_fresh(clock::now()));
         Ok(Response::new(PingResponse { is_scheduling }))
     }
 
--- a/crates/dotterelsill_node/src/peers.rs
+++ b/crates/dotterelsill_node/src/peers.rs
@@ -178,7 +178,7 @@
     loop {
         Timer::after(PING_INTERVAL).await;
         if let Some(lead) = leading.load_full() {
-            if lead.is_valid() {
+            if lead.authority.is_fresh(clock::now()) {
                 reach.on_scheduler(clock::now());
             }
             continue;
