Give each job a home data centre

Cause: after a takeover in a zone cut every restored job waited until the leases of the workers that do not answer had surely ended (5.6 s), although most of its tasks could not be there. A job's tasks now run in one data centre, chosen with its acceptance by the most room; the job leaves it only after that is stored. A new scheduler holds back only jobs that may run on a worker whose list it has not read.

Ruled out: storing each placement; it costs a call per batch of starts and delays each start by a call.

--- a/crates/dotterelsill_jobs/src/changes.rs
+++ b/crates/dotterelsill_jobs/src/changes.rs
@@ -26,9 +26,12 @@
 }
 
 impl Scheduler {
-    /// Returns whether the end of a job waits to be stored.
+    /// Returns whether a change waits to be stored that holds something up.
     pub fn has_urgent_change(&self) -> bool {
-        let is_urgent = |id: &JobId| self.jobs.get(id).is_some_and(|job| !job.is_open());
+        let is_urgent = |id: &JobId| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|job| !job.is_open() || job.is_spreading())
+        };
         self.dirty.iter().any(is_urgent)
     }
 
@@ -37,18 +40,21 @@
         !self.dirty.is_empty()
     }
 
-    /// Takes changes to store, ends of jobs first; each is answered with
+    /// Takes changes to store, those that something waits for first; each is answered with
     /// [`Self::on_stored`] or [`Self::on_not_stored`].
     pub fn take_changes(&mut self, most: usize) -> Vec<Change> {
         let mut taken = Vec::new();
-        for only_ended in [true, false] {
+        for only_urgent in [true, false] {
             let mut kept = std::collections::VecDeque::new();
             while let Some(id) = self.dirty.pop_front() {
                 let Some(job) = self.jobs.get_mut(&id) else {
                     self.is_dirty.remove(&id);
                     continue;
                 };
-                if taken.len() >= most || job.is_writing || only_ended && job.is_open() {
+                if taken.len() >= most
+                    || job.is_writing
+                    || only_urgent && job.is_open() && !job.is_spreading()
+                {
                     kept.push_back(id);
                     continue;
                 }
@@ -75,6 +81,7 @@
         job.is_writing = false;
         job.progress_revision = revision;
         job.stored_changes = job.stored_changes.max(number);
+        self.needs_plan = true;
         if job.stored_changes < job.changes {
             self.mark_dirty(id);
         }
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -1,6 +1,11 @@
 //! Workers that come and go, their leases, and what they list.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
+use dotterelsill_proto::jobs::GrantedWorker;
 
 use crate::{
     ends::End,
@@ -52,16 +57,16 @@
 
     /// Notes a worker that an earlier scheduler has granted a lease and that is
     /// not listed.
-    pub fn expect(&mut self, id: &str, address: &str, now: Duration) -> Option<WorkerKey> {
-        if self.by_id.contains_key(id) {
+    pub fn expect(&mut self, granted: &GrantedWorker, now: Duration) -> Option<WorkerKey> {
+        if self.by_id.contains_key(&granted.id) {
             return None;
         }
         let report = WorkerReport {
-            id: id.to_owned(),
+            id: granted.id.clone(),
             born_unix_ms: 0,
-            address: address.to_owned(),
-            pool: String::new(),
-            data_centre: String::new(),
+            address: granted.address.clone(),
+            pool: granted.pool.clone(),
+            data_centre: granted.data_centre.clone(),
             labels: Vec::new(),
             capacity: Room::default(),
             is_draining: true,
@@ -90,18 +95,22 @@
         self.workers.values().any(|worker| !worker.may_grant)
     }
 
-    /// Returns the identifiers and addresses of all workers that may hold a lease.
-    pub fn granted(&self) -> Vec<(String, String)> {
-        let name = |worker: &crate::worker::Worker| {
-            (worker.report.id.clone(), worker.report.address.clone())
+    /// Returns all workers that may hold a lease.
+    pub fn granted(&self) -> Vec<GrantedWorker> {
+        let granted = |worker: &crate::worker::Worker| GrantedWorker {
+            id: worker.report.id.clone(),
+            address: worker.report.address.clone(),
+            pool: worker.report.pool.clone(),
+            data_centre: worker.report.data_centre.clone(),
         };
-        self.workers.values().map(name).collect()
+        self.workers.values().map(granted).collect()
     }
 
     /// Notes that workers are stored as those that may run tasks.
-    pub fn on_granted_stored(&mut self, ids: &[(String, String)]) {
-        for (id, _) in ids {
-            if let Some(worker) = self.by_id.get(id).and_then(|key| self.workers.get_mut(key)) {
+    pub fn on_granted_stored(&mut self, granted: &[GrantedWorker]) {
+        for granted in granted {
+            let key = self.by_id.get(&granted.id);
+            if let Some(worker) = key.and_then(|key| self.workers.get_mut(key)) {
                 worker.may_grant = true;
             }
         }
@@ -447,13 +456,17 @@
         }
     }
 
-    /// Returns whether an earlier scheduler's runs may still be on workers whose
-    /// lists were not read.
-    pub(crate) fn is_unsettled(&self, pool: &str, now: Duration) -> bool {
-        self.workers.values().any(|worker| {
+    /// Returns the data centres in which an earlier scheduler's runs may still be
+    /// on workers of a pool whose lists were not read; an empty name stands for a
+    /// worker of which nothing is known.
+    pub(crate) fn unsettled(&self, pool: &str, now: Duration) -> BTreeSet<String> {
+        let is_unsettled = |worker: &&crate::worker::Worker| {
             let is_of_pool = worker.report.pool.is_empty() || worker.report.pool == pool;
             is_of_pool && !worker.is_known && now < worker.unknown_until
-        })
+        };
+        let data_centre = |worker: &crate::worker::Worker| worker.report.data_centre.clone();
+        let unsettled = self.workers.values().filter(is_unsettled);
+        unsettled.map(data_centre).collect()
     }
 
     pub(crate) fn workspace_of(&self, id: JobId) -> Option<String> {
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -110,6 +110,8 @@
     pub(crate) has_begun: bool,
     /// Whether an earlier scheduler may have started tasks of the job.
     pub(crate) is_restored: bool,
+    /// Change with which the job was spread beyond its home.
+    spread_change: Option<u64>,
     /// Occurrences that are due and not done.
     pub(crate) occurrences: BTreeMap<u32, Occurrence>,
     pub(crate) done_occurrences: BTreeSet<u32>,
@@ -140,6 +142,7 @@
             ended_at: None,
             has_begun: false,
             is_restored: spec.accepted_token != token,
+            spread_change: None,
             occurrences: BTreeMap::new(),
             done_occurrences: BTreeSet::new(),
             next_occurrence: 0,
@@ -287,6 +290,32 @@
         true
     }
 
+    /// Returns the data centre that the tasks are bound to: the next scheduler
+    /// takes it that they run nowhere else.
+    pub(crate) fn bound_to(&self) -> Option<&str> {
+        match self.spread_change {
+            Some(change) if change <= self.stored_changes => None,
+            _ => self.spec.home.as_deref(),
+        }
+    }
+
+    /// Lets tasks run outside the job's home, once that is stored; returns
+    /// whether this is new.
+    pub(crate) fn spread(&mut self) -> bool {
+        if self.spec.home.is_none() || self.spread_change.is_some() {
+            return false;
+        }
+        self.changes += 1;
+        self.spread_change = Some(self.changes);
+        true
+    }
+
+    /// Returns whether the job waits until its spread is stored.
+    pub(crate) fn is_spreading(&self) -> bool {
+        self.spread_change
+            .is_some_and(|change| change > self.stored_changes)
+    }
+
     /// Cancels the job.
     pub(crate) fn cancel(&mut self) {
         if self.is_open() {
@@ -313,12 +342,14 @@
             phase: self.phase.into(),
             steps,
             done_occurrences: self.done_occurrences.iter().copied().collect(),
+            is_spread: self.spread_change.is_some(),
         }
     }
 
     /// Takes over stored progress.
     pub(crate) fn restore(&mut self, record: &ProgressRecord, revision: u64) {
         self.progress_revision = revision;
+        self.spread_change = record.is_spread.then_some(0);
         self.done_occurrences = record.done_occurrences.iter().copied().collect();
         for progress in &record.steps {
             self.ensure(progress.occurrence);
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -1,12 +1,18 @@
 //! Gives waiting tasks to workers.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
 use crate::{
-    job::Run,
+    job::{
+        Job,
+        Run, //
+    },
     place::{
         candidate,
         choose,
@@ -60,12 +66,12 @@
             .filter(|(_, worker)| worker.report.pool == pool)
             .filter_map(|(&key, worker)| candidate(key, worker, &self.requests, now))
             .collect();
-        let is_unsettled = self.is_unsettled(pool, now);
+        let unsettled = self.unsettled(pool, now);
         for rank in ranks {
             if candidates.is_empty() {
                 return;
             }
-            self.plan_step(rank.step, &mut candidates, is_unsettled, now);
+            self.plan_step(rank.step, &mut candidates, &unsettled, now);
         }
     }
 
@@ -110,14 +116,19 @@
         &mut self,
         id: StepId,
         candidates: &mut [Candidate],
-        is_unsettled: bool,
+        unsettled: &BTreeSet<String>,
         now: Duration,
     ) {
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
-        if is_unsettled && job.is_restored {
-            // An earlier scheduler's run may still go on where nobody sees it.
+        let bound_to = job.bound_to().map(str::to_owned);
+        // An earlier scheduler's run may still go on where nobody sees it.
+        let may_run_unseen = match &bound_to {
+            Some(home) => unsettled.contains(home) || unsettled.contains(""),
+            None => !unsettled.is_empty(),
+        };
+        if may_run_unseen && job.is_restored {
             return;
         }
         let spec = job.spec.clone();
@@ -135,7 +146,7 @@
         }
         if step.is_gang {
             if waiting.len() == state.tasks.len() {
-                self.plan_gang(id, candidates, now);
+                self.plan_gang(id, candidates, bound_to.as_deref(), now);
             }
             return;
         }
@@ -156,7 +167,10 @@
                 rack: rack.as_deref(),
             };
             let workers = &self.workers;
-            let Some(chosen) = choose(candidates, |key| workers.get(&key), &wanted) else {
+            let bound_to = bound_to.as_deref();
+            let worker = |key| workers.get(&key).filter(|worker| worker.is_in(bound_to));
+            let Some(chosen) = choose(candidates, worker, &wanted) else {
+                self.spread_if_useful(id, candidates, &wanted);
                 return;
             };
             candidates[chosen].free.subtract(&room);
@@ -165,8 +179,28 @@
         }
     }
 
+    /// Lets a job leave its home if a task fits elsewhere.
+    fn spread_if_useful(&mut self, id: StepId, candidates: &[Candidate], wanted: &Wanted<'_>) {
+        if choose(candidates, |key| self.workers.get(&key), wanted).is_some() {
+            self.spread(id);
+        }
+    }
+
+    fn spread(&mut self, id: StepId) {
+        if self.jobs.get_mut(&id.job).is_some_and(Job::spread) {
+            log::debug!(job:% = id.job; "job_spread");
+            self.mark_dirty(id.job);
+        }
+    }
+
     /// Starts all members of a gang, or none.
-    fn plan_gang(&mut self, id: StepId, candidates: &mut [Candidate], now: Duration) {
+    fn plan_gang(
+        &mut self,
+        id: StepId,
+        candidates: &mut [Candidate],
+        bound_to: Option<&str>,
+        now: Duration,
+    ) {
         let spec = self.jobs[&id.job].spec.clone();
         let step = &spec.steps[id.step as usize];
         let room = step.counted_room();
@@ -182,7 +216,7 @@
         };
         let tries = racks.into_iter().map(Some).chain([None]);
         for rack in tries {
-            let Some(chosen) = self.gang_places(id, candidates, rack.as_deref()) else {
+            let Some(chosen) = self.gang_places(id, candidates, rack.as_deref(), bound_to) else {
                 continue;
             };
             let attempt = (0..step.count)
@@ -195,6 +229,9 @@
             }
             return;
         }
+        if bound_to.is_some() && self.gang_places(id, candidates, None, None).is_some() {
+            self.spread(id);
+        }
     }
 
     /// Returns a place for each member of a gang, on one rack if one is given.
@@ -203,6 +240,7 @@
         id: StepId,
         candidates: &[Candidate],
         rack: Option<&str>,
+        bound_to: Option<&str>,
     ) -> Option<Vec<usize>> {
         let step = &self.jobs[&id.job].spec.steps[id.step as usize];
         let room = step.counted_room();
@@ -222,7 +260,7 @@
                 let worker = self.workers.get(&key)?;
                 let is_on_rack = rack.is_none() || worker.rack() == rack;
                 let is_below = taken.get(&key).copied().unwrap_or(0) < most;
-                (is_on_rack && is_below).then_some(worker)
+                (is_on_rack && is_below && worker.is_in(bound_to)).then_some(worker)
             };
             let place = choose(&left, worker, &wanted)?;
             left[place].free.subtract(&room);
@@ -232,6 +270,40 @@
         Some(places)
     }
 
+    /// Returns the data centre in which the tasks of a new job find most room, its
+    /// home.
+    ///
+    /// While a scheduler cannot reach some workers, it holds back only what may
+    /// run on them; jobs with a home elsewhere go on.
+    pub fn choose_home(&self, queue: &str, now: Duration) -> Option<String> {
+        let pool = &self.catalogue.queue(queue)?.pool;
+        let mut room: BTreeMap<&str, i64> = BTreeMap::new();
+        for (&key, worker) in &self.workers {
+            if worker.report.pool != *pool {
+                continue;
+            }
+            if let Some(candidate) = candidate(key, worker, &self.requests, now) {
+                let free = room.entry(&worker.report.data_centre).or_default();
+                *free += candidate.free.cpu_milli as i64;
+            }
+        }
+        for id in self.ready.get(pool).into_iter().flatten() {
+            let Some(job) = self.jobs.get(&id.job) else {
+                continue;
+            };
+            let free = job.bound_to().and_then(|home| room.get_mut(home));
+            let state = job.occurrences.get(&id.occurrence);
+            if let (Some(free), Some(state)) = (free, state) {
+                let tasks = state.steps[id.step as usize].tasks.iter();
+                let waiting = tasks.filter(|task| task.is_waiting()).count() as i64;
+                let step = &job.spec.steps[id.step as usize];
+                *free -= waiting * step.counted_room().cpu_milli as i64;
+            }
+        }
+        let (home, _) = room.into_iter().max_by_key(|(_, free)| *free)?;
+        Some(home.to_owned())
+    }
+
     fn racks(&self, candidates: &[Candidate]) -> Vec<String> {
         let rack = |candidate: &Candidate| self.workers.get(&candidate.key)?.rack();
         let mut racks: Vec<String> = candidates
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -191,6 +191,7 @@
             text: "".into(),
             steps: Vec::new(),
             schedule: None,
+            home: None,
             accepted_token: 0,
             accepted_unix: Duration::ZERO,
         };
--- a/crates/dotterelsill_jobs/src/spec.rs
+++ b/crates/dotterelsill_jobs/src/spec.rs
@@ -129,6 +129,8 @@
     pub steps: Vec<Step>,
     /// Times of the occurrences; `None` for a job that runs once, at once.
     pub schedule: Option<Schedule>,
+    /// Data centre in which all tasks run until the job is spread.
+    pub home: Option<String>,
     /// Fencing token under which the job was accepted.
     pub accepted_token: u64,
     /// Time of the acceptance, since the Unix epoch.
@@ -188,6 +190,7 @@
             text: record.spec.as_str().into(),
             steps: record.steps.iter().map(Step::from).collect(),
             schedule,
+            home: (!record.home.is_empty()).then(|| record.home.clone()),
             accepted_token: record.accepted_token,
             accepted_unix: Duration::from_millis(record.accepted_unix_ms),
         })
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -222,6 +222,11 @@
             .count()
     }
 
+    /// Returns whether the worker is in a data centre, if one is given.
+    pub(crate) fn is_in(&self, data_centre: Option<&str>) -> bool {
+        data_centre.is_none_or(|name| self.report.data_centre == name)
+    }
+
     /// Returns the rack, the last label by the platform's convention.
     pub(crate) fn rack(&self) -> Option<&str> {
         self.report.labels.last().map(String::as_str)
--- a/crates/dotterelsill_node/src/intake.rs
+++ b/crates/dotterelsill_node/src/intake.rs
@@ -147,7 +147,7 @@
             return None;
         }
     };
-    record.accepted_token = lead.token;
+    lead.adopt(&mut record);
     let (sender, receiver) = async_channel::bounded(1);
     lead.submissions.add(Submission {
         id,
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -23,6 +23,7 @@
     Instances,
     Settings, //
 };
+use dotterelsill_proto::jobs::JobRecord;
 use dotterelsill_rpc::Tasks;
 use dotterelsill_store::Operations;
 use event_listener::Event;
@@ -129,6 +130,16 @@
         self.authority.is_valid(clock::now())
     }
 
+    /// Completes the record of a job that is to be stored.
+    pub(crate) fn adopt(&self, record: &mut JobRecord) {
+        record.accepted_token = self.token;
+        // Lasting tasks are spread, so that few of them are lost at once.
+        if record.steps.iter().all(|step| !step.is_lasting) {
+            let home = self.scheduler().choose_home(&record.queue, clock::now());
+            record.home = home.unwrap_or_default();
+        }
+    }
+
     /// Notes that the scheduler's state has changed.
     pub(crate) fn on_changed(&self) {
         self.plan_wanted.set();
--- a/crates/dotterelsill_node/src/requests.rs
+++ b/crates/dotterelsill_node/src/requests.rs
@@ -36,7 +36,7 @@
     if lead.authority.is_lost() {
         return Outcome::Refused;
     }
-    record.accepted_token = lead.token;
+    lead.adopt(&mut record);
     record.accepted_unix_ms = clock::unix().as_millis() as u64;
     let (sender, receiver) = async_channel::bounded(1);
     lead.submissions.add(Submission {
--- a/crates/dotterelsill_node/src/restore.rs
+++ b/crates/dotterelsill_node/src/restore.rs
@@ -88,7 +88,7 @@
         None => Vec::new(),
     };
     for worker in &workers {
-        scheduler.expect(&worker.id, &worker.address, now());
+        scheduler.expect(worker, now());
     }
     let (waves, _) = store.list(keys::WAVES, Staleness::Current).await?;
     for item in &waves {
--- a/crates/dotterelsill_node/src/workers_followed.rs
+++ b/crates/dotterelsill_node/src/workers_followed.rs
@@ -16,10 +16,7 @@
     worker_id,
     REPORT_PREFIX, //
 };
-use dotterelsill_proto::jobs::{
-    GrantedRecord,
-    GrantedWorker, //
-};
+use dotterelsill_proto::jobs::GrantedRecord;
 use dotterelsill_store::{
     Committed,
     Event,
@@ -124,7 +121,11 @@
 /// Notes workers that are no longer registered.
 fn note_absent(lead: &Lead, registered: &BTreeSet<String>) {
     let mut scheduler = lead.scheduler();
-    let known: Vec<String> = scheduler.granted().into_iter().map(|(id, _)| id).collect();
+    let known: Vec<String> = scheduler
+        .granted()
+        .into_iter()
+        .map(|granted| granted.id)
+        .collect();
     for id in known.iter().filter(|id| !registered.contains(*id)) {
         scheduler.on_unlisted(id, clock::now());
     }
@@ -139,12 +140,8 @@
         }
         scheduler.granted()
     };
-    let worker = |(id, address): &(String, String)| GrantedWorker {
-        id: id.clone(),
-        address: address.clone(),
-    };
     let record = GrantedRecord {
-        workers: granted.iter().map(worker).collect(),
+        workers: granted.clone(),
     };
     let transaction = Transaction {
         expected: vec![(keys::LEADER.to_owned(), lead.token)],
