Search takeovers with the decision code; start nothing on a life not looked at

A random search over takeovers, pauses, partitions, crashes, lost and late orders drives the scheduler with workers that keep the platform's rules.

- QUOTA: a new scheduler does not see what an earlier one has running on workers it has not read; all that may run there now counts for the cap.
- TWICE: a worker born again under its identifier may have taken an order meant for its life before.
Its runs stay booked until its first list, and a list that shows runs counts as a lease of the longest length.
- TWICE: a look after a silence carried the acknowledgement of the life before, so that ends of the new one were forgotten unread.
- TWICE: a scheduler that woke from a pause repeated a start to a worker that had been born again and knew no fencing token.
Starts go only to workers that were looked at since their last silence.

Two checks of the search were wrong and are replaced: an end listed only after the worker's lease had lapsed does not stand, and a step may start beside a second run that is being stopped if the task was done before.

Moves follow all waiting work instead of what exceeds a quarter of the pool's room, and pools keep 45% of their instances.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -35,21 +35,22 @@
 const UNKNOWN_TASK_CPU_MILLI: u64 = 1_000_000;
 
 impl Scheduler {
-    /// Notes what a worker says of itself; returns its key, and whether this
-    /// life of the worker is new.
+    /// Notes what a worker says of itself; returns its key, and whether it is to
+    /// be called anew.
     pub fn on_report(&mut self, report: WorkerReport, now: Duration) -> (WorkerKey, bool) {
         self.needs_plan = true;
         if let Some(&key) = self.by_id.get(&report.id) {
+            let longest = self.limits.longest_lease;
             let worker = self.workers.get_mut(&key).expect("by_id names workers");
-            if worker.report.born_unix_ms == report.born_unix_ms || worker.report.born_unix_ms == 0
-            {
-                worker.report = report;
-                worker.is_listed = true;
+            let is_moved = worker.report.address != report.address;
+            if worker.report.born_unix_ms > report.born_unix_ms && report.born_unix_ms != 0 {
+                // A look has shown a newer life already.
                 return (key, false);
             }
-            log::info!(worker = report.id; "worker_born_again");
-            self.lose(key, now);
-            self.remove_worker(key);
+            worker.on_life(report.born_unix_ms, longest, now);
+            worker.report = report;
+            worker.is_listed = true;
+            return (key, is_moved);
         }
         let key = self.new_worker(report, now);
         (key, true)
@@ -128,7 +129,23 @@
         self.workers.contains_key(&key)
     }
 
-    /// Returns the end of the lease to send with a request to a worker, on the
+    /// Returns the end of the lease to send with a start, on the worker's clock;
+    /// `None` while the worker is silent: a new life may answer, which knows no
+    /// fencing token, so it must be looked at first.
+    pub fn start_lease_end(
+        &mut self,
+        key: WorkerKey,
+        may_extend: bool,
+        now: Duration,
+    ) -> Option<u64> {
+        let is_silent = self.workers.get(&key).is_none_or(|worker| worker.is_silent);
+        if is_silent {
+            return None;
+        }
+        self.lease_end(key, may_extend, now)
+    }
+
+    /// Returns the end of the lease to send with a look at a worker, on the
     /// worker's clock. It is extended only while this scheduler holds its
     /// authority and the worker answers.
     pub fn lease_end(&mut self, key: WorkerKey, may_extend: bool, now: Duration) -> Option<u64> {
@@ -145,8 +162,11 @@
 
     /// Returns the number up to which a worker may forget its ends.
     pub fn acknowledged(&self, key: WorkerKey) -> u64 {
+        // After a silence another life may answer, whose ends have the same
+        // numbers.
         self.workers
             .get(&key)
+            .filter(|worker| !worker.is_silent)
             .map_or(0, |worker| worker.acknowledged_end)
     }
 
@@ -191,13 +211,13 @@
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
-        let born = worker.report.born_unix_ms;
-        if look.born_unix_ms != 0 && born != 0 && look.born_unix_ms != born {
-            // The list of another life; its report comes through the store.
-            log::info!(worker = worker.report.id; "look_of_another_life");
+        if look.born_unix_ms != 0 && look.born_unix_ms < worker.report.born_unix_ms {
+            log::info!(worker = worker.report.id; "look_of_an_earlier_life");
             return;
         }
+        worker.on_life(look.born_unix_ms, self.limits.longest_lease, now);
         worker.on_clock(look.worker_ms, look.sent_at, look.read_at);
+        worker.on_first_list(self.limits.longest_lease);
         let was_known = worker.is_known;
         worker.is_known = true;
         if !was_known {
@@ -306,6 +326,7 @@
             "run_adopted"
         );
         let room = booked.room;
+        worker.on_foreign_lease(self.limits.longest_lease);
         worker.book(task, booked);
         self.add_usage(workspace, &room);
         if !is_wanted {
--- a/crates/dotterelsill_jobs/src/moves.rs
+++ b/crates/dotterelsill_jobs/src/moves.rs
@@ -21,7 +21,7 @@
 /// Instances that a pool keeps although it is idle, in percent of the instances
 /// that it had when first seen: they carry the begin of the next burst until
 /// others have come.
-const RESERVE_PERCENT: usize = 60;
+const RESERVE_PERCENT: usize = 45;
 
 /// Time for which an instance must have been idle before it is switched off:
 /// two moves cost as much as about 2.3 s in a pool.
@@ -31,7 +31,7 @@
 const IDLE_BEFORE_TAKEN: Duration = Duration::from_millis(400);
 
 /// Waiting work that a pool clears by itself soon, in percent of its room.
-const CLEARED_PERCENT: u64 = 25;
+const CLEARED_PERCENT: u64 = 0;
 
 /// Longest time for which an instance that was ordered counts as on its way.
 const ARRIVAL_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -3,7 +3,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        HashMap, //
     },
     time::Duration, //
 };
@@ -67,6 +68,7 @@
             .filter_map(|(&key, worker)| candidate(key, worker, &self.requests, now))
             .collect();
         let unsettled = self.unsettled(pool, now);
+        self.unseen_usage = self.count_unseen(now);
         for rank in ranks {
             if candidates.is_empty() {
                 return;
@@ -328,6 +330,30 @@
         Some(self.workers.get(&run.worker)?.rack()?.to_owned())
     }
 
+    /// Counts what an earlier scheduler may have running, by workspace, on workers
+    /// whose lists were not read: at most all tasks that are not seen elsewhere.
+    fn count_unseen(&self, now: Duration) -> HashMap<String, Room> {
+        let is_unread =
+            |worker: &&crate::worker::Worker| !worker.is_known && now < worker.unknown_until;
+        let mut unseen: HashMap<String, Room> = HashMap::new();
+        if !self.workers.values().any(|worker| is_unread(&worker)) {
+            return unseen;
+        }
+        for job in self.jobs.values().filter(|job| job.is_restored) {
+            let Some(workspace) = &job.spec.workspace else {
+                continue;
+            };
+            for occurrence in job.occurrences.values() {
+                for (step, state) in job.spec.steps.iter().zip(&occurrence.steps) {
+                    let tasks = state.tasks.iter().filter(|task| task.is_waiting());
+                    let room = unseen.entry(workspace.clone()).or_default();
+                    tasks.for_each(|_| room.add(&step.counted_room()));
+                }
+            }
+        }
+        unseen
+    }
+
     /// Returns whether a workspace may have another room running.
     pub(crate) fn is_within_cap(&self, workspace: Option<&str>, room: &Room) -> bool {
         let Some(name) = workspace else {
@@ -337,7 +363,8 @@
             // Its keys were taken away; what it handed in before still runs.
             return true;
         };
-        let used = self.usage.get(name).copied().unwrap_or_default();
+        let mut used = self.usage.get(name).copied().unwrap_or_default();
+        used.add(&self.unseen_usage.get(name).copied().unwrap_or_default());
         let is_within = |cap: u64, used: u64, room: u64| cap == 0 || used + room <= cap;
         let cap = &workspace.cap;
         is_within(cap.cpu_milli, used.cpu_milli, room.cpu_milli)
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -47,6 +47,8 @@
 pub struct Limits {
     /// Time for which a worker's lease is granted.
     pub lease: Duration,
+    /// Longest time for which a worker grants a lease.
+    pub longest_lease: Duration,
     /// Time for which the end of a job is known.
     pub keep_ended: Duration,
     /// Time at which a leader that was cut off has stopped to grant leases, from
@@ -91,6 +93,8 @@
     pub(crate) ready: BTreeMap<String, BTreeSet<StepId>>,
     /// Room that runs and orders of each workspace take.
     pub(crate) usage: HashMap<String, Room>,
+    /// Room that runs of an earlier scheduler may take where nobody sees them.
+    pub(crate) unseen_usage: HashMap<String, Room>,
     pub(crate) orders: Vec<Addressed>,
     /// Jobs whose progress is to be stored.
     pub(crate) dirty: VecDeque<JobId>,
@@ -128,6 +132,7 @@
             next_worker: 0,
             ready: BTreeMap::new(),
             usage: HashMap::new(),
+            unseen_usage: HashMap::new(),
             orders: Vec::new(),
             dirty: VecDeque::new(),
             is_dirty: HashSet::new(),
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -109,8 +109,14 @@
     clock: Option<ClockReading>,
     /// Latest end of a lease that was granted, on the worker's clock.
     granted_until_ms: u64,
+    /// Latest end of a lease that somebody else may have been granted. It is
+    /// never sent: an order must not extend it.
+    foreign_until_ms: u64,
     /// Time at which every lease of an earlier scheduler has surely ended.
     pub(crate) unknown_until: Duration,
+    /// Time until which a new life whose list was not read may run what was
+    /// ordered.
+    unread_until: Duration,
     pub(crate) answered_at: Duration,
     /// Whether the last call was not answered.
     pub(crate) is_silent: bool,
@@ -139,7 +145,9 @@
             health: Health::default(),
             clock: None,
             granted_until_ms: 0,
+            foreign_until_ms: 0,
             unknown_until,
+            unread_until: Duration::ZERO,
             answered_at: now,
             is_silent: false,
             reserved: false,
@@ -161,6 +169,39 @@
         }
     }
 
+    /// Notes that the list of a new life was read; an order that was meant for
+    /// the life before may have granted it a lease.
+    pub(crate) fn on_first_list(&mut self, longest: Duration) {
+        if !self.unread_until.is_zero() {
+            self.unread_until = Duration::ZERO;
+            self.on_foreign_lease(longest);
+        }
+    }
+
+    /// Notes the start of the life that answers or reports. Of a new life
+    /// nothing is known, and what was ordered may have reached it: its first
+    /// list settles which runs there are.
+    pub(crate) fn on_life(&mut self, born_unix_ms: u64, longest: Duration, now: Duration) {
+        let known = self.report.born_unix_ms;
+        if born_unix_ms == 0 || known == born_unix_ms {
+            return;
+        }
+        self.report.born_unix_ms = born_unix_ms;
+        if known == 0 {
+            return;
+        }
+        log::info!(worker = self.report.id, runs = self.booked.len() as u64; "worker_born_again");
+        self.is_known = false;
+        self.clock = None;
+        self.granted_until_ms = 0;
+        self.foreign_until_ms = 0;
+        self.unread_until = now + longest;
+        self.processed_end = 0;
+        self.acknowledged_end = 0;
+        self.pending_ends.clear();
+        self.health = Health::default();
+    }
+
     /// Notes any answer of the worker.
     pub(crate) fn on_answer(&mut self, now: Duration) {
         self.answered_at = now;
@@ -179,6 +220,14 @@
         Some(self.granted_until_ms)
     }
 
+    /// Notes a run whose lease somebody else was granted, for at most a time.
+    pub(crate) fn on_foreign_lease(&mut self, longest: Duration) {
+        if let Some(clock) = self.clock {
+            let until_ms = clock.worker_ms + longest.as_millis() as u64;
+            self.foreign_until_ms = self.foreign_until_ms.max(until_ms);
+        }
+    }
+
     /// Returns the end of the lease that was granted, on the worker's clock.
     pub(crate) fn granted(&self) -> Option<u64> {
         (self.granted_until_ms > 0).then_some(self.granted_until_ms)
@@ -190,12 +239,13 @@
             return true;
         }
         let Some(clock) = self.clock else {
-            return now >= self.unknown_until;
+            return now >= self.unknown_until.max(self.unread_until);
         };
         let passed = now.saturating_sub(clock.read_at);
         let at_least = passed - passed / SLOW_CLOCK_DIVISOR;
         let lower = Duration::from_millis(clock.worker_ms) + at_least;
-        let is_over = lower > Duration::from_millis(self.granted_until_ms) + LAPSE_MARGIN;
+        let until_ms = self.granted_until_ms.max(self.foreign_until_ms);
+        let is_over = lower > Duration::from_millis(until_ms) + LAPSE_MARGIN;
         is_over && now >= self.unknown_until
     }
 
--- /dev/null
+++ b/crates/dotterelsill_jobs/tests/search/driver.rs
@@ -0,0 +1,123 @@
+//! An instance that schedules: the decision code with its calls.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
+
+use dotterelsill_jobs::{
+    Addressed,
+    Catalogue,
+    Limits,
+    Requests,
+    Room,
+    Scheduler,
+    WorkerKey,
+    WorkerReport, //
+};
+
+use crate::{
+    fleet::Worker,
+    world::Store, //
+};
+
+/// Time that the scheduler's lease lives.
+pub(crate) const TTL_MS: u64 = 2000;
+
+/// Time for which workers are granted leases.
+pub(crate) const LEASE_MS: u64 = 5000;
+
+/// Room of a worker.
+pub(crate) const CAPACITY: Room = Room {
+    cpu_milli: 4000,
+    memory_mb: 4000,
+    accelerators: 0,
+};
+
+/// An order that is given until it is answered.
+pub(crate) struct Giving {
+    pub(crate) order: Addressed,
+    pub(crate) may_come_late: bool,
+    pub(crate) next_at_ms: u64,
+}
+
+pub(crate) struct Driver {
+    pub(crate) scheduler: Scheduler,
+    pub(crate) valid_until_ms: u64,
+    pub(crate) is_lost: bool,
+    pub(crate) paused_until_ms: u64,
+    pub(crate) is_cut_from_store: bool,
+    /// Data centre whose workers do not answer this instance.
+    pub(crate) cut_from: Option<String>,
+    pub(crate) giving: Vec<Giving>,
+    pub(crate) next_look_ms: BTreeMap<WorkerKey, u64>,
+    /// Lives to which a connection for looks is open.
+    pub(crate) connected: BTreeMap<WorkerKey, u64>,
+    pub(crate) next_report_ms: u64,
+}
+
+pub(crate) fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+impl Driver {
+    pub(crate) fn take_over(store: &Store, catalogue: &Arc<Catalogue>, now_ms: u64) -> Self {
+        let lease = at(LEASE_MS);
+        let limits = Limits {
+            lease,
+            longest_lease: at(10_000),
+            keep_ended: at(1_000_000),
+            takeover_margin: lease + lease / 50 + at(500),
+            notice: at(4500),
+            stop_timeout: at(200),
+            turn: at(3000),
+            maintenance_time: at(2000),
+        };
+        let mut scheduler = Scheduler::new(store.token, limits, at(now_ms));
+        scheduler.configure(catalogue.clone(), Arc::new(Requests::default()));
+        for (id, record) in &store.jobs {
+            let progress = store.progress.get(id);
+            let progress = progress.map(|(record, revision)| (record, *revision));
+            scheduler
+                .restore(*id, record, progress, at(now_ms))
+                .expect("stored jobs are usable");
+        }
+        for granted in &store.granted {
+            scheduler.expect(granted, at(now_ms));
+        }
+        Self {
+            scheduler,
+            valid_until_ms: now_ms + TTL_MS,
+            is_lost: false,
+            paused_until_ms: 0,
+            is_cut_from_store: false,
+            cut_from: None,
+            giving: Vec::new(),
+            next_look_ms: BTreeMap::new(),
+            connected: BTreeMap::new(),
+            next_report_ms: now_ms,
+        }
+    }
+
+    pub(crate) fn is_valid(&self, now_ms: u64) -> bool {
+        !self.is_lost && now_ms < self.valid_until_ms
+    }
+
+    pub(crate) fn reaches(&self, worker: &Worker) -> bool {
+        worker.is_up && self.cut_from.as_ref() != Some(&worker.data_centre)
+    }
+}
+
+pub(crate) fn report(worker: &Worker) -> WorkerReport {
+    WorkerReport {
+        id: worker.id.clone(),
+        born_unix_ms: worker.born_ms,
+        address: worker.address.clone(),
+        pool: "pool".to_owned(),
+        data_centre: worker.data_centre.clone(),
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+        capacity: CAPACITY,
+        is_draining: false,
+    }
+}
--- /dev/null
+++ b/crates/dotterelsill_jobs/tests/search/fleet.rs
@@ -0,0 +1,227 @@
+//! Workers as the platform runs them.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use dotterelsill_jobs::{
+    Answer,
+    How,
+    ListedEnd,
+    ListedRun,
+    Look,
+    Order,
+    Room,
+    TaskId, //
+};
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Running {
+    pub(crate) attempt: u32,
+    pub(crate) ends_at_ms: u64,
+    pub(crate) fails: bool,
+    pub(crate) room: Room,
+}
+
+/// One worker; `born_ms` tells its lives apart.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) id: String,
+    pub(crate) data_centre: String,
+    pub(crate) address: String,
+    pub(crate) is_up: bool,
+    pub(crate) born_ms: u64,
+    /// Parts of a thousand by which the clock is slow.
+    pub(crate) slow_permille: u64,
+    pub(crate) fence: u64,
+    pub(crate) lease_end_ms: u64,
+    pub(crate) runs: BTreeMap<TaskId, Running>,
+    pub(crate) ended: Vec<ListedEnd>,
+    pub(crate) next_end: u64,
+    /// Highest run of each task that was stopped or has ended.
+    pub(crate) over: BTreeMap<TaskId, u32>,
+    /// Number of the last end before the lease lapsed; such an end stands for
+    /// nothing, since the task may have been started elsewhere.
+    pub(crate) lapsed_end: u64,
+    /// Tasks that were done here in any life.
+    pub(crate) ever_done: BTreeSet<TaskId>,
+    /// Ends that were acknowledged before the lease lapsed.
+    pub(crate) acknowledged: Vec<(TaskId, u32, How)>,
+}
+
+impl Worker {
+    pub(crate) fn new(index: usize, slow_permille: u64) -> Self {
+        Self {
+            id: format!("w{index}"),
+            data_centre: format!("dc{}", index % 2),
+            address: format!("127.0.0.1:{}", 1000 + index),
+            is_up: true,
+            born_ms: 1,
+            slow_permille,
+            fence: 0,
+            lease_end_ms: 0,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            over: BTreeMap::new(),
+            lapsed_end: 0,
+            ever_done: BTreeSet::new(),
+            acknowledged: Vec::new(),
+        }
+    }
+
+    /// Returns the worker's own clock.
+    pub(crate) fn clock_ms(&self, now_ms: u64) -> u64 {
+        let passed = now_ms.saturating_sub(self.born_ms);
+        passed - passed * self.slow_permille / 1000
+    }
+
+    /// Starts again under the same identifier, knowing nothing.
+    pub(crate) fn restart(&mut self, now_ms: u64) {
+        *self = Self {
+            id: self.id.clone(),
+            data_centre: self.data_centre.clone(),
+            address: self.address.clone(),
+            born_ms: now_ms,
+            ever_done: std::mem::take(&mut self.ever_done),
+            ..Self::new(0, self.slow_permille)
+        };
+    }
+
+    /// Ends what is over.
+    pub(crate) fn advance(&mut self, now_ms: u64) {
+        let lapsed = self.clock_ms(now_ms) > self.lease_end_ms;
+        let due: Vec<(TaskId, How)> = self
+            .runs
+            .iter()
+            .filter_map(|(task, run)| {
+                if run.ends_at_ms <= now_ms {
+                    let how = if run.fails { How::Failed } else { How::Done };
+                    Some((*task, how))
+                } else {
+                    lapsed.then_some((*task, How::Lapsed))
+                }
+            })
+            .collect();
+        for (task, how) in due {
+            self.end(task, how);
+        }
+        if lapsed {
+            self.lapsed_end = self.next_end - 1;
+        }
+    }
+
+    fn end(&mut self, task: TaskId, how: How) {
+        if let Some(run) = self.runs.remove(&task) {
+            log::debug!("{} ends {task} {} {how:?}", self.id, run.attempt);
+            if how == How::Done {
+                self.ever_done.insert(task);
+            }
+            self.over.insert(task, run.attempt);
+            self.ended.push(ListedEnd {
+                number: self.next_end,
+                task,
+                attempt: run.attempt,
+                how,
+                checkpoint: String::new(),
+            });
+            self.next_end += 1;
+        }
+    }
+
+    pub(crate) fn look(
+        &mut self,
+        token: u64,
+        lease_end_ms: Option<u64>,
+        acknowledged: u64,
+        now_ms: u64,
+    ) -> Result<Look, Answer> {
+        if token < self.fence {
+            return Err(Answer::Fenced);
+        }
+        self.fence = token;
+        self.advance(now_ms);
+        if let Some(end) = lease_end_ms {
+            self.lease_end_ms = self.lease_end_ms.max(end);
+        }
+        let (seen, kept) = self
+            .ended
+            .drain(..)
+            .partition(|end: &ListedEnd| end.number <= acknowledged);
+        self.ended = kept;
+        let seen: Vec<ListedEnd> = seen;
+        let counts = |end: &&ListedEnd| end.number > self.lapsed_end;
+        let seen = seen.iter().filter(counts);
+        self.acknowledged
+            .extend(seen.map(|end| (end.task, end.attempt, end.how)));
+        Ok(Look {
+            worker_ms: self.clock_ms(now_ms),
+            born_unix_ms: self.born_ms,
+            running: self
+                .runs
+                .iter()
+                .map(|(task, run)| ListedRun {
+                    task: *task,
+                    attempt: run.attempt,
+                    checkpoint: String::new(),
+                    percent: 100,
+                    measure: 0,
+                })
+                .collect(),
+            ended: self.ended.clone(),
+            ..Look::default()
+        })
+    }
+
+    /// Carries out an order; a start brings what it would run.
+    pub(crate) fn order(
+        &mut self,
+        order: &Order,
+        token: u64,
+        lease_end_ms: u64,
+        run: Running,
+        now_ms: u64,
+    ) -> Answer {
+        if token < self.fence {
+            return Answer::Fenced;
+        }
+        self.fence = token;
+        self.advance(now_ms);
+        let (task, attempt) = order.run();
+        match order {
+            Order::Start { .. } => {
+                if self
+                    .runs
+                    .get(&task)
+                    .is_some_and(|run| run.attempt == attempt)
+                {
+                    return Answer::Done;
+                }
+                if self.clock_ms(now_ms) > lease_end_ms {
+                    return Answer::Late;
+                }
+                self.lease_end_ms = self.lease_end_ms.max(lease_end_ms);
+                let highest = self.over.get(&task).copied().unwrap_or(0);
+                if attempt <= highest || self.runs.contains_key(&task) {
+                    return Answer::Old;
+                }
+                self.runs.insert(task, Running { attempt, ..run });
+            }
+            Order::Stop { .. } => {
+                if self
+                    .runs
+                    .get(&task)
+                    .is_some_and(|run| run.attempt <= attempt)
+                {
+                    self.end(task, How::Stopped);
+                }
+                let over = self.over.entry(task).or_default();
+                *over = (*over).max(attempt);
+            }
+            Order::Pace { .. } => {}
+        }
+        Answer::Done
+    }
+}
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -299,7 +299,10 @@
     scheduler.configure(view.catalogue.clone(), view.requests.clone());
     loop {
         match restore::restore(&node.store, &mut scheduler, clock::now).await {
-            Ok(()) => break,
+            Ok(()) => {
+                scheduler.open_due_jobs(clock::unix());
+                break;
+            }
             Err(error) => {
                 log::warn!(error:%; "jobs_not_restored");
                 if authority.is_lost() || leaving.is_stopping() {
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -79,6 +79,7 @@
     let lease = WORKER_LEASE.min(bounds.longest_lease);
     Limits {
         lease,
+        longest_lease: bounds.longest_lease,
         keep_ended: bounds.keep_ended,
         takeover_margin: lease + lease / 50 + TAKEOVER_RESERVE,
         notice: bounds.notice,
--- a/crates/dotterelsill_node/src/worker_loops.rs
+++ b/crates/dotterelsill_node/src/worker_loops.rs
@@ -47,25 +47,29 @@
 /// Pause after a look or an order that was not answered.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time between two tries to start a task on a worker that is looked at first.
+const LOOK_FIRST_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time after which a worker that runs nothing is looked at again if its last
 /// look was not answered.
 const IDLE_RETRY: Duration = Duration::from_millis(500);
 
 /// Starts the loops of a worker.
 pub(crate) fn start(lead: &Arc<Lead>, key: WorkerKey) {
-    let client = {
+    let (client, address) = {
         let scheduler = lead.scheduler();
         let Some((id, address)) = scheduler.worker_address(key) else {
             return;
         };
-        let address: SocketAddr = match address.parse() {
-            Ok(address) => address,
+        let socket: SocketAddr = match address.parse() {
+            Ok(socket) => socket,
             Err(error) => {
                 log::warn!(worker = id, error:%; "worker_address_unusable");
                 return;
             }
         };
-        Arc::new(WorkerClient::new(id, address, &lead.tasks))
+        let client = WorkerClient::new(id, socket, &lead.tasks);
+        (Arc::new(client), address.to_owned())
     };
     let (sender, receiver) = async_channel::unbounded();
     let wake = Arc::new(Signal::default());
@@ -77,6 +81,7 @@
     let loops = Loops {
         lead: lead.clone(),
         key,
+        address,
         client,
     };
     let orders = loops.clone();
@@ -90,6 +95,7 @@
 struct Loops {
     lead: Arc<Lead>,
     key: WorkerKey,
+    address: String,
     client: Arc<WorkerClient>,
 }
 
@@ -102,6 +108,9 @@
                 self.lead.handles().remove(&self.key);
                 return;
             }
+            if self.is_replaced() {
+                return;
+            }
             if !is_first && !self.lead.scheduler().is_busy(self.key) {
                 wake.wait().await;
                 continue;
@@ -123,6 +132,13 @@
         }
     }
 
+    /// Returns whether other loops call the worker at another address.
+    fn is_replaced(&self) -> bool {
+        let scheduler = self.lead.scheduler();
+        let address = scheduler.worker_address(self.key);
+        address.is_none_or(|(_, address)| address != self.address)
+    }
+
     async fn look_once(&self, is_first: bool) -> Looked {
         let lead = &self.lead;
         let may_extend = lead.is_valid();
@@ -225,17 +241,23 @@
         let lead = &self.lead;
         loop {
             let may_extend = lead.is_valid();
-            let lease_end = {
+            let now = clock::now();
+            let lease_end_ms = {
                 let mut scheduler = lead.scheduler();
                 if lead.authority.is_lost() || !scheduler.is_wanted(self.key, order) {
                     return Given::Settled;
                 }
-                scheduler.lease_end(self.key, may_extend, clock::now())
+                match order {
+                    Order::Start { .. } => scheduler.start_lease_end(self.key, may_extend, now),
+                    Order::Stop { .. } | Order::Pace { .. } => Some(0),
+                }
+            };
+            let Some(lease_end_ms) = lease_end_ms else {
+                // The next look tells which life of the worker answers.
+                Timer::after(LOOK_FIRST_PAUSE).await;
+                continue;
             };
-            let result = self
-                .client
-                .give(order, lead.token, lease_end.unwrap_or_default())
-                .await;
+            let result = self.client.give(order, lead.token, lease_end_ms).await;
             match result {
                 Ok(Answer::Fenced) => {
                     lead.authority
@@ -255,7 +277,7 @@
                     if !matches!(error, CallError::Unsent { .. }) {
                         return Given::MayComeLate;
                     }
-                    Timer::after(RETRY_PAUSE).await;
+                    Timer::after(LOOK_FIRST_PAUSE).await;
                 }
             }
         }
