End workers with their instance; leases of 9 s; log dependencies once

Leases were short because a crash was known only by their end.

Workers now end with their instance, leases last 9 s, states are asked of the scheduler also while cut off, and each dependency is logged when it is lost and when it is regained.

--- a/crates/dotterelsill_jobs/src/upkeep.rs
+++ b/crates/dotterelsill_jobs/src/upkeep.rs
@@ -27,6 +27,12 @@
     WorkerKey, //
 };
 
+/// Time after which a new worker is in the list of instances.
+const LIST_LAG: Duration = Duration::from_millis(1500);
+
+/// Lists in a row that do not show a worker before it counts as ended.
+const LISTS_WITHOUT: u32 = 2;
+
 /// Part of a wave's time, in percent, within which it is planned to be done; the
 /// rest is a reserve for faults.
 const WAVE_TIME_PERCENT: u32 = 60;
@@ -102,7 +108,8 @@
 
 impl Scheduler {
     /// Notes the platform's list of instances, which was asked for at a time.
-    pub fn on_instances(&mut self, list: Vec<Instance>, asked_at: Duration) {
+    pub fn on_instances(&mut self, list: Vec<Instance>, asked_at: Duration, now: Duration) {
+        self.end_unlisted_workers(&list, asked_at, now);
         let names: BTreeSet<String> = list.iter().map(|entry| entry.name.clone()).collect();
         for instance in list {
             let known = self.instances.get_mut(&instance.name);
@@ -127,6 +134,42 @@
         self.has_instances = true;
     }
 
+    /// Ends workers whose instance runs another one or none. A worker that is only
+    /// cut off stays listed with its instance.
+    fn end_unlisted_workers(&mut self, list: &[Instance], asked_at: Duration, now: Duration) {
+        let listed: BTreeSet<&str> = list.iter().map(|entry| entry.worker.as_str()).collect();
+        let mut ended = Vec::new();
+        for instance in list
+            .iter()
+            .filter(|entry| entry.state == InstanceState::Down)
+        {
+            let known = self.instances.get(&instance.name);
+            if let Some(known) = known.filter(|known| !known.instance.worker.is_empty()) {
+                ended.extend(self.by_id.get(&known.instance.worker).copied());
+            }
+        }
+        for (&key, worker) in &mut self.workers {
+            if listed.contains(worker.report.id.as_str()) {
+                worker.lists_without = 0;
+            } else if asked_at > worker.known_since + LIST_LAG {
+                worker.lists_without += 1;
+                if worker.lists_without >= LISTS_WITHOUT {
+                    ended.push(key);
+                }
+            }
+        }
+        for key in ended {
+            let worker = self.workers.get(&key).filter(|worker| !worker.has_ended);
+            if let Some(worker) = worker {
+                log::info!(
+                    worker = worker.report.id, runs = worker.booked.len() as u64;
+                    "worker_has_no_instance"
+                );
+                self.on_worker_ended(key, now);
+            }
+        }
+    }
+
     /// Takes over a wave that an earlier scheduler has begun.
     pub fn restore_wave(&mut self, number: u64, started_unix: Duration, done: &[String]) {
         self.restored_waves
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -120,6 +120,10 @@
     pub(crate) answered_at: Duration,
     /// Whether the last call was not answered.
     pub(crate) is_silent: bool,
+    /// Time at which the scheduler learned of the worker.
+    pub(crate) known_since: Duration,
+    /// Lists of instances in a row that did not show the worker.
+    pub(crate) lists_without: u32,
     /// Time from which the worker gets no more tasks because it is due for
     /// maintenance or a move.
     pub(crate) reserved: bool,
@@ -150,6 +154,8 @@
             unread_until: Duration::ZERO,
             answered_at: now,
             is_silent: false,
+            known_since: now,
+            lists_without: 0,
             reserved: false,
             is_ending: false,
             may_grant: false,
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -114,7 +114,7 @@
         Ok(allowed) => allowed,
         Err((status, reason)) => return text(status, reason),
     };
-    if !callers.reach.can_serve(clock::now()) {
+    if head.method != Method::GET && !callers.reach.can_serve(clock::now()) {
         // What is sent now may be carried out once the partition heals; nothing
         // is sent, so that the refusal holds.
         return come_back("this instance is cut off");
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -52,6 +52,7 @@
         Callers, //
     },
     clock,
+    dependency::Dependency,
     election::{
         self,
         Leader,
@@ -239,6 +240,7 @@
 /// Follows the scheduler, and schedules when nobody does, until this instance
 /// leaves.
 async fn elect(node: &Arc<Node>, leaving: &Tasks) {
+    let dependency = Dependency::new("election");
     loop {
         let stepped = async { Some(elect_once(node, leaving).await) };
         let stopped = async {
@@ -250,9 +252,9 @@
             return;
         }
         match stepped.or(stopped).await {
-            Some(Ok(())) => {}
+            Some(Ok(())) => dependency.on_answer(),
             Some(Err(error)) => {
-                log::warn!(error:%; "election_failed");
+                dependency.on_error(&error);
                 election::pause().await;
             }
             None => return,
--- a/crates/dotterelsill_node/src/election.rs
+++ b/crates/dotterelsill_node/src/election.rs
@@ -25,6 +25,7 @@
 use crate::{
     authority::Authority,
     clock,
+    dependency::Dependency,
     keys, //
 };
 
@@ -181,11 +182,13 @@
 
 /// Renews the lease until the authority is lost.
 pub(crate) async fn renew(store: &Operations, lease: u64, authority: &Authority) {
+    let dependency = Dependency::new("scheduler lease");
     let renewals = async {
         loop {
             let sent_at = clock::now();
             match (store.keep)(lease).await {
                 Ok(()) => {
+                    dependency.on_answer();
                     authority.on_renewed(sent_at, LEASE_TTL);
                     Timer::after(RENEW_INTERVAL).await;
                 }
@@ -194,7 +197,7 @@
                     return;
                 }
                 Err(error) => {
-                    log::warn!(lease, error:%; "lease_not_renewed");
+                    dependency.on_error(&error);
                     Timer::after(RENEW_RETRY).await;
                 }
             }
--- a/crates/dotterelsill_node/src/instance_orders.rs
+++ b/crates/dotterelsill_node/src/instance_orders.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     clock,
+    dependency::Dependency,
     keys,
     lead::Lead, //
 };
@@ -36,23 +37,16 @@
 
 /// Lists the instances until the group stops.
 pub(crate) async fn follow(lead: Arc<Lead>) {
-    let mut is_reached = true;
+    let dependency = Dependency::new("instances");
     loop {
         let asked_at = clock::now();
         match lead.instances.list().await {
             Ok(list) => {
-                if !is_reached {
-                    log::info!("instances_reached");
-                }
-                is_reached = true;
-                lead.scheduler().on_instances(list, asked_at);
-            }
-            Err(error) => {
-                if is_reached {
-                    log::warn!(error; "instances_unreachable");
-                }
-                is_reached = false;
+                dependency.on_answer();
+                lead.scheduler().on_instances(list, asked_at, clock::now());
+                lead.on_changed();
             }
+            Err(error) => dependency.on_error(&error),
         }
         Timer::after(LIST_INTERVAL).await;
     }
--- a/crates/dotterelsill_node/src/intake.rs
+++ b/crates/dotterelsill_node/src/intake.rs
@@ -32,6 +32,7 @@
 
 use crate::{
     clock,
+    dependency::Dependency,
     keys,
     lead::Lead,
     submission::Submission, //
@@ -111,14 +112,16 @@
 
 /// Takes over what lies in the intake until the group stops.
 pub(crate) async fn follow(lead: Arc<Lead>) {
+    let dependency = Dependency::new("intake");
     loop {
         match lead.store.list(keys::INTAKE, Staleness::Stale).await {
             Ok((items, _)) => {
+                dependency.on_answer();
                 for item in items {
                     take(&lead, &item);
                 }
             }
-            Err(error) => log::warn!(error:%; "intake_not_read"),
+            Err(error) => dependency.on_error(&error),
         }
         Timer::after(LOOK_INTERVAL).await;
     }
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -36,9 +36,10 @@
     submission::Submissions, //
 };
 
-/// Time for which workers are granted leases: longer than it takes until another
-/// instance schedules after this one has died, with a reserve of 3 s.
-const WORKER_LEASE: Duration = Duration::from_millis(5000);
+/// Time for which workers are granted leases: what runs goes on through outages of
+/// the store of about 8 s. A worker that has crashed is known by the list of
+/// instances, long before its lease ends.
+const WORKER_LEASE: Duration = Duration::from_millis(9000);
 
 /// Time beyond the leases of an earlier scheduler before a worker that does not
 /// answer counts as empty: its clock may be 2% slow.
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod clock;
 mod daemon;
+mod dependency;
 mod election;
 mod instance_orders;
 mod intake;
--- a/crates/dotterelsill_node/src/operators.rs
+++ b/crates/dotterelsill_node/src/operators.rs
@@ -25,7 +25,10 @@
 };
 use event_listener::Event as Signal;
 
-use crate::clock;
+use crate::{
+    clock,
+    dependency::Dependency, //
+};
 
 /// Time for which one watch waits; a connection that went silent is found soon
 /// enough for a change to be in force within the 2 s that are required.
@@ -100,20 +103,13 @@
 
 /// Follows the operators until the program stops.
 pub(crate) async fn follow(store: Arc<Operations>, operators: Arc<Operators>) {
-    let mut is_reached = true;
+    let dependency = Dependency::new("operators");
     loop {
-        let result = follow_from_list(&store, &operators).await;
-        if let Err(error) = result {
-            if is_reached {
-                log::warn!(error:%; "operators_unreachable");
-            }
-            is_reached = false;
+        if let Err(error) = follow_from_list(&store, &operators).await {
+            dependency.on_error(&error);
             Timer::after(RETRY_PAUSE).await;
         } else {
-            if !is_reached {
-                log::info!("operators_reached");
-            }
-            is_reached = true;
+            dependency.on_answer();
         }
     }
 }
--- a/crates/dotterelsill_node/src/workers_followed.rs
+++ b/crates/dotterelsill_node/src/workers_followed.rs
@@ -30,6 +30,7 @@
 
 use crate::{
     clock,
+    dependency::Dependency,
     keys,
     lead::Lead,
     worker_loops, //
@@ -51,10 +52,14 @@
 
 /// Follows the registered workers until the group stops.
 pub(crate) async fn follow(lead: Arc<Lead>) {
+    let dependency = Dependency::new("registered workers");
     loop {
-        if let Err(error) = follow_from_list(&lead).await {
-            log::warn!(error:%; "workers_unreachable");
-            Timer::after(RETRY_PAUSE).await;
+        match follow_from_list(&lead).await {
+            Ok(()) => dependency.on_answer(),
+            Err(error) => {
+                dependency.on_error(&error);
+                Timer::after(RETRY_PAUSE).await;
+            }
         }
     }
 }
