--- /dev/null
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -0,0 +1,607 @@
+//! Single decisions of the scheduler, each with the failure it guards against.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use dotterelsill_jobs::{
+    Addressed,
+    Answer,
+    Catalogue,
+    How,
+    Instance,
+    InstanceAction,
+    InstanceAnswer,
+    InstanceState,
+    JobId,
+    JobSpec,
+    Limits,
+    ListedEnd,
+    ListedRun,
+    Look,
+    Order,
+    Pool,
+    Queue,
+    Requests,
+    Room,
+    Scheduler,
+    TaskId,
+    Wave,
+    WorkerKey,
+    WorkerReport,
+    FORMAT, //
+};
+use dotterelsill_proto::jobs::{
+    self,
+    JobRecord,
+    Phase,
+    ProgressRecord, //
+};
+
+const LEASE: Duration = Duration::from_secs(5);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn limits() -> Limits {
+    Limits {
+        lease: LEASE,
+        longest_lease: ms(10_000),
+        keep_ended: ms(120_000),
+        takeover_margin: ms(5600),
+        notice: ms(4500),
+        stop_timeout: ms(200),
+        turn: ms(0),
+        maintenance_time: ms(2000),
+    }
+}
+
+fn catalogue() -> Arc<Catalogue> {
+    let queue = |name: &str, urgency| Queue {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        path_prefix: format!("/{name}/"),
+        pool: "work".to_owned(),
+        urgency,
+        max_attempts: 2,
+        slack_factor: 1.6,
+        target: ms(600),
+        is_open: true,
+        has_advisor: false,
+    };
+    let mut catalogue = Catalogue {
+        version: 1,
+        queues: vec![queue("urgent", 0), queue("patient", 1)],
+        ..Catalogue::default()
+    };
+    catalogue.pools.insert("work".to_owned(), Pool::default());
+    let off = Pool { is_standby: true };
+    catalogue.pools.insert("off".to_owned(), off);
+    Arc::new(catalogue)
+}
+
+fn scheduler(token: u64, now: Duration) -> Scheduler {
+    let mut scheduler = Scheduler::new(token, limits(), now);
+    scheduler.configure(catalogue(), Arc::default());
+    scheduler
+}
+
+fn step(count: u32, cpu_milli: u64) -> jobs::Step {
+    jobs::Step {
+        count,
+        room: Some(jobs::Room {
+            cpu_milli,
+            memory_mb: 100,
+            accelerators: 0,
+        }),
+        estimated_ms: 1000,
+        ..jobs::Step::default()
+    }
+}
+
+fn lasting(count: u32) -> jobs::Step {
+    jobs::Step {
+        is_lasting: true,
+        may_miss: 1,
+        ..step(count, 1000)
+    }
+}
+
+fn record(queue: &str, token: u64, steps: Vec<jobs::Step>) -> JobRecord {
+    JobRecord {
+        format: FORMAT,
+        queue: queue.to_owned(),
+        spec: "text".to_owned(),
+        steps,
+        accepted_token: token,
+        ..JobRecord::default()
+    }
+}
+
+fn submit(scheduler: &mut Scheduler, id: u64, record: &JobRecord, now: Duration) {
+    let spec = JobSpec::try_from(record).expect("the job is usable");
+    scheduler.submit(JobId(id), spec, now, now);
+}
+
+fn report(index: usize, data_centre: &str) -> WorkerReport {
+    WorkerReport {
+        id: format!("w{index}"),
+        born_unix_ms: 1,
+        address: format!("127.0.0.1:{}", 2000 + index),
+        pool: "work".to_owned(),
+        data_centre: data_centre.to_owned(),
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+        capacity: Room {
+            cpu_milli: 4000,
+            memory_mb: 8000,
+            accelerators: 0,
+        },
+        is_draining: false,
+    }
+}
+
+fn look_at(now: Duration) -> Look {
+    Look {
+        sent_at: now - ms(1),
+        read_at: now,
+        worker_ms: now.as_millis() as u64,
+        born_unix_ms: 1,
+        ..Look::default()
+    }
+}
+
+/// Adds a worker that has answered its first look.
+fn add_worker(scheduler: &mut Scheduler, index: usize, now: Duration) -> WorkerKey {
+    let (key, _) = scheduler.on_report(report(index, "dc"), now);
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    scheduler.on_look(key, &look_at(now), now);
+    key
+}
+
+fn task(id: u64, step: u32, index: u32) -> TaskId {
+    dotterelsill_jobs::StepId {
+        job: JobId(id),
+        occurrence: 0,
+        step,
+    }
+    .task(index)
+}
+
+fn running(task: TaskId, attempt: u32, percent: u32) -> ListedRun {
+    ListedRun {
+        task,
+        attempt,
+        checkpoint: String::new(),
+        percent,
+        measure: 0,
+    }
+}
+
+fn ended(number: u64, task: TaskId, attempt: u32, how: How) -> ListedEnd {
+    ListedEnd {
+        number,
+        task,
+        attempt,
+        how,
+        checkpoint: String::new(),
+    }
+}
+
+/// Returns the tasks that are started, with their workers.
+fn starts(orders: &[Addressed]) -> Vec<(TaskId, WorkerKey)> {
+    let start = |addressed: &Addressed| match &addressed.order {
+        Order::Start { task, .. } => Some((*task, addressed.worker)),
+        _ => None,
+    };
+    orders.iter().filter_map(start).collect()
+}
+
+/// Answers all starts as carried out.
+fn confirm(scheduler: &mut Scheduler, orders: &[Addressed], now: Duration) {
+    for addressed in orders {
+        scheduler.lease_end(addressed.worker, true, now);
+        scheduler.on_answer(addressed.worker, &addressed.order, Answer::Done, false, now);
+    }
+}
+
+/// Guards against a restored job whose lost task is never started again: a run
+/// that a worker lists before the first tick opens the occurrence.
+#[test]
+fn restored_job_is_ready_though_a_run_was_found_first() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let record = record("urgent", 3, vec![lasting(2)]);
+    scheduler
+        .restore(JobId(1), &record, None, ms(1000))
+        .unwrap();
+    let (key, _) = scheduler.on_report(report(0, "dc"), ms(1000));
+    let mut look = look_at(ms(1010));
+    look.running = vec![running(task(1, 0, 0), 1, 100)];
+    scheduler.on_look(key, &look, ms(1010));
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    scheduler.open_due_jobs(ms(1050));
+    let orders = scheduler.plan(ms(1060));
+    assert_eq!(starts(&orders), [(task(1, 0, 1), key)]);
+}
+
+/// Guards against runs that are taken over and, since this scheduler has granted
+/// nothing yet, count as lapsed at once and are started a second time.
+#[test]
+fn adopted_run_does_not_lapse_before_the_earlier_bound() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let record = record("urgent", 3, vec![step(1, 1000)]);
+    scheduler
+        .restore(JobId(1), &record, None, ms(1000))
+        .unwrap();
+    let (key, _) = scheduler.on_report(report(0, "dc"), ms(1000));
+    let mut look = look_at(ms(1010));
+    look.running = vec![running(task(1, 0, 0), 1, 10)];
+    scheduler.on_look(key, &look, ms(1010));
+    scheduler.open_due_jobs(ms(1020));
+    scheduler.expire_leases(ms(3000));
+    assert!(scheduler.plan(ms(3010)).is_empty());
+}
+
+/// Guards against a failed run that is listed before the occurrence is opened,
+/// dropped, and not counted against the attempts.
+#[test]
+fn failed_end_counts_though_it_is_listed_first() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let record = record("urgent", 3, vec![step(1, 1000)]);
+    scheduler
+        .restore(JobId(1), &record, None, ms(1000))
+        .unwrap();
+    let (key, _) = scheduler.on_report(report(0, "dc"), ms(1000));
+    let mut look = look_at(ms(1010));
+    look.ended = vec![
+        ended(1, task(1, 0, 0), 1, How::Failed),
+        ended(2, task(1, 0, 0), 2, How::Failed),
+    ];
+    scheduler.on_look(key, &look, ms(1010));
+    scheduler.open_due_jobs(ms(1050));
+    assert!(scheduler.plan(ms(5000)).is_empty());
+    let change = scheduler.take_changes(1).remove(0);
+    assert_eq!(change.record.phase(), Phase::Failed);
+}
+
+/// Guards against an end that is acknowledged before it is stored: the next
+/// scheduler would run the task again.
+#[test]
+fn end_is_acknowledged_once_it_is_stored() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1000),
+    );
+    let orders = scheduler.plan(ms(1010));
+    confirm(&mut scheduler, &orders, ms(1020));
+    let mut look = look_at(ms(2000));
+    look.ended = vec![ended(1, task(1, 0, 0), 1, How::Done)];
+    scheduler.on_look(key, &look, ms(2000));
+    assert_eq!(scheduler.acknowledged(key), 0);
+    assert_eq!(scheduler.state(JobId(1)).unwrap().phase, Phase::Open);
+    let change = scheduler.take_changes(1).remove(0);
+    scheduler.on_stored(change.job, change.number, 5);
+    assert_eq!(scheduler.acknowledged(key), 1);
+    assert_eq!(scheduler.state(JobId(1)).unwrap().phase, Phase::Completed);
+}
+
+/// Guards against looks at a crashed worker that extend its lease for ever, so
+/// that its tasks are never started elsewhere.
+#[test]
+fn lease_of_a_silent_worker_ends() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let crashed = add_worker(&mut scheduler, 0, ms(1000));
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1000),
+    );
+    let orders = scheduler.plan(ms(1010));
+    confirm(&mut scheduler, &orders, ms(1020));
+    let other = add_worker(&mut scheduler, 1, ms(1030));
+    for at in (1100..8000).step_by(100) {
+        scheduler.on_silence(crashed, ms(at));
+        assert_eq!(
+            scheduler.lease_end(crashed, true, ms(at)),
+            scheduler.lease_end(crashed, false, ms(at))
+        );
+        scheduler.expire_leases(ms(at));
+    }
+    scheduler.replan();
+    let orders = scheduler.plan(ms(8000));
+    assert_eq!(starts(&orders), [(task(1, 0, 0), other)]);
+}
+
+/// Guards against a second run while an order that was not answered may still be
+/// carried out: a refusal of the repeated order does not settle it.
+#[test]
+fn refused_repetition_is_settled_by_a_stop() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1000),
+    );
+    let order = scheduler.plan(ms(1010)).remove(0);
+    scheduler.on_answer(key, &order.order, Answer::Unhealthy, true, ms(1800));
+    let orders = scheduler.plan(ms(1810));
+    assert_eq!(starts(&orders), []);
+    let stop = orders.first().unwrap().order.clone();
+    assert!(matches!(stop, Order::Stop { .. }));
+    scheduler.on_answer(key, &stop, Answer::Done, false, ms(1900));
+    scheduler.on_look(key, &look_at(ms(2000)), ms(2000));
+    scheduler.replan();
+    assert_eq!(starts(&scheduler.plan(ms(3000))).len(), 1);
+}
+
+/// Guards against lasting tasks that wait behind a burst for as long as it
+/// lasts.
+#[test]
+fn lasting_tasks_go_before_a_burst() {
+    let mut scheduler = scheduler(7, ms(1000));
+    submit(
+        &mut scheduler,
+        1,
+        &record("patient", 7, vec![lasting(1)]),
+        ms(1000),
+    );
+    for id in 2..20 {
+        let burst = record("urgent", 7, vec![step(2, 1000)]);
+        submit(&mut scheduler, id, &burst, ms(60_000));
+    }
+    let key = add_worker(&mut scheduler, 0, ms(60_000));
+    let orders = scheduler.plan(ms(60_010));
+    assert_eq!(starts(&orders)[0], (task(1, 0, 0), key));
+}
+
+/// Guards against a takeover in which every job waits for workers that do not
+/// answer: those whose home lies elsewhere cannot have run there.
+#[test]
+fn restored_jobs_with_another_home_do_not_wait() {
+    let mut scheduler = scheduler(7, ms(1000));
+    for (id, home) in [(1, "north"), (2, "south")] {
+        let record = JobRecord {
+            home: home.to_owned(),
+            ..record("urgent", 3, vec![step(1, 1000)])
+        };
+        scheduler
+            .restore(JobId(id), &record, None, ms(1000))
+            .unwrap();
+    }
+    scheduler.open_due_jobs(ms(1000));
+    let (north, _) = scheduler.on_report(report(0, "north"), ms(1000));
+    scheduler.on_report(report(1, "south"), ms(1000));
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    scheduler.on_look(north, &look_at(ms(1010)), ms(1010));
+    let orders = scheduler.plan(ms(1020));
+    assert_eq!(starts(&orders), [(task(1, 0, 0), north)]);
+}
+
+/// Guards against a job that leaves its home before that is stored: the next
+/// scheduler would look for its runs in the wrong place.
+#[test]
+fn job_leaves_its_home_once_that_is_stored() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    let record = JobRecord {
+        home: "elsewhere".to_owned(),
+        ..record("urgent", 7, vec![step(1, 1000)])
+    };
+    submit(&mut scheduler, 1, &record, ms(1000));
+    assert_eq!(starts(&scheduler.plan(ms(1010))), []);
+    let change = scheduler.take_changes(1).remove(0);
+    assert!(change.record.is_spread);
+    scheduler.on_stored(change.job, change.number, 5);
+    assert_eq!(starts(&scheduler.plan(ms(1020))), [(task(1, 0, 0), key)]);
+}
+
+/// Guards against a new life of a worker whose ends are acknowledged with the
+/// numbers of the life before, and whose runs count as lost although an order
+/// for the life before reached it.
+#[test]
+fn new_life_of_a_worker_is_read_before_its_runs_are_lost() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    let other = add_worker(&mut scheduler, 1, ms(1000));
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1000),
+    );
+    let orders = scheduler.plan(ms(1010));
+    let (started, worker) = starts(&orders)[0];
+    assert!(worker == key || worker == other);
+    confirm(&mut scheduler, &orders, ms(1020));
+    let mut born_again = report(if worker == key { 0 } else { 1 }, "dc");
+    born_again.born_unix_ms = 2;
+    scheduler.on_report(born_again, ms(1500));
+    assert!(scheduler.plan(ms(1510)).is_empty());
+    let mut look = look_at(ms(1600));
+    look.born_unix_ms = 2;
+    look.running = vec![running(started, 1, 10)];
+    scheduler.on_look(worker, &look, ms(1600));
+    scheduler.expire_leases(ms(1700));
+    scheduler.replan();
+    assert!(scheduler.plan(ms(1710)).is_empty());
+}
+
+fn instance(index: usize, pool: &str, state: InstanceState) -> Instance {
+    Instance {
+        name: format!("i{index}"),
+        pool: pool.to_owned(),
+        state,
+        data_centre: "dc".to_owned(),
+        labels: vec![],
+        capacity: report(index, "dc").capacity,
+        worker: format!("w{index}"),
+    }
+}
+
+/// Runs a lasting job of as many tasks as workers and brings it to work.
+fn with_lasting(workers: usize) -> (Scheduler, Vec<WorkerKey>) {
+    let mut scheduler = scheduler(7, ms(1000));
+    let keys: Vec<WorkerKey> = (0..workers)
+        .map(|index| add_worker(&mut scheduler, index, ms(1000)))
+        .collect();
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![lasting(workers as u32)]),
+        ms(1000),
+    );
+    let orders = scheduler.plan(ms(1010));
+    confirm(&mut scheduler, &orders, ms(1020));
+    for &(started, worker) in &starts(&orders) {
+        let mut look = look_at(ms(2000));
+        look.running = vec![running(started, 1, 100)];
+        scheduler.on_look(worker, &look, ms(2000));
+    }
+    (scheduler, keys)
+}
+
+fn ask_wave(scheduler: &mut Scheduler, instances: usize, cap: u32) {
+    let wave = Wave {
+        number: 1,
+        instances: (0..instances).map(|index| format!("i{index}")).collect(),
+        duration: ms(1000),
+        cap,
+    };
+    let requests = Requests {
+        waves: vec![wave],
+        ..Requests::default()
+    };
+    scheduler.configure(catalogue(), Arc::new(requests));
+}
+
+/// Guards against a wave that takes more tasks of a step away than it may miss,
+/// and against more instances in maintenance than the wave allows.
+#[test]
+fn wave_keeps_what_a_step_may_miss() {
+    let (mut scheduler, _) = with_lasting(4);
+    let list = (0..4).map(|index| instance(index, "work", InstanceState::Up));
+    scheduler.on_instances(list.collect(), ms(2000), ms(2000));
+    ask_wave(&mut scheduler, 4, 3);
+    let orders = scheduler.plan_instances(ms(4000), ms(4000));
+    let maintained = |order: &&dotterelsill_jobs::InstanceOrder| {
+        matches!(order.action, InstanceAction::Maintain { wave: 1 })
+    };
+    assert_eq!(orders.iter().filter(maintained).count(), 1, "{orders:?}");
+    assert!(scheduler.plan_instances(ms(4100), ms(4100)).is_empty());
+}
+
+/// Guards against tasks that count as at work on a worker that has crashed and
+/// whose lease has not ended yet.
+#[test]
+fn runs_of_a_silent_worker_count_as_away() {
+    let (mut scheduler, keys) = with_lasting(4);
+    let list = (0..4).map(|index| instance(index, "work", InstanceState::Up));
+    scheduler.on_instances(list.collect(), ms(2000), ms(2000));
+    scheduler.on_silence(keys[3], ms(3500));
+    ask_wave(&mut scheduler, 3, 3);
+    assert_eq!(scheduler.plan_instances(ms(4000), ms(4000)), []);
+}
+
+/// Guards against a wave that is reported as completed while an instance of it
+/// has not begun its maintenance.
+#[test]
+fn wave_is_completed_once_all_have_begun() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let list = (0..2).map(|index| instance(index, "off", InstanceState::Up));
+    scheduler.on_instances(list.collect(), ms(2000), ms(2000));
+    ask_wave(&mut scheduler, 2, 1);
+    let orders = scheduler.plan_instances(ms(4000), ms(4000));
+    assert_eq!(orders.len(), 1);
+    assert!(!scheduler.wave_changes()[0].is_completed);
+    scheduler.on_instance_answer(&orders[0], InstanceAnswer::Done, ms(4010));
+    assert_eq!(scheduler.plan_instances(ms(4100), ms(4100)), []);
+    assert!(!scheduler.wave_changes()[0].is_completed);
+    let mut list: Vec<Instance> = (0..2)
+        .map(|index| instance(index, "off", InstanceState::Up))
+        .collect();
+    list.iter_mut().for_each(|instance| instance.worker.clear());
+    scheduler.on_instances(list, ms(6400), ms(6400));
+    let orders = scheduler.plan_instances(ms(6500), ms(6500));
+    assert_eq!(orders.len(), 1);
+    scheduler.on_instance_answer(&orders[0], InstanceAnswer::Done, ms(6510));
+    scheduler.plan_instances(ms(6600), ms(6600));
+    assert!(scheduler.wave_changes()[0].is_completed);
+}
+
+/// Guards against a crashed worker whose tasks wait until its lease ends although
+/// its instance is known to be down, and against a worker that is only cut off
+/// and counted as ended.
+#[test]
+fn worker_ends_with_its_instance() {
+    let (mut scheduler, keys) = with_lasting(2);
+    let up = |index| instance(index, "work", InstanceState::Up);
+    scheduler.on_instances(vec![up(0), up(1)], ms(3000), ms(3000));
+    scheduler.on_silence(keys[0], ms(3500));
+    scheduler.on_silence(keys[1], ms(3500));
+    let down = Instance {
+        worker: String::new(),
+        ..instance(0, "work", InstanceState::Down)
+    };
+    scheduler.on_instances(vec![down, up(1)], ms(4000), ms(4000));
+    assert!(!scheduler.is_busy(keys[0]));
+    assert!(scheduler.is_busy(keys[1]));
+}
+
+/// Guards against a stored form that another version reads wrongly.
+#[test]
+fn record_of_another_format_is_refused() {
+    let mut other = record("urgent", 1, vec![step(1, 1)]);
+    other.format = FORMAT + 1;
+    assert!(JobSpec::try_from(&other).is_err());
+}
+
+/// Guards against progress that is lost between the stored form and memory.
+#[test]
+fn progress_survives_a_takeover() {
+    let mut first = scheduler(3, ms(1000));
+    let key = add_worker(&mut first, 0, ms(1000));
+    let two_steps = vec![
+        step(2, 1000),
+        jobs::Step {
+            after: vec![0],
+            ..step(1, 1000)
+        },
+    ];
+    let record = record("urgent", 3, two_steps);
+    submit(&mut first, 1, &record, ms(1000));
+    let orders = first.plan(ms(1010));
+    confirm(&mut first, &orders, ms(1020));
+    let mut look = look_at(ms(2000));
+    look.ended = vec![
+        ended(1, task(1, 0, 0), 1, How::Done),
+        ended(2, task(1, 0, 1), 1, How::Failed),
+    ];
+    first.on_look(key, &look, ms(2000));
+    let stored: ProgressRecord = first.take_changes(1).remove(0).record;
+    let mut second = scheduler(7, ms(3000));
+    second
+        .restore(JobId(1), &record, Some((&stored, 9)), ms(3000))
+        .unwrap();
+    second.open_due_jobs(ms(3000));
+    let key = add_worker(&mut second, 0, ms(3000));
+    let orders = second.plan(ms(3010));
+    assert_eq!(starts(&orders), [(task(1, 0, 1), key)]);
+    confirm(&mut second, &orders, ms(3020));
+    let mut look = look_at(ms(4000));
+    let (_, attempt) = orders[0].order.run();
+    look.ended = vec![ended(3, task(1, 0, 1), attempt, How::Failed)];
+    second.on_look(key, &look, ms(4000));
+    let change = second.take_changes(1).remove(0);
+    assert_eq!(change.record.phase(), Phase::Failed, "two runs have failed");
+}
