--- a/crates/dotterelsill_e2e/src/fleet.rs
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -23,7 +23,6 @@
 };
 
 use crate::{
-    clock_us,
     read_runs,
     Caller,
     Link,
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -23,6 +23,7 @@
     scheduler_server::SchedulerServer, //
 };
 use dotterelsill_rpc::{
+    on_reload_signal,
     serve_grpc,
     serve_http1,
     termination_signal,
@@ -192,6 +193,7 @@
         node.store.clone(),
         node.operators.clone(),
     ));
+    tasks.spawn_until_stop(reload());
     let leaving = tasks.new_group();
     let electing = node.clone();
     let stop_electing = leaving.clone();
@@ -219,6 +221,18 @@
     Ok(())
 }
 
+/// Reads the settings again at each SIGHUP. Addresses stay as they are while the
+/// process runs, so that a change of them takes a restart.
+async fn reload() {
+    let read = || match dotterelsill_platform::load() {
+        Ok(settings) => log::info!(instance = settings.instance; "settings_reloaded"),
+        Err(error) => log::error!(error:%; "settings_not_reloaded"),
+    };
+    if let Err(error) = on_reload_signal(read).await {
+        log::error!(error:%; "reload_signal_not_handled");
+    }
+}
+
 fn bind(address: std::net::SocketAddr) -> Result<Listener, StartError> {
     Listener::bind(&address.to_string()).context(ListenSnafu)
 }
--- a/crates/dotterelsill_rpc/src/lib.rs
+++ b/crates/dotterelsill_rpc/src/lib.rs
@@ -27,6 +27,7 @@
 };
 pub use pair::Pair;
 pub use runtime::{
+    on_reload_signal,
     run,
     termination_signal, //
 };
--- a/crates/dotterelsill_rpc/src/runtime.rs
+++ b/crates/dotterelsill_rpc/src/runtime.rs
@@ -46,6 +46,19 @@
     }
 }
 
+/// Calls a function for each SIGHUP, which ends the process otherwise.
+///
+/// # Errors
+///
+/// Returns an error when the signal handler cannot be installed.
+pub async fn on_reload_signal(reload: impl Fn()) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Hup])?;
+    while signals.next().await.is_some() {
+        reload();
+    }
+    Ok(())
+}
+
 /// Waits for SIGTERM or SIGINT.
 ///
 /// # Errors
