Serve metrics, and log to standard output without blocking

Each placement of a step is one line with the job, its age and what is left. Lines go to a writer of its own; what does not fit is dropped and counted. Counters and histograms of requests and store calls are served on the second inner port.

--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -134,6 +134,7 @@
             return;
         }
         let spec = job.spec.clone();
+        let job_known_at = job.known_at;
         let step = &spec.steps[id.step as usize];
         let state = &job.occurrences[&id.occurrence].steps[id.step as usize];
         let waiting: Vec<u32> = state
@@ -153,9 +154,22 @@
             return;
         }
         let rack = step.is_rack_local.then(|| self.rack_of(id)).flatten();
+        let mut started = 0_u64;
+        let waited = now.saturating_sub(job_known_at);
+        let log_started = |started: u64, left: usize| {
+            if started > 0 {
+                log::info!(
+                    job:% = id.job, occurrence = id.occurrence, step = id.step, started,
+                    left = left as u64, age_ms = waited.as_millis() as u64,
+                    home = bound_to.as_deref().unwrap_or("any"); "tasks_placed"
+                );
+            }
+        };
+        let count = waiting.len();
         for index in waiting {
             let room = step.counted_room();
             if !self.is_within_cap(spec.workspace.as_deref(), &room) {
+                log_started(started, count - started as usize);
                 return;
             }
             let avoid = self.jobs[&id.job].occurrences[&id.occurrence].steps[id.step as usize]
@@ -173,12 +187,15 @@
             let worker = |key| workers.get(&key).filter(|worker| worker.is_in(bound_to));
             let Some(chosen) = choose(candidates, worker, &wanted) else {
                 self.spread_if_useful(id, candidates, &wanted);
+                log_started(started, count - started as usize);
                 return;
             };
             candidates[chosen].free.subtract(&room);
             let attempt = self.next_attempt(id, index);
             self.start(candidates[chosen].key, id, index, attempt, now);
+            started += 1;
         }
+        log_started(started, 0);
     }
 
     /// Lets a job leave its home if a task fits elsewhere.
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -41,6 +41,7 @@
     clock,
     intake,
     leader_link::LeaderLink,
+    metrics::Metrics,
     operators::Operators,
     reach::Reach, //
 };
@@ -67,6 +68,7 @@
     pub(crate) link: Arc<LeaderLink>,
     pub(crate) store: Arc<Operations>,
     pub(crate) reach: Arc<Reach>,
+    pub(crate) metrics: Arc<Metrics>,
 }
 
 /// A request that was found to be allowed.
@@ -94,7 +96,9 @@
             headers.insert(RETRY_AFTER, HeaderValue::from(CUT_OFF_COME_BACK_AFTER_S));
         }
     }
-    let took_ms = clock::now().saturating_sub(begin).as_millis() as u64;
+    let took = clock::now().saturating_sub(begin);
+    callers.metrics.on_request(&method, response.status(), took);
+    let took_ms = took.as_millis() as u64;
     let status = response.status().as_u16();
     if method != Method::GET || status >= 400 {
         log::info!(method:% = method, path, status, took_ms; "answered");
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -66,6 +66,7 @@
         Lead, //
     },
     leader_link::LeaderLink,
+    metrics::Metrics,
     operators::{
         self,
         Operators, //
@@ -101,6 +102,9 @@
     /// A listener cannot be bound.
     #[snafu(display("{source}"))]
     Listen { source: ListenError },
+    /// The metrics cannot be registered.
+    #[snafu(display("metrics: {source}"))]
+    Metrics { source: prometheus::Error },
     /// The signal handler cannot be installed.
     #[snafu(display("signals: {source}"))]
     Signal { source: std::io::Error },
@@ -111,6 +115,7 @@
     settings: Arc<Settings>,
     store: Arc<Operations>,
     reach: Arc<Reach>,
+    metrics: Arc<Metrics>,
     operators: Arc<Operators>,
     leader: Arc<ArcSwapOption<Leader>>,
     leading: Arc<ArcSwapOption<Lead>>,
@@ -124,6 +129,7 @@
     let callers_listener = bind(settings.callers_address)?;
     let readiness_listener = bind(settings.readiness_address)?;
     let peers_listener = bind(settings.peers_address)?;
+    let metrics_listener = bind(settings.metrics_address)?;
     log::info!(
         instance = settings.instance, data_centre = settings.data_centre,
         callers:% = settings.callers_address; "started"
@@ -131,10 +137,17 @@
     let settings = Arc::new(settings);
     let peers = Arc::new(Peers::new(settings.peers_address, &tasks));
     let reach = Arc::new(Reach::default());
+    let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
     let store = || dotterelsill_platform::operations(settings.store_address, &tasks);
     let node = Arc::new(Node {
-        store: Arc::new(relay::operations(store(), peers.clone(), reach.clone())),
+        store: Arc::new(relay::operations(
+            store(),
+            peers.clone(),
+            reach.clone(),
+            metrics.clone(),
+        )),
         reach: reach.clone(),
+        metrics: metrics.clone(),
         settings: settings.clone(),
         operators: Arc::default(),
         leader: Arc::default(),
@@ -150,6 +163,7 @@
         link: Arc::new(link),
         store: node.store.clone(),
         reach: node.reach.clone(),
+        metrics: node.metrics.clone(),
     });
     serving.spawn(serve_http1(
         callers_listener,
@@ -160,6 +174,10 @@
     tasks.spawn(serve_http1(readiness_listener, tasks.clone(), move |_| {
         std::future::ready(ready(&readiness))
     }));
+    let text = metrics;
+    tasks.spawn(serve_http1(metrics_listener, tasks.clone(), move |_| {
+        std::future::ready(Response::new(Full::from(text.encode())))
+    }));
     let peer = Peer {
         leading: node.leading.clone(),
     };
@@ -349,6 +367,7 @@
         token,
     })));
     node.leading.store(Some(lead.clone()));
+    node.metrics.is_scheduling.set(1);
     let (planning, ticking) = (lead.clone(), lead.clone());
     group.spawn_until_stop(async move { planning.plan().await });
     group.spawn_until_stop(async move { ticking.tick().await });
@@ -362,6 +381,7 @@
         flush(&lead).await;
     }
     node.leading.store(None);
+    node.metrics.is_scheduling.set(0);
     node.leader.store(None);
     authority.lose("scheduling ends here");
     end(node, lease, group).await;
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -11,6 +11,7 @@
 mod keys;
 mod lead;
 mod leader_link;
+mod metrics;
 mod operators;
 mod peer;
 mod peers;
@@ -29,7 +30,7 @@
 use argh::FromArgs;
 use dotterelsill_telemetry::{
     exit_code,
-    init_logs, //
+    init_request_logs, //
 };
 use snafu::{
     ResultExt,
@@ -65,7 +66,7 @@
 }
 
 fn run(args: &Args) -> Result<(), Error> {
-    init_logs(&args.log_level).context(LogSnafu)?;
+    init_request_logs(&args.log_level).context(LogSnafu)?;
     let settings = dotterelsill_platform::load().context(SettingsSnafu)?;
     dotterelsill_rpc::run(settings.cores, |tasks| daemon::run(settings, tasks)).context(DaemonSnafu)
 }
--- /dev/null
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -0,0 +1,110 @@
+//! Counters and latency histograms, in the form that Prometheus reads.
+
+use std::time::Duration;
+
+use http::{
+    Method,
+    StatusCode, //
+};
+use prometheus::{
+    Encoder as _,
+    HistogramOpts,
+    HistogramVec,
+    IntCounterVec,
+    IntGauge,
+    Opts,
+    Registry,
+    TextEncoder, //
+};
+
+/// Upper bounds of the buckets of durations, in seconds.
+const DURATION_BUCKETS_S: [f64; 10] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 3.0];
+
+/// Metrics of the daemon.
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    durations: HistogramVec,
+    store_calls: IntCounterVec,
+    store_durations: HistogramVec,
+    /// Whether this instance schedules.
+    pub(crate) is_scheduling: IntGauge,
+}
+
+impl Metrics {
+    /// Creates metrics that count from zero.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let durations = |name: &str, help: &str, label: &str| {
+            let options = HistogramOpts::new(name, help).buckets(DURATION_BUCKETS_S.to_vec());
+            HistogramVec::new(options, &[label])
+        };
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: IntCounterVec::new(
+                Opts::new("dotterelsill_requests_total", "Requests of callers"),
+                &["method", "status"],
+            )?,
+            durations: durations(
+                "dotterelsill_request_seconds",
+                "Time until a caller was answered",
+                "method",
+            )?,
+            store_calls: IntCounterVec::new(
+                Opts::new("dotterelsill_store_calls_total", "Calls of the store"),
+                &["way", "result"],
+            )?,
+            store_durations: durations(
+                "dotterelsill_store_seconds",
+                "Time until the store answered, without the wait of watches",
+                "way",
+            )?,
+            is_scheduling: IntGauge::new(
+                "dotterelsill_is_scheduling",
+                "Whether this instance schedules",
+            )?,
+        };
+        let registry = &metrics.registry;
+        registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.durations.clone()))?;
+        registry.register(Box::new(metrics.store_calls.clone()))?;
+        registry.register(Box::new(metrics.store_durations.clone()))?;
+        registry.register(Box::new(metrics.is_scheduling.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Counts a request that was answered.
+    pub(crate) fn on_request(&self, method: &Method, status: StatusCode, took: Duration) {
+        let method = match *method {
+            Method::GET => "get",
+            Method::POST => "post",
+            Method::DELETE => "delete",
+            _ => "other",
+        };
+        self.requests
+            .with_label_values(&[method, status.as_str()])
+            .inc();
+        self.durations
+            .with_label_values(&[method])
+            .observe(took.as_secs_f64());
+    }
+
+    /// Counts a call of the store; `waited` is the part that it was to wait.
+    pub(crate) fn on_store_call(&self, way: &str, result: &str, took: Duration, waited: Duration) {
+        self.store_calls.with_label_values(&[way, result]).inc();
+        if waited.is_zero() {
+            self.store_durations
+                .with_label_values(&[way])
+                .observe(took.as_secs_f64());
+        }
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!(error:%; "metrics_not_encoded");
+        }
+        text
+    }
+}
--- a/crates/dotterelsill_node/src/relay.rs
+++ b/crates/dotterelsill_node/src/relay.rs
@@ -44,6 +44,7 @@
 
 use crate::{
     clock,
+    metrics::Metrics,
     peers::Peers,
     reach::Reach, //
 };
@@ -66,6 +67,7 @@
     direct: Operations,
     peers: Arc<Peers>,
     reach: Arc<Reach>,
+    metrics: Arc<Metrics>,
     /// Time until which calls go over a peer at once, in microseconds.
     avoid_until_us: AtomicU64,
     /// Time until which no peer is asked, since none reached the store.
@@ -74,11 +76,17 @@
 
 /// Returns operations that go over a peer where the store turns this instance
 /// away.
-pub(crate) fn operations(direct: Operations, peers: Arc<Peers>, reach: Arc<Reach>) -> Operations {
+pub(crate) fn operations(
+    direct: Operations,
+    peers: Arc<Peers>,
+    reach: Arc<Reach>,
+    metrics: Arc<Metrics>,
+) -> Operations {
     let relayed = Arc::new(Relayed {
         direct,
         peers,
         reach,
+        metrics,
         avoid_until_us: AtomicU64::new(0),
         peers_fail_until_us: AtomicU64::new(0),
     });
@@ -167,7 +175,9 @@
                     result => return result.map(decode),
                 }
             }
+            let begin = clock::now();
             let result = direct().await;
+            self.count("direct", &call, result.as_ref().err(), begin);
             match &result {
                 Err(OperationError::NotDone { .. }) if !avoids && !peers_fail => {
                     self.avoid_direct();
@@ -187,6 +197,18 @@
         })
     }
 
+    fn count(&self, way: &str, call: &Call, error: Option<&OperationError>, begin: Duration) {
+        let result = match error {
+            None => "answered",
+            Some(OperationError::NotDone { .. }) => "not_done",
+            Some(OperationError::Unknown { .. }) => "unknown",
+            Some(OperationError::HistoryDropped { .. }) => "history_dropped",
+            Some(OperationError::LeaseEnded { .. }) => "lease_ended",
+        };
+        let took = clock::now().saturating_sub(begin);
+        self.metrics.on_store_call(way, result, took, wait_of(call));
+    }
+
     fn avoid_direct(&self) {
         let until = clock::now() + AVOID_DIRECT;
         self.avoid_until_us
@@ -195,10 +217,8 @@
 
     /// Has a peer make a call.
     async fn over_peers(&self, call: &Call) -> Result<RelayResponse, OperationError> {
-        let wait = match call {
-            Call::Watch(watch) => Duration::from_millis(watch.wait_ms),
-            _ => Duration::ZERO,
-        };
+        let wait = wait_of(call);
+        let begin = clock::now();
         let mut last = OperationError::NotDone {
             reason: "no peer is known".to_owned(),
         };
@@ -231,6 +251,7 @@
                     last = OperationError::NotDone { reason };
                 }
                 result => {
+                    self.count("peer", call, result.as_ref().err(), begin);
                     if !matches!(result, Err(OperationError::Unknown { .. })) {
                         self.reach.on_store(clock::now());
                     }
@@ -245,6 +266,14 @@
     }
 }
 
+/// Returns how long a call is to wait at the store.
+fn wait_of(call: &Call) -> Duration {
+    match call {
+        Call::Watch(watch) => Duration::from_millis(watch.wait_ms),
+        _ => Duration::ZERO,
+    }
+}
+
 /// Returns whether the call surely did not leave this instance.
 fn is_unsent(error: &tonic::Status) -> bool {
     error.message().starts_with("connect to ")
--- a/crates/dotterelsill_telemetry/src/event_limit.rs
+++ b/crates/dotterelsill_telemetry/src/event_limit.rs
@@ -16,18 +16,28 @@
 const OTHER: &str = "other";
 
 /// Events of the second in progress, by name.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EventLimit {
+    lines_max: u64,
     second: u64,
     events: BTreeMap<String, u64>,
 }
 
 impl EventLimit {
+    /// Allows so many lines of one event name in a second.
+    pub(crate) fn new(lines_max: u64) -> Self {
+        Self {
+            lines_max,
+            second: 0,
+            events: BTreeMap::new(),
+        }
+    }
+
     /// Counts an event and returns whether its line is to be written.
     pub(crate) fn allows(&mut self, name: &str) -> bool {
         if let Some(count) = self.events.get_mut(name) {
             *count += 1;
-            return *count <= LINES_MAX;
+            return *count <= self.lines_max;
         }
         let name = if self.events.len() < NAMES_MAX {
             name
@@ -36,7 +46,7 @@
         };
         let count = self.events.entry(name.to_owned()).or_default();
         *count += 1;
-        *count <= LINES_MAX
+        *count <= self.lines_max
     }
 
     /// Starts another second and returns, by name, the events of the one before
@@ -51,10 +61,11 @@
 
     /// Forgets all events and returns, by name, those that were not written.
     pub(crate) fn take_suppressed(&mut self) -> Vec<(String, u64)> {
+        let lines_max = self.lines_max;
         mem::take(&mut self.events)
             .into_iter()
-            .filter(|(_, count)| *count > LINES_MAX)
-            .map(|(name, count)| (name, count - LINES_MAX))
+            .filter(|(_, count)| *count > lines_max)
+            .map(|(name, count)| (name, count - lines_max))
             .collect()
     }
 }
--- a/crates/dotterelsill_telemetry/src/lib.rs
+++ b/crates/dotterelsill_telemetry/src/lib.rs
@@ -5,6 +5,7 @@
 mod line;
 mod logs;
 mod output;
+mod queued;
 mod redact;
 mod settings;
 mod start;
@@ -13,6 +14,7 @@
 pub use line::line;
 pub use logs::{
     init_logs,
+    init_request_logs,
     logger,
     LogError, //
 };
--- a/crates/dotterelsill_telemetry/src/logs.rs
+++ b/crates/dotterelsill_telemetry/src/logs.rs
@@ -18,10 +18,16 @@
 };
 
 use crate::{
+    event_limit::LINES_MAX,
     levels::Levels,
-    output::Output, //
+    output::Output,
+    queued::Queued, //
 };
 
+/// Lines of one event name in a second where each request has lines of its own:
+/// twice the jobs that arrive in a burst.
+const REQUEST_LINES_MAX: u64 = 200;
+
 /// The log cannot be set up.
 #[derive(Debug, Snafu)]
 pub enum LogError {
@@ -35,6 +41,12 @@
         /// Part of the setting.
         level: String,
     },
+    /// The writing thread cannot be started.
+    #[snafu(display("the log's thread cannot be started: {source}"))]
+    Thread {
+        /// Reason.
+        source: io::Error,
+    },
     /// Another logger was set up before.
     #[snafu(display("a logger is already set up: {source}"))]
     Set {
@@ -59,6 +71,21 @@
     Ok(())
 }
 
+/// Sends log events to standard output without ever blocking, at most
+/// 200 lines of one event name in a second.
+///
+/// # Errors
+///
+/// Returns an error when a level is not known, a logger is already set up, or
+/// the writing thread cannot be started.
+pub fn init_request_logs(level: &str) -> Result<(), LogError> {
+    let out = Queued::new(io::stdout()).context(ThreadSnafu)?;
+    let (max_level, logger) = logger_with(level, SystemTime::now, out, REQUEST_LINES_MAX)?;
+    log::set_boxed_logger(logger).context(SetSnafu)?;
+    log::set_max_level(max_level);
+    Ok(())
+}
+
 /// Returns a logger that writes lines of key=value pairs to `out`, and the
 /// highest level that it writes.
 ///
@@ -74,9 +101,18 @@
     level: &str,
     clock: impl Fn() -> SystemTime + Send + Sync + 'static,
     out: impl Send + Write + 'static,
+) -> Result<(LevelFilter, Box<dyn Log>), LogError> {
+    logger_with(level, clock, out, LINES_MAX)
+}
+
+fn logger_with(
+    level: &str,
+    clock: impl Fn() -> SystemTime + Send + Sync + 'static,
+    out: impl Send + Write + 'static,
+    lines_max: u64,
 ) -> Result<(LevelFilter, Box<dyn Log>), LogError> {
     let levels = Levels::parse(level).or_else(|level| LevelSnafu { level }.fail())?;
-    let output: Box<dyn Log> = Box::new(Output::new(clock, out));
+    let output: Box<dyn Log> = Box::new(Output::new(clock, out, lines_max));
     let dispatch = fern::Dispatch::new().level(levels.default).chain(output);
     let with_module = |dispatch: fern::Dispatch, (module, level)| dispatch.level_for(module, level);
     let dispatch = levels.modules.into_iter().fold(dispatch, with_module);
--- a/crates/dotterelsill_telemetry/src/output.rs
+++ b/crates/dotterelsill_telemetry/src/output.rs
@@ -39,10 +39,10 @@
     C: Fn() -> SystemTime,
     W: Write,
 {
-    pub(crate) fn new(clock: C, out: W) -> Self {
+    pub(crate) fn new(clock: C, out: W, lines_max: u64) -> Self {
         Self {
             clock,
-            limit: Mutex::default(),
+            limit: Mutex::new(EventLimit::new(lines_max)),
             out: Mutex::new(out),
         }
     }
