--- a/crates/dotterelsill_jobs/src/catalogue.rs
+++ b/crates/dotterelsill_jobs/src/catalogue.rs
@@ -32,8 +32,6 @@
     pub target: Duration,
     /// Whether jobs are taken without a key.
     pub is_open: bool,
-    /// Whether an advisor names the workers that may run a step.
-    pub has_advisor: bool,
 }
 
 /// A pool of workers.
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -233,7 +233,7 @@
             self.end_unlisted_runs(key, look, now);
         }
         self.acknowledge_stored();
-        self.pace(key, now);
+        self.pace(key);
     }
 
     fn note_listed_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Duration) {
--- a/crates/dotterelsill_jobs/src/pace.rs
+++ b/crates/dotterelsill_jobs/src/pace.rs
@@ -3,8 +3,6 @@
 //! Load pattern: tasks that fill disturb the tail latency of tasks that serve on
 //! the same worker, by amounts that change within seconds.
 
-use std::time::Duration;
-
 use crate::{
     Addressed,
     Order,
@@ -45,7 +43,7 @@
 
 impl Scheduler {
     /// Sets the share of the filling tasks of a worker after a look at it.
-    pub(crate) fn pace(&mut self, key: WorkerKey, _now: Duration) {
+    pub(crate) fn pace(&mut self, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -54,11 +54,6 @@
     /// Time at which a leader that was cut off has stopped to grant leases, from
     /// the start of this one.
     pub takeover_margin: Duration,
-    /// Time for which a serving or lasting task that is not at work counts as
-    /// away.
-    pub notice: Duration,
-    /// Time within which a stop ends a run.
-    pub stop_timeout: Duration,
     /// Time within which two schedulers must not give orders to one instance by
     /// turns.
     pub turn: Duration,
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -83,8 +83,6 @@
         longest_lease: bounds.longest_lease,
         keep_ended: bounds.keep_ended,
         takeover_margin: lease + lease / 50 + TAKEOVER_RESERVE,
-        notice: bounds.notice,
-        stop_timeout: bounds.stop_timeout,
         turn: bounds.turn,
         maintenance_time: bounds.maintenance_time,
     }
