Test the daemon as a process against a stand-in of the platform

Five tests: a job from its acceptance to its end, refused requests, a killed scheduler, a cancelled job, and a store that is away.

--- /dev/null
+++ b/crates/dotterelsill_node/tests/platform/fleet.rs
@@ -0,0 +1,211 @@
+//! Daemons as processes on loopback, and callers.
+
+use std::{
+    fs,
+    io::{
+        Read as _,
+        Write as _, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+    sync::atomic::{
+        AtomicU32,
+        Ordering, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use crate::standin::Standin;
+
+/// Longest time until a daemon serves.
+const START_LIMIT: Duration = Duration::from_secs(15);
+
+static NEXT_FILE: AtomicU32 = AtomicU32::new(0);
+
+struct Node {
+    child: Child,
+    callers: SocketAddr,
+    metrics: SocketAddr,
+}
+
+/// Daemons of one fleet; they are killed when the value is dropped.
+pub(crate) struct Fleet {
+    pub(crate) standin: Standin,
+    nodes: Vec<Node>,
+}
+
+impl Fleet {
+    pub(crate) fn start(count: usize) -> Self {
+        let standin = Standin::start();
+        let nodes = (0..count).map(|index| start(&standin, index)).collect();
+        let fleet = Self { standin, nodes };
+        for node in 0..count {
+            let begin = Instant::now();
+            while fleet.get(node, "00000000000000ff").0 != 410 {
+                assert!(
+                    begin.elapsed() < START_LIMIT,
+                    "daemon {node} does not serve"
+                );
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+        fleet
+    }
+
+    /// Returns the daemon that schedules.
+    pub(crate) fn scheduler(&self) -> usize {
+        let schedules = |node: &Node| {
+            let (_, text) = call(node.metrics, "GET", "/metrics", "", "");
+            text.contains("dotterelsill_is_scheduling 1")
+        };
+        self.nodes
+            .iter()
+            .position(schedules)
+            .expect("one daemon schedules")
+    }
+
+    pub(crate) fn kill(&mut self, index: usize) {
+        end(&mut self.nodes[index].child);
+    }
+
+    pub(crate) fn post(&self, node: usize, id: &str, body: &str) -> u16 {
+        self.post_with_key(node, id, body, "key")
+    }
+
+    pub(crate) fn post_with_key(&self, node: usize, id: &str, body: &str, key: &str) -> u16 {
+        call(self.nodes[node].callers, "POST", &path(id), body, key).0
+    }
+
+    pub(crate) fn get(&self, node: usize, id: &str) -> (u16, String) {
+        call(self.nodes[node].callers, "GET", &path(id), "", "key")
+    }
+
+    pub(crate) fn delete(&self, node: usize, id: &str) -> u16 {
+        call(self.nodes[node].callers, "DELETE", &path(id), "", "key").0
+    }
+
+    pub(crate) fn wait_for_state(&self, node: usize, id: &str, state: &str, limit: Duration) {
+        let begin = Instant::now();
+        let wanted = format!("\"{state}\"");
+        loop {
+            let (status, body) = self.get(node, id);
+            if status == 200 && body.contains(&wanted) {
+                return;
+            }
+            assert!(status != 410, "job {id} is not known");
+            assert!(
+                begin.elapsed() < limit,
+                "job {id} is {status} {body}, not {state}"
+            );
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    pub(crate) fn wait_for_post(&self, node: usize, id: &str, body: &str, limit: Duration) {
+        let begin = Instant::now();
+        while self.post(node, id, body) != 200 {
+            assert!(begin.elapsed() < limit, "job {id} is not accepted");
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.nodes.iter_mut().for_each(|node| end(&mut node.child));
+    }
+}
+
+fn end(child: &mut Child) {
+    // It may have ended already.
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
+fn path(id: &str) -> String {
+    format!("/queue/{id}")
+}
+
+/// Returns a port that was free a moment ago.
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port is bound");
+    listener.local_addr().expect("it is bound").port()
+}
+
+/// Returns the first of two neighbouring ports that were free a moment ago.
+fn free_pair() -> u16 {
+    loop {
+        let port = free_port();
+        let next = port.checked_add(1);
+        if next.is_some_and(|next| TcpListener::bind(("127.0.0.1", next)).is_ok()) {
+            return port;
+        }
+    }
+}
+
+fn start(standin: &Standin, index: usize) -> Node {
+    let inner = free_pair();
+    let (callers, readiness) = (free_port(), free_port());
+    let settings = format!(
+        "nodeName = \"node-{index}\"\nzone = \"a\"\nip = \"127.0.0.1\"\n\
+         internalPorts = [{inner},{}]\n\
+         [listenAddrs]\nfrontend = \"127.0.0.1:{callers}\"\n\
+         readiness = \"127.0.0.1:{readiness}\"\n\
+         [limits]\ncores = 1\n[bounds]\n\
+         [platform]\naddress = \"{}\"\n[cloudApi]\naddress = \"{}\"\n",
+        inner + 1,
+        standin.store,
+        standin.instances,
+    );
+    let file = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+    let name = format!("dotterelsill-node-{}-{file}.toml", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    fs::write(&path, settings).expect("the temporary directory can be written");
+    let child = Command::new(env!("CARGO_BIN_EXE_dotterelsill-node"))
+        .env("DOTTERELSILL_NODE_FILE", &path)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the daemon starts");
+    let local = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    Node {
+        child,
+        callers: local(callers),
+        metrics: local(inner + 1),
+    }
+}
+
+/// Makes a request; status 0 means that no answer came.
+fn call(address: SocketAddr, method: &str, path: &str, body: &str, key: &str) -> (u16, String) {
+    let exchange = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: host.example\r\nConnection: close\r\n\
+             Dotterelsill-Credential: {key}\r\nDotterelsill-Deadline-Ms: 3000\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes())?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok(answer)
+    };
+    let Ok(answer) = exchange() else {
+        return (0, String::new());
+    };
+    let status = answer.split(' ').nth(1).and_then(|word| word.parse().ok());
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    (status.unwrap_or(0), body.to_owned())
+}
--- /dev/null
+++ b/crates/dotterelsill_node/tests/platform/main.rs
@@ -0,0 +1,92 @@
+//! The daemon as a process against a small stand-in of the platform: its store,
+//! workers and list of instances, written from the platform's pages.
+
+mod fleet;
+mod standin;
+
+use std::time::Duration;
+
+use fleet::Fleet;
+
+/// Longest time that a job of the tests takes.
+const DONE_LIMIT: Duration = Duration::from_secs(20);
+
+const ONE_JOB: &str = r#"{"spec":"text","steps":[
+    {"count":3,"cpu":500,"memMb":10,"estimatedMs":200},
+    {"count":2,"cpu":500,"memMb":10,"estimatedMs":200,"after":[0]}]}"#;
+
+/// Guards against a path that is broken anywhere between a caller and a worker.
+#[test]
+fn job_is_accepted_run_and_reported() {
+    let fleet = Fleet::start(1);
+    let id = "00000000000000a1";
+    assert_eq!(fleet.post(0, id, ONE_JOB), 200);
+    assert_eq!(fleet.post(0, id, ONE_JOB), 200, "handed in again");
+    fleet.wait_for_state(0, id, "completed", DONE_LIMIT);
+    let runs = fleet.standin.runs();
+    assert_eq!(runs.len(), 5, "{runs:?}");
+    assert_eq!(fleet.get(0, "00000000000000a2").0, 410);
+}
+
+/// Guards against requests that are taken without a key, or on no queue.
+#[test]
+fn request_without_a_right_is_refused() {
+    let fleet = Fleet::start(1);
+    assert_eq!(
+        fleet.post_with_key(0, "00000000000000b1", ONE_JOB, "other"),
+        401
+    );
+    assert_eq!(fleet.post(0, "no-identifier", ONE_JOB), 404);
+    assert_eq!(fleet.post(0, "00000000000000b2", "{}"), 400);
+    assert_eq!(
+        fleet.post(0, "00000000000000b3", r#"{"spec":"","steps":[]}"#),
+        400
+    );
+    assert!(fleet.standin.runs().is_empty());
+}
+
+/// Guards against an accepted job that is lost, or run twice, when the scheduler
+/// is killed.
+#[test]
+fn accepted_job_survives_the_scheduler() {
+    let mut fleet = Fleet::start(2);
+    let id = "00000000000000c1";
+    assert_eq!(fleet.post(0, id, ONE_JOB), 200);
+    let scheduler = fleet.scheduler();
+    fleet.kill(scheduler);
+    let other = 1 - scheduler;
+    fleet.wait_for_state(other, id, "completed", DONE_LIMIT);
+    let mut runs = fleet.standin.runs();
+    runs.sort();
+    runs.dedup_by(|a, b| a.0 == b.0);
+    assert_eq!(runs.len(), 5, "{runs:?}");
+    assert_eq!(fleet.standin.runs().len(), 5, "a task ran twice");
+}
+
+/// Guards against a cancelled job that goes on.
+#[test]
+fn cancelled_job_stops() {
+    let fleet = Fleet::start(1);
+    let id = "00000000000000d1";
+    let lasting = r#"{"spec":"text","steps":[
+        {"count":2,"cpu":500,"memMb":10,"longRunning":true}]}"#;
+    assert_eq!(fleet.post(0, id, lasting), 200);
+    fleet.wait_for_state(0, id, "running", DONE_LIMIT);
+    assert_eq!(fleet.delete(0, id), 200);
+    fleet.wait_for_state(0, id, "cancelled", DONE_LIMIT);
+    fleet.standin.wait_for_no_runs(DONE_LIMIT);
+}
+
+/// Guards against callers that wait on a store which is away: what cannot be
+/// stored is refused at once, with the time after which to come back.
+#[test]
+fn submission_is_refused_at_once_while_the_store_is_away() {
+    let fleet = Fleet::start(1);
+    fleet.standin.set_store_down(true);
+    let begin = std::time::Instant::now();
+    assert_eq!(fleet.post(0, "00000000000000e1", ONE_JOB), 503);
+    assert!(begin.elapsed() < Duration::from_secs(2));
+    fleet.standin.set_store_down(false);
+    fleet.wait_for_post(0, "00000000000000e1", ONE_JOB, DONE_LIMIT);
+    fleet.wait_for_state(0, "00000000000000e1", "completed", DONE_LIMIT);
+}
