Bound a takeover only with authority, answer 410 only when it is certain

Two faults, found by the search and by the test of the daemon.

TWICE, in 2 of 2,500 histories with data centres that are cut off: a scheduler without authority took the bound of an earlier one's leases for over, although a later scheduler had run the tasks there. The bound counts only with authority.

LOST, once in 8 runs of submission_is_refused_at_once_while_the_store_is_away: a job was accepted over the intake, and its state was answered 410 when the intake could not be read. A scheduler that cannot tell refuses instead.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -483,7 +483,7 @@
     pub(crate) fn unsettled(&self, pool: &str, now: Duration) -> BTreeSet<String> {
         let is_unsettled = |worker: &&crate::worker::Worker| {
             let is_of_pool = worker.report.pool.is_empty() || worker.report.pool == pool;
-            is_of_pool && !worker.is_known && now < worker.unknown_until
+            is_of_pool && self.may_run_unseen(worker, now)
         };
         let data_centre = |worker: &crate::worker::Worker| worker.report.data_centre.clone();
         let unsettled = self.workers.values().filter(is_unsettled);
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -350,10 +350,9 @@
     /// Counts what an earlier scheduler may have running, by workspace, on workers
     /// whose lists were not read: at most all tasks that are not seen elsewhere.
     fn count_unseen(&self, now: Duration) -> HashMap<String, Room> {
-        let is_unread =
-            |worker: &&crate::worker::Worker| !worker.is_known && now < worker.unknown_until;
+        let is_unread = |worker: &crate::worker::Worker| self.may_run_unseen(worker, now);
         let mut unseen: HashMap<String, Room> = HashMap::new();
-        if !self.workers.values().any(|worker| is_unread(&worker)) {
+        if !self.workers.values().any(is_unread) {
             return unseen;
         }
         for job in self.jobs.values().filter(|job| job.is_restored) {
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -99,6 +99,8 @@
     scheduled: BTreeSet<JobId>,
     ended: VecDeque<JobId>,
     pub(crate) started_at: Duration,
+    /// Whether no later scheduler can exist.
+    has_authority: bool,
     pub(crate) needs_plan: bool,
     pub(crate) instances: BTreeMap<String, Known>,
     /// Whether the list of instances was read.
@@ -134,6 +136,7 @@
             scheduled: BTreeSet::new(),
             ended: VecDeque::new(),
             started_at: now,
+            has_authority: true,
             needs_plan: true,
             instances: BTreeMap::new(),
             has_instances: false,
@@ -149,6 +152,20 @@
         self.token
     }
 
+    /// Notes whether this scheduler's own lease lives, so that no later one can
+    /// exist.
+    pub fn note_authority(&mut self, has_authority: bool) {
+        self.has_authority = has_authority;
+    }
+
+    /// Returns whether an earlier scheduler's runs may still be on a worker.
+    ///
+    /// The bound of its leases counts only with authority: a later scheduler may
+    /// have started the same tasks there and renewed the lease.
+    pub(crate) fn may_run_unseen(&self, worker: &Worker, now: Duration) -> bool {
+        !worker.is_known && (now < worker.unknown_until || !self.has_authority)
+    }
+
     /// Sets the configuration and what the operators ask for.
     pub fn configure(&mut self, catalogue: Arc<Catalogue>, requests: Arc<Requests>) {
         self.catalogue = catalogue;
--- a/crates/dotterelsill_jobs/tests/search/world.rs
+++ b/crates/dotterelsill_jobs/tests/search/world.rs
@@ -350,6 +350,8 @@
         self.look_all(index);
         self.write(index);
         let driver = &mut self.drivers[index];
+        let has_authority = driver.is_valid(now_ms) || self.faults.judges_without_authority;
+        driver.scheduler.note_authority(has_authority);
         for order in driver.scheduler.plan(at(now_ms)) {
             driver.giving.push(Giving {
                 order,
--- a/crates/dotterelsill_node/src/intake.rs
+++ b/crates/dotterelsill_node/src/intake.rs
@@ -129,15 +129,17 @@
 
 /// Takes over one job if it lies in the intake; returns whether it is known then.
 pub(crate) async fn import(lead: &Arc<Lead>, id: JobId) -> Result<bool, OperationError> {
-    let item = (lead.store.get)(&keys::of_job(keys::INTAKE, id)).await?;
-    let Some(item) = item else {
-        return Ok(false);
-    };
-    let Some(receiver) = take(lead, &item) else {
-        return Ok(false);
-    };
-    // A closed channel shows in the state that is read next.
-    let _ = receiver.recv().await;
+    if let Some(item) = (lead.store.get)(&keys::of_job(keys::INTAKE, id)).await? {
+        if let Some(receiver) = take(lead, &item) {
+            // A closed channel shows in what is known then.
+            let _ = receiver.recv().await;
+        }
+        if !lead.scheduler().knows(id) {
+            let reason = "the job lies in the intake and was not taken over".to_owned();
+            return Err(OperationError::Unknown { reason });
+        }
+    }
+    // It may have been taken over while the intake was read.
     Ok(lead.scheduler().knows(id))
 }
 
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -158,6 +158,7 @@
             }
             let (orders, has_change) = {
                 let mut scheduler = self.scheduler();
+                scheduler.note_authority(self.is_valid());
                 let orders = scheduler.plan(clock::now());
                 (orders, scheduler.has_change())
             };
--- a/crates/dotterelsill_node/src/requests.rs
+++ b/crates/dotterelsill_node/src/requests.rs
@@ -61,38 +61,28 @@
 
 /// Returns the state of a job, `Absent` if there is none.
 pub(crate) async fn state(lead: &Arc<Lead>, id: JobId) -> (Outcome, Option<JobState>) {
-    for is_last in [false, true] {
-        let state = lead.scheduler().state(id);
-        if state.is_some() {
-            return (Outcome::Done, state);
-        }
-        if is_last || !import(lead, id).await {
-            break;
+    if !lead.scheduler().knows(id) {
+        let outcome = import(lead, id).await;
+        if outcome != Outcome::Done {
+            return (outcome, None);
         }
     }
-    // Another scheduler may know jobs that this one does not.
-    let outcome = if lead.is_valid() {
-        Outcome::Absent
-    } else {
-        Outcome::Refused
-    };
-    (outcome, None)
+    match lead.scheduler().state(id) {
+        Some(state) => (Outcome::Done, Some(state)),
+        None => (Outcome::Refused, None),
+    }
 }
 
 /// Cancels a job, `Absent` if there is none.
 pub(crate) async fn cancel(lead: &Arc<Lead>, id: JobId, limit: Duration) -> Outcome {
-    let mut is_known = lead.scheduler().cancel(id, clock::now());
-    if !is_known && import(lead, id).await {
-        is_known = lead.scheduler().cancel(id, clock::now());
+    if !lead.scheduler().knows(id) {
+        let outcome = import(lead, id).await;
+        if outcome != Outcome::Done {
+            return outcome;
+        }
     }
+    lead.scheduler().cancel(id, clock::now());
     lead.on_changed();
-    if !is_known {
-        return if lead.is_valid() {
-            Outcome::Absent
-        } else {
-            Outcome::Refused
-        };
-    }
     let stored = async {
         loop {
             let stored = lead.stored.listen();
@@ -122,13 +112,17 @@
     }
 }
 
-/// Takes a job over from the intake; returns whether it is known then.
-async fn import(lead: &Arc<Lead>, id: JobId) -> bool {
+/// Takes a job over from the intake: `Done` if it is known then, `Absent` if
+/// there is none, and `Refused` if that cannot be told.
+async fn import(lead: &Arc<Lead>, id: JobId) -> Outcome {
     match intake::import(lead, id).await {
-        Ok(is_known) => is_known,
+        Ok(true) => Outcome::Done,
+        // Another scheduler may know jobs that this one does not.
+        Ok(false) if lead.is_valid() => Outcome::Absent,
+        Ok(false) => Outcome::Refused,
         Err(error) => {
             log::warn!(job:% = id, error:%; "intake_not_read");
-            false
+            Outcome::Refused
         }
     }
 }
