Give a stop again that an unhealthy worker refuses

Ruled out: a stop that was never ordered; the job's end is logged in the same millisecond as the cancel.

The decision now tells whether an order is to be given again.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -221,8 +221,9 @@
         }
     }
 
-    /// Notes the answer to an order. `may_come_late` tells that the order was
-    /// sent before without an answer, so that it may still be carried out.
+    /// Notes the answer to an order; returns whether it is to be given again.
+    /// `may_come_late` tells that the order was sent before without an answer, so
+    /// that it may still be carried out.
     pub fn on_answer(
         &mut self,
         key: WorkerKey,
@@ -230,11 +231,11 @@
         answer: Answer,
         may_come_late: bool,
         now: Duration,
-    ) {
+    ) -> bool {
         let (task, attempt) = order.run();
         if answer == Answer::OtherWorker {
             self.on_other_worker(key, now);
-            return;
+            return false;
         }
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.on_answer(now);
@@ -248,12 +249,15 @@
                 } else {
                     self.on_start_answer(key, task, attempt, answer, now);
                 }
+                false
             }
             Order::Stop { .. } => {
                 let settles = matches!(answer, Answer::Done | Answer::Old);
                 self.confirm(key, task, attempt, settles.then_some(now));
+                // A worker that refuses as unhealthy lets the task run on.
+                !settles && answer != Answer::Fenced
             }
-            Order::Pace { .. } => {}
+            Order::Pace { .. } => false,
         }
     }
 
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -341,6 +341,28 @@
     assert_eq!(starts(&scheduler.plan(ms(3000))).len(), 1);
 }
 
+/// Guards against a cancelled task that runs on since its worker refused the stop
+/// as unhealthy.
+#[test]
+fn refused_stop_is_given_again() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1000),
+    );
+    let orders = scheduler.plan(ms(1010));
+    confirm(&mut scheduler, &orders, ms(1020));
+    scheduler.cancel(JobId(1), ms(1100));
+    let stop = scheduler.plan(ms(1110)).remove(0).order;
+    assert!(matches!(stop, Order::Stop { .. }));
+    assert!(scheduler.on_answer(key, &stop, Answer::Unhealthy, false, ms(1200)));
+    assert!(scheduler.is_wanted(key, &stop));
+    assert!(!scheduler.on_answer(key, &stop, Answer::Done, false, ms(1300)));
+}
+
 /// Guards against lasting tasks that wait behind a burst for as long as it
 /// lasts.
 #[test]
--- a/crates/dotterelsill_jobs/tests/search/world.rs
+++ b/crates/dotterelsill_jobs/tests/search/world.rs
@@ -515,9 +515,14 @@
                     }
                     let now = at(self.now_ms);
                     let may_come_late = giving.may_come_late;
-                    driver
-                        .scheduler
-                        .on_answer(key, &order, answer, may_come_late, now);
+                    let is_open =
+                        driver
+                            .scheduler
+                            .on_answer(key, &order, answer, may_come_late, now);
+                    if is_open {
+                        giving.next_at_ms = self.now_ms + 300;
+                        driver.giving.push(giving);
+                    }
                 }
                 None => {
                     let driver = &mut self.drivers[index];
--- a/crates/dotterelsill_node/src/worker_loops.rs
+++ b/crates/dotterelsill_node/src/worker_loops.rs
@@ -217,7 +217,7 @@
     /// Gives the worker its orders one after the other.
     async fn give(&self, orders: Receiver<Order>) {
         while let Ok(order) = orders.recv().await {
-            if let Given::MayComeLate = self.give_once(&order, false).await {
+            if let Given::Open = self.give_once(&order, false).await {
                 // Other orders do not wait for one that was lost.
                 let loops = self.clone();
                 self.lead
@@ -231,7 +231,7 @@
     async fn repeat(&self, order: Order) {
         loop {
             Timer::after(RETRY_PAUSE).await;
-            if !matches!(self.give_once(&order, true).await, Given::MayComeLate) {
+            if !matches!(self.give_once(&order, true).await, Given::Open) {
                 return;
             }
         }
@@ -267,15 +267,19 @@
                 Ok(answer) => {
                     let now = clock::now();
                     let mut scheduler = lead.scheduler();
-                    scheduler.on_answer(self.key, order, answer, may_come_late, now);
+                    let is_open = scheduler.on_answer(self.key, order, answer, may_come_late, now);
                     drop(scheduler);
                     lead.on_changed();
+                    if is_open {
+                        log::warn!(worker = self.key.0, order:?, answer:?; "order_refused");
+                        return Given::Open;
+                    }
                     return Given::Settled;
                 }
                 Err(error) => {
                     self.on_silence(&error);
                     if !matches!(error, CallError::Unsent { .. }) {
-                        return Given::MayComeLate;
+                        return Given::Open;
                     }
                     Timer::after(LOOK_FIRST_PAUSE).await;
                 }
@@ -295,6 +299,6 @@
 enum Given {
     /// It was answered, or is no longer wanted.
     Settled,
-    /// It was sent and not answered.
-    MayComeLate,
+    /// It was sent and not answered, or refused for the time being.
+    Open,
 }
