Write repeated pieces once, and remove what nothing calls

- One function ends a run that is gone without a listed end; it stood three times.
- One function waits for an outcome within its limit and the authority; it stood for submissions and for cancels.
- One function turns the answer to a call of the scheduler into a result; four calls had their own match.
The line for an unanswered count of a queue now holds the whole error, as the other three do.
- The writer's wait for more progress had a first turn written out before the loop that does the same.

No decision changes.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -79,6 +79,17 @@
         change
     }
 
+    /// Ends a run that is known to be gone although no end was listed.
+    pub(crate) fn lapse_run(&mut self, key: WorkerKey, task: TaskId, attempt: u32, now: Duration) {
+        let end = End {
+            task,
+            attempt,
+            how: How::Lapsed,
+            checkpoint: "",
+        };
+        self.end_run(key, &end, now);
+    }
+
     fn note_done(&mut self, key: WorkerKey, task: TaskId, now: Duration) -> u64 {
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.health.on_done();
@@ -284,25 +295,16 @@
             }
             // The run may have ended already; the next look tells.
             Answer::Old => self.confirm(key, task, attempt, Some(now)),
-            Answer::Fenced => {}
-            Answer::Late
-            | Answer::NoRoom
-            | Answer::Ticket
-            | Answer::Unhealthy
-            | Answer::OtherWorker => {
+            // The answer of another worker ends this one before.
+            Answer::Fenced | Answer::OtherWorker => {}
+            Answer::Late | Answer::NoRoom | Answer::Ticket | Answer::Unhealthy => {
                 if let Some(worker) = self.workers.get_mut(&key) {
                     worker.health.on_refused(now);
                     log::warn!(
                         task:%, attempt, worker = worker.report.id, answer:?; "start_refused"
                     );
                 }
-                let end = End {
-                    task,
-                    attempt,
-                    how: How::Lapsed,
-                    checkpoint: "",
-                };
-                self.end_run(key, &end, now);
+                self.lapse_run(key, task, attempt, now);
             }
         }
     }
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -14,7 +14,6 @@
         Run, //
     },
     worker::Booked,
-    How,
     JobId,
     ListedEnd,
     ListedRun,
@@ -391,13 +390,7 @@
             .collect();
         for (task, attempt) in gone {
             log::warn!(task:%, attempt, worker = self.workers[&key].report.id; "run_gone");
-            let end = End {
-                task,
-                attempt,
-                how: How::Lapsed,
-                checkpoint: "",
-            };
-            self.end_run(key, &end, now);
+            self.lapse_run(key, task, attempt, now);
         }
     }
 
@@ -459,13 +452,7 @@
             .map(|(task, booked)| (*task, booked.attempt))
             .collect();
         for (task, attempt) in runs {
-            let end = End {
-                task,
-                attempt,
-                how: How::Lapsed,
-                checkpoint: "",
-            };
-            self.end_run(key, &end, now);
+            self.lapse_run(key, task, attempt, now);
         }
     }
 
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -42,13 +42,6 @@
     pub is_draining: bool,
 }
 
-impl WorkerReport {
-    /// Returns whether this is the report of the same life as another.
-    pub fn is_same_life(&self, other: &Self) -> bool {
-        self.id == other.id && self.born_unix_ms == other.born_unix_ms
-    }
-}
-
 /// Relation of a worker's clock to the scheduler's.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
--- a/crates/dotterelsill_node/src/leader_link.rs
+++ b/crates/dotterelsill_node/src/leader_link.rs
@@ -1,6 +1,7 @@
 //! Calls the scheduler, here or on another instance.
 
 use std::{
+    future::Future,
     net::SocketAddr,
     sync::{
         Arc,
@@ -30,6 +31,11 @@
     Tasks, //
 };
 
+use tonic::{
+    Response,
+    Status, //
+};
+
 use crate::{
     election::Leader,
     lead::Lead,
@@ -74,9 +80,8 @@
             job: id.0,
             record: Some(record.clone()),
         };
-        match timeout(limit, client.submit(request)).await {
-            Ok(Ok(response)) => response.into_inner().outcome(),
-            Ok(Err(error)) => unanswered("submit", id, &error),
+        match answer(limit, client.submit(request)).await {
+            Ok(response) => response.outcome(),
             Err(error) => unanswered("submit", id, &error),
         }
     }
@@ -89,16 +94,15 @@
         let Some(mut client) = self.client() else {
             return (Outcome::Refused, None);
         };
-        match timeout(limit, client.state(StateRequest { job: id.0 })).await {
-            Ok(Ok(response)) => {
-                let response = response.into_inner();
+        let request = StateRequest { job: id.0 };
+        match answer(limit, client.state(request)).await {
+            Ok(response) => {
                 let state = JobState {
                     phase: response.phase(),
                     has_begun: response.has_begun,
                 };
                 (response.outcome(), Some(state))
             }
-            Ok(Err(error)) => (unanswered("state", id, &error), None),
             Err(error) => (unanswered("state", id, &error), None),
         }
     }
@@ -111,9 +115,9 @@
         let Some(mut client) = self.client() else {
             return Outcome::Refused;
         };
-        match timeout(limit, client.cancel(CancelRequest { job: id.0 })).await {
-            Ok(Ok(response)) => response.into_inner().outcome(),
-            Ok(Err(error)) => unanswered("cancel", id, &error),
+        let request = CancelRequest { job: id.0 };
+        match answer(limit, client.cancel(request)).await {
+            Ok(response) => response.outcome(),
             Err(error) => unanswered("cancel", id, &error),
         }
     }
@@ -129,17 +133,10 @@
         let request = PendingRequest {
             queue: queue.to_owned(),
         };
-        match timeout(limit, client.pending(request)).await {
-            Ok(Ok(response)) => {
-                let response = response.into_inner();
-                (response.outcome(), response.pending)
-            }
-            Ok(Err(error)) => {
-                log::warn!(call = "pending", queue, error:% = error.message(); "scheduler_unanswered");
-                (Outcome::Unknown, 0)
-            }
+        match answer(limit, client.pending(request)).await {
+            Ok(response) => (response.outcome(), response.pending),
             Err(error) => {
-                log::warn!(call = "pending", queue, error:%; "scheduler_unanswered");
+                log::warn!(call = "pending", queue, error; "scheduler_unanswered");
                 (Outcome::Unknown, 0)
             }
         }
@@ -163,8 +160,20 @@
     }
 }
 
+/// Waits for the answer to a call, or returns why none came.
+async fn answer<T>(
+    limit: Duration,
+    answer: impl Future<Output = Result<Response<T>, Status>>,
+) -> Result<T, String> {
+    match timeout(limit, answer).await {
+        Ok(Ok(response)) => Ok(response.into_inner()),
+        Ok(Err(error)) => Err(error.to_string()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
 /// Logs a call whose outcome is not known.
-fn unanswered(call: &str, id: JobId, error: &dyn std::fmt::Display) -> Outcome {
-    log::warn!(call, job:% = id, error:%; "scheduler_unanswered");
+fn unanswered(call: &str, id: JobId, error: &str) -> Outcome {
+    log::warn!(call, job:% = id, error; "scheduler_unanswered");
     Outcome::Unknown
 }
--- a/crates/dotterelsill_node/src/requests.rs
+++ b/crates/dotterelsill_node/src/requests.rs
@@ -1,6 +1,7 @@
 //! What the scheduler answers to callers and to other instances.
 
 use std::{
+    future::Future,
     sync::Arc,
     time::Duration, //
 };
@@ -48,6 +49,12 @@
     });
     lead.write_wanted.set();
     let answered = async { receiver.recv().await.unwrap_or(Outcome::Unknown) };
+    within(lead, limit, answered).await
+}
+
+/// Waits for an outcome for a limited time and as long as this instance
+/// schedules; it is not known otherwise.
+async fn within(lead: &Lead, limit: Duration, outcome: impl Future<Output = Outcome>) -> Outcome {
     let late = async {
         Timer::after(limit).await;
         Outcome::Unknown
@@ -56,7 +63,7 @@
         lead.authority.lost().await;
         Outcome::Unknown
     };
-    answered.or(late).or(lost).await
+    outcome.or(late).or(lost).await
 }
 
 /// Returns the state of a job, `Absent` if there is none.
@@ -92,15 +99,7 @@
             stored.await;
         }
     };
-    let late = async {
-        Timer::after(limit).await;
-        Outcome::Unknown
-    };
-    let lost = async {
-        lead.authority.lost().await;
-        Outcome::Unknown
-    };
-    stored.or(late).or(lost).await
+    within(lead, limit, stored).await
 }
 
 /// Returns how many jobs of a queue have not begun.
--- a/crates/dotterelsill_node/src/writer.rs
+++ b/crates/dotterelsill_node/src/writer.rs
@@ -75,19 +75,8 @@
             return;
         }
         if lead.scheduler().has_change() {
-            let gathered = async {
-                Timer::after(GATHER).await;
-                true
-            };
-            let woken = async {
-                lead.write_wanted.wait().await;
-                false
-            };
             // A wake-up for other progress must not start the time anew.
             let until = clock::now() + GATHER;
-            if gathered.or(woken).await {
-                return;
-            }
             while clock::now() < until && !is_urgent() {
                 let left = until.saturating_sub(clock::now());
                 let rest = async {
