Move instances by what arrives, and give reserves to work that waits

The reserve of a pool was 45% of the most instances ever seen in it, which after its turn is the size of its burst, and a reserve was never given away.

Change: the rate at which work is handed in, over 1.5 s, sizes a pool from the first jobs of a turn on. The reserve is 25% of an equal share of all instances, and all of it but one instance goes where work waits.

Tests: turn_is_met_before_the_pool_is_full and idle_instances_leave_for_work_that_waits fail on the code before.

--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O or reads a clock. A [`Scheduler`] is told what happened
 //! and when, and hands out [`Order`]s for workers and [`Change`]s for the store.
 
+mod arrivals;
 mod catalogue;
 mod changes;
 mod ends;
--- a/crates/dotterelsill_jobs/src/moves.rs
+++ b/crates/dotterelsill_jobs/src/moves.rs
@@ -18,10 +18,10 @@
     Scheduler, //
 };
 
-/// Instances that a pool keeps although it is idle, in percent of the instances
-/// that it had when first seen: they carry the begin of the next burst until
-/// others have come.
-const RESERVE_PERCENT: usize = 45;
+/// Instances that a pool keeps although it is idle, in percent of an equal share
+/// of all instances: they carry the begin of the next burst until others have
+/// come.
+const RESERVE_PERCENT: usize = 25;
 
 /// Time for which an instance must have been idle before it is switched off:
 /// two moves cost as much as about 2.3 s in a pool.
@@ -30,9 +30,6 @@
 /// Time for which an instance must have been idle before another pool takes it.
 const IDLE_BEFORE_TAKEN: Duration = Duration::from_millis(400);
 
-/// Waiting work that a pool clears by itself soon, in percent of its room.
-const CLEARED_PERCENT: u64 = 0;
-
 /// Longest time for which an instance that was ordered counts as on its way.
 const ARRIVAL_LIMIT: Duration = Duration::from_secs(5);
 
@@ -47,6 +44,10 @@
     room_milli: u64,
     /// Processor time of tasks that wait.
     waiting_milli: u64,
+    /// Processor time of lasting tasks.
+    lasting_milli: u64,
+    /// Processor time that arrivals need if they go on as they are.
+    arrivals_milli: u64,
     /// Idle instances, the longest idle first.
     idle: Vec<(Duration, String)>,
     /// Idle instances in data centres that are out.
@@ -63,7 +64,6 @@
             .filter(|pool| self.is_standby(pool))
             .cloned()
             .collect();
-        self.note_first_sizes(&balances);
         let mut wanting: Vec<(u64, String)> = balances
             .iter()
             .filter(|(pool, _)| !self.is_standby(pool))
@@ -106,8 +106,7 @@
             if balance.waiting_milli > 0 {
                 continue;
             }
-            let reserve = self.reserve_of(pool);
-            let mut spare = balance.up.saturating_sub(reserve);
+            let mut spare = balance.up.saturating_sub(self.kept_instances());
             for (since, name) in std::mem::take(&mut balance.idle) {
                 if spare == 0 || now < since + IDLE_BEFORE_OFF {
                     break;
@@ -118,27 +117,30 @@
         }
     }
 
-    /// Returns the number of instances that a pool keeps.
-    fn reserve_of(&self, pool: &str) -> usize {
-        let first = self.first_sizes.get(pool).copied().unwrap_or_default();
-        (first * RESERVE_PERCENT).div_ceil(100)
+    /// Returns the number of instances that each pool keeps. Their present sizes
+    /// say nothing of it: they follow the bursts.
+    fn kept_instances(&self) -> usize {
+        let is_used = |pool: &&String| !self.is_standby(pool);
+        let pools = self.catalogue.pools.keys().filter(is_used).count();
+        let share = self.instances.len() / pools.max(1);
+        (share * RESERVE_PERCENT / 100).max(1)
     }
 
-    fn note_first_sizes(&mut self, balances: &BTreeMap<String, Balance>) {
-        for (pool, balance) in balances {
-            let size = self.first_sizes.entry(pool.clone()).or_default();
-            *size = (*size).max(balance.up);
-        }
-    }
-
-    /// Takes an idle instance for a pool: from the one with the least demand, and
-    /// one that is switched off if there is no other.
+    /// Takes an idle instance for a pool: one that is switched off, else from the
+    /// pool with most to spare. Reserves are given for work that waits, not for
+    /// work that is only expected.
     fn take_idle(
         &self,
         balances: &mut BTreeMap<String, Balance>,
         wanting: &str,
         now: Duration,
     ) -> Option<(String, u64)> {
+        let has_backlog = balances.get(wanting)?.waiting_milli > 0;
+        let reserve = if has_backlog {
+            1
+        } else {
+            self.kept_instances()
+        };
         let mut best: Option<(bool, usize, String)> = None;
         for (pool, balance) in balances.iter() {
             if pool == wanting || balance.waiting_milli > 0 {
@@ -148,7 +150,7 @@
             let spare = if is_standby {
                 balance.idle.len()
             } else {
-                balance.up.saturating_sub(self.reserve_of(pool))
+                balance.up.saturating_sub(reserve)
             };
             let is_ready = balance.idle.iter().any(|(since, name)| {
                 (is_standby || now >= *since + IDLE_BEFORE_TAKEN)
@@ -205,10 +207,15 @@
             .retain(|name, _| instances.contains_key(name));
     }
 
-    fn balances(&self, now: Duration) -> BTreeMap<String, Balance> {
+    fn balances(&mut self, now: Duration) -> BTreeMap<String, Balance> {
         let mut balances: BTreeMap<String, Balance> = BTreeMap::new();
         for pool in self.catalogue.pools.keys() {
-            balances.insert(pool.clone(), Balance::default());
+            let arrivals = self.arrivals.get_mut(pool);
+            let balance = Balance {
+                arrivals_milli: arrivals.map_or(0, |arrivals| arrivals.rate_milli(now)),
+                ..Balance::default()
+            };
+            balances.insert(pool.clone(), balance);
         }
         for (name, known) in &self.instances {
             let instance = &known.instance;
@@ -234,9 +241,8 @@
                 }
                 continue;
             }
-            let has_worker = self
-                .worker_of(name)
-                .is_some_and(|key| self.workers[&key].is_known);
+            let worker = self.worker_of(name).map(|key| &self.workers[&key]);
+            let has_worker = worker.is_some_and(|worker| worker.is_known);
             let is_recent = known.done_at.is_some_and(|at| now < at + ARRIVAL_LIMIT);
             let is_standby = self.is_standby(&instance.pool);
             if is_standby {
@@ -246,6 +252,9 @@
             } else if has_worker {
                 balance.up += 1;
                 balance.room_milli += cpu_milli;
+                let booked = worker.into_iter().flat_map(|worker| worker.booked.values());
+                let lasting = booked.filter(|booked| booked.is_lasting);
+                balance.lasting_milli += lasting.map(|booked| booked.room.cpu_milli).sum::<u64>();
                 if let Some(since) = self.idle_since.get(name) {
                     if now >= known.late_until && instance.state == InstanceState::Up {
                         balance.idle.push((*since, name.clone()));
@@ -282,10 +291,11 @@
     }
 }
 
-/// Returns the processor time that a pool wants beyond what it has or gets.
+/// Returns the processor time that a pool wants beyond what it has or gets: for
+/// what waits, or for what arrives.
 fn wanted_milli(balance: &Balance) -> u64 {
-    let cleared = balance.room_milli * CLEARED_PERCENT / 100;
-    balance
-        .waiting_milli
-        .saturating_sub(cleared + balance.arriving_milli)
+    let needed = balance.lasting_milli + balance.arrivals_milli;
+    let expected = needed.saturating_sub(balance.room_milli);
+    let wanted = balance.waiting_milli.max(expected);
+    wanted.saturating_sub(balance.arriving_milli)
 }
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    arrivals::Arrivals,
     job::Job,
     upkeep::{
         Known,
@@ -110,8 +111,8 @@
     pub(crate) restored_waves: BTreeMap<u64, (Duration, Vec<String>)>,
     /// Since when instances are idle.
     pub(crate) idle_since: BTreeMap<String, Duration>,
-    /// Most instances that were seen in each pool.
-    pub(crate) first_sizes: BTreeMap<String, usize>,
+    /// Work that was handed in lately, by pool.
+    pub(crate) arrivals: BTreeMap<String, Arrivals>,
 }
 
 impl Scheduler {
@@ -143,7 +144,7 @@
             waves: BTreeMap::new(),
             restored_waves: BTreeMap::new(),
             idle_since: BTreeMap::new(),
-            first_sizes: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
         }
     }
 
@@ -220,6 +221,10 @@
     /// Adds a job that is stored.
     pub fn submit(&mut self, id: JobId, spec: JobSpec, now: Duration, unix: Duration) {
         if !self.jobs.contains_key(&id) {
+            if let Some(queue) = self.catalogue.queue(&spec.queue) {
+                let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
+                arrivals.note(&spec, now);
+            }
             let job = Job::new(id, Arc::new(spec), self.token, now);
             self.add(job, now);
             self.open_due(id, unix);
--- /dev/null
+++ b/crates/dotterelsill_jobs/tests/common/mod.rs
@@ -0,0 +1,212 @@
+//! A scheduler with a few workers, for the tests of its decisions.
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use dotterelsill_jobs::{
+    Addressed,
+    Answer,
+    Catalogue,
+    How,
+    Instance,
+    InstanceState,
+    JobId,
+    JobSpec,
+    Limits,
+    ListedEnd,
+    ListedRun,
+    Look,
+    Order,
+    Pool,
+    Queue,
+    Room,
+    Scheduler,
+    TaskId,
+    WorkerKey,
+    WorkerReport,
+    FORMAT, //
+};
+use dotterelsill_proto::jobs::{
+    self,
+    JobRecord, //
+};
+
+pub(crate) const LEASE: Duration = Duration::from_secs(5);
+
+pub(crate) fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub(crate) fn limits() -> Limits {
+    Limits {
+        lease: LEASE,
+        longest_lease: ms(10_000),
+        keep_ended: ms(120_000),
+        takeover_margin: ms(5600),
+        turn: ms(0),
+        maintenance_time: ms(2000),
+    }
+}
+
+pub(crate) fn catalogue() -> Arc<Catalogue> {
+    let queue = |name: &str, urgency| Queue {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        path_prefix: format!("/{name}/"),
+        pool: "work".to_owned(),
+        urgency,
+        max_attempts: 2,
+        slack_factor: 1.6,
+        target: ms(600),
+        is_open: true,
+    };
+    let mut catalogue = Catalogue {
+        version: 1,
+        queues: vec![queue("urgent", 0), queue("patient", 1)],
+        ..Catalogue::default()
+    };
+    catalogue.pools.insert("work".to_owned(), Pool::default());
+    let off = Pool { is_standby: true };
+    catalogue.pools.insert("off".to_owned(), off);
+    Arc::new(catalogue)
+}
+
+pub(crate) fn scheduler(token: u64, now: Duration) -> Scheduler {
+    let mut scheduler = Scheduler::new(token, limits(), now);
+    scheduler.configure(catalogue(), Arc::default());
+    scheduler
+}
+
+pub(crate) fn step(count: u32, cpu_milli: u64) -> jobs::Step {
+    jobs::Step {
+        count,
+        room: Some(jobs::Room {
+            cpu_milli,
+            memory_mb: 100,
+            accelerators: 0,
+        }),
+        estimated_ms: 1000,
+        ..jobs::Step::default()
+    }
+}
+
+pub(crate) fn lasting(count: u32) -> jobs::Step {
+    jobs::Step {
+        is_lasting: true,
+        may_miss: 1,
+        ..step(count, 1000)
+    }
+}
+
+pub(crate) fn record(queue: &str, token: u64, steps: Vec<jobs::Step>) -> JobRecord {
+    JobRecord {
+        format: FORMAT,
+        queue: queue.to_owned(),
+        spec: "text".to_owned(),
+        steps,
+        accepted_token: token,
+        ..JobRecord::default()
+    }
+}
+
+pub(crate) fn submit(scheduler: &mut Scheduler, id: u64, record: &JobRecord, now: Duration) {
+    let spec = JobSpec::try_from(record).expect("the job is usable");
+    scheduler.submit(JobId(id), spec, now, now);
+}
+
+pub(crate) fn report(index: usize, data_centre: &str) -> WorkerReport {
+    WorkerReport {
+        id: format!("w{index}"),
+        born_unix_ms: 1,
+        address: format!("127.0.0.1:{}", 2000 + index),
+        pool: "work".to_owned(),
+        data_centre: data_centre.to_owned(),
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+        capacity: Room {
+            cpu_milli: 4000,
+            memory_mb: 8000,
+            accelerators: 0,
+        },
+        is_draining: false,
+    }
+}
+
+pub(crate) fn look_at(now: Duration) -> Look {
+    Look {
+        sent_at: now - ms(1),
+        read_at: now,
+        worker_ms: now.as_millis() as u64,
+        born_unix_ms: 1,
+        ..Look::default()
+    }
+}
+
+/// Adds a worker that has answered its first look.
+pub(crate) fn add_worker(scheduler: &mut Scheduler, index: usize, now: Duration) -> WorkerKey {
+    let (key, _) = scheduler.on_report(report(index, "dc"), now);
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    scheduler.on_look(key, &look_at(now), now);
+    key
+}
+
+pub(crate) fn task(id: u64, step: u32, index: u32) -> TaskId {
+    dotterelsill_jobs::StepId {
+        job: JobId(id),
+        occurrence: 0,
+        step,
+    }
+    .task(index)
+}
+
+pub(crate) fn running(task: TaskId, attempt: u32, percent: u32) -> ListedRun {
+    ListedRun {
+        task,
+        attempt,
+        checkpoint: String::new(),
+        percent,
+        measure: 0,
+    }
+}
+
+pub(crate) fn ended(number: u64, task: TaskId, attempt: u32, how: How) -> ListedEnd {
+    ListedEnd {
+        number,
+        task,
+        attempt,
+        how,
+        checkpoint: String::new(),
+    }
+}
+
+/// Returns the tasks that are started, with their workers.
+pub(crate) fn starts(orders: &[Addressed]) -> Vec<(TaskId, WorkerKey)> {
+    let start = |addressed: &Addressed| match &addressed.order {
+        Order::Start { task, .. } => Some((*task, addressed.worker)),
+        _ => None,
+    };
+    orders.iter().filter_map(start).collect()
+}
+
+/// Answers all starts as carried out.
+pub(crate) fn confirm(scheduler: &mut Scheduler, orders: &[Addressed], now: Duration) {
+    for addressed in orders {
+        scheduler.lease_end(addressed.worker, true, now);
+        scheduler.on_answer(addressed.worker, &addressed.order, Answer::Done, false, now);
+    }
+}
+
+pub(crate) fn instance(index: usize, pool: &str, state: InstanceState) -> Instance {
+    Instance {
+        name: format!("i{index}"),
+        pool: pool.to_owned(),
+        state,
+        data_centre: "dc".to_owned(),
+        labels: vec![],
+        capacity: report(index, "dc").capacity,
+        worker: format!("w{index}"),
+    }
+}
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -1,14 +1,9 @@
 //! Single decisions of the scheduler, each with the failure it guards against.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::sync::Arc;
 
 use dotterelsill_jobs::{
-    Addressed,
     Answer,
-    Catalogue,
     How,
     Instance,
     InstanceAction,
@@ -16,20 +11,11 @@
     InstanceState,
     JobId,
     JobSpec,
-    Limits,
-    ListedEnd,
-    ListedRun,
-    Look,
     Order,
-    Pool,
-    Queue,
     Requests,
-    Room,
     Scheduler,
-    TaskId,
     Wave,
     WorkerKey,
-    WorkerReport,
     FORMAT, //
 };
 use dotterelsill_proto::jobs::{
@@ -39,170 +25,8 @@
     ProgressRecord, //
 };
 
-const LEASE: Duration = Duration::from_secs(5);
-
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-fn limits() -> Limits {
-    Limits {
-        lease: LEASE,
-        longest_lease: ms(10_000),
-        keep_ended: ms(120_000),
-        takeover_margin: ms(5600),
-        turn: ms(0),
-        maintenance_time: ms(2000),
-    }
-}
-
-fn catalogue() -> Arc<Catalogue> {
-    let queue = |name: &str, urgency| Queue {
-        name: name.to_owned(),
-        host: "host".to_owned(),
-        path_prefix: format!("/{name}/"),
-        pool: "work".to_owned(),
-        urgency,
-        max_attempts: 2,
-        slack_factor: 1.6,
-        target: ms(600),
-        is_open: true,
-    };
-    let mut catalogue = Catalogue {
-        version: 1,
-        queues: vec![queue("urgent", 0), queue("patient", 1)],
-        ..Catalogue::default()
-    };
-    catalogue.pools.insert("work".to_owned(), Pool::default());
-    let off = Pool { is_standby: true };
-    catalogue.pools.insert("off".to_owned(), off);
-    Arc::new(catalogue)
-}
-
-fn scheduler(token: u64, now: Duration) -> Scheduler {
-    let mut scheduler = Scheduler::new(token, limits(), now);
-    scheduler.configure(catalogue(), Arc::default());
-    scheduler
-}
-
-fn step(count: u32, cpu_milli: u64) -> jobs::Step {
-    jobs::Step {
-        count,
-        room: Some(jobs::Room {
-            cpu_milli,
-            memory_mb: 100,
-            accelerators: 0,
-        }),
-        estimated_ms: 1000,
-        ..jobs::Step::default()
-    }
-}
-
-fn lasting(count: u32) -> jobs::Step {
-    jobs::Step {
-        is_lasting: true,
-        may_miss: 1,
-        ..step(count, 1000)
-    }
-}
-
-fn record(queue: &str, token: u64, steps: Vec<jobs::Step>) -> JobRecord {
-    JobRecord {
-        format: FORMAT,
-        queue: queue.to_owned(),
-        spec: "text".to_owned(),
-        steps,
-        accepted_token: token,
-        ..JobRecord::default()
-    }
-}
-
-fn submit(scheduler: &mut Scheduler, id: u64, record: &JobRecord, now: Duration) {
-    let spec = JobSpec::try_from(record).expect("the job is usable");
-    scheduler.submit(JobId(id), spec, now, now);
-}
-
-fn report(index: usize, data_centre: &str) -> WorkerReport {
-    WorkerReport {
-        id: format!("w{index}"),
-        born_unix_ms: 1,
-        address: format!("127.0.0.1:{}", 2000 + index),
-        pool: "work".to_owned(),
-        data_centre: data_centre.to_owned(),
-        labels: vec!["a".to_owned(), "r1".to_owned()],
-        capacity: Room {
-            cpu_milli: 4000,
-            memory_mb: 8000,
-            accelerators: 0,
-        },
-        is_draining: false,
-    }
-}
-
-fn look_at(now: Duration) -> Look {
-    Look {
-        sent_at: now - ms(1),
-        read_at: now,
-        worker_ms: now.as_millis() as u64,
-        born_unix_ms: 1,
-        ..Look::default()
-    }
-}
-
-/// Adds a worker that has answered its first look.
-fn add_worker(scheduler: &mut Scheduler, index: usize, now: Duration) -> WorkerKey {
-    let (key, _) = scheduler.on_report(report(index, "dc"), now);
-    let granted = scheduler.granted();
-    scheduler.on_granted_stored(&granted);
-    scheduler.on_look(key, &look_at(now), now);
-    key
-}
-
-fn task(id: u64, step: u32, index: u32) -> TaskId {
-    dotterelsill_jobs::StepId {
-        job: JobId(id),
-        occurrence: 0,
-        step,
-    }
-    .task(index)
-}
-
-fn running(task: TaskId, attempt: u32, percent: u32) -> ListedRun {
-    ListedRun {
-        task,
-        attempt,
-        checkpoint: String::new(),
-        percent,
-        measure: 0,
-    }
-}
-
-fn ended(number: u64, task: TaskId, attempt: u32, how: How) -> ListedEnd {
-    ListedEnd {
-        number,
-        task,
-        attempt,
-        how,
-        checkpoint: String::new(),
-    }
-}
-
-/// Returns the tasks that are started, with their workers.
-fn starts(orders: &[Addressed]) -> Vec<(TaskId, WorkerKey)> {
-    let start = |addressed: &Addressed| match &addressed.order {
-        Order::Start { task, .. } => Some((*task, addressed.worker)),
-        _ => None,
-    };
-    orders.iter().filter_map(start).collect()
-}
-
-/// Answers all starts as carried out.
-fn confirm(scheduler: &mut Scheduler, orders: &[Addressed], now: Duration) {
-    for addressed in orders {
-        scheduler.lease_end(addressed.worker, true, now);
-        scheduler.on_answer(addressed.worker, &addressed.order, Answer::Done, false, now);
-    }
-}
+mod common;
+use common::*;
 
 /// Guards against a restored job whose lost task is never started again: a run
 /// that a worker lists before the first tick opens the occurrence.
@@ -456,18 +280,6 @@
     assert!(scheduler.plan(ms(1710)).is_empty());
 }
 
-fn instance(index: usize, pool: &str, state: InstanceState) -> Instance {
-    Instance {
-        name: format!("i{index}"),
-        pool: pool.to_owned(),
-        state,
-        data_centre: "dc".to_owned(),
-        labels: vec![],
-        capacity: report(index, "dc").capacity,
-        worker: format!("w{index}"),
-    }
-}
-
 /// Runs a lasting job of as many tasks as workers and brings it to work.
 fn with_lasting(workers: usize) -> (Scheduler, Vec<WorkerKey>) {
     let mut scheduler = scheduler(7, ms(1000));
--- /dev/null
+++ b/crates/dotterelsill_jobs/tests/moves.rs
@@ -0,0 +1,93 @@
+//! Moves of instances between pools, each with the load that it answers.
+
+use std::sync::Arc;
+
+use dotterelsill_jobs::{
+    Instance,
+    InstanceAction,
+    InstanceOrder,
+    InstanceState,
+    Pool,
+    Scheduler, //
+};
+
+mod common;
+use common::*;
+
+/// Returns a scheduler with idle workers of the pool `work`, and instances that
+/// are switched off.
+fn fleet(working: usize, off: usize) -> (Scheduler, Vec<Instance>) {
+    let mut scheduler = scheduler(7, ms(1000));
+    let mut list = Vec::new();
+    for index in 0..working {
+        add_worker(&mut scheduler, index, ms(1000));
+        list.push(instance(index, "work", InstanceState::Up));
+    }
+    for index in working..working + off {
+        let mut switched_off = instance(index, "off", InstanceState::Up);
+        switched_off.worker.clear();
+        list.push(switched_off);
+    }
+    scheduler.on_instances(list.clone(), ms(1000), ms(1000));
+    (scheduler, list)
+}
+
+fn moves_to(orders: &[InstanceOrder], pool: &str) -> usize {
+    let is_there = |order: &&InstanceOrder| matches!(&order.action, InstanceAction::Move { pool: to } if to == pool);
+    orders.iter().filter(is_there).count()
+}
+
+/// Guards against a queue's turn that is met only when the pool is full: an
+/// instance takes two seconds to come. The work that waits, which the moves
+/// followed before, asks for nothing at that time.
+#[test]
+fn turn_is_met_before_the_pool_is_full() {
+    let (mut scheduler, _) = fleet(4, 8);
+    // Two steps of 4 tasks on one core, four jobs within 300 ms: 32 core-seconds,
+    // of which 16 cores run at once in a pool of 16.
+    let mut second = step(4, 1000);
+    second.after = vec![0];
+    let job = record("urgent", 7, vec![step(4, 1000), second]);
+    for id in 0..4 {
+        let now = ms(1000 + 100 * id);
+        submit(&mut scheduler, id, &job, now);
+        let orders = scheduler.plan(now);
+        assert_eq!(
+            starts(&orders).len(),
+            4,
+            "the pool has room for the first steps"
+        );
+    }
+    let orders = scheduler.plan_instances(ms(1310), ms(1310));
+    // 32 core-seconds within 600 ms are 53 cores; the pool has 16, an instance 4.
+    assert!(moves_to(&orders, "work") >= 8, "{orders:?}");
+}
+
+/// Guards against one large job that is taken for a turn.
+#[test]
+fn single_job_calls_no_instances() {
+    let (mut scheduler, _) = fleet(4, 8);
+    let job = record("urgent", 7, vec![step(16, 1000)]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    scheduler.plan(ms(1000));
+    assert_eq!(scheduler.plan_instances(ms(1010), ms(1010)), []);
+}
+
+/// Guards against idle instances that stay in a pool, which had many of them in
+/// its turn, while another pool's work waits.
+#[test]
+fn idle_instances_leave_for_work_that_waits() {
+    let mut two_pools = (*catalogue()).clone();
+    two_pools.pools.insert("other".to_owned(), Pool::default());
+    two_pools.queues[1].pool = "other".to_owned();
+    let (mut scheduler, list) = fleet(12, 0);
+    scheduler.configure(Arc::new(two_pools), Arc::default());
+    scheduler.plan_instances(ms(1000), ms(1000));
+    let job = record("patient", 7, vec![step(40, 1000)]);
+    submit(&mut scheduler, 1, &job, ms(3000));
+    scheduler.plan(ms(3000));
+    scheduler.on_instances(list, ms(3000), ms(3000));
+    let orders = scheduler.plan_instances(ms(3010), ms(3010));
+    // 40 cores wait and an instance has 4; one instance stays.
+    assert_eq!(moves_to(&orders, "other"), 10, "{orders:?}");
+}
