Let lasting tasks share workers, two at least for a step

Cause: a step's lasting tasks were spread over one worker each, since no more than it may miss was put on one. Maintenance does not need it: an instance that drains evicts such tasks one by one, as far as the step can miss them.

Change: a worker takes up to half of a lasting step before others are preferred.

Ruled out: all tasks of a step on one worker.

Test: lasting_tasks_share_two_workers fails on the code before.

--- a/crates/dotterelsill_jobs/src/place.rs
+++ b/crates/dotterelsill_jobs/src/place.rs
@@ -49,9 +49,9 @@
 type Score = (bool, bool, bool, bool, u64);
 
 /// Returns the index of the best candidate for a task: on the rack of its data
-/// if possible, then away from tasks that it would disturb, then where the least
-/// processor time is left over, so that large tasks find room and idle workers
-/// stay idle.
+/// if possible, then away from tasks that it would disturb, then where its step
+/// has less than half of its lasting tasks, then where the least processor time
+/// is left over, so that large tasks find room and idle workers stay idle.
 pub(crate) fn choose<'a>(
     candidates: &[Candidate],
     worker: impl Fn(WorkerKey) -> Option<&'a Worker>,
@@ -111,12 +111,11 @@
         has_label && worker.count_of_step(self.id) < most
     }
 
-    /// Returns whether the worker already runs as many tasks of the step as may be
-    /// missed at once, so that its end would break the step's budget.
+    /// Returns whether the worker already runs half of the tasks of a lasting
+    /// step, so that its loss would leave less than half at work.
     fn is_crowded(&self, worker: &Worker) -> bool {
-        self.step
-            .may_miss
-            .is_some_and(|may_miss| worker.count_of_step(self.id) >= may_miss as usize)
+        let most = self.step.count.div_ceil(2) as usize;
+        self.step.is_lasting && worker.count_of_step(self.id) >= most
     }
 
     fn disturbs(&self, worker: &Worker) -> bool {
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -280,18 +280,16 @@
     assert!(scheduler.plan(ms(1710)).is_empty());
 }
 
-/// Runs a lasting job of as many tasks as workers and brings it to work.
+/// Runs a lasting job with one task on each worker and brings it to work.
 fn with_lasting(workers: usize) -> (Scheduler, Vec<WorkerKey>) {
     let mut scheduler = scheduler(7, ms(1000));
     let keys: Vec<WorkerKey> = (0..workers)
         .map(|index| add_worker(&mut scheduler, index, ms(1000)))
         .collect();
-    submit(
-        &mut scheduler,
-        1,
-        &record("urgent", 7, vec![lasting(workers as u32)]),
-        ms(1000),
-    );
+    let mut one_each = lasting(workers as u32);
+    one_each.max_per_worker = 1;
+    let job = record("urgent", 7, vec![one_each]);
+    submit(&mut scheduler, 1, &job, ms(1000));
     let orders = scheduler.plan(ms(1010));
     confirm(&mut scheduler, &orders, ms(1020));
     for &(started, worker) in &starts(&orders) {
--- a/crates/dotterelsill_jobs/tests/moves.rs
+++ b/crates/dotterelsill_jobs/tests/moves.rs
@@ -91,3 +91,18 @@
     // 40 cores wait and an instance has 4; one instance stays.
     assert_eq!(moves_to(&orders, "other"), 10, "{orders:?}");
 }
+
+/// Guards against lasting tasks that hold one instance each, so that none of
+/// these can be switched off or moved, and against a step that one worker's end
+/// takes away as a whole.
+#[test]
+fn lasting_tasks_share_two_workers() {
+    let (mut scheduler, _) = fleet(6, 0);
+    let job = record("urgent", 7, vec![lasting(4)]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    let orders = scheduler.plan(ms(1000));
+    let mut workers: Vec<_> = starts(&orders).iter().map(|(_, worker)| *worker).collect();
+    workers.sort_unstable();
+    let counts: Vec<usize> = workers.chunk_by(|a, b| a == b).map(<[_]>::len).collect();
+    assert_eq!(counts, [2, 2]);
+}
