Store which instances were ordered lately, and move the others at once after an election

Cause: a new scheduler gave no order to any instance for 3 s, so that it could not take turns with its predecessor.

Its successor reads them after its election and holds just these for a turn. Maintenance still waits for a turn, since what is down for it counts against the wave's limit and may not be stored yet.

Tests: only_instances_ordered_lately_are_held_after_an_election (no order within the turn before this change), ordered_instances_are_kept_for_a_turn.

--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -109,6 +109,11 @@
     pub(crate) waves: BTreeMap<u64, WaveState>,
     /// Start and finished instances of waves by an earlier scheduler.
     pub(crate) restored_waves: BTreeMap<u64, (Duration, Vec<String>)>,
+    /// Time of the last order to each instance, or of its answer.
+    pub(crate) ordered_at: BTreeMap<String, Duration>,
+    /// Time until which instances get no orders, since an earlier scheduler may
+    /// just have given one.
+    pub(crate) held_until: BTreeMap<String, Duration>,
     /// Since when instances are idle.
     pub(crate) idle_since: BTreeMap<String, Duration>,
     /// Work that was handed in lately, by pool.
@@ -143,6 +148,8 @@
             has_instances: false,
             waves: BTreeMap::new(),
             restored_waves: BTreeMap::new(),
+            ordered_at: BTreeMap::new(),
+            held_until: BTreeMap::new(),
             idle_since: BTreeMap::new(),
             arrivals: BTreeMap::new(),
         }
--- a/crates/dotterelsill_jobs/src/upkeep.rs
+++ b/crates/dotterelsill_jobs/src/upkeep.rs
@@ -120,10 +120,11 @@
                 }
                 continue;
             }
+            let held_until = self.held_until.get(&instance.name).copied();
             let known = Known {
                 instance,
                 ordered: None,
-                late_until: Duration::ZERO,
+                late_until: held_until.unwrap_or_default(),
                 done_at: None,
                 refused_pools: BTreeSet::new(),
             };
@@ -170,6 +171,25 @@
         }
     }
 
+    /// Notes the instances that an earlier scheduler has given orders to lately.
+    pub fn restore_ordered(&mut self, instances: &[String]) {
+        let until = self.started_at + self.limits.turn;
+        let held = instances.iter().map(|name| (name.clone(), until));
+        self.held_until.extend(held);
+    }
+
+    /// Returns the instances whose orders a later scheduler has to know, so that
+    /// the two do not take turns: those with an order that is open, or was given
+    /// within a turn. The record must be stored before the orders are given.
+    pub fn ordered(&mut self, now: Duration) -> Vec<String> {
+        let (instances, turn) = (&self.instances, self.limits.turn);
+        self.ordered_at.retain(|name, at| {
+            let known = instances.get(name);
+            known.is_some_and(|known| known.ordered.is_some()) || now < *at + turn
+        });
+        self.ordered_at.keys().cloned().collect()
+    }
+
     /// Takes over a wave that an earlier scheduler has begun.
     pub fn restore_wave(&mut self, number: u64, started_unix: Duration, done: &[String]) {
         self.restored_waves
@@ -214,16 +234,22 @@
     /// Returns the orders to instances that are due.
     pub fn plan_instances(&mut self, now: Duration, unix: Duration) -> Vec<InstanceOrder> {
         self.follow_waves(unix);
-        // Orders of an earlier holder must not take turns with those given here.
-        if !self.has_instances || now < self.started_at + self.limits.turn {
+        if !self.has_instances {
             return Vec::new();
         }
         let mut orders = Vec::new();
-        let numbers: Vec<u64> = self.waves.keys().copied().collect();
-        for number in numbers {
-            self.plan_wave(number, &mut orders, now, unix);
+        // Instances that an earlier scheduler has just taken into maintenance are
+        // down and may not be in its stored progress yet.
+        if now >= self.started_at + self.limits.turn {
+            let numbers: Vec<u64> = self.waves.keys().copied().collect();
+            for number in numbers {
+                self.plan_wave(number, &mut orders, now, unix);
+            }
         }
         self.plan_moves(&mut orders, now);
+        for order in &orders {
+            self.ordered_at.insert(order.instance.clone(), now);
+        }
         orders
     }
 
@@ -479,6 +505,7 @@
     ) -> bool {
         let name = &order.instance;
         log::info!(instance = name, action:? = order.action, answer:?; "instance_answered");
+        self.ordered_at.insert(name.clone(), now);
         if answer == InstanceAnswer::None {
             if let Some(known) = self.instances.get_mut(name) {
                 known.late_until = now + LATE_ORDER;
--- a/crates/dotterelsill_jobs/tests/moves.rs
+++ b/crates/dotterelsill_jobs/tests/moves.rs
@@ -5,8 +5,10 @@
 use dotterelsill_jobs::{
     Instance,
     InstanceAction,
+    InstanceAnswer,
     InstanceOrder,
     InstanceState,
+    Limits,
     Pool,
     Scheduler, //
 };
@@ -17,7 +19,10 @@
 /// Returns a scheduler with idle workers of the pool `work`, and instances that
 /// are switched off.
 fn fleet(working: usize, off: usize) -> (Scheduler, Vec<Instance>) {
-    let mut scheduler = scheduler(7, ms(1000));
+    fleet_of(scheduler(7, ms(1000)), working, off)
+}
+
+fn fleet_of(mut scheduler: Scheduler, working: usize, off: usize) -> (Scheduler, Vec<Instance>) {
     let mut list = Vec::new();
     for index in 0..working {
         add_worker(&mut scheduler, index, ms(1000));
@@ -106,3 +111,52 @@
     let counts: Vec<usize> = workers.chunk_by(|a, b| a == b).map(<[_]>::len).collect();
     assert_eq!(counts, [2, 2]);
 }
+
+/// Guards against two schedulers that give orders to one instance by turns, and
+/// against a new scheduler that moves nothing for a whole turn: only instances
+/// that the earlier one has ordered lately are held.
+#[test]
+fn only_instances_ordered_lately_are_held_after_an_election() {
+    let limits = Limits {
+        turn: ms(3000),
+        ..limits()
+    };
+    let mut successor = Scheduler::new(8, limits, ms(1000));
+    successor.configure(catalogue(), Arc::default());
+    successor.restore_ordered(&["i2".to_owned()]);
+    let (mut successor, _) = fleet_of(successor, 1, 3);
+    let job = record("urgent", 8, vec![step(16, 1000)]);
+    submit(&mut successor, 1, &job, ms(1000));
+    successor.plan(ms(1000));
+    let named = |orders: &[InstanceOrder]| -> Vec<String> {
+        orders.iter().map(|order| order.instance.clone()).collect()
+    };
+    let first = successor.plan_instances(ms(1100), ms(1100));
+    assert_eq!(named(&first), ["i1", "i3"]);
+    assert_eq!(successor.ordered(ms(1100)), ["i1", "i3"]);
+    assert_eq!(successor.plan_instances(ms(3900), ms(3900)), []);
+    let second = successor.plan_instances(ms(4100), ms(4100));
+    assert_eq!(named(&second), ["i2"]);
+}
+
+/// Guards against a record of ordered instances that drops one too early: an
+/// order that is open, or was answered within a turn, must be in it.
+#[test]
+fn ordered_instances_are_kept_for_a_turn() {
+    let limits = Limits {
+        turn: ms(3000),
+        ..limits()
+    };
+    let mut holder = Scheduler::new(8, limits, ms(1000));
+    holder.configure(catalogue(), Arc::default());
+    let (mut holder, list) = fleet_of(holder, 0, 1);
+    let job = record("urgent", 8, vec![step(1, 1000)]);
+    submit(&mut holder, 1, &job, ms(1000));
+    holder.plan(ms(1000));
+    let orders = holder.plan_instances(ms(1100), ms(1100));
+    assert_eq!(holder.ordered(ms(9000)), ["i0"], "the order is open");
+    holder.on_instance_answer(&orders[0], InstanceAnswer::Done, ms(9000));
+    holder.on_instances(list, ms(9100), ms(9100));
+    assert_eq!(holder.ordered(ms(11_900)), ["i0"]);
+    assert!(holder.ordered(ms(12_000)).is_empty());
+}
--- a/crates/dotterelsill_node/src/keys.rs
+++ b/crates/dotterelsill_node/src/keys.rs
@@ -8,6 +8,9 @@
 /// Workers that may run tasks.
 pub(crate) const GRANTED: &str = "granted";
 
+/// Instances that the scheduler has given orders to lately.
+pub(crate) const ORDERED: &str = "ordered";
+
 /// Prefix of accepted jobs that have not ended.
 pub(crate) const JOBS: &str = "jobs/";
 
--- a/crates/dotterelsill_node/src/restore.rs
+++ b/crates/dotterelsill_node/src/restore.rs
@@ -12,6 +12,7 @@
 use dotterelsill_proto::jobs::{
     GrantedRecord,
     JobRecord,
+    OrderedRecord,
     Phase,
     ProgressRecord,
     WaveRecord, //
@@ -90,6 +91,12 @@
     for worker in &workers {
         scheduler.expect(worker, now());
     }
+    if let Some(item) = (store.get)(keys::ORDERED).await? {
+        match OrderedRecord::decode(item.value.as_slice()) {
+            Ok(record) => scheduler.restore_ordered(&record.instances),
+            Err(error) => log::error!(error:%; "ordered_unusable"),
+        }
+    }
     let (waves, _) = store.list(keys::WAVES, Staleness::Current).await?;
     for item in &waves {
         restore_wave(scheduler, item);
