Wait after an election only for workers that may run something

A new scheduler holds restored jobs back until it has read the list of each worker on which an earlier scheduler may have started them, or its lease is over. It waited for workers that had ended: the stored record of workers only grew (61 for 49 instances), and workers that are still registered 4.5 s after their end counted as well.

Change: workers that have surely ended, and those whose instance leaves while they run nothing, leave the record; it is brought up to date before a planned hand-over. Only workers in the record at the election count as possibly running something: no lease is granted and nothing started before a worker is in it. A worker that ended with unanswered orders stays in it for 13 s, since a new life under the same name may carry them out. The writes of the two records that only the scheduler writes expect the revision of the one before (guarded.rs): a write of `granted` that was carried out late could replace a newer one. The records of a takeover are read side by side.

Ruled out: the lag of the list of instances as the only cause; without stale workers in the record it holds up nothing after a planned hand-over.

Tests: ended_workers_leave_the_record fails before; the search finds a record that forgets workers (search_finds_workers_that_leave_the_record_early).

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -30,6 +30,9 @@
 /// from both lists.
 const ENDS_LISTED: usize = 500;
 
+/// Time within which an order that was not answered may still be carried out.
+pub(crate) const LATE_ORDER: Duration = Duration::from_secs(13);
+
 /// Room that a task of an unknown job counts for: more than any worker has.
 const UNKNOWN_TASK_CPU_MILLI: u64 = 1_000_000;
 
@@ -58,6 +61,7 @@
     /// Notes a worker that an earlier scheduler has granted a lease and that is
     /// not listed.
     pub fn expect(&mut self, granted: &GrantedWorker, now: Duration) -> Option<WorkerKey> {
+        self.granted_stored.insert(granted.id.clone());
         if self.by_id.contains_key(&granted.id) {
             return None;
         }
@@ -74,6 +78,7 @@
         let key = self.new_worker(report, now);
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.is_listed = false;
+            worker.is_expected = true;
         }
         Some(key)
     }
@@ -90,24 +95,37 @@
         }
     }
 
-    /// Returns whether a worker is not stored yet as one that may run tasks.
-    pub fn has_ungranted(&self) -> bool {
-        self.workers.values().any(|worker| !worker.may_grant)
+    /// Returns whether the stored record of the workers that may run tasks lacks
+    /// one, or names one that has surely ended.
+    pub fn has_granted_change(&self) -> bool {
+        let may_run = |id: &String| {
+            let worker = self.by_id.get(id).and_then(|key| self.workers.get(key));
+            worker.is_some_and(|worker| !worker.is_left()) || self.late_orders.contains_key(id)
+        };
+        let is_missing = |worker: &crate::worker::Worker| !worker.may_grant && !worker.is_left();
+        self.workers.values().any(is_missing) || !self.granted_stored.iter().all(may_run)
+    }
+
+    /// Returns the identifiers of the workers that are known.
+    pub fn worker_ids(&self) -> Vec<String> {
+        self.by_id.keys().cloned().collect()
     }
 
-    /// Returns all workers that may hold a lease.
+    /// Returns all workers that may run tasks.
     pub fn granted(&self) -> Vec<GrantedWorker> {
-        let granted = |worker: &crate::worker::Worker| GrantedWorker {
-            id: worker.report.id.clone(),
-            address: worker.report.address.clone(),
-            pool: worker.report.pool.clone(),
-            data_centre: worker.report.data_centre.clone(),
-        };
-        self.workers.values().map(granted).collect()
+        let present = self.workers.values().filter(|worker| !worker.is_left());
+        let is_gone = |id: &&String| !self.by_id.contains_key(*id);
+        let late = self.late_orders.keys().filter(is_gone);
+        let late = late.map(|id| self.late_orders[id].0.clone());
+        present
+            .map(crate::worker::Worker::granted_record)
+            .chain(late)
+            .collect()
     }
 
     /// Notes that workers are stored as those that may run tasks.
     pub fn on_granted_stored(&mut self, granted: &[GrantedWorker]) {
+        self.granted_stored = granted.iter().map(|worker| worker.id.clone()).collect();
         for granted in granted {
             let key = self.by_id.get(&granted.id);
             if let Some(worker) = key.and_then(|key| self.workers.get_mut(key)) {
@@ -397,6 +415,7 @@
     /// Ends the runs of workers whose leases have surely ended, and forgets
     /// workers that are gone.
     pub fn expire_leases(&mut self, now: Duration) {
+        self.late_orders.retain(|_, (_, until)| now < *until);
         let lapsed: Vec<WorkerKey> = self
             .workers
             .iter()
@@ -446,6 +465,11 @@
         };
         worker.is_known = false;
         self.needs_plan = true;
+        let mut booked = worker.booked.values();
+        if booked.any(|booked| booked.confirmed_at.is_none()) {
+            let late = (worker.granted_record(), now + LATE_ORDER);
+            self.late_orders.insert(worker.report.id.clone(), late);
+        }
         let runs: Vec<(TaskId, u32)> = worker
             .booked
             .iter()
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -13,6 +13,7 @@
 };
 
 use dotterelsill_proto::jobs::{
+    GrantedWorker,
     JobRecord,
     Phase,
     ProgressRecord, //
@@ -109,6 +110,11 @@
     pub(crate) waves: BTreeMap<u64, WaveState>,
     /// Start and finished instances of waves by an earlier scheduler.
     pub(crate) restored_waves: BTreeMap<u64, (Duration, Vec<String>)>,
+    /// Workers in the stored record of those that may run tasks.
+    pub(crate) granted_stored: BTreeSet<String>,
+    /// Workers that have ended with orders which may still be carried out by a new
+    /// life of the same name, and until when.
+    pub(crate) late_orders: BTreeMap<String, (GrantedWorker, Duration)>,
     /// Time of the last order to each instance, or of its answer.
     pub(crate) ordered_at: BTreeMap<String, Duration>,
     /// Time until which instances get no orders, since an earlier scheduler may
@@ -148,6 +154,8 @@
             has_instances: false,
             waves: BTreeMap::new(),
             restored_waves: BTreeMap::new(),
+            granted_stored: BTreeSet::new(),
+            late_orders: BTreeMap::new(),
             ordered_at: BTreeMap::new(),
             held_until: BTreeMap::new(),
             idle_since: BTreeMap::new(),
@@ -169,9 +177,12 @@
     /// Returns whether an earlier scheduler's runs may still be on a worker.
     ///
     /// The bound of its leases counts only with authority: a later scheduler may
-    /// have started the same tasks there and renewed the lease.
+    /// have started the same tasks there and renewed the lease. Nobody has started
+    /// anything on a worker that the stored record does not name.
     pub(crate) fn may_run_unseen(&self, worker: &Worker, now: Duration) -> bool {
-        !worker.is_known && (now < worker.unknown_until || !self.has_authority)
+        worker.is_expected
+            && !worker.is_known
+            && (now < worker.unknown_until || !self.has_authority)
     }
 
     /// Sets the configuration and what the operators ask for.
--- a/crates/dotterelsill_jobs/src/upkeep.rs
+++ b/crates/dotterelsill_jobs/src/upkeep.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    fleet::LATE_ORDER,
     job::Task,
     Instance,
     InstanceAction,
@@ -48,9 +49,6 @@
 /// unless time runs short.
 const POOL_AWAY_PERCENT: usize = 34;
 
-/// Time within which an order that was not answered may still be carried out.
-const LATE_ORDER: Duration = Duration::from_secs(13);
-
 /// Time added to that of the maintenance before an instance counts as back.
 const BACK_MARGIN: Duration = Duration::from_millis(300);
 
@@ -548,6 +546,9 @@
         } else if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
             worker.reserved = false;
             worker.is_ending = false;
+            // It may have left the stored record when it ran nothing, and must be
+            // in it again before it gets tasks.
+            worker.may_grant = false;
         }
         if let InstanceAction::Maintain { wave } = order.action {
             if let Some(state) = self.waves.get_mut(&wave) {
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -8,6 +8,8 @@
     time::Duration, //
 };
 
+use dotterelsill_proto::jobs::GrantedWorker;
+
 use crate::{
     health::Health,
     JobId,
@@ -124,6 +126,8 @@
     pub(crate) is_ending: bool,
     /// Whether the worker is in the stored record of those that may run tasks.
     pub(crate) may_grant: bool,
+    /// Whether an earlier scheduler may have started tasks here.
+    pub(crate) is_expected: bool,
 }
 
 impl Worker {
@@ -152,6 +156,7 @@
             reserved: false,
             is_ending: false,
             may_grant: false,
+            is_expected: false,
         }
     }
 
@@ -248,6 +253,21 @@
         is_over && now >= self.unknown_until
     }
 
+    /// Returns whether nothing runs here and nothing will: its instance leaves.
+    pub(crate) fn is_left(&self) -> bool {
+        self.is_ending && self.booked.is_empty()
+    }
+
+    /// Returns what the stored record says of the worker.
+    pub(crate) fn granted_record(&self) -> GrantedWorker {
+        GrantedWorker {
+            id: self.report.id.clone(),
+            address: self.report.address.clone(),
+            pool: self.report.pool.clone(),
+            data_centre: self.report.data_centre.clone(),
+        }
+    }
+
     /// Books a run.
     pub(crate) fn book(&mut self, task: TaskId, booked: Booked) {
         self.used.add(&booked.room);
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -434,3 +434,36 @@
     let change = second.take_changes(1).remove(0);
     assert_eq!(change.record.phase(), Phase::Failed, "two runs have failed");
 }
+
+/// Guards against a scheduler that waits for the leases of workers which its
+/// predecessor knew to have ended: these leave the stored record.
+#[test]
+fn ended_workers_leave_the_record() {
+    let mut first = scheduler(7, ms(1000));
+    let (gone, stays) = (add_worker(&mut first, 0, ms(1000)), report(1, "dc"));
+    add_worker(&mut first, 1, ms(1000));
+    assert!(!first.has_granted_change());
+    first.on_other_worker(gone, ms(2000));
+    first.expire_leases(ms(2050));
+    assert!(first.has_granted_change());
+    let record = first.granted();
+    first.on_granted_stored(&record);
+    assert!(!first.has_granted_change());
+
+    let mut second = scheduler(8, ms(3000));
+    for worker in &record {
+        second.expect(worker, ms(3000));
+    }
+    let job = record_of_seven();
+    second.restore(JobId(1), &job, None, ms(3000)).unwrap();
+    second.open_due_jobs(ms(3000));
+    let (key, _) = second.on_report(stays, ms(3010));
+    second.on_look(key, &look_at(ms(3020)), ms(3020));
+    second.on_granted_stored(&record);
+    let orders = second.plan(ms(3030));
+    assert_eq!(starts(&orders), [(task(1, 0, 0), key)]);
+}
+
+fn record_of_seven() -> JobRecord {
+    record("urgent", 7, vec![step(1, 1000)])
+}
--- a/crates/dotterelsill_jobs/tests/search/main.rs
+++ b/crates/dotterelsill_jobs/tests/search/main.rs
@@ -79,6 +79,17 @@
     assert!(finds(faults));
 }
 
+/// Guards against a search that would not see a fault: workers that may run tasks
+/// and are not in the stored record run tasks twice after a takeover.
+#[test]
+fn search_finds_workers_that_leave_the_record_early() {
+    let faults = Faults {
+        forgets_workers: true,
+        ..Faults::ALL
+    };
+    assert!(finds(faults));
+}
+
 /// Guards against a search that would not see a fault: ends that are
 /// acknowledged before they are stored are forgotten at a takeover.
 #[test]
--- a/crates/dotterelsill_jobs/tests/search/world.rs
+++ b/crates/dotterelsill_jobs/tests/search/world.rs
@@ -62,6 +62,7 @@
 pub(crate) struct Faults {
     pub(crate) judges_without_authority: bool,
     pub(crate) acknowledges_early: bool,
+    pub(crate) forgets_workers: bool,
 }
 
 impl Faults {
@@ -69,6 +70,7 @@
     pub(crate) const ALL: Self = Self {
         judges_without_authority: false,
         acknowledges_early: false,
+        forgets_workers: false,
     };
 }
 
@@ -390,9 +392,19 @@
                 driver.scheduler.on_unlisted(&worker.id, at(now_ms));
             }
         }
-        if driver.scheduler.has_ungranted() {
-            self.store.granted = driver.scheduler.granted();
-            driver.scheduler.on_granted_stored(&self.store.granted);
+        if driver.scheduler.has_granted_change() {
+            if driver.scheduler.token() != self.store.token {
+                // The write expects the scheduler's key.
+                driver.is_lost = true;
+                return;
+            }
+            let granted = driver.scheduler.granted();
+            driver.scheduler.on_granted_stored(&granted);
+            self.store.granted = if self.faults.forgets_workers {
+                Vec::new()
+            } else {
+                granted
+            };
         }
     }
 
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -379,6 +379,12 @@
     authority.lost().or(leaving.stopped()).await;
     if !authority.is_lost() {
         flush(&lead).await;
+        let late = Timer::after(FLUSH_LIMIT);
+        workers_followed::store_granted(&lead)
+            .or(async {
+                late.await;
+            })
+            .await;
     }
     node.leading.store(None);
     node.metrics.is_scheduling.set(0);
--- a/crates/dotterelsill_node/src/instance_orders.rs
+++ b/crates/dotterelsill_node/src/instance_orders.rs
@@ -25,6 +25,7 @@
 use crate::{
     clock,
     dependency::Dependency,
+    guarded::Guarded,
     keys,
     lead::Lead, //
 };
@@ -57,7 +58,7 @@
 
 /// Gives orders to instances until the group stops.
 pub(crate) async fn run(lead: Arc<Lead>) {
-    let mut ordered_revision = 0;
+    let mut record = Guarded::new(keys::ORDERED);
     loop {
         Timer::after(PLAN_INTERVAL).await;
         if !lead.is_valid() {
@@ -70,7 +71,7 @@
             (orders, ordered, scheduler.wave_changes())
         };
         if !orders.is_empty() {
-            store_ordered(&lead, ordered, &mut ordered_revision).await;
+            store_ordered(&lead, ordered, &mut record).await;
         }
         for order in orders {
             let giving = lead.clone();
@@ -116,42 +117,12 @@
     }
 }
 
-/// Stores which instances are given orders, before these are given. `revision` is
-/// that of the record, so that a write which is carried out late replaces no
-/// newer one.
-async fn store_ordered(lead: &Lead, instances: Vec<String>, revision: &mut u64) {
+/// Stores which instances are given orders, before these are given.
+async fn store_ordered(lead: &Lead, instances: Vec<String>, record: &mut Guarded) {
     let value = OrderedRecord { instances }.encode_to_vec();
-    while !lead.authority.is_lost() {
-        let transaction = Transaction {
-            expected: vec![
-                (keys::LEADER.to_owned(), lead.token),
-                (keys::ORDERED.to_owned(), *revision),
-            ],
-            writes: vec![Write {
-                key: keys::ORDERED.to_owned(),
-                value: value.clone(),
-                lease: 0,
-            }],
-            removes: Vec::new(),
-        };
-        match (lead.store.commit)(transaction).await {
-            Ok(Committed::Done { revision: stored }) => {
-                *revision = stored;
-                return;
-            }
-            Ok(Committed::Conflict { current }) => {
-                let found = |key: &str| current.iter().find(|item| item.key == key);
-                if found(keys::LEADER).is_none_or(|item| item.revision != lead.token) {
-                    lead.authority.lose("the scheduler's key has changed");
-                    return;
-                }
-                *revision = found(keys::ORDERED).map_or(0, |item| item.revision);
-            }
-            Err(error) => {
-                log::warn!(error:%; "ordered_instances_not_stored");
-                Timer::after(RETRY_PAUSE).await;
-            }
-        }
+    while let Err(error) = record.write(lead, value.clone()).await {
+        log::warn!(error:%; "ordered_instances_not_stored");
+        Timer::after(RETRY_PAUSE).await;
     }
 }
 
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -31,6 +31,8 @@
 use crate::{
     authority::Authority,
     clock,
+    guarded::Guarded,
+    keys,
     operators::Operators,
     signal::Signal,
     submission::Submissions, //
@@ -66,6 +68,8 @@
     pub(crate) authority: Arc<Authority>,
     pub(crate) operators: Arc<Operators>,
     pub(crate) submissions: Submissions,
+    /// Record of the workers that may run tasks.
+    pub(crate) granted: async_lock::Mutex<Guarded>,
     pub(crate) tasks: Tasks,
     pub(crate) token: u64,
     plan_wanted: Signal,
@@ -107,6 +111,7 @@
             authority,
             operators,
             submissions: Submissions::default(),
+            granted: async_lock::Mutex::new(Guarded::new(keys::GRANTED)),
             tasks,
             plan_wanted: Signal::default(),
             write_wanted: Signal::default(),
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod dependency;
 mod election;
+mod guarded;
 mod instance_orders;
 mod intake;
 mod keys;
--- a/crates/dotterelsill_node/src/restore.rs
+++ b/crates/dotterelsill_node/src/restore.rs
@@ -23,6 +23,7 @@
     Operations,
     Staleness, //
 };
+use futures_lite::future;
 use prost::Message as _;
 
 use crate::keys;
@@ -36,9 +37,16 @@
     let begin = now();
     // A job's record is removed in the transaction that stores its end, so that
     // records are read first and no job is missed.
-    let (jobs, _) = store.list(keys::JOBS, Staleness::Current).await?;
-    let (progress, _) = store.list(keys::PROGRESS, Staleness::Current).await?;
-    let granted = (store.get)(keys::GRANTED).await?;
+    let jobs_and_progress = async {
+        let (jobs, _) = store.list(keys::JOBS, Staleness::Current).await?;
+        let (progress, _) = store.list(keys::PROGRESS, Staleness::Current).await?;
+        Ok::<_, OperationError>((jobs, progress))
+    };
+    let records = future::try_zip((store.get)(keys::GRANTED), (store.get)(keys::ORDERED));
+    let waves = store.list(keys::WAVES, Staleness::Current);
+    let others = future::try_zip(records, waves);
+    let ((jobs, progress), ((granted, ordered), (waves, _))) =
+        future::try_zip(jobs_and_progress, others).await?;
     let mut of_job: HashMap<JobId, (ProgressRecord, u64)> = HashMap::new();
     for item in &progress {
         let id = keys::job_of(keys::PROGRESS, &item.key);
@@ -91,13 +99,12 @@
     for worker in &workers {
         scheduler.expect(worker, now());
     }
-    if let Some(item) = (store.get)(keys::ORDERED).await? {
+    if let Some(item) = ordered {
         match OrderedRecord::decode(item.value.as_slice()) {
             Ok(record) => scheduler.restore_ordered(&record.instances),
             Err(error) => log::error!(error:%; "ordered_unusable"),
         }
     }
-    let (waves, _) = store.list(keys::WAVES, Staleness::Current).await?;
     for item in &waves {
         restore_wave(scheduler, item);
     }
--- a/crates/dotterelsill_node/src/workers_followed.rs
+++ b/crates/dotterelsill_node/src/workers_followed.rs
@@ -18,20 +18,16 @@
 };
 use dotterelsill_proto::jobs::GrantedRecord;
 use dotterelsill_store::{
-    Committed,
     Event,
     Item,
     OperationError,
-    Staleness,
-    Transaction,
-    Write, //
+    Staleness, //
 };
 use prost::Message as _;
 
 use crate::{
     clock,
     dependency::Dependency,
-    keys,
     lead::Lead,
     worker_loops, //
 };
@@ -126,21 +122,20 @@
 /// Notes workers that are no longer registered.
 fn note_absent(lead: &Lead, registered: &BTreeSet<String>) {
     let mut scheduler = lead.scheduler();
-    let known: Vec<String> = scheduler
-        .granted()
-        .into_iter()
-        .map(|granted| granted.id)
-        .collect();
+    let known = scheduler.worker_ids();
     for id in known.iter().filter(|id| !registered.contains(*id)) {
         scheduler.on_unlisted(id, clock::now());
     }
 }
 
-/// Stores which workers may run tasks, before any of them is granted a lease.
-async fn store_granted(lead: &Lead) {
+/// Stores which workers may run tasks, before any of them is granted a lease, and
+/// which of them have ended, so that the next scheduler does not wait for these.
+pub(crate) async fn store_granted(lead: &Lead) {
+    // One write at a time, each with what is known when its turn comes.
+    let mut stored = lead.granted.lock().await;
     let granted = {
         let scheduler = lead.scheduler();
-        if !scheduler.has_ungranted() {
+        if !scheduler.has_granted_change() {
             return;
         }
         scheduler.granted()
@@ -148,23 +143,12 @@
     let record = GrantedRecord {
         workers: granted.clone(),
     };
-    let transaction = Transaction {
-        expected: vec![(keys::LEADER.to_owned(), lead.token)],
-        writes: vec![Write {
-            key: keys::GRANTED.to_owned(),
-            value: record.encode_to_vec(),
-            lease: 0,
-        }],
-        removes: Vec::new(),
-    };
-    match (lead.store.commit)(transaction).await {
-        Ok(Committed::Done { .. }) => {
+    match stored.write(lead, record.encode_to_vec()).await {
+        Ok(true) => {
             log::info!(workers = granted.len() as u64; "granted_workers_stored");
             lead.scheduler().on_granted_stored(&granted);
         }
-        Ok(Committed::Conflict { .. }) => {
-            lead.authority.lose("the scheduler's key has changed");
-        }
+        Ok(false) => {}
         Err(error) => log::warn!(error:%; "granted_workers_not_stored"),
     }
 }
