Let a pool's idle instances go although some of its tasks wait

Change: what waits beside idle instances keeps as many of them as it would need; the others are free.

--- a/crates/dotterelsill_jobs/src/moves.rs
+++ b/crates/dotterelsill_jobs/src/moves.rs
@@ -143,14 +143,19 @@
         };
         let mut best: Option<(bool, usize, String)> = None;
         for (pool, balance) in balances.iter() {
-            if pool == wanting || balance.waiting_milli > 0 {
+            if pool == wanting {
                 continue;
             }
             let is_standby = self.is_standby(pool);
             let spare = if is_standby {
                 balance.idle.len()
             } else {
-                balance.up.saturating_sub(reserve)
+                // What waits beside idle instances waits for something else than
+                // room; as much as it needs is kept for it.
+                let each = (balance.room_milli / balance.up.max(1) as u64).max(1);
+                let kept = balance.waiting_milli.div_ceil(each) as usize;
+                let unneeded = balance.idle.len().saturating_sub(kept);
+                unneeded.min(balance.up.saturating_sub(reserve))
             };
             let is_ready = balance.idle.iter().any(|(since, name)| {
                 (is_standby || now >= *since + IDLE_BEFORE_TAKEN)
--- a/crates/dotterelsill_jobs/tests/moves.rs
+++ b/crates/dotterelsill_jobs/tests/moves.rs
@@ -3,15 +3,18 @@
 use std::sync::Arc;
 
 use dotterelsill_jobs::{
+    Catalogue,
     Instance,
     InstanceAction,
     InstanceAnswer,
     InstanceOrder,
     InstanceState,
+    JobId,
     Limits,
     Pool,
     Scheduler, //
 };
+use dotterelsill_proto::jobs::GrantedWorker;
 
 mod common;
 use common::*;
@@ -37,6 +40,14 @@
     (scheduler, list)
 }
 
+/// Returns a configuration in which the patient queue has a pool of its own.
+fn two_pools() -> Arc<Catalogue> {
+    let mut two_pools = (*catalogue()).clone();
+    two_pools.pools.insert("other".to_owned(), Pool::default());
+    two_pools.queues[1].pool = "other".to_owned();
+    Arc::new(two_pools)
+}
+
 fn moves_to(orders: &[InstanceOrder], pool: &str) -> usize {
     let is_there = |order: &&InstanceOrder| matches!(&order.action, InstanceAction::Move { pool: to } if to == pool);
     orders.iter().filter(is_there).count()
@@ -82,11 +93,8 @@
 /// its turn, while another pool's work waits.
 #[test]
 fn idle_instances_leave_for_work_that_waits() {
-    let mut two_pools = (*catalogue()).clone();
-    two_pools.pools.insert("other".to_owned(), Pool::default());
-    two_pools.queues[1].pool = "other".to_owned();
     let (mut scheduler, list) = fleet(12, 0);
-    scheduler.configure(Arc::new(two_pools), Arc::default());
+    scheduler.configure(two_pools(), Arc::default());
     scheduler.plan_instances(ms(1000), ms(1000));
     let job = record("patient", 7, vec![step(40, 1000)]);
     submit(&mut scheduler, 1, &job, ms(3000));
@@ -112,6 +120,36 @@
     assert_eq!(counts, [2, 2]);
 }
 
+/// Guards against idle instances that stay because a few tasks of their pool wait
+/// for something else than room, here for a worker that is cut off.
+#[test]
+fn waiting_restored_tasks_keep_only_what_they_need() {
+    let mut successor = scheduler(8, ms(1000));
+    successor.configure(two_pools(), Arc::default());
+    let cut_off = GrantedWorker {
+        id: "w99".to_owned(),
+        address: "127.0.0.1:2099".to_owned(),
+        pool: "work".to_owned(),
+        data_centre: "dc".to_owned(),
+    };
+    successor.expect(&cut_off, ms(1000));
+    let restored = record("urgent", 7, vec![step(6, 1000)]);
+    successor
+        .restore(JobId(1), &restored, None, ms(1000))
+        .unwrap();
+    successor.open_due_jobs(ms(1000));
+    let (mut successor, list) = fleet_of(successor, 12, 0);
+    successor.configure(two_pools(), Arc::default());
+    successor.plan_instances(ms(1000), ms(1000));
+    let job = record("patient", 8, vec![step(40, 1000)]);
+    submit(&mut successor, 2, &job, ms(3000));
+    assert!(successor.plan(ms(3000)).is_empty());
+    successor.on_instances(list, ms(3000), ms(3000));
+    let orders = successor.plan_instances(ms(3010), ms(3010));
+    // 6 cores wait, for which two of the 12 instances are kept.
+    assert_eq!(moves_to(&orders, "other"), 10, "{orders:?}");
+}
+
 /// Guards against two schedulers that give orders to one instance by turns, and
 /// against a new scheduler that moves nothing for a whole turn: only instances
 /// that the earlier one has ordered lately are held.
