Ask the advisor of a queue which workers may run a step

Cause: the `advisor` of a queue was not read, so that every start on such a queue was rejected for want of a ticket and its jobs never ran.

Not done: questions ahead of a step's turn.

--- a/crates/dotterelsill_jobs/src/catalogue.rs
+++ b/crates/dotterelsill_jobs/src/catalogue.rs
@@ -9,7 +9,10 @@
     time::Duration, //
 };
 
-use crate::Room;
+use crate::{
+    Advisor,
+    Room, //
+};
 
 /// A queue that jobs are handed in on.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,6 +35,8 @@
     pub target: Duration,
     /// Whether jobs are taken without a key.
     pub is_open: bool,
+    /// Advisor that allows workers to run a step, if the queue needs one.
+    pub advisor: Option<Advisor>,
 }
 
 /// A pool of workers.
--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -297,7 +297,12 @@
             Answer::Old => self.confirm(key, task, attempt, Some(now)),
             // The answer of another worker ends this one before.
             Answer::Fenced | Answer::OtherWorker => {}
-            Answer::Late | Answer::NoRoom | Answer::Ticket | Answer::Unhealthy => {
+            Answer::Ticket => {
+                log::info!(task:%, attempt, worker = key.0; "ticket_refused");
+                self.drop_ticket(task.step, key);
+                self.lapse_run(key, task, attempt, now);
+            }
+            Answer::Late | Answer::NoRoom | Answer::Unhealthy => {
                 if let Some(worker) = self.workers.get_mut(&key) {
                     worker.health.on_refused(now);
                     log::warn!(
--- a/crates/dotterelsill_jobs/src/ids.rs
+++ b/crates/dotterelsill_jobs/src/ids.rs
@@ -28,6 +28,12 @@
     }
 }
 
+impl std::fmt::Display for StepId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
 /// One task.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct TaskId {
@@ -39,12 +45,7 @@
 
 impl std::fmt::Display for TaskId {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let StepId {
-            job,
-            occurrence,
-            step,
-        } = self.step;
-        write!(f, "{job}.{occurrence}.{step}.{}", self.index)
+        write!(f, "{}.{}", self.step, self.index)
     }
 }
 
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O or reads a clock. A [`Scheduler`] is told what happened
 //! and when, and hands out [`Order`]s for workers and [`Change`]s for the store.
 
+mod advice;
 mod arrivals;
 mod catalogue;
 mod changes;
@@ -25,6 +26,10 @@
 mod upkeep;
 mod worker;
 
+pub use advice::{
+    Advisor,
+    Question, //
+};
 pub use catalogue::{
     CallerLimits,
     Catalogue,
--- a/crates/dotterelsill_jobs/src/order.rs
+++ b/crates/dotterelsill_jobs/src/order.rs
@@ -23,6 +23,8 @@
         text: Arc<str>,
         /// Checkpoint to go on from; empty for none.
         checkpoint: String,
+        /// The advisor's ticket; empty for none.
+        ticket: Arc<str>,
     },
     /// Stop a run.
     Stop {
--- a/crates/dotterelsill_jobs/src/place.rs
+++ b/crates/dotterelsill_jobs/src/place.rs
@@ -1,6 +1,10 @@
 //! Choice of the worker for a task.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
 
 use crate::{
     worker::Worker,
@@ -66,7 +70,7 @@
         let Some(worker) = worker(candidate.key) else {
             continue;
         };
-        if !wanted.allows(worker) {
+        if !wanted.allows(candidate.key, worker) {
             continue;
         }
         let rack = wanted.rack.or(wanted.step.near_rack.as_deref());
@@ -95,10 +99,15 @@
     pub(crate) avoid: Option<WorkerKey>,
     /// Rack on which the other tasks of a rack-local step run.
     pub(crate) rack: Option<&'a str>,
+    /// Workers that the advisor allows; `None` if it need not be asked.
+    pub(crate) tickets: Option<&'a BTreeMap<WorkerKey, Arc<str>>>,
 }
 
 impl Wanted<'_> {
-    fn allows(&self, worker: &Worker) -> bool {
+    fn allows(&self, key: WorkerKey, worker: &Worker) -> bool {
+        let has_ticket = self
+            .tickets
+            .is_none_or(|tickets| tickets.contains_key(&key));
         let has_label = self
             .step
             .required_label
@@ -108,7 +117,7 @@
             .step
             .max_per_worker
             .map_or(usize::MAX, |most| most as usize);
-        has_label && worker.count_of_step(self.id) < most
+        has_ticket && has_label && worker.count_of_step(self.id) < most
     }
 
     /// Returns whether the worker already runs half of the tasks of a lasting
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -6,6 +6,7 @@
         BTreeSet,
         HashMap, //
     },
+    sync::Arc,
     time::Duration, //
 };
 
@@ -28,6 +29,7 @@
     RunState,
     Scheduler,
     StepId,
+    TaskId,
     WorkerKey, //
 };
 
@@ -78,7 +80,7 @@
     }
 
     /// Returns the waiting steps of a pool in the order in which they get room.
-    fn ranks(&mut self, pool: &str, now: Duration) -> Vec<Rank> {
+    pub(crate) fn ranks(&mut self, pool: &str, now: Duration) -> Vec<Rank> {
         let Some(ready) = self.ready.get_mut(pool) else {
             return Vec::new();
         };
@@ -154,6 +156,7 @@
             return;
         }
         let rack = step.is_rack_local.then(|| self.rack_of(id)).flatten();
+        let tickets = self.valid_tickets(id, now);
         let mut started = 0_u64;
         let waited = now.saturating_sub(job_known_at);
         let log_started = |started: u64, left: usize| {
@@ -181,6 +184,7 @@
                 room,
                 avoid,
                 rack: rack.as_deref(),
+                tickets: tickets.as_ref(),
             };
             let workers = &self.workers;
             let bound_to = bound_to.as_deref();
@@ -192,7 +196,9 @@
             };
             candidates[chosen].free.subtract(&room);
             let attempt = self.next_attempt(id, index);
-            self.start(candidates[chosen].key, id, index, attempt, now);
+            let key = candidates[chosen].key;
+            let ticket = ticket_of(tickets.as_ref(), key);
+            self.start(key, id.task(index), attempt, ticket, now);
             started += 1;
         }
         log_started(started, 0);
@@ -233,9 +239,12 @@
         } else {
             Vec::new()
         };
+        let tickets = self.valid_tickets(id, now);
         let tries = racks.into_iter().map(Some).chain([None]);
         for rack in tries {
-            let Some(chosen) = self.gang_places(id, candidates, rack.as_deref(), bound_to) else {
+            let places =
+                self.gang_places(id, candidates, rack.as_deref(), bound_to, tickets.as_ref());
+            let Some(chosen) = places else {
                 continue;
             };
             let attempt = (0..step.count)
@@ -244,11 +253,17 @@
                 .unwrap_or(1);
             for (index, place) in chosen.into_iter().enumerate() {
                 candidates[place].free.subtract(&room);
-                self.start(candidates[place].key, id, index as u32, attempt, now);
+                let key = candidates[place].key;
+                let ticket = ticket_of(tickets.as_ref(), key);
+                self.start(key, id.task(index as u32), attempt, ticket, now);
             }
             return;
         }
-        if bound_to.is_some() && self.gang_places(id, candidates, None, None).is_some() {
+        if bound_to.is_some()
+            && self
+                .gang_places(id, candidates, None, None, tickets.as_ref())
+                .is_some()
+        {
             self.spread(id);
         }
     }
@@ -260,6 +275,7 @@
         candidates: &[Candidate],
         rack: Option<&str>,
         bound_to: Option<&str>,
+        tickets: Option<&BTreeMap<WorkerKey, Arc<str>>>,
     ) -> Option<Vec<usize>> {
         let step = &self.jobs[&id.job].spec.steps[id.step as usize];
         let room = step.counted_room();
@@ -274,6 +290,7 @@
                 room,
                 avoid: None,
                 rack,
+                tickets,
             };
             let worker = |key: WorkerKey| {
                 let worker = self.workers.get(&key)?;
@@ -395,7 +412,15 @@
     }
 
     /// Books a run and orders its start.
-    fn start(&mut self, key: WorkerKey, id: StepId, index: u32, attempt: u32, now: Duration) {
+    fn start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        attempt: u32,
+        ticket: Arc<str>,
+        now: Duration,
+    ) {
+        let (id, index) = (task.step, task.index);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -414,7 +439,6 @@
             advanced_at: now,
         });
         let checkpoint = state.checkpoint.clone();
-        let task = id.task(index);
         let room = step.counted_room();
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.book(
@@ -441,7 +465,13 @@
                 attempt,
                 text: spec.text.clone(),
                 checkpoint,
+                ticket,
             },
         });
     }
 }
+
+fn ticket_of(tickets: Option<&BTreeMap<WorkerKey, Arc<str>>>, key: WorkerKey) -> Arc<str> {
+    let ticket = tickets.and_then(|tickets| tickets.get(&key));
+    ticket.cloned().unwrap_or_else(|| "".into())
+}
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    advice::Tickets,
     arrivals::Arrivals,
     job::Job,
     upkeep::{
@@ -122,6 +123,8 @@
     pub(crate) held_until: BTreeMap<String, Duration>,
     /// Since when instances are idle.
     pub(crate) idle_since: BTreeMap<String, Duration>,
+    /// What the advisor has said of steps.
+    pub(crate) tickets: BTreeMap<StepId, Tickets>,
     /// Work that was handed in lately, by pool.
     pub(crate) arrivals: BTreeMap<String, Arrivals>,
 }
@@ -159,6 +162,7 @@
             ordered_at: BTreeMap::new(),
             held_until: BTreeMap::new(),
             idle_since: BTreeMap::new(),
+            tickets: BTreeMap::new(),
             arrivals: BTreeMap::new(),
         }
     }
--- a/crates/dotterelsill_jobs/tests/common/mod.rs
+++ b/crates/dotterelsill_jobs/tests/common/mod.rs
@@ -62,6 +62,7 @@
         slack_factor: 1.6,
         target: ms(600),
         is_open: true,
+        advisor: None,
     };
     let mut catalogue = Catalogue {
         version: 1,
--- a/crates/dotterelsill_jobs/tests/search/world.rs
+++ b/crates/dotterelsill_jobs/tests/search/world.rs
@@ -125,6 +125,7 @@
         slack_factor: 1.6,
         target: at(600),
         is_open: false,
+        advisor: None,
     };
     let cap = Room {
         cpu_milli: CAP_MILLI,
--- /dev/null
+++ b/crates/dotterelsill_node/src/advice.rs
@@ -0,0 +1,43 @@
+//! Asks the advisor which workers may run a step.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use async_io::Timer;
+use dotterelsill_platform::AdvisorClient;
+
+use crate::{
+    clock,
+    dependency::Dependency,
+    lead::Lead, //
+};
+
+/// Time between two looks at whether there is a question.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Asks one question after the other until the group stops: the advisor handles
+/// one call of an instance at a time.
+pub(crate) async fn run(lead: Arc<Lead>, advisor: Option<AdvisorClient>) {
+    let dependency = Dependency::new("advisor");
+    loop {
+        let Some(question) = lead.scheduler().next_question(clock::now()) else {
+            Timer::after(LOOK_INTERVAL).await;
+            continue;
+        };
+        let asked_at = clock::now();
+        let answer = match &advisor {
+            Some(advisor) => advisor.ask(&question).await,
+            None => Err("the settings name no advisor".to_owned()),
+        };
+        match &answer {
+            Ok(_) => dependency.on_answer(),
+            Err(error) => dependency.on_error(error),
+        }
+        let approved = answer.as_deref().ok();
+        lead.scheduler()
+            .on_advice(&question, approved, asked_at, clock::now());
+        lead.on_changed();
+    }
+}
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -15,6 +15,7 @@
 use async_io::Timer;
 use dotterelsill_jobs::Scheduler;
 use dotterelsill_platform::{
+    AdvisorClient,
     Instances,
     Settings, //
 };
@@ -48,6 +49,7 @@
 };
 
 use crate::{
+    advice,
     callers::{
         self,
         Callers, //
@@ -374,6 +376,9 @@
     group.spawn_until_stop(writer::run(lead.clone()));
     group.spawn_until_stop(workers_followed::follow(lead.clone()));
     group.spawn_until_stop(intake::follow(lead.clone()));
+    let advisor = node.settings.advisor_address;
+    let advisor = advisor.map(|address| AdvisorClient::new(address, group));
+    group.spawn_until_stop(advice::run(lead.clone(), advisor));
     group.spawn_until_stop(instance_orders::run(lead.clone()));
     group.spawn_until_stop(instance_orders::follow(lead.clone()));
     authority.lost().or(leaving.stopped()).await;
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -1,5 +1,6 @@
 //! Node daemon: takes jobs, schedules their tasks and maintains instances.
 
+mod advice;
 mod authority;
 mod callers;
 mod clock;
