Take jobs over the command line, and explain what they wait for

`dotterelsill job submit|status|cancel|pending` and `explain job` use the calls that instances make of each other; any instance tells which one schedules. The explanation follows the order in which a plan leaves tasks out. A record that cannot run is refused by the scheduler's call as it is at the callers' address.

--- a/crates/dotterelsill_cli/src/args.rs
+++ b/crates/dotterelsill_cli/src/args.rs
@@ -19,6 +19,9 @@
     /// socket address of a planner
     #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 7072))")]
     pub(crate) planner: SocketAddr,
+    /// socket address of the peer port of an instance that takes jobs
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 7000))")]
+    pub(crate) node: SocketAddr,
     #[argh(subcommand)]
     pub(crate) command: Command,
 }
@@ -31,6 +34,7 @@
     Check(Check),
     Dc(Dc),
     Explain(Explain),
+    Job(Job),
     Key(Key),
     Plan(Plan),
     Report(Report),
@@ -102,6 +106,73 @@
 #[argh(subcommand)]
 pub(crate) enum ExplainCommand {
     Instance(ExplainInstance),
+    Job(ExplainJob),
+}
+
+/// Tells which tasks of a job run where, and what the others wait for.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "job")]
+pub(crate) struct ExplainJob {
+    /// identifier of the job, 16 hexadecimal digits
+    #[argh(positional)]
+    pub(crate) id: String,
+}
+
+/// Hands in jobs and follows them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "job")]
+pub(crate) struct Job {
+    #[argh(subcommand)]
+    pub(crate) command: JobCommand,
+}
+
+/// Subcommands of `job`.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum JobCommand {
+    Cancel(JobCancel),
+    Pending(JobPending),
+    Status(JobStatus),
+    Submit(JobSubmit),
+}
+
+/// Hands in a job and prints its identifier.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "submit")]
+pub(crate) struct JobSubmit {
+    /// file with the job: queue, workspace, spec and steps
+    #[argh(positional)]
+    pub(crate) file: PathBuf,
+    /// identifier of the job, to hand it in again after an unknown outcome
+    #[argh(option)]
+    pub(crate) id: Option<String>,
+}
+
+/// Prints the state of a job.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct JobStatus {
+    /// identifier of the job, 16 hexadecimal digits
+    #[argh(positional)]
+    pub(crate) id: String,
+}
+
+/// Cancels a job.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cancel")]
+pub(crate) struct JobCancel {
+    /// identifier of the job, 16 hexadecimal digits
+    #[argh(positional)]
+    pub(crate) id: String,
+}
+
+/// Prints how many jobs of a queue have not begun.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "pending")]
+pub(crate) struct JobPending {
+    /// name of the queue
+    #[argh(positional)]
+    pub(crate) name: String,
 }
 
 /// Tells why an instance is in its pool and state, or why it waits.
--- a/crates/dotterelsill_cli/src/client.rs
+++ b/crates/dotterelsill_cli/src/client.rs
@@ -6,6 +6,10 @@
 };
 
 use dotterelsill_proto::{
+    jobs::{
+        node_client::NodeClient,
+        scheduler_client::SchedulerClient, //
+    },
     peer::operator_client::OperatorClient,
     planner::planner_client::PlannerClient, //
 };
@@ -33,6 +37,20 @@
     PlannerClient::with_origin(channel, origin(planner))
 }
 
+/// Creates a client of an instance that takes jobs; it connects with its first
+/// call.
+pub(crate) fn connect_node(node: SocketAddr, tasks: &Tasks) -> NodeClient<Channel> {
+    let channel = Channel::new(node, CONNECT_TIMEOUT, tasks);
+    NodeClient::with_origin(channel, origin(node))
+}
+
+/// Creates a client of the instance that schedules; it connects with its first
+/// call.
+pub(crate) fn connect_scheduler(scheduler: SocketAddr, tasks: &Tasks) -> SchedulerClient<Channel> {
+    let channel = Channel::new(scheduler, CONNECT_TIMEOUT, tasks);
+    SchedulerClient::with_origin(channel, origin(scheduler))
+}
+
 fn origin(address: SocketAddr) -> Uri {
     Uri::builder()
         .scheme("http")
--- a/crates/dotterelsill_cli/src/commands.rs
+++ b/crates/dotterelsill_cli/src/commands.rs
@@ -59,6 +59,10 @@
         connect_planner,
         Client, //
     },
+    jobs::{
+        self,
+        JobError, //
+    },
     print::{
         self,
         outln,
@@ -78,6 +82,8 @@
         text: String,
         source: hex::FromHexError,
     },
+    #[snafu(display("{source}"))]
+    Job { source: JobError },
     #[snafu(display("planner: {}; name another one with --planner", source.message()))]
     Planner {
         #[snafu(source(from(tonic::Status, Box::new)))]
@@ -106,6 +112,9 @@
             Ok(print::change(&answer.into_inner()))
         }
         Command::Explain(explain) => match explain.command {
+            ExplainCommand::Job(explain) => jobs::explain(args.node, &explain.id, tasks)
+                .await
+                .context(JobSnafu),
             ExplainCommand::Instance(explain) => {
                 let mut planner = connect_planner(args.planner, tasks);
                 let request = ExplainRequest {
@@ -116,6 +125,9 @@
                 Ok(ExitCode::SUCCESS)
             }
         },
+        Command::Job(job) => jobs::run(args.node, job.command, tasks)
+            .await
+            .context(JobSnafu),
         Command::Plan(_) => {
             let mut planner = connect_planner(args.planner, tasks);
             let answer = planner.plan(PlanRequest {}).await.context(PlannerSnafu)?;
--- a/crates/dotterelsill_cli/src/main.rs
+++ b/crates/dotterelsill_cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod client;
 mod commands;
+mod jobs;
 mod print;
 
 use std::process::ExitCode;
--- a/crates/dotterelsill_cli/src/print.rs
+++ b/crates/dotterelsill_cli/src/print.rs
@@ -30,7 +30,7 @@
 const EXIT_STORED: u8 = 3;
 
 /// Exit code of a change of which it is not known whether it was stored.
-const EXIT_UNKNOWN: u8 = 4;
+pub(crate) const EXIT_UNKNOWN: u8 = 4;
 
 /// Writes text to standard output. A reader that has gone, as `head` does, is no
 /// error.
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -0,0 +1,137 @@
+//! Why the tasks of a job run, wait or have ended, for operators.
+
+use std::{
+    fmt::Write as _,
+    time::Duration, //
+};
+
+use crate::{
+    job::{
+        Job,
+        StepState,
+        Task, //
+    },
+    place::candidate,
+    scheduler::steps_of,
+    Room,
+    Scheduler,
+    StepId, //
+};
+
+impl Scheduler {
+    /// Returns a text on a job with one line for each step of its open
+    /// occurrences and one for each run; `None` if the job is not known.
+    pub fn explain(&self, id: crate::JobId, now: Duration) -> Option<String> {
+        let job = self.jobs.get(&id)?;
+        let age_ms = now.saturating_sub(job.known_at).as_millis();
+        let home = job.bound_to().unwrap_or("any");
+        let is_stored = job.stored_changes == job.changes;
+        let mut text = format!(
+            "job {id}: {}, on queue {}, known for {age_ms} ms, home {home}, {}\n",
+            format!("{:?}", job.phase).to_lowercase(),
+            job.spec.queue,
+            if is_stored {
+                "stored"
+            } else {
+                "not stored yet"
+            },
+        );
+        for step in steps_of(job) {
+            let state = &job.occurrences[&step.occurrence].steps[step.step as usize];
+            self.explain_step(&mut text, job, step, state, now);
+        }
+        Some(text)
+    }
+
+    fn explain_step(
+        &self,
+        text: &mut String,
+        job: &Job,
+        id: StepId,
+        state: &StepState,
+        now: Duration,
+    ) {
+        let waiting = state.tasks.iter().filter(|task| task.is_waiting()).count();
+        let running = state.tasks.iter().filter(|task| !task.runs.is_empty());
+        let failed: usize = state.tasks.iter().map(|t| t.failed_attempts.len()).sum();
+        // Writing to a string does not fail.
+        let _ = write!(
+            text,
+            "step {}.{}: {} tasks, {} done, {} running, {waiting} waiting, {failed} failed runs",
+            id.occurrence,
+            id.step,
+            state.tasks.len(),
+            state.done,
+            running.count(),
+        );
+        let reason = (waiting > 0 && job.is_open()).then(|| self.why_waiting(job, id, state, now));
+        let _ = match reason {
+            Some(reason) => writeln!(text, "; waits for {reason}"),
+            None => writeln!(text),
+        };
+        for (index, task) in state.tasks.iter().enumerate() {
+            for run in &task.runs {
+                let worker = self.workers.get(&run.worker);
+                let worker = worker.map_or("a worker that is gone", |w| w.report.id.as_str());
+                let age_ms = now.saturating_sub(run.ordered_at).as_millis();
+                let _ = writeln!(
+                    text,
+                    "  {} attempt {} on {worker}: {:?} for {age_ms} ms, {}%",
+                    id.task(index as u32),
+                    run.attempt,
+                    run.state,
+                    run.percent
+                );
+            }
+        }
+    }
+
+    /// Returns what the waiting tasks of a step wait for, in the order in which a
+    /// plan finds it.
+    fn why_waiting(&self, job: &Job, id: StepId, state: &StepState, now: Duration) -> String {
+        let step = &job.spec.steps[id.step as usize];
+        if !job.is_ready(id) {
+            return format!("the steps {:?}", step.after);
+        }
+        let Some(queue) = self.catalogue.queue(&job.spec.queue) else {
+            return format!("queue {}, which is not configured", job.spec.queue);
+        };
+        let unsettled = self.unsettled(&queue.pool, now);
+        let holds = |home: &str| unsettled.contains(home) || unsettled.contains("");
+        if job.is_restored && job.bound_to().map_or(!unsettled.is_empty(), holds) {
+            return format!("the lists of workers in {unsettled:?}, which may run its tasks");
+        }
+        let is_paused = |task: &Task| task.not_before > now;
+        let mut waiting = state.tasks.iter().filter(|task| task.is_waiting());
+        if waiting.all(is_paused) {
+            return "the pause after a failed run".to_owned();
+        }
+        let room = step.counted_room();
+        if !self.is_within_cap(job.spec.workspace.as_deref(), &room) {
+            let workspace = job.spec.workspace.as_deref().unwrap_or_default();
+            return format!("the limit of workspace {workspace}");
+        }
+        if self
+            .valid_tickets(id, now)
+            .is_some_and(|valid| valid.is_empty())
+        {
+            return "the advisor, who has allowed no worker yet".to_owned();
+        }
+        let of_pool = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.report.pool == queue.pool);
+        let usable = of_pool.filter_map(|(&key, w)| candidate(key, w, &self.requests, now));
+        let usable: Vec<_> = usable.collect();
+        let fits = |free: &Room| free.fits(&Room::default(), &room);
+        let with_room = usable
+            .iter()
+            .filter(|candidate| fits(&candidate.free))
+            .count();
+        format!(
+            "room: {} workers of pool {} take tasks, {with_room} of them have the room",
+            usable.len(),
+            queue.pool
+        )
+    }
+}
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod catalogue;
 mod changes;
 mod ends;
+mod explain;
 mod fleet;
 mod health;
 mod ids;
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -467,3 +467,25 @@
 fn record_of_seven() -> JobRecord {
     record("urgent", 7, vec![step(1, 1000)])
 }
+
+/// Guards against an explanation that names another reason than the one for which
+/// a plan left the tasks out.
+#[test]
+fn explanation_names_what_a_step_waits_for() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    let mut second = step(1, 1000);
+    second.after = vec![0];
+    let job = record("urgent", 7, vec![step(5, 1000), second]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    let orders = scheduler.plan(ms(1010));
+    confirm(&mut scheduler, &orders, ms(1020));
+    let mut look = look_at(ms(1100));
+    look.ended = vec![ended(1, task(1, 0, 3), 1, How::Failed)];
+    look.running = (0..3)
+        .map(|index| running(task(1, 0, index), 1, 40))
+        .collect();
+    scheduler.on_look(key, &look, ms(1100));
+    scheduler.plan(ms(1110));
+    insta::assert_snapshot!(scheduler.explain(JobId(1), ms(1120)).unwrap());
+}
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -184,6 +184,7 @@
         leading: node.leading.clone(),
     };
     let neighbour = Neighbour {
+        leader: node.leader.clone(),
         leading: node.leading.clone(),
         direct: Arc::new(store()),
     };
--- a/crates/dotterelsill_node/src/peer.rs
+++ b/crates/dotterelsill_node/src/peer.rs
@@ -6,12 +6,17 @@
 };
 
 use arc_swap::ArcSwapOption;
-use dotterelsill_jobs::JobId;
+use dotterelsill_jobs::{
+    JobId,
+    JobSpec, //
+};
 use dotterelsill_proto::jobs::{
     node_server::Node,
     scheduler_server::Scheduler,
     CancelRequest,
     CancelResponse,
+    ExplainRequest,
+    ExplainResponse,
     Outcome,
     PendingRequest,
     PendingResponse,
@@ -22,7 +27,9 @@
     StateRequest,
     StateResponse,
     SubmitRequest,
-    SubmitResponse, //
+    SubmitResponse,
+    WhereRequest,
+    WhereResponse, //
 };
 use dotterelsill_store::Operations;
 use tonic::{
@@ -33,6 +40,7 @@
 
 use crate::{
     clock,
+    election::Leader,
     lead::Lead,
     relay,
     requests, //
@@ -54,6 +62,9 @@
         request: Request<SubmitRequest>,
     ) -> Result<Response<SubmitResponse>, Status> {
         let SubmitRequest { job, record } = request.into_inner();
+        if let Some(Err(error)) = record.as_ref().map(JobSpec::try_from) {
+            return Err(Status::invalid_argument(error.to_string()));
+        }
         let outcome = match (self.leading.load_full(), record) {
             (Some(lead), Some(record)) => {
                 requests::submit(&lead, JobId(job), record, CALL_LIMIT).await
@@ -113,11 +124,30 @@
             pending,
         }))
     }
+
+    async fn explain(
+        &self,
+        request: Request<ExplainRequest>,
+    ) -> Result<Response<ExplainResponse>, Status> {
+        let id = JobId(request.into_inner().job);
+        let (outcome, text) = match self.leading.load_full() {
+            Some(lead) => match lead.scheduler().explain(id, clock::now()) {
+                Some(text) => (Outcome::Done, text),
+                None => (Outcome::Absent, String::new()),
+            },
+            None => (Outcome::Refused, String::new()),
+        };
+        Ok(Response::new(ExplainResponse {
+            outcome: outcome.into(),
+            text,
+        }))
+    }
 }
 
 /// Serves the calls of any instance.
 #[derive(Clone)]
 pub(crate) struct Neighbour {
+    pub(crate) leader: Arc<ArcSwapOption<Leader>>,
     pub(crate) leading: Arc<ArcSwapOption<Lead>>,
     /// The store without a way over peers, so that no call goes in circles.
     pub(crate) direct: Arc<Operations>,
@@ -134,6 +164,14 @@
         Ok(Response::new(PingResponse { is_scheduling }))
     }
 
+    async fn r#where(&self, _: Request<WhereRequest>) -> Result<Response<WhereResponse>, Status> {
+        let leader = self.leader.load();
+        let address = leader.as_ref().map(|leader| leader.address.to_string());
+        Ok(Response::new(WhereResponse {
+            address: address.unwrap_or_default(),
+        }))
+    }
+
     async fn relay(
         &self,
         request: Request<RelayRequest>,
