Shorten the scheduler's lease to 1.5 s

Cause: after the cut of a data centre or the loss of power, jobs wait until the lease of the scheduler that is gone has run out. With moves and restored jobs no longer waiting after the election, that is the longest part of a takeover.

Ruled out: a lease near the store's least time of 1 s; a renewal that is lost and tried again on a slow store (240 ms an answer) would not fit into it.

--- a/crates/dotterelsill_node/src/election.rs
+++ b/crates/dotterelsill_node/src/election.rs
@@ -30,10 +30,10 @@
 };
 
 /// Time for which the scheduler's lease lives without a renewal.
-pub(crate) const LEASE_TTL: Duration = Duration::from_millis(2000);
+pub(crate) const LEASE_TTL: Duration = Duration::from_millis(1500);
 
 /// Time between two renewals: four in the time of a lease.
-const RENEW_INTERVAL: Duration = Duration::from_millis(450);
+const RENEW_INTERVAL: Duration = Duration::from_millis(350);
 
 /// Pause before a renewal that failed is tried again.
 const RENEW_RETRY: Duration = Duration::from_millis(200);
