--- a/crates/dotterelsill_escrow/examples/fleet/demand.rs
+++ b/crates/dotterelsill_escrow/examples/fleet/demand.rs
@@ -46,11 +46,11 @@
 }
 
 impl Demand {
-    /// Draws the demand of a team; a burst asks for 1.25 times the limit.
-    pub(crate) fn new(seed: u64, team: usize, instances: usize, length: usize) -> Self {
+    /// Draws the demand of a team; a burst asks for `load` times the limit.
+    pub(crate) fn new(seed: u64, team: usize, instances: usize, length: usize, load: f64) -> Self {
         let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed << 16 | team as u64);
         let limit = LIMITS[team % LIMITS.len()];
-        let mean = f64::from(limit) * 1.25 / BURST;
+        let mean = f64::from(limit) * load / BURST;
         let mut demand = Self {
             arrivals: Vec::with_capacity(length),
             bursts: Vec::new(),
--- a/crates/dotterelsill_escrow/examples/fleet/instance.rs
+++ b/crates/dotterelsill_escrow/examples/fleet/instance.rs
@@ -27,6 +27,9 @@
 /// Steps for which a request waits for a credit before it is refused.
 const PATIENCE_STEPS: usize = 40;
 
+/// Steps after which a run is cut, where runs are cut: 1 s, four mean runs.
+const MAX_RUN_STEPS: usize = 200;
+
 /// Longest wait after a refused write.
 const BACKOFF_STEPS: usize = 10;
 
@@ -37,6 +40,9 @@
     pub(crate) alive: bool,
     pub(crate) holder: Holder,
     is_static: bool,
+    /// Steps after the cut of a run until its credit comes back; `None` if no run
+    /// is cut.
+    pub(crate) settle_steps: Option<usize>,
     running: Vec<(usize, Credit)>,
     resume_at: usize,
     rng: Xoshiro256PlusPlus,
@@ -61,6 +67,7 @@
             alive: true,
             holder: Holder::resume(incarnation, policy.unwrap_or_default(), state),
             is_static: policy.is_none(),
+            settle_steps: None,
             running: Vec::new(),
             resume_at: 0,
             rng: Xoshiro256PlusPlus::seed_from_u64(number as u64),
@@ -101,7 +108,11 @@
             let Some(credit) = self.holder.credits().try_start() else {
                 break;
             };
-            let end = step + arrival.run_steps as usize;
+            let run = arrival.run_steps as usize;
+            let end = match self.settle_steps {
+                Some(settle) if run > MAX_RUN_STEPS => step + MAX_RUN_STEPS + settle,
+                _ => step + run,
+            };
             self.running.push((end, credit));
             self.waiting.pop_front();
             started += 1;
--- a/crates/dotterelsill_escrow/examples/fleet/main.rs
+++ b/crates/dotterelsill_escrow/examples/fleet/main.rs
@@ -20,7 +20,8 @@
 };
 use dotterelsill_escrow::{
     LedgerError,
-    Policy, //
+    Policy,
+    CUT_SETTLE, //
 };
 use team::{
     run,
@@ -39,19 +40,22 @@
     /// simulated time in seconds
     #[argh(option, default = "300.0")]
     length_s: f64,
+    /// demand in a burst, as a multiple of the limit
+    #[argh(option, default = "1.25")]
+    load: f64,
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
     let settings: Settings = argh::from_env();
     println!(
-        "seed={} length_s={} teams={TEAMS}",
-        settings.seed, settings.length_s
+        "seed={} length_s={} load={} teams={TEAMS}",
+        settings.seed, settings.length_s, settings.load
     );
     for instances in [7, 20] {
         println!("\n{instances} instances");
         let length = steps(settings.length_s);
         let demands: Vec<Demand> = (0..TEAMS)
-            .map(|team| Demand::new(settings.seed, team, instances, length))
+            .map(|team| Demand::new(settings.seed, team, instances, length, settings.load))
             .collect();
         for (name, rule) in rules() {
             let live = run_teams(&demands, rule, instances, None)?;
@@ -80,6 +84,14 @@
         ("escrow, take waiting", Rule::Escrow(take_waiting)),
         ("escrow, take waiting, 200 ms", Rule::Escrow(contended)),
         ("escrow, default policy", Rule::Escrow(Policy::default())),
+        (
+            "default policy, runs cut after 1 s, credit at the cut",
+            Rule::Cut(Duration::ZERO),
+        ),
+        (
+            "default policy, runs cut after 1 s, credit when settled",
+            Rule::Cut(CUT_SETTLE),
+        ),
     ]
 }
 
--- a/crates/dotterelsill_escrow/examples/fleet/team.rs
+++ b/crates/dotterelsill_escrow/examples/fleet/team.rs
@@ -1,6 +1,9 @@
 //! Simulation of one team under one rule.
 
-use std::time::Instant;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use dotterelsill_escrow::{
     LedgerError,
@@ -22,6 +25,9 @@
 /// Division of the limit.
 #[derive(Clone, Copy)]
 pub(crate) enum Rule {
+    /// Credits are transferred by the default policy, and runs are cut; a credit
+    /// comes back this long after the cut.
+    Cut(Duration),
     /// Credits are transferred.
     Escrow(Policy),
     /// One counter for the whole fleet: what is attainable.
@@ -132,12 +138,24 @@
         Rule::Static => (0..count)
             .map(|number| Instance::new(number as usize, None, part(number)))
             .collect(),
-        Rule::Escrow(policy) => (0..instances)
-            .map(|number| Instance::new(number, Some(policy), 0))
-            .collect(),
+        Rule::Cut(settle) => {
+            let steps = (settle.as_millis() / STEP.as_millis()) as usize;
+            let mut fleet = fleet_of(Policy::default(), instances);
+            for instance in &mut fleet {
+                instance.settle_steps = Some(steps);
+            }
+            fleet
+        }
+        Rule::Escrow(policy) => fleet_of(policy, instances),
     }
 }
 
+fn fleet_of(policy: Policy, instances: usize) -> Vec<Instance> {
+    (0..instances)
+        .map(|number| Instance::new(number, Some(policy), 0))
+        .collect()
+}
+
 /// Returns the instance that gets a request: the next one that is alive.
 fn place(fleet: &[Instance], first: usize) -> usize {
     let order = (first..first + fleet.len()).map(|number| number % fleet.len());
