Split the code on instances and on the record of workers by its jobs

orders_to_instances.rs holds the list of instances and the orders given to them, waves.rs the maintenance waves, granted.rs the record of the workers that may run tasks. Code is moved; the answer to an order of maintenance is a function of its own. No change of behaviour.

--- /dev/null
+++ b/crates/dotterelsill_jobs/src/granted.rs
@@ -0,0 +1,85 @@
+//! The stored record of the workers that may run tasks.
+//!
+//! A scheduler is granted nothing on a worker before the worker is in the record,
+//! so that the next scheduler knows where tasks may run.
+
+use std::time::Duration;
+
+use dotterelsill_proto::jobs::GrantedWorker;
+
+use crate::{
+    Room,
+    Scheduler,
+    WorkerKey,
+    WorkerReport, //
+};
+
+/// Time within which an order that was not answered may still be carried out.
+pub(crate) const LATE_ORDER: Duration = Duration::from_secs(13);
+
+impl Scheduler {
+    /// Notes a worker that an earlier scheduler has granted a lease and that is
+    /// not listed.
+    pub fn expect(&mut self, granted: &GrantedWorker, now: Duration) -> Option<WorkerKey> {
+        self.granted_stored.insert(granted.id.clone());
+        if self.by_id.contains_key(&granted.id) {
+            return None;
+        }
+        let report = WorkerReport {
+            id: granted.id.clone(),
+            born_unix_ms: 0,
+            address: granted.address.clone(),
+            pool: granted.pool.clone(),
+            data_centre: granted.data_centre.clone(),
+            labels: Vec::new(),
+            capacity: Room::default(),
+            is_draining: true,
+        };
+        let key = self.new_worker(report, now);
+        if let Some(worker) = self.workers.get_mut(&key) {
+            worker.is_listed = false;
+            worker.is_expected = true;
+        }
+        Some(key)
+    }
+
+    /// Returns whether the stored record of the workers that may run tasks lacks
+    /// one, or names one that has surely ended.
+    pub fn has_granted_change(&self) -> bool {
+        let may_run = |id: &String| {
+            let worker = self.by_id.get(id).and_then(|key| self.workers.get(key));
+            worker.is_some_and(|worker| !worker.is_left()) || self.late_orders.contains_key(id)
+        };
+        let is_missing = |worker: &crate::worker::Worker| !worker.may_grant && !worker.is_left();
+        self.workers.values().any(is_missing) || !self.granted_stored.iter().all(may_run)
+    }
+
+    /// Returns the identifiers of the workers that are known.
+    pub fn worker_ids(&self) -> Vec<String> {
+        self.by_id.keys().cloned().collect()
+    }
+
+    /// Returns all workers that may run tasks.
+    pub fn granted(&self) -> Vec<GrantedWorker> {
+        let present = self.workers.values().filter(|worker| !worker.is_left());
+        let is_gone = |id: &&String| !self.by_id.contains_key(*id);
+        let late = self.late_orders.keys().filter(is_gone);
+        let late = late.map(|id| self.late_orders[id].0.clone());
+        present
+            .map(crate::worker::Worker::granted_record)
+            .chain(late)
+            .collect()
+    }
+
+    /// Notes that workers are stored as those that may run tasks.
+    pub fn on_granted_stored(&mut self, granted: &[GrantedWorker]) {
+        self.granted_stored = granted.iter().map(|worker| worker.id.clone()).collect();
+        for granted in granted {
+            let key = self.by_id.get(&granted.id);
+            if let Some(worker) = key.and_then(|key| self.workers.get_mut(key)) {
+                worker.may_grant = true;
+            }
+        }
+        self.needs_plan = true;
+    }
+}
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -11,12 +11,14 @@
 mod ends;
 mod explain;
 mod fleet;
+mod granted;
 mod health;
 mod ids;
 mod instance;
 mod job;
 mod moves;
 mod order;
+mod orders_to_instances;
 mod pace;
 mod place;
 mod plan;
@@ -24,7 +26,7 @@
 mod room;
 mod scheduler;
 mod spec;
-mod upkeep;
+mod waves;
 mod worker;
 
 pub use advice::{
@@ -80,5 +82,5 @@
     Step,
     FORMAT, //
 };
-pub use upkeep::WaveChange;
+pub use waves::WaveChange;
 pub use worker::WorkerReport;
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -23,10 +23,8 @@
     advice::Tickets,
     arrivals::Arrivals,
     job::Job,
-    upkeep::{
-        Known,
-        WaveState, //
-    },
+    orders_to_instances::Known,
+    waves::WaveState,
     worker::{
         Worker,
         WorkerReport, //
--- a/crates/dotterelsill_jobs/src/upkeep.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -1,21 +1,20 @@
-//! Maintenance waves and moves of instances between pools.
+//! Maintenance waves.
 //!
-//! Every order ends what runs on the instance, so an instance is first kept free
-//! of new tasks; short tasks end by themselves, lasting ones are counted against
+//! Maintenance ends what runs on the instance, which is first kept free of new
+//! tasks: short tasks end by themselves, lasting ones are counted against
 //! what their step may miss.
 
 use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
+    collections::BTreeMap,
     time::Duration, //
 };
 
 use crate::{
-    fleet::LATE_ORDER,
     job::Task,
-    Instance,
+    orders_to_instances::{
+        Known,
+        BUSY_PAUSE, //
+    },
     InstanceAction,
     InstanceAnswer,
     InstanceOrder,
@@ -28,12 +27,6 @@
     WorkerKey, //
 };
 
-/// Time after which a new worker is in the list of instances.
-const LIST_LAG: Duration = Duration::from_millis(1500);
-
-/// Lists in a row that do not show a worker before it counts as ended.
-const LISTS_WITHOUT: u32 = 2;
-
 /// Part of a wave's time, in percent, within which it is planned to be done; the
 /// rest is a reserve for faults.
 const WAVE_TIME_PERCENT: u32 = 60;
@@ -49,15 +42,9 @@
 /// unless time runs short.
 const POOL_AWAY_PERCENT: usize = 34;
 
-/// Longest time for which a call of an earlier scheduler may be under way.
-const ORDER_FLIGHT: Duration = Duration::from_millis(1500);
-
 /// Time added to that of the maintenance before an instance counts as back.
 const BACK_MARGIN: Duration = Duration::from_millis(300);
 
-/// Pause before an order that was refused is given again.
-const BUSY_PAUSE: Duration = Duration::from_millis(700);
-
 /// State of one instance in a wave.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Due {
@@ -104,116 +91,7 @@
     pub is_completed: bool,
 }
 
-/// What is known of an instance beside its entry in the list.
-#[derive(Debug)]
-pub(crate) struct Known {
-    pub(crate) instance: Instance,
-    /// Order whose answer is awaited.
-    pub(crate) ordered: Option<InstanceOrder>,
-    /// Time until which an earlier order may still be carried out.
-    pub(crate) late_until: Duration,
-    /// Time of the last order that was carried out.
-    pub(crate) done_at: Option<Duration>,
-    /// Pools that the platform refused for it.
-    pub(crate) refused_pools: BTreeSet<String>,
-}
-
 impl Scheduler {
-    /// Notes the platform's list of instances, which was asked for at a time.
-    pub fn on_instances(&mut self, list: Vec<Instance>, asked_at: Duration, now: Duration) {
-        self.end_unlisted_workers(&list, asked_at, now);
-        let names: BTreeSet<String> = list.iter().map(|entry| entry.name.clone()).collect();
-        for instance in list {
-            let known = self.instances.get_mut(&instance.name);
-            if let Some(known) = known {
-                // An older list does not show what was ordered since.
-                if known.ordered.is_none() && known.done_at.is_none_or(|at| at < asked_at) {
-                    known.instance = instance;
-                }
-                continue;
-            }
-            let held_until = self.held_until.get(&instance.name).copied();
-            let known = Known {
-                instance,
-                ordered: None,
-                late_until: held_until.unwrap_or_default(),
-                done_at: None,
-                refused_pools: BTreeSet::new(),
-            };
-            self.instances.insert(known.instance.name.clone(), known);
-        }
-        self.instances
-            .retain(|name, known| names.contains(name) || known.ordered.is_some());
-        self.has_instances = true;
-    }
-
-    /// Ends workers whose instance runs another one or none. A worker that is only
-    /// cut off stays listed with its instance.
-    fn end_unlisted_workers(&mut self, list: &[Instance], asked_at: Duration, now: Duration) {
-        let listed: BTreeSet<&str> = list.iter().map(|entry| entry.worker.as_str()).collect();
-        let mut ended = Vec::new();
-        for instance in list
-            .iter()
-            .filter(|entry| entry.state == InstanceState::Down)
-        {
-            let known = self.instances.get(&instance.name);
-            if let Some(known) = known.filter(|known| !known.instance.worker.is_empty()) {
-                ended.extend(self.by_id.get(&known.instance.worker).copied());
-            }
-        }
-        for (&key, worker) in &mut self.workers {
-            if listed.contains(worker.report.id.as_str()) {
-                worker.lists_without = 0;
-            } else if asked_at > worker.known_since + LIST_LAG {
-                worker.lists_without += 1;
-                if worker.lists_without >= LISTS_WITHOUT {
-                    ended.push(key);
-                }
-            }
-        }
-        for key in ended {
-            let worker = self.workers.get(&key).filter(|worker| !worker.has_ended);
-            if let Some(worker) = worker {
-                log::info!(
-                    worker = worker.report.id, runs = worker.booked.len() as u64;
-                    "worker_has_no_instance"
-                );
-                self.on_worker_ended(key, now);
-            }
-        }
-    }
-
-    /// Returns until when orders of an earlier scheduler may still count.
-    fn earlier_orders_until(&self) -> Duration {
-        if self.limits.turn.is_zero() {
-            return self.started_at;
-        }
-        self.started_at + self.limits.turn + ORDER_FLIGHT
-    }
-
-    /// Notes the instances that an earlier scheduler has given orders to lately.
-    pub fn restore_ordered(&mut self, instances: &[String]) {
-        let until = self.earlier_orders_until();
-        let held = instances.iter().map(|name| (name.clone(), until));
-        self.held_until.extend(held);
-    }
-
-    /// Returns the instances whose orders a later scheduler has to know, so that
-    /// the two do not take turns: those with an order that is open, or was given
-    /// within a turn. The record must be stored before the orders are given.
-    pub fn ordered(&mut self, now: Duration) -> Vec<String> {
-        let (instances, turn) = (&self.instances, self.limits.turn);
-        self.ordered_at.retain(|name, at| {
-            let known = instances.get(name);
-            known.is_some_and(|known| known.ordered.is_some()) || now < *at + turn
-        });
-        // What an earlier scheduler ordered is held here, and by the next one too.
-        let held = self.held_until.iter().filter(|(_, until)| now < **until);
-        let held = held.map(|(name, _)| name.clone());
-        let names: BTreeSet<String> = self.ordered_at.keys().cloned().chain(held).collect();
-        names.into_iter().collect()
-    }
-
     /// Takes over a wave that an earlier scheduler has begun.
     pub fn restore_wave(&mut self, number: u64, started_unix: Duration, done: &[String]) {
         self.restored_waves
@@ -255,29 +133,7 @@
         self.waves.retain(|number, _| is_asked(number));
     }
 
-    /// Returns the orders to instances that are due.
-    pub fn plan_instances(&mut self, now: Duration, unix: Duration) -> Vec<InstanceOrder> {
-        self.follow_waves(unix);
-        if !self.has_instances {
-            return Vec::new();
-        }
-        let mut orders = Vec::new();
-        // Instances that an earlier scheduler has just taken into maintenance are
-        // down and may not be in its stored progress yet.
-        if now >= self.earlier_orders_until() {
-            let numbers: Vec<u64> = self.waves.keys().copied().collect();
-            for number in numbers {
-                self.plan_wave(number, &mut orders, now, unix);
-            }
-        }
-        self.plan_moves(&mut orders, now);
-        for order in &orders {
-            self.ordered_at.insert(order.instance.clone(), now);
-        }
-        orders
-    }
-
-    fn plan_wave(
+    pub(crate) fn plan_wave(
         &mut self,
         number: u64,
         orders: &mut Vec<InstanceOrder>,
@@ -424,26 +280,6 @@
         (true, lasting, worker.used.cpu_milli)
     }
 
-    pub(crate) fn worker_of(&self, name: &str) -> Option<WorkerKey> {
-        let id = &self.instances.get(name)?.instance.worker;
-        self.by_id.get(id).copied()
-    }
-
-    pub(crate) fn is_standby(&self, pool: &str) -> bool {
-        self.catalogue
-            .pools
-            .get(pool)
-            .is_some_and(|pool| pool.is_standby)
-    }
-
-    /// Keeps new tasks away from an instance, or allows them again.
-    pub(crate) fn reserve(&mut self, name: &str, is_reserved: bool) {
-        let key = self.worker_of(name);
-        if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
-            worker.reserved = is_reserved;
-        }
-    }
-
     /// Returns whether the runs of an instance may be ended now.
     fn may_end(&self, name: &str, since: Duration, now: Duration) -> bool {
         let Some(key) = self.worker_of(name) else {
@@ -516,95 +352,32 @@
         away + count <= may_miss as usize
     }
 
-    pub(crate) fn note_ordered(&mut self, order: &InstanceOrder) {
-        if let Some(known) = self.instances.get_mut(&order.instance) {
-            known.ordered = Some(order.clone());
-        }
-        let key = self.worker_of(&order.instance);
-        if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
-            worker.is_ending = true;
-        }
-        log::info!(instance = order.instance, action:? = order.action; "instance_ordered");
-    }
-
-    /// Notes the answer to an order; returns whether it is to be given again.
-    pub fn on_instance_answer(
+    /// Notes the answer to an order of maintenance; `unanswered_until` tells until
+    /// when an earlier one may be carried out that got none.
+    pub(crate) fn on_maintenance_answer(
         &mut self,
-        order: &InstanceOrder,
+        wave: u64,
+        name: &str,
         answer: InstanceAnswer,
+        unanswered_until: Option<Duration>,
         now: Duration,
-    ) -> bool {
-        let name = &order.instance;
-        log::info!(instance = name, action:? = order.action, answer:?; "instance_answered");
-        self.ordered_at.insert(name.clone(), now);
-        if answer == InstanceAnswer::None {
-            if let Some(known) = self.instances.get_mut(name) {
-                known.late_until = now + LATE_ORDER;
-            }
-            return true;
-        }
-        if answer == InstanceAnswer::Later {
-            return true;
-        }
-        let key = self.worker_of(name);
-        let turn = self.limits.turn;
-        let late_until = self
-            .instances
-            .get(name)
-            .map_or(now, |known| known.late_until);
-        let was_unanswered = now < late_until;
-        if let Some(known) = self.instances.get_mut(name) {
-            known.ordered = None;
-            if answer == InstanceAnswer::Done {
-                known.done_at = Some(now);
-                match &order.action {
-                    InstanceAction::Move { pool } => {
-                        known.instance.state = InstanceState::Moving;
-                        known.instance.pool.clone_from(pool);
-                    }
-                    InstanceAction::Maintain { .. } => {
-                        known.instance.state = InstanceState::Maintenance;
-                    }
-                }
-                known.instance.worker.clear();
-            } else {
-                // Not again at once, and never if it cannot be there.
-                known.late_until = known.late_until.max(now + turn.min(BUSY_PAUSE));
-                if let (InstanceAnswer::Refused, InstanceAction::Move { pool }) =
-                    (answer, &order.action)
-                {
-                    known.refused_pools.insert(pool.clone());
-                }
-            }
-        }
-        if answer == InstanceAnswer::Done {
-            if let Some(key) = key {
-                self.on_worker_ended(key, now);
-            }
-        } else if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
-            worker.reserved = false;
-            worker.is_ending = false;
-            // It may have left the stored record when it ran nothing, and must be
-            // in it again before it gets tasks.
-            worker.may_grant = false;
-        }
-        if let InstanceAction::Maintain { wave } = order.action {
-            if let Some(state) = self.waves.get_mut(&wave) {
-                let due = match answer {
-                    InstanceAnswer::Done => Due::Away { since: now },
-                    // The instance is not due, whatever the operators' text said.
-                    InstanceAnswer::Refused => Due::Done,
-                    _ if was_unanswered => Due::MayBeDown {
-                        until: late_until + self.limits.maintenance_time + BACK_MARGIN,
-                    },
-                    _ => Due::Waiting {
-                        not_before: now + BUSY_PAUSE,
-                    },
-                };
-                state.due.insert(name.clone(), due);
-            }
-        }
-        false
+    ) {
+        let takes = self.limits.maintenance_time;
+        let Some(state) = self.waves.get_mut(&wave) else {
+            return;
+        };
+        let due = match (answer, unanswered_until) {
+            (InstanceAnswer::Done, _) => Due::Away { since: now },
+            // The instance is not due, whatever the operators' text said.
+            (InstanceAnswer::Refused, _) => Due::Done,
+            (_, Some(late_until)) => Due::MayBeDown {
+                until: late_until + takes + BACK_MARGIN,
+            },
+            (_, None) => Due::Waiting {
+                not_before: now + BUSY_PAUSE,
+            },
+        };
+        state.due.insert(name.to_owned(), due);
     }
 
     /// Returns the progress of waves that is to be stored.
