Go on with maintenance at once after an election

Change: instances that the earlier scheduler has ordered count as down until its orders are over, so that the others may begin within the wave's limit. In that time only instances that surely run no lasting task are ended: orders under way may still end others of their step. The record of ordered instances keeps those whose order may be carried out late.

Test: new_scheduler_maintains_only_what_surely_runs_nothing.

--- a/crates/dotterelsill_jobs/src/orders_to_instances.rs
+++ b/crates/dotterelsill_jobs/src/orders_to_instances.rs
@@ -111,7 +111,7 @@
     }
 
     /// Returns until when orders of an earlier scheduler may still count.
-    fn earlier_orders_until(&self) -> Duration {
+    pub(crate) fn earlier_orders_until(&self) -> Duration {
         if self.limits.turn.is_zero() {
             return self.started_at;
         }
@@ -126,13 +126,14 @@
     }
 
     /// Returns the instances whose orders a later scheduler has to know, so that
-    /// the two do not take turns: those with an order that is open, or was given
-    /// within a turn. The record must be stored before the orders are given.
+    /// the two do not take turns: those with an order that is open or may be
+    /// carried out late, or that was given within a turn. The record must be stored before the orders are given.
     pub fn ordered(&mut self, now: Duration) -> Vec<String> {
         let (instances, turn) = (&self.instances, self.limits.turn);
         self.ordered_at.retain(|name, at| {
             let known = instances.get(name);
-            known.is_some_and(|known| known.ordered.is_some()) || now < *at + turn
+            let is_open = |known: &Known| known.ordered.is_some() || now < known.late_until;
+            known.is_some_and(is_open) || now < *at + turn
         });
         // What an earlier scheduler ordered is held here, and by the next one too.
         let held = self.held_until.iter().filter(|(_, until)| now < **until);
@@ -148,13 +149,9 @@
             return Vec::new();
         }
         let mut orders = Vec::new();
-        // Instances that an earlier scheduler has just taken into maintenance are
-        // down and may not be in its stored progress yet.
-        if now >= self.earlier_orders_until() {
-            let numbers: Vec<u64> = self.waves.keys().copied().collect();
-            for number in numbers {
-                self.plan_wave(number, &mut orders, now, unix);
-            }
+        let numbers: Vec<u64> = self.waves.keys().copied().collect();
+        for number in numbers {
+            self.plan_wave(number, &mut orders, now, unix);
         }
         self.plan_moves(&mut orders, now);
         for order in &orders {
--- a/crates/dotterelsill_jobs/src/waves.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -154,9 +154,12 @@
             })
             .collect();
         for (name, since) in draining {
-            if self.away_count(&state) >= state.wave.cap as usize {
+            if self.away_count(&state, now) >= state.wave.cap as usize {
                 break;
             }
+            if !self.may_drain(&name, now) {
+                continue;
+            }
             if self.may_end(&name, since, now) {
                 let order = InstanceOrder {
                     instance: name.clone(),
@@ -202,11 +205,16 @@
         }
     }
 
-    /// Returns how many instances of a wave are down for it, or may be.
-    fn away_count(&self, state: &WaveState) -> usize {
+    /// Returns how many instances of a wave are down for it, or may be: an earlier
+    /// scheduler may just have given the order.
+    fn away_count(&self, state: &WaveState, now: Duration) -> usize {
         let is_away =
-            |due: &&Due| matches!(due, Due::Ordered | Due::MayBeDown { .. } | Due::Away { .. });
-        state.due.values().filter(is_away).count()
+            |due: &Due| matches!(due, Due::Ordered | Due::MayBeDown { .. } | Due::Away { .. });
+        let may_be_down = |(name, due): &(&String, &Due)| {
+            let is_held = self.held_until.get(*name).is_some_and(|until| now < *until);
+            is_held || is_away(due)
+        };
+        state.due.iter().filter(may_be_down).count()
     }
 
     /// Begins to drain as many instances as the wave needs to be done in time.
@@ -241,7 +249,7 @@
             if known.ordered.is_some() || now < known.late_until {
                 continue;
             }
-            if known.instance.state != InstanceState::Up {
+            if known.instance.state != InstanceState::Up || !self.may_drain(&name, now) {
                 continue;
             }
             if !is_short && !self.pool_can_spare(&known.instance.pool.clone(), state) {
@@ -280,6 +288,21 @@
         (true, lasting, worker.used.cpu_milli)
     }
 
+    /// Returns whether an instance may be drained. As long as orders of an earlier
+    /// scheduler may still end lasting tasks that look to be at work, no others are
+    /// ended, so that the instance must be known to run none.
+    fn may_drain(&self, name: &str, now: Duration) -> bool {
+        if now >= self.earlier_orders_until() {
+            return true;
+        }
+        let has_worker = |known: &Known| !known.instance.worker.is_empty();
+        if !self.instances.get(name).is_some_and(has_worker) {
+            return true;
+        }
+        self.worker_of(name)
+            .is_some_and(|key| self.workers[&key].is_known && self.at_work_on(key).is_empty())
+    }
+
     /// Returns whether the runs of an instance may be ended now.
     fn may_end(&self, name: &str, since: Duration, now: Duration) -> bool {
         let Some(key) = self.worker_of(name) else {
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -489,3 +489,44 @@
     scheduler.plan(ms(1110));
     insta::assert_snapshot!(scheduler.explain(JobId(1), ms(1120)).unwrap());
 }
+
+/// Guards against a new scheduler that begins the maintenance of an instance
+/// whose runs it has not read, or ends lasting tasks while orders of its
+/// predecessor may end others of their step.
+#[test]
+fn new_scheduler_maintains_only_what_surely_runs_nothing() {
+    let limits = dotterelsill_jobs::Limits {
+        turn: ms(3000),
+        ..limits()
+    };
+    let mut scheduler = Scheduler::new(8, limits, ms(1000));
+    ask_wave(&mut scheduler, 4, 4);
+    let list: Vec<Instance> = (0..4)
+        .map(|index| instance(index, "work", InstanceState::Up))
+        .collect();
+    scheduler.on_instances(list, ms(1000), ms(1000));
+    let maintained = |orders: &[dotterelsill_jobs::InstanceOrder]| -> Vec<String> {
+        let is_wave = |o: &&dotterelsill_jobs::InstanceOrder| {
+            matches!(o.action, InstanceAction::Maintain { .. })
+        };
+        let orders = orders.iter().filter(is_wave);
+        orders.map(|order| order.instance.clone()).collect()
+    };
+    // No worker is known yet, though the list names one for each instance.
+    let orders = scheduler.plan_instances(ms(1100), ms(1100));
+    assert!(maintained(&orders).is_empty(), "{orders:?}");
+    let lasting_job = record("urgent", 7, vec![lasting(1)]);
+    scheduler
+        .restore(JobId(1), &lasting_job, None, ms(1100))
+        .unwrap();
+    let busy = add_worker(&mut scheduler, 0, ms(1200));
+    let mut look = look_at(ms(1300));
+    look.running = vec![running(task(1, 0, 0), 1, 100)];
+    scheduler.on_look(busy, &look, ms(1300));
+    add_worker(&mut scheduler, 1, ms(1300));
+    let orders = scheduler.plan_instances(ms(1400), ms(1400));
+    assert_eq!(maintained(&orders), ["i1"]);
+    // After a turn and the time of a call the lasting task may be missed.
+    let orders = scheduler.plan_instances(ms(5600), ms(5600));
+    assert!(maintained(&orders).contains(&"i0".to_owned()), "{orders:?}");
+}
