Queue a job once, and take it under the stored record

A job whose transaction was put back after a lost answer and that was also found in the intake was in one transaction twice, with two homes: the store kept the second, the scheduler ran its tasks in the first, and the next scheduler did not look there. After a conflict, too, the record of the last try counted.

Ruled out: the record of the workers that may run tasks, and the rule that only workers in it are waited for.

Change: the queue of jobs that wait to be stored is a structure of the decision crate and holds a job once; what is found in the store counts.

Tests: job_handed_in_again_is_stored_once, stored_home_counts.

--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O or reads a clock. A [`Scheduler`] is told what happened
 //! and when, and hands out [`Order`]s for workers and [`Change`]s for the store.
 
+mod acceptance;
 mod advice;
 mod arrivals;
 mod catalogue;
@@ -26,9 +27,11 @@
 mod room;
 mod scheduler;
 mod spec;
+mod submissions;
 mod waves;
 mod worker;
 
+pub use acceptance::record_in_force;
 pub use advice::{
     Advisor,
     Question, //
@@ -82,5 +85,9 @@
     Step,
     FORMAT, //
 };
+pub use submissions::{
+    Submission,
+    Submissions, //
+};
 pub use waves::WaveChange;
 pub use worker::WorkerReport;
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/submissions.rs
@@ -0,0 +1,69 @@
+//! Jobs that wait to be stored.
+
+use std::collections::VecDeque;
+
+use dotterelsill_proto::jobs::JobRecord;
+
+use crate::JobId;
+
+/// A job that is to be stored; `W` is what tells a caller the outcome.
+#[derive(Debug)]
+pub struct Submission<W> {
+    /// Job.
+    pub id: JobId,
+    /// Record to store.
+    pub record: JobRecord,
+    /// Whether the job lies in the store's intake, which it leaves.
+    pub is_from_intake: bool,
+    /// Whether an earlier try may have stored the job.
+    pub may_be_stored: bool,
+    /// Those who wait for the outcome.
+    pub waiting: Vec<W>,
+}
+
+/// Jobs that wait to be stored, in order, each once.
+#[derive(Debug)]
+pub struct Submissions<W>(VecDeque<Submission<W>>);
+
+impl<W> Default for Submissions<W> {
+    fn default() -> Self {
+        Self(VecDeque::new())
+    }
+}
+
+impl<W> Submissions<W> {
+    /// Adds a job, or another caller that waits for it.
+    pub fn add(&mut self, submission: Submission<W>) {
+        match self.0.iter_mut().find(|other| other.id == submission.id) {
+            Some(other) => merge(other, submission),
+            None => self.0.push_back(submission),
+        }
+    }
+
+    /// Takes jobs off the front.
+    pub fn take(&mut self, most: usize) -> Vec<Submission<W>> {
+        let count = self.0.len().min(most);
+        self.0.drain(..count).collect()
+    }
+
+    /// Puts a job whose outcome is open back to the front. If it was handed in
+    /// again meanwhile, its record counts, which may be stored.
+    pub fn put_back(&mut self, mut submission: Submission<W>) {
+        let place = self.0.iter().position(|other| other.id == submission.id);
+        if let Some(again) = place.and_then(|place| self.0.remove(place)) {
+            merge(&mut submission, again);
+        }
+        self.0.push_front(submission);
+    }
+
+    /// Returns whether no job waits.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+fn merge<W>(into: &mut Submission<W>, other: Submission<W>) {
+    into.waiting.extend(other.waiting);
+    into.is_from_intake |= other.is_from_intake;
+    into.may_be_stored |= other.may_be_stored;
+}
--- /dev/null
+++ b/crates/dotterelsill_jobs/tests/acceptance.rs
@@ -0,0 +1,59 @@
+//! Jobs that an earlier try has stored.
+
+use dotterelsill_jobs::{
+    record_in_force,
+    JobId,
+    JobSpec,
+    Submission,
+    Submissions, //
+};
+use prost::Message as _;
+
+mod common;
+use common::*;
+
+/// Guards against a job that runs twice after an election: a try without an
+/// answer had stored it with one home, the next try took it with another, and the
+/// next scheduler looked for its runs in the stored home.
+#[test]
+fn stored_home_counts() {
+    let own = record("urgent", 7, vec![step(1, 1000)]);
+    let (mut own, mut stored) = (own.clone(), own);
+    own.home = "dc-a".to_owned();
+    stored.home = "dc-b".to_owned();
+    let taken = record_in_force(own.clone(), &stored.encode_to_vec());
+    let spec = JobSpec::try_from(&taken).unwrap();
+    assert_eq!(spec.home.as_deref(), Some("dc-b"));
+    assert_eq!(record_in_force(own.clone(), b"\xff"), own);
+}
+
+/// Guards against a job that is in one transaction twice, with two homes: the
+/// store kept the second record and the scheduler took the first.
+#[test]
+fn job_handed_in_again_is_stored_once() {
+    let submission = |home: &str, waiting: u32, is_from_intake| {
+        let mut record = record("urgent", 7, vec![step(1, 1000)]);
+        record.home = home.to_owned();
+        Submission {
+            id: JobId(1),
+            record,
+            is_from_intake,
+            may_be_stored: false,
+            waiting: vec![waiting],
+        }
+    };
+    let mut queue = Submissions::default();
+    queue.add(submission("dc-a", 1, false));
+    let mut taken = queue.take(10);
+    // Its transaction is under way when the job is found in the intake.
+    queue.add(submission("dc-b", 2, true));
+    let mut first = taken.remove(0);
+    first.may_be_stored = true;
+    queue.put_back(first);
+    let again = queue.take(10);
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].record.home, "dc-a");
+    assert_eq!(again[0].waiting, [1, 2]);
+    assert!(again[0].is_from_intake && again[0].may_be_stored);
+    assert!(queue.is_empty());
+}
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -404,7 +404,7 @@
     let until = clock::now() + FLUSH_LIMIT;
     while clock::now() < until {
         let stored = lead.stored.listen();
-        if lead.submissions.is_empty() && !lead.scheduler().has_change() {
+        if lead.submissions.lock().is_empty() && !lead.scheduler().has_change() {
             return;
         }
         lead.write_wanted.set();
--- a/crates/dotterelsill_node/src/intake.rs
+++ b/crates/dotterelsill_node/src/intake.rs
@@ -154,7 +154,7 @@
     };
     lead.adopt(&mut record);
     let (sender, receiver) = async_channel::bounded(1);
-    lead.submissions.add(Submission {
+    lead.submissions.lock().add(Submission {
         id,
         record,
         is_from_intake: true,
--- a/crates/dotterelsill_node/src/requests.rs
+++ b/crates/dotterelsill_node/src/requests.rs
@@ -40,7 +40,7 @@
     lead.adopt(&mut record);
     record.accepted_unix_ms = clock::unix().as_millis() as u64;
     let (sender, receiver) = async_channel::bounded(1);
-    lead.submissions.add(Submission {
+    lead.submissions.lock().add(Submission {
         id,
         record,
         is_from_intake: false,
--- a/crates/dotterelsill_node/src/writer.rs
+++ b/crates/dotterelsill_node/src/writer.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use async_lock::Semaphore;
 use dotterelsill_jobs::{
+    record_in_force,
     Change,
     JobSpec, //
 };
@@ -24,10 +25,12 @@
 use prost::Message as _;
 
 use crate::{
-    clock,
-    keys,
+    clock, keys,
     lead::Lead,
-    submission::Submission, //
+    submission::{
+        answer,
+        Submission, //
+    },
 };
 
 /// Most entries of a transaction, by the platform's limit.
@@ -52,7 +55,7 @@
         let slot = slots.acquire_arc().await;
         wait_for_work(&lead).await;
         let most = (ENTRIES_MAX - 1) / ENTRIES_PER_JOB;
-        let submissions = lead.submissions.take(most);
+        let submissions = lead.submissions.lock().take(most);
         let changes = lead
             .scheduler()
             .take_changes(most.saturating_sub(submissions.len()));
@@ -69,7 +72,7 @@
 }
 
 async fn wait_for_work(lead: &Lead) {
-    let is_urgent = || !lead.submissions.is_empty() || lead.scheduler().has_urgent_change();
+    let is_urgent = || !lead.submissions.lock().is_empty() || lead.scheduler().has_urgent_change();
     loop {
         if is_urgent() {
             return;
@@ -173,7 +176,7 @@
         }
         Err(error) => log::error!(job:% = submission.id, error:%; "stored_job_unusable"),
     }
-    submission.answer(Outcome::Done);
+    answer(submission, Outcome::Done);
 }
 
 /// Finds out which entries kept a transaction from being carried out.
@@ -189,16 +192,17 @@
         return;
     }
     let mut open = Vec::new();
-    for submission in submissions {
+    for mut submission in submissions {
         let key = keys::of_job(keys::JOBS, submission.id);
-        if current.contains_key(key.as_str()) {
+        if let Some(item) = current.get(key.as_str()) {
             // An earlier try, or one over the intake, was carried out.
+            submission.record = record_in_force(submission.record, &item.value);
             accept(lead, &submission);
         } else {
             open.push(submission);
         }
     }
-    lead.submissions.put_back(open);
+    put_back_all(lead, open);
     let mut scheduler = lead.scheduler();
     for change in changes {
         let key = keys::of_job(keys::PROGRESS, change.job);
@@ -213,17 +217,25 @@
     }
 }
 
+/// Puts jobs back to the front, in order.
+fn put_back_all(lead: &Lead, submissions: Vec<Submission>) {
+    let mut queue = lead.submissions.lock();
+    for submission in submissions.into_iter().rev() {
+        queue.put_back(submission);
+    }
+}
+
 fn put_back(lead: &Lead, submissions: Vec<Submission>, changes: Vec<Change>, is_not_done: bool) {
     let mut open = Vec::new();
     for mut submission in submissions {
         if is_not_done && !submission.may_be_stored && !submission.is_from_intake {
-            submission.answer(Outcome::Refused);
+            answer(&submission, Outcome::Refused);
             continue;
         }
         submission.may_be_stored = true;
         open.push(submission);
     }
-    lead.submissions.put_back(open);
+    put_back_all(lead, open);
     let mut scheduler = lead.scheduler();
     for change in changes {
         scheduler.on_not_stored(change.job);
