Count starting lasting tasks as at work when they are ended

Two tasks of a step were started on one worker, came to work 0.5 s later, and the instance was taken into maintenance in the same moment: the last look showed them as starting, and only tasks that are known to be at work counted as missed. The fault is older than tasks that share a worker, which make it likelier.

Ruled out: maintenance that begins right after an election; this one began 5.1 s after it.

Change: what is ended counts as at work unless it is being stopped, and what is not ended counts as at work only if it is known to be.

Test: starting_tasks_count_as_at_work_when_they_end fails on the code before.

--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -204,16 +204,6 @@
         self.step(step)?.tasks.get_mut(index as usize)
     }
 
-    /// Returns a task as it is.
-    pub(crate) fn task_state(&self, step: StepId, index: u32) -> Option<&Task> {
-        let occurrence = self.occurrences.get(&step.occurrence)?;
-        occurrence
-            .steps
-            .get(step.step as usize)?
-            .tasks
-            .get(index as usize)
-    }
-
     pub(crate) fn step(&mut self, step: StepId) -> Option<&mut StepState> {
         let occurrence = self.occurrences.get_mut(&step.occurrence)?;
         occurrence.steps.get_mut(step.step as usize)
--- a/crates/dotterelsill_jobs/src/waves.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -300,7 +300,7 @@
             return true;
         }
         self.worker_of(name)
-            .is_some_and(|key| self.workers[&key].is_known && self.at_work_on(key).is_empty())
+            .is_some_and(|key| self.workers[&key].is_known && self.lasting_on(key).is_empty())
     }
 
     /// Returns whether the runs of an instance may be ended now.
@@ -313,9 +313,9 @@
         if has_short && now < since + DRAIN_LIMIT {
             return false;
         }
-        self.at_work_on(key)
+        self.lasting_on(key)
             .into_iter()
-            .all(|(step, tasks)| self.can_miss(step, tasks.len()))
+            .all(|(step, tasks)| self.can_miss(step, &tasks))
     }
 
     /// Stops lasting tasks of a draining instance as far as their steps can miss
@@ -324,8 +324,8 @@
         let Some(key) = self.worker_of(name) else {
             return;
         };
-        for (step, tasks) in self.at_work_on(key) {
-            if self.can_miss(step, tasks.len()) || !self.can_miss(step, 1) {
+        for (step, tasks) in self.lasting_on(key) {
+            if self.can_miss(step, &tasks) || !self.can_miss(step, &tasks[..1]) {
                 continue;
             }
             let (task, attempt) = tasks[0];
@@ -334,13 +334,12 @@
         }
     }
 
-    /// Returns the lasting tasks that are at work on a worker, by step.
-    fn at_work_on(&self, key: WorkerKey) -> BTreeMap<StepId, Vec<(TaskId, u32)>> {
+    /// Returns the lasting tasks on a worker, by step, beside those that are being
+    /// stopped. One that was not at work when the worker was looked at may be now.
+    fn lasting_on(&self, key: WorkerKey) -> BTreeMap<StepId, Vec<(TaskId, u32)>> {
         let mut here: BTreeMap<StepId, Vec<(TaskId, u32)>> = BTreeMap::new();
         for (task, booked) in &self.workers[&key].booked {
-            let job = self.jobs.get(&task.step.job);
-            let state = job.and_then(|job| job.task_state(task.step, task.index));
-            if booked.is_lasting && state.is_some_and(|state| self.is_at_work(state)) {
+            if booked.is_lasting && !booked.is_stopping {
                 let tasks = here.entry(task.step).or_default();
                 tasks.push((*task, booked.attempt));
             }
@@ -359,8 +358,9 @@
         })
     }
 
-    /// Returns whether a step that lasts can miss so many more of its tasks.
-    fn can_miss(&self, id: StepId, count: usize) -> bool {
+    /// Returns whether a step that lasts can miss some of its tasks beside all others
+    /// that are not known to be at work.
+    fn can_miss(&self, id: StepId, ending: &[(TaskId, u32)]) -> bool {
         let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
             return true;
         };
@@ -371,8 +371,13 @@
             return true;
         };
         let tasks = &occurrence.steps[id.step as usize].tasks;
-        let away = tasks.iter().filter(|task| !self.is_at_work(task)).count();
-        away + count <= may_miss as usize
+        let is_ending = |index: usize| ending.iter().any(|(task, _)| task.index as usize == index);
+        let others = tasks
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| !is_ending(*index));
+        let away = others.filter(|(_, task)| !self.is_at_work(task)).count();
+        away + ending.len() <= may_miss as usize
     }
 
     /// Notes the answer to an order of maintenance; `unanswered_until` tells until
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -530,3 +530,22 @@
     let orders = scheduler.plan_instances(ms(5600), ms(5600));
     assert!(maintained(&orders).contains(&"i0".to_owned()), "{orders:?}");
 }
+
+/// Guards against maintenance that ends lasting tasks which began to work after
+/// the last look at their worker.
+#[test]
+fn starting_tasks_count_as_at_work_when_they_end() {
+    let mut scheduler = scheduler(7, ms(1000));
+    add_worker(&mut scheduler, 0, ms(1000));
+    let job = record("urgent", 7, vec![lasting(2)]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    let orders = scheduler.plan(ms(1010));
+    assert_eq!(starts(&orders).len(), 2);
+    confirm(&mut scheduler, &orders, ms(1020));
+    // Both may have come to work since: one of them may be missed, not two.
+    let list = vec![instance(0, "work", InstanceState::Up)];
+    scheduler.on_instances(list, ms(1400), ms(1400));
+    ask_wave(&mut scheduler, 1, 1);
+    assert_eq!(scheduler.plan_instances(ms(1500), ms(1500)), []);
+    assert_eq!(scheduler.plan_instances(ms(5500), ms(5500)), []);
+}
