--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -549,3 +549,24 @@
     assert_eq!(scheduler.plan_instances(ms(1500), ms(1500)), []);
     assert_eq!(scheduler.plan_instances(ms(5500), ms(5500)), []);
 }
+
+/// Guards against runs that are taken for ended, and started again, when an order
+/// of maintenance is answered as done although an earlier scheduler had it done
+/// before: the worker goes on.
+#[test]
+fn maintenance_that_was_done_before_ends_no_runs() {
+    let (mut scheduler, _) = with_lasting(4);
+    add_worker(&mut scheduler, 4, ms(2000));
+    let list: Vec<Instance> = (0..4)
+        .map(|index| instance(index, "work", InstanceState::Up))
+        .collect();
+    scheduler.on_instances(list, ms(2000), ms(2000));
+    ask_wave(&mut scheduler, 4, 1);
+    let orders = scheduler.plan_instances(ms(4000), ms(4000));
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    scheduler.on_instance_answer(&orders[0], InstanceAnswer::Done, ms(4010));
+    // The worker lives and answers; its task must not be started elsewhere.
+    let place = orders[0].instance[1..].parse::<usize>().unwrap();
+    scheduler.on_report(report(place, "dc"), ms(4020));
+    assert_eq!(starts(&scheduler.plan(ms(4030))), []);
+}
