--- a/crates/dotterelsill_cli/src/client.rs
+++ b/crates/dotterelsill_cli/src/client.rs
@@ -14,10 +14,10 @@
     planner::planner_client::PlannerClient, //
 };
 use dotterelsill_rpc::{
+    origin,
     Channel,
     Tasks, //
 };
-use tonic::codegen::http::Uri;
 
 /// Longest time to connect to an entry instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -50,12 +50,3 @@
     let channel = Channel::new(scheduler, CONNECT_TIMEOUT, tasks);
     SchedulerClient::with_origin(channel, origin(scheduler))
 }
-
-fn origin(address: SocketAddr) -> Uri {
-    Uri::builder()
-        .scheme("http")
-        .authority(address.to_string())
-        .path_and_query("/")
-        .build()
-        .expect("a socket address is a valid authority")
-}
--- a/crates/dotterelsill_jobs/src/advice.rs
+++ b/crates/dotterelsill_jobs/src/advice.rs
@@ -22,8 +22,8 @@
     WorkerKey, //
 };
 
-/// Most workers that are named in one question: the platform's pages count a
-/// chain of tasks with one question on 30 workers for each step.
+/// Most workers that are named in one question: an answer on 30 workers is what a
+/// job's objective allows for each step.
 const WORKERS_ASKED: usize = 30;
 
 /// Workers that are asked about for each waiting task, since some are refused.
--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -25,12 +25,11 @@
         let job = self.jobs.get(&id)?;
         let age_ms = now.saturating_sub(job.known_at).as_millis();
         let home = job.bound_to().unwrap_or("any");
-        let is_stored = job.stored_changes == job.changes;
         let mut text = format!(
             "job {id}: {}, on queue {}, known for {age_ms} ms, home {home}, {}\n",
             format!("{:?}", job.phase).to_lowercase(),
             job.spec.queue,
-            if is_stored {
+            if self.is_stored(id) {
                 "stored"
             } else {
                 "not stored yet"
