Measure how late a process runs its tasks, and log its processor share

On instances with a small processor share, calls of a scheduler time out in numbers, and nothing tells whether the peers were silent or the process was late to read their answers.

A task of each node sleeps 100 ms at a time and measures how late it runs. The steady clock counts suspension. `loop_late` gives worst and mean lateness and the processor time of a second whose worst exceeds 100 ms; a histogram and a gauge hold the same. `started` names the processor share, which the settings file gives as a share of the time and a number of cores.

--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -28,6 +28,7 @@
     serve_grpc,
     serve_http1,
     termination_signal,
+    Lateness,
     ListenError,
     Listener,
     Pair,
@@ -61,6 +62,7 @@
         Leader,
         Won, //
     },
+    event_loop,
     instance_orders,
     intake,
     lead::{
@@ -134,12 +136,15 @@
     let metrics_listener = bind(settings.metrics_address)?;
     log::info!(
         instance = settings.instance, data_centre = settings.data_centre,
-        callers:% = settings.callers_address; "started"
+        callers:% = settings.callers_address, processor_share = settings.processor_share;
+        "started"
     );
     let settings = Arc::new(settings);
     let peers = Arc::new(Peers::new(settings.peers_address, &tasks));
     let reach = Arc::new(Reach::default());
     let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
+    let lateness = Arc::new(Lateness::default());
+    tasks.spawn_until_stop(event_loop::watch(lateness, metrics.clone()));
     let store = || dotterelsill_platform::operations(settings.store_address, &tasks);
     let node = Arc::new(Node {
         store: Arc::new(relay::operations(
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod dependency;
 mod election;
+mod event_loop;
 mod guarded;
 mod instance_orders;
 mod intake;
--- a/crates/dotterelsill_node/src/metrics.rs
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -8,6 +8,8 @@
 };
 use prometheus::{
     Encoder as _,
+    Gauge,
+    Histogram,
     HistogramOpts,
     HistogramVec,
     IntCounterVec,
@@ -28,6 +30,8 @@
     durations: HistogramVec,
     store_calls: IntCounterVec,
     store_durations: HistogramVec,
+    loop_lateness: Histogram,
+    loop_lateness_worst: Gauge,
     /// Whether this instance schedules.
     pub(crate) is_scheduling: IntGauge,
 }
@@ -59,6 +63,17 @@
                 "Time until the store answered, without the wait of watches",
                 "way",
             )?,
+            loop_lateness: Histogram::with_opts(
+                HistogramOpts::new(
+                    "dotterelsill_loop_late_seconds",
+                    "Time by which a sleeping task was woken late",
+                )
+                .buckets(DURATION_BUCKETS_S.to_vec()),
+            )?,
+            loop_lateness_worst: Gauge::new(
+                "dotterelsill_loop_late_worst_seconds",
+                "Longest time by which a sleeping task was woken late in the last second",
+            )?,
             is_scheduling: IntGauge::new(
                 "dotterelsill_is_scheduling",
                 "Whether this instance schedules",
@@ -69,6 +84,8 @@
         registry.register(Box::new(metrics.durations.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.store_durations.clone()))?;
+        registry.register(Box::new(metrics.loop_lateness.clone()))?;
+        registry.register(Box::new(metrics.loop_lateness_worst.clone()))?;
         registry.register(Box::new(metrics.is_scheduling.clone()))?;
         Ok(metrics)
     }
@@ -99,6 +116,16 @@
         }
     }
 
+    /// Counts a wake-up of the task that watches the event loop.
+    pub(crate) fn on_loop_wake(&self, late: Duration) {
+        self.loop_lateness.observe(late.as_secs_f64());
+    }
+
+    /// Notes the worst lateness of the event loop in the last second.
+    pub(crate) fn on_loop_period(&self, worst: Duration) {
+        self.loop_lateness_worst.set(worst.as_secs_f64());
+    }
+
     /// Returns all metrics as text.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/dotterelsill_rpc/src/lib.rs
+++ b/crates/dotterelsill_rpc/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod channel;
 mod http1;
+mod lateness;
 mod listener;
 mod pair;
 mod runtime;
@@ -19,6 +20,10 @@
     Http1Connection,
     Http1Error, //
 };
+pub use lateness::{
+    LatePeriod,
+    Lateness, //
+};
 pub use listener::{
     serve_grpc,
     serve_http1,
