Tell how late a time-out fired when a call is not answered

`worker_silent` and `scheduler_unanswered` did not tell whether the peer was silent or this process was late to read its answer: both end as a time-out.

Both kinds of calls now log limit, time taken and the recent lateness of the event loop. Calls of workers do so as a warning when a worker falls silent, and at level debug while it stays silent, so that a worker that is down costs one line. No decision depends on it.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -142,6 +142,13 @@
         })
     }
 
+    /// Returns whether the last call of a worker was not answered.
+    pub fn is_silent(&self, key: WorkerKey) -> bool {
+        self.workers
+            .get(&key)
+            .is_some_and(|worker| worker.is_silent)
+    }
+
     /// Notes that a call of a worker was not answered; it gets no new tasks until
     /// it answers.
     pub fn on_silence(&mut self, key: WorkerKey, now: Duration) {
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -120,6 +120,7 @@
     store: Arc<Operations>,
     reach: Arc<Reach>,
     metrics: Arc<Metrics>,
+    lateness: Arc<Lateness>,
     operators: Arc<Operators>,
     leader: Arc<ArcSwapOption<Leader>>,
     leading: Arc<ArcSwapOption<Lead>>,
@@ -144,7 +145,7 @@
     let reach = Arc::new(Reach::default());
     let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
     let lateness = Arc::new(Lateness::default());
-    tasks.spawn_until_stop(event_loop::watch(lateness, metrics.clone()));
+    tasks.spawn_until_stop(event_loop::watch(lateness.clone(), metrics.clone()));
     let store = || dotterelsill_platform::operations(settings.store_address, &tasks);
     let node = Arc::new(Node {
         store: Arc::new(relay::operations(
@@ -155,6 +156,7 @@
         )),
         reach: reach.clone(),
         metrics: metrics.clone(),
+        lateness: lateness.clone(),
         settings: settings.clone(),
         operators: Arc::default(),
         leader: Arc::default(),
@@ -164,7 +166,7 @@
         tasks: tasks.clone(),
     });
     let serving = tasks.new_group();
-    let link = LeaderLink::new(node.leader.clone(), node.leading.clone(), &tasks);
+    let link = LeaderLink::new(node.leader.clone(), node.leading.clone(), lateness, &tasks);
     let callers = Arc::new(Callers {
         operators: node.operators.clone(),
         link: Arc::new(link),
@@ -367,6 +369,7 @@
         node.store.clone(),
         authority.clone(),
         node.operators.clone(),
+        node.lateness.clone(),
         group.clone(),
     ));
     node.leader.store(Some(Arc::new(Leader {
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -24,7 +24,10 @@
     Settings, //
 };
 use dotterelsill_proto::jobs::JobRecord;
-use dotterelsill_rpc::Tasks;
+use dotterelsill_rpc::{
+    Lateness,
+    Tasks, //
+};
 use dotterelsill_store::Operations;
 use event_listener::Event;
 
@@ -68,6 +71,7 @@
     pub(crate) authority: Arc<Authority>,
     pub(crate) operators: Arc<Operators>,
     pub(crate) submissions: Submissions,
+    pub(crate) lateness: Arc<Lateness>,
     /// Record of the workers that may run tasks.
     pub(crate) granted: async_lock::Mutex<Guarded>,
     pub(crate) tasks: Tasks,
@@ -100,6 +104,7 @@
         store: Arc<Operations>,
         authority: Arc<Authority>,
         operators: Arc<Operators>,
+        lateness: Arc<Lateness>,
         tasks: Tasks,
     ) -> Self {
         Self {
@@ -111,6 +116,7 @@
             authority,
             operators,
             submissions: Submissions::default(),
+            lateness,
             granted: async_lock::Mutex::new(Guarded::new(keys::GRANTED)),
             tasks,
             plan_wanted: Signal::default(),
--- a/crates/dotterelsill_node/src/leader_link.rs
+++ b/crates/dotterelsill_node/src/leader_link.rs
@@ -28,6 +28,7 @@
 use dotterelsill_rpc::{
     timeout,
     Channel,
+    Lateness,
     Tasks, //
 };
 
@@ -37,6 +38,8 @@
 };
 
 use crate::{
+    call_times::CallTimes,
+    clock,
     election::Leader,
     lead::Lead,
     requests, //
@@ -50,6 +53,7 @@
     pub(crate) leader: Arc<ArcSwapOption<Leader>>,
     pub(crate) leading: Arc<ArcSwapOption<Lead>>,
     channel: Mutex<Option<(SocketAddr, Channel)>>,
+    lateness: Arc<Lateness>,
     tasks: Tasks,
 }
 
@@ -58,12 +62,14 @@
     pub(crate) fn new(
         leader: Arc<ArcSwapOption<Leader>>,
         leading: Arc<ArcSwapOption<Lead>>,
+        lateness: Arc<Lateness>,
         tasks: &Tasks,
     ) -> Self {
         Self {
             leader,
             leading,
             channel: Mutex::default(),
+            lateness,
             tasks: tasks.clone(),
         }
     }
@@ -80,7 +86,7 @@
             job: id.0,
             record: Some(record.clone()),
         };
-        match answer(limit, client.submit(request)).await {
+        match self.answer(limit, client.submit(request)).await {
             Ok(response) => response.outcome(),
             Err(error) => unanswered("submit", id, &error),
         }
@@ -95,7 +101,7 @@
             return (Outcome::Refused, None);
         };
         let request = StateRequest { job: id.0 };
-        match answer(limit, client.state(request)).await {
+        match self.answer(limit, client.state(request)).await {
             Ok(response) => {
                 let state = JobState {
                     phase: response.phase(),
@@ -116,7 +122,7 @@
             return Outcome::Refused;
         };
         let request = CancelRequest { job: id.0 };
-        match answer(limit, client.cancel(request)).await {
+        match self.answer(limit, client.cancel(request)).await {
             Ok(response) => response.outcome(),
             Err(error) => unanswered("cancel", id, &error),
         }
@@ -133,10 +139,17 @@
         let request = PendingRequest {
             queue: queue.to_owned(),
         };
-        match answer(limit, client.pending(request)).await {
+        match self.answer(limit, client.pending(request)).await {
             Ok(response) => (response.outcome(), response.pending),
-            Err(error) => {
-                log::warn!(call = "pending", queue, error; "scheduler_unanswered");
+            Err(Unanswered {
+                error,
+                limit_ms,
+                times,
+            }) => {
+                log::warn!(
+                    call = "pending", queue, limit_ms, took_ms = times.took_ms,
+                    loop_late_ms = times.loop_late_ms, error; "scheduler_unanswered"
+                );
                 (Outcome::Unknown, 0)
             }
         }
@@ -158,22 +171,44 @@
             dotterelsill_rpc::origin(leader.address),
         ))
     }
-}
 
-/// Waits for the answer to a call, or returns why none came.
-async fn answer<T>(
-    limit: Duration,
-    answer: impl Future<Output = Result<Response<T>, Status>>,
-) -> Result<T, String> {
-    match timeout(limit, answer).await {
-        Ok(Ok(response)) => Ok(response.into_inner()),
-        Ok(Err(error)) => Err(error.to_string()),
-        Err(error) => Err(error.to_string()),
+    /// Waits for the answer to a call, or returns why none came.
+    async fn answer<T>(
+        &self,
+        limit: Duration,
+        answer: impl Future<Output = Result<Response<T>, Status>>,
+    ) -> Result<T, Unanswered> {
+        let sent_at = clock::now();
+        let error = match timeout(limit, answer).await {
+            Ok(Ok(response)) => return Ok(response.into_inner()),
+            Ok(Err(error)) => error.to_string(),
+            Err(error) => error.to_string(),
+        };
+        Err(Unanswered {
+            error,
+            limit_ms: limit.as_millis() as u64,
+            times: CallTimes::until_now(sent_at, &self.lateness),
+        })
     }
 }
 
+/// Why no answer came, and when.
+struct Unanswered {
+    error: String,
+    limit_ms: u64,
+    times: CallTimes,
+}
+
 /// Logs a call whose outcome is not known.
-fn unanswered(call: &str, id: JobId, error: &str) -> Outcome {
-    log::warn!(call, job:% = id, error; "scheduler_unanswered");
+fn unanswered(call: &str, id: JobId, unanswered: &Unanswered) -> Outcome {
+    let Unanswered {
+        error,
+        limit_ms,
+        times,
+    } = unanswered;
+    log::warn!(
+        call, job:% = id, limit_ms, took_ms = times.took_ms, loop_late_ms = times.loop_late_ms,
+        error; "scheduler_unanswered"
+    );
     Outcome::Unknown
 }
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod authority;
+mod call_times;
 mod callers;
 mod clock;
 mod daemon;
--- a/crates/dotterelsill_node/src/worker_loops.rs
+++ b/crates/dotterelsill_node/src/worker_loops.rs
@@ -19,8 +19,10 @@
     WorkerClient, //
 };
 use futures_lite::FutureExt as _;
+use log::Level;
 
 use crate::{
+    call_times::CallTimes,
     clock,
     lead::{
         Handle,
@@ -186,16 +188,33 @@
                 Looked::Refused
             }
             Err(error) => {
-                self.on_silence(&error);
+                self.on_silence("look", &error, sent_at);
                 Looked::Silent
             }
         }
     }
 
-    fn on_silence(&self, error: &CallError) {
-        log::debug!(worker = self.key.0, error:%; "call_unanswered");
+    fn on_silence(&self, call: &str, error: &CallError, sent_at: Duration) {
+        let times = CallTimes::until_now(sent_at, &self.lead.lateness);
         self.client.close_idle();
-        self.lead.scheduler().on_silence(self.key, clock::now());
+        let was_silent = {
+            let mut scheduler = self.lead.scheduler();
+            let was_silent = scheduler.is_silent(self.key);
+            scheduler.on_silence(self.key, clock::now());
+            was_silent
+        };
+        // One line for each time that a worker falls silent.
+        let level = if was_silent {
+            Level::Debug
+        } else {
+            Level::Warn
+        };
+        log::log!(
+            level, worker = self.client.id(), call,
+            limit_ms = error.limit().map(|limit| limit.as_millis() as u64),
+            took_ms = times.took_ms, loop_late_ms = times.loop_late_ms, error:%;
+            "call_unanswered"
+        );
     }
 
     /// Waits until the ends that were listed can be acknowledged.
@@ -257,6 +276,7 @@
                 Timer::after(LOOK_FIRST_PAUSE).await;
                 continue;
             };
+            let sent_at = clock::now();
             let result = self.client.give(order, lead.token, lease_end_ms).await;
             match result {
                 Ok(Answer::Fenced) => {
@@ -277,7 +297,7 @@
                     return Given::Settled;
                 }
                 Err(error) => {
-                    self.on_silence(&error);
+                    self.on_silence("order", &error, sent_at);
                     if !matches!(error, CallError::Unsent { .. }) {
                         return Given::Open;
                     }
