Look again at a worker whose lease has lapsed

Callers saw accepted jobs wait while most workers were idle. A worker whose lease lapsed, or that fell silent while it ran nothing, was never given a task again by the same scheduler.

Its loop looks at a worker that runs something or that a plan has given an order. When the lease lapses, the runs are freed and the lists count as unknown: the worker runs nothing, and no plan takes a worker whose lists are unknown. The loop waited for a wake-up that nobody sends.

Ruled out: a lost order, since no order was given; the platform, since the worker answered.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -133,6 +133,14 @@
             .is_some_and(|worker| !worker.booked.is_empty() || !worker.pending_ends.is_empty())
     }
 
+    /// Returns whether a worker is to be looked at before it gets tasks: its lists
+    /// are not known since its lease has lapsed, or its last call was not answered.
+    pub fn needs_look(&self, key: WorkerKey) -> bool {
+        self.workers
+            .get(&key)
+            .is_some_and(|worker| !worker.is_known || worker.is_silent)
+    }
+
     /// Returns whether both serving and filling tasks run on a worker.
     pub fn is_mixed(&self, key: WorkerKey) -> bool {
         self.workers.get(&key).is_some_and(|worker| {
--- a/crates/dotterelsill_node/src/worker_loops.rs
+++ b/crates/dotterelsill_node/src/worker_loops.rs
@@ -114,8 +114,11 @@
                 return;
             }
             if !is_first && !self.lead.scheduler().is_busy(self.key) {
-                wake.wait().await;
-                continue;
+                if !self.lead.scheduler().needs_look(self.key) {
+                    wake.wait().await;
+                    continue;
+                }
+                Timer::after(IDLE_RETRY).await;
             }
             match self.look_once(is_first).await {
                 Looked::Listed { has_ends } => {
