Remove jobs from the intake that are accepted otherwise

Callers saw accepted jobs that nobody ran, and states that did not change. An instance that gets no answer from the scheduler in time leaves the job in the intake. When the scheduler's own write succeeds as well, its next write for the entry conflicts with the job's record: the job was accepted again and the entry stayed, to be handed in again with each read of the intake, each second. It took a place in a transaction, and the conflict put off the other jobs in it.

Entries of jobs that the scheduler knows are now removed under its key and not handed in. A job is known only after its record is stored.

Ruled out: a removal that the store loses, since the removal is part of the write that conflicts.

--- a/crates/dotterelsill_node/src/intake.rs
+++ b/crates/dotterelsill_node/src/intake.rs
@@ -41,6 +41,10 @@
 /// Time between two looks at the intake.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Jobs that one transaction removes: the platform's limit of 32 entries, less
+/// the expectation of the scheduler's key.
+const REMOVED_AT_ONCE: usize = 31;
+
 /// Stores a job for the next scheduler.
 pub(crate) async fn submit(store: &Operations, id: JobId, record: &JobRecord) -> Outcome {
     let mut record = record.clone();
@@ -117,8 +121,16 @@
         match lead.store.list(keys::INTAKE, Staleness::Stale).await {
             Ok((items, _)) => {
                 dependency.on_answer();
+                let mut known = Vec::new();
                 for item in items {
-                    take(&lead, &item);
+                    if is_known(&lead, &item) {
+                        known.push(item.key);
+                    } else {
+                        take(&lead, &item);
+                    }
+                }
+                if let Err(error) = remove(&lead, &known).await {
+                    dependency.on_error(&error);
                 }
             }
             Err(error) => dependency.on_error(&error),
@@ -127,6 +139,34 @@
     }
 }
 
+/// Returns whether a job that lies in the intake is accepted already: an instance
+/// stored it here while the scheduler's own write was under way.
+fn is_known(lead: &Lead, item: &Item) -> bool {
+    let id = keys::job_of(keys::INTAKE, &item.key);
+    id.is_some_and(|id| lead.scheduler().knows(id))
+}
+
+/// Removes jobs from the intake that are accepted.
+async fn remove(lead: &Lead, known: &[String]) -> Result<(), OperationError> {
+    for keys in known.chunks(REMOVED_AT_ONCE) {
+        let transaction = Transaction {
+            expected: vec![(keys::LEADER.to_owned(), lead.token)],
+            writes: Vec::new(),
+            removes: keys.to_vec(),
+        };
+        match (lead.store.commit)(transaction).await? {
+            Committed::Done { .. } => {
+                log::info!(jobs = keys.len() as u64; "accepted_jobs_left_intake");
+            }
+            Committed::Conflict { .. } => {
+                lead.authority.lose("the scheduler's key has changed");
+                return Ok(());
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Takes over one job if it lies in the intake; returns whether it is known then.
 pub(crate) async fn import(lead: &Arc<Lead>, id: JobId) -> Result<bool, OperationError> {
     if let Some(item) = (lead.store.get)(&keys::of_job(keys::INTAKE, id)).await? {
