Share the places of a transaction between new jobs and progress

Callers saw accepted jobs whose later steps never ran and jobs that ended and were not shown as completed, under a scheduler on a small instance. The writer filled each transaction with new jobs and gave progress what was left of its ten places. With four transactions in flight of 250 ms each, 160 new jobs a second left none: no end was stored, none was acknowledged, workers listed them with each look, and a job that was to leave its home stayed bound to it.

Half of the places are now kept for progress while it waits, and half for jobs.

Ruled out: a slow store, since large schedulers store all ends at the same time. progress_starves_while_jobs_are_accepted holds the rule.

--- a/crates/dotterelsill_jobs/src/changes.rs
+++ b/crates/dotterelsill_jobs/src/changes.rs
@@ -40,6 +40,11 @@
         !self.dirty.is_empty()
     }
 
+    /// Returns the number of jobs with a change that waits to be stored.
+    pub fn changes_waiting(&self) -> usize {
+        self.dirty.len()
+    }
+
     /// Takes changes to store, those that something waits for first; each is answered with
     /// [`Self::on_stored`] or [`Self::on_not_stored`].
     pub fn take_changes(&mut self, most: usize) -> Vec<Change> {
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -88,6 +88,7 @@
     FORMAT, //
 };
 pub use submissions::{
+    places_for_jobs,
     Submission,
     Submissions, //
 };
--- a/crates/dotterelsill_jobs/tests/acceptance.rs
+++ b/crates/dotterelsill_jobs/tests/acceptance.rs
@@ -1,6 +1,7 @@
 //! Jobs that an earlier try has stored.
 
 use dotterelsill_jobs::{
+    places_for_jobs,
     record_in_force,
     JobId,
     JobSpec,
@@ -57,3 +58,14 @@
     assert!(again[0].is_from_intake && again[0].may_be_stored);
     assert!(queue.is_empty());
 }
+
+/// Guards against progress that is never stored while new jobs go on to come, and
+/// against new jobs that wait behind it.
+#[test]
+fn progress_starves_while_jobs_are_accepted() {
+    assert_eq!(places_for_jobs(10, 1000, 1000), 5);
+    assert_eq!(places_for_jobs(10, 1000, 2), 8);
+    assert_eq!(places_for_jobs(10, 3, 1000), 3);
+    assert_eq!(places_for_jobs(10, 1000, 0), 10);
+    assert_eq!(places_for_jobs(1, 1, 1), 1);
+}
--- a/crates/dotterelsill_node/src/writer.rs
+++ b/crates/dotterelsill_node/src/writer.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use async_lock::Semaphore;
 use dotterelsill_jobs::{
+    places_for_jobs,
     record_in_force,
     Change,
     JobSpec, //
@@ -55,7 +56,12 @@
         let slot = slots.acquire_arc().await;
         wait_for_work(&lead).await;
         let most = (ENTRIES_MAX - 1) / ENTRIES_PER_JOB;
-        let submissions = lead.submissions.lock().take(most);
+        let changes_waiting = lead.scheduler().changes_waiting();
+        let submissions = {
+            let mut waiting = lead.submissions.lock();
+            let places = places_for_jobs(most, waiting.len(), changes_waiting);
+            waiting.take(places)
+        };
         let changes = lead
             .scheduler()
             .take_changes(most.saturating_sub(submissions.len()));
