Elect larger instances first, and hand scheduling over to them

Callers saw little served whenever one of the small instances scheduled. Entry instances differ: on the grown sites 8 have 0.5 cores and 200 Mbit/s, 27 have 0.12 cores and 10 Mbit/s. All stood for election alike. A busy scheduler starts up to 2,500 tasks a second and sends 2.8 MB/s, more than a small instance's link carries, and 0.3 ms of processor time a task leave a small one 230 to 500 tasks a second.

Instances register the processor time that they get. One that knows a larger one pauses for 200 ms before it stands and asks again whether the key is taken. No instance is set aside for control: any of them schedules when no larger one is there.

--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -63,6 +63,7 @@
         Won, //
     },
     event_loop,
+    handover::Handovers,
     instance_orders,
     intake,
     lead::{
@@ -119,7 +120,9 @@
 struct Node {
     settings: Arc<Settings>,
     store: Arc<Operations>,
+    peers: Arc<Peers>,
     reach: Arc<Reach>,
+    handovers: Handovers,
     metrics: Arc<Metrics>,
     lateness: Arc<Lateness>,
     operators: Arc<Operators>,
@@ -155,7 +158,9 @@
             reach.clone(),
             metrics.clone(),
         )),
+        peers: peers.clone(),
         reach: reach.clone(),
+        handovers: Handovers::default(),
         metrics: metrics.clone(),
         lateness: lateness.clone(),
         settings: settings.clone(),
@@ -195,6 +200,10 @@
         leader: node.leader.clone(),
         leading: node.leading.clone(),
         direct: Arc::new(store()),
+        could_schedule: {
+            let node = node.clone();
+            Arc::new(move || could_schedule(&node))
+        },
     };
     tasks.spawn(serve_grpc(
         peers_listener,
@@ -215,6 +224,7 @@
             &registering.store,
             &settings.instance,
             settings.peers_address,
+            settings.processor_milli(),
         )
         .await;
     });
@@ -280,6 +290,13 @@
     response
 }
 
+/// Returns whether this instance could take over from the scheduler.
+fn could_schedule(node: &Node) -> bool {
+    !node.is_leaving.load(Ordering::SeqCst)
+        && node.operators.view().revision > 0
+        && node.reach.has_store(clock::now())
+}
+
 /// Follows the scheduler, and schedules when nobody does, until this instance
 /// leaves.
 async fn elect(node: &Arc<Node>, leaving: &Tasks) {
@@ -311,6 +328,13 @@
         return Ok(());
     }
     let settings = &node.settings;
+    let has_larger = !node
+        .peers
+        .larger_than(settings.processor_milli())
+        .is_empty();
+    if has_larger && election::yield_to_larger(&node.store).await? {
+        return Ok(());
+    }
     let won = election::stand(&node.store, &settings.instance, settings.peers_address).await?;
     if let Some(won) = won {
         let group = node.tasks.new_group();
@@ -392,7 +416,9 @@
     group.spawn_until_stop(advice::run(lead.clone(), advisor));
     group.spawn_until_stop(instance_orders::run(lead.clone()));
     group.spawn_until_stop(instance_orders::follow(lead.clone()));
-    authority.lost().or(leaving.stopped()).await;
+    let processor_milli = node.settings.processor_milli();
+    let larger = node.handovers.wanted(&node.peers, processor_milli);
+    authority.lost().or(leaving.stopped()).or(larger).await;
     if !authority.is_lost() {
         flush(&lead).await;
         let late = Timer::after(FLUSH_LIMIT);
--- a/crates/dotterelsill_node/src/election.rs
+++ b/crates/dotterelsill_node/src/election.rs
@@ -48,6 +48,10 @@
 /// find the key taken.
 const STAND_SPREAD_MS: u64 = 30;
 
+/// Pause before an instance stands when a larger one is registered, which needs
+/// the random pause and two calls of the store to be elected.
+const SMALLER_PAUSE: Duration = Duration::from_millis(200);
+
 /// The scheduler as known last.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Leader {
@@ -126,6 +130,12 @@
     })
 }
 
+/// Gives larger instances the time to be elected; returns whether one was.
+pub(crate) async fn yield_to_larger(store: &Operations) -> Result<bool, OperationError> {
+    Timer::after(SMALLER_PAUSE).await;
+    Ok((store.get)(keys::LEADER).await?.is_some())
+}
+
 /// Tries to become the scheduler; `None` when another instance was faster.
 pub(crate) async fn stand(
     store: &Operations,
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -10,6 +10,7 @@
 mod election;
 mod event_loop;
 mod guarded;
+mod handover;
 mod instance_orders;
 mod intake;
 mod keys;
--- a/crates/dotterelsill_node/src/peer.rs
+++ b/crates/dotterelsill_node/src/peer.rs
@@ -65,15 +65,13 @@
         if let Some(Err(error)) = record.as_ref().map(JobSpec::try_from) {
             return Err(Status::invalid_argument(error.to_string()));
         }
-        let outcome = match (self.leading.load_full(), record) {
-            (Some(lead), Some(record)) => {
-                requests::submit(&lead, JobId(job), record, CALL_LIMIT).await
-            }
-            _ => Outcome::Refused,
-        };
-        Ok(Response::new(SubmitResponse {
-            outcome: outcome.into(),
-        }))
+        let mut response = SubmitResponse::default();
+        response.set_outcome(Outcome::Refused);
+        if let (Some(lead), Some(record)) = (self.leading.load_full(), record) {
+            let outcome = requests::submit(&lead, JobId(job), record, CALL_LIMIT).await;
+            response.set_outcome(outcome);
+        }
+        Ok(Response::new(response))
     }
 
     async fn state(
@@ -151,17 +149,20 @@
     pub(crate) leading: Arc<ArcSwapOption<Lead>>,
     /// The store without a way over peers, so that no call goes in circles.
     pub(crate) direct: Arc<Operations>,
+    /// Tells whether this instance could take over from the scheduler.
+    pub(crate) could_schedule: Arc<dyn Fn() -> bool + Send + Sync>,
 }
 
 #[tonic::async_trait]
 impl Node for Neighbour {
     async fn ping(&self, _: Request<PingRequest>) -> Result<Response<PingResponse>, Status> {
-        let is_scheduling = self
-            .leading
-            .load()
-            .as_ref()
-            .is_some_and(|lead| lead.authority.is_fresh(clock::now()));
-        Ok(Response::new(PingResponse { is_scheduling }))
+        let lead = self.leading.load();
+        let lead = lead.as_ref();
+        let is_scheduling = lead.is_some_and(|lead| lead.authority.is_fresh(clock::now()));
+        Ok(Response::new(PingResponse {
+            is_scheduling,
+            could_schedule: (self.could_schedule)(),
+        }))
     }
 
     async fn r#where(&self, _: Request<WhereRequest>) -> Result<Response<WhereResponse>, Status> {
--- a/crates/dotterelsill_node/src/peers.rs
+++ b/crates/dotterelsill_node/src/peers.rs
@@ -58,10 +58,17 @@
 /// Pause before another try after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// An instance that is registered, or that schedules.
+struct Registered {
+    channel: Channel,
+    /// Processor time that it gets, in thousandths of a core; 0 if not known.
+    processor_milli: u32,
+}
+
 /// Connections to the other instances.
 pub(crate) struct Peers {
     own: SocketAddr,
-    channels: Mutex<BTreeMap<SocketAddr, Channel>>,
+    channels: Mutex<BTreeMap<SocketAddr, Registered>>,
     next: AtomicUsize,
     tasks: Tasks,
 }
@@ -83,28 +90,47 @@
         let count = channels.len().max(1);
         let first = self.next.fetch_add(1, Ordering::Relaxed) % count;
         let all = channels.values().cycle().skip(first).take(channels.len());
-        all.map(client).collect()
+        all.map(|peer| client(&peer.channel)).collect()
+    }
+
+    /// Returns clients of the peers that get more processor time than a limit,
+    /// in thousandths of a core.
+    pub(crate) fn larger_than(&self, processor_milli: u32) -> Vec<NodeClient<Channel>> {
+        let channels = self.lock();
+        let is_larger = |peer: &&Registered| peer.processor_milli > processor_milli;
+        let larger = channels.values().filter(is_larger);
+        larger.map(|peer| client(&peer.channel)).collect()
     }
 
     fn client_of(&self, address: SocketAddr) -> NodeClient<Channel> {
         let mut channels = self.lock();
-        let channel = channels
+        let peer = channels
             .entry(address)
-            .or_insert_with(|| Channel::new(address, CONNECT_TIMEOUT, &self.tasks));
-        client(channel)
+            .or_insert_with(|| self.registered(address));
+        client(&peer.channel)
     }
 
-    fn set(&self, addresses: &[SocketAddr]) {
+    fn set(&self, peers: &BTreeMap<SocketAddr, u32>) {
         let mut channels = self.lock();
-        channels.retain(|address, _| addresses.contains(address));
-        for &address in addresses.iter().filter(|address| **address != self.own) {
-            channels
-                .entry(address)
-                .or_insert_with(|| Channel::new(address, CONNECT_TIMEOUT, &self.tasks));
+        channels.retain(|address, _| peers.contains_key(address));
+        for (&address, &processor_milli) in peers {
+            if address != self.own {
+                channels
+                    .entry(address)
+                    .or_insert_with(|| self.registered(address))
+                    .processor_milli = processor_milli;
+            }
+        }
+    }
+
+    fn registered(&self, address: SocketAddr) -> Registered {
+        Registered {
+            channel: Channel::new(address, CONNECT_TIMEOUT, &self.tasks),
+            processor_milli: 0,
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Channel>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Registered>> {
         self.channels.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -114,9 +140,15 @@
 }
 
 /// Registers this instance.
-pub(crate) async fn register(store: &Operations, instance: &str, own: SocketAddr) {
+pub(crate) async fn register(
+    store: &Operations,
+    instance: &str,
+    own: SocketAddr,
+    processor_milli: u32,
+) {
     let record = NodeRecord {
         address: own.to_string(),
+        processor_milli,
     };
     let write = || Transaction {
         writes: vec![Write {
@@ -152,12 +184,12 @@
     loop {
         match store.list(keys::NODES, Staleness::Stale).await {
             Ok((items, _)) => {
-                let address = |item: &dotterelsill_store::Item| {
+                let peer = |item: &dotterelsill_store::Item| {
                     let record = NodeRecord::decode(item.value.as_slice()).ok()?;
-                    record.address.parse::<SocketAddr>().ok()
+                    let address: SocketAddr = record.address.parse().ok()?;
+                    Some((address, record.processor_milli))
                 };
-                let addresses: Vec<SocketAddr> = items.iter().filter_map(address).collect();
-                peers.set(&addresses);
+                peers.set(&items.iter().filter_map(peer).collect());
                 Timer::after(READ_INTERVAL).await;
             }
             Err(error) => {
@@ -168,6 +200,20 @@
     }
 }
 
+/// Returns whether an instance that gets more processor time could take over
+/// from the scheduler.
+pub(crate) async fn has_larger(peers: &Peers, processor_milli: u32) -> bool {
+    for mut client in peers.larger_than(processor_milli) {
+        match timeout(PING_TIMEOUT, client.ping(PingRequest {})).await {
+            Ok(Ok(response)) if response.get_ref().could_schedule => return true,
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => log::debug!(error:% = error.message(); "larger_peer_unreached"),
+            Err(error) => log::debug!(error:%; "larger_peer_unreached"),
+        }
+    }
+    false
+}
+
 /// Asks the scheduler whether it answers, until the program stops.
 pub(crate) async fn ping(
     peers: Arc<Peers>,
--- a/crates/dotterelsill_node/src/reach.rs
+++ b/crates/dotterelsill_node/src/reach.rs
@@ -35,11 +35,17 @@
             .fetch_max(now.as_micros() as u64, Ordering::Relaxed);
     }
 
+    /// Returns whether the store answers.
+    pub(crate) fn has_store(&self, now: Duration) -> bool {
+        is_fresh(&self.store_us, STORE_FRESH, now)
+    }
+
     /// Returns whether callers can be served: jobs are accepted over either.
     pub(crate) fn can_serve(&self, now: Duration) -> bool {
-        let is_fresh = |at: &AtomicU64, limit: Duration| {
-            now < Duration::from_micros(at.load(Ordering::Relaxed)) + limit
-        };
-        is_fresh(&self.store_us, STORE_FRESH) || is_fresh(&self.scheduler_us, SCHEDULER_FRESH)
+        self.has_store(now) || is_fresh(&self.scheduler_us, SCHEDULER_FRESH, now)
     }
 }
+
+fn is_fresh(at: &AtomicU64, limit: Duration, now: Duration) -> bool {
+    now < Duration::from_micros(at.load(Ordering::Relaxed)) + limit
+}
