Limit new jobs while starts are late

A scheduler accepted whatever was handed in, also when it placed fewer tasks than came: the backlog grew, every call came later, callers asked again and made more work, and nothing got better when the load was over.

The scheduler notes the time from its decision on a start to the worker's answer. It is told with each answer to a submission and to each ping, and each instance refuses by itself, so that a refusal costs the scheduler nothing. A refused job gets 503 with the time to come back, after a look at the store whether an earlier try was accepted.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -283,10 +283,12 @@
         match answer {
             Answer::Done => {
                 if let Some(run) = self.run_mut(key, task, attempt) {
+                    let took = now.saturating_sub(run.ordered_at);
                     if run.state == RunState::Ordered {
                         run.state = RunState::Running;
                     }
                     run.advanced_at = now;
+                    self.overload.on_start(took);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
                     job.has_begun = true;
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -23,6 +23,7 @@
 mod moves;
 mod order;
 mod orders_to_instances;
+mod overload;
 mod pace;
 mod place;
 mod plan;
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -25,6 +25,7 @@
     home::FreeRoom,
     job::Job,
     orders_to_instances::Known,
+    overload::Overload,
     waves::WaveState,
     worker::{
         Worker,
@@ -132,6 +133,8 @@
     pub(crate) arrivals: BTreeMap<String, Arrivals>,
     /// What is free for new jobs, by pool.
     pub(crate) free_room: BTreeMap<String, FreeRoom>,
+    /// How many new jobs are taken.
+    pub(crate) overload: Overload,
 }
 
 impl Scheduler {
@@ -172,6 +175,7 @@
             tickets: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             free_room: BTreeMap::new(),
+            overload: Overload::default(),
         }
     }
 
@@ -265,6 +269,12 @@
         }
     }
 
+    /// Returns the share of new jobs that is to be refused, in percent: starts are
+    /// late when more jobs come than this scheduler can place.
+    pub fn refused_percent(&mut self, now: Duration) -> u32 {
+        ((1.0 - self.overload.share(now)) * 100.0) as u32
+    }
+
     /// Returns whether a job is known.
     pub fn knows(&self, id: JobId) -> bool {
         self.jobs.contains_key(&id)
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -184,6 +184,9 @@
     if let Err(error) = JobSpec::try_from(&record) {
         return text(StatusCode::BAD_REQUEST, error.to_string());
     }
+    if !callers.link.admission.takes_job() {
+        return refuse_unless_stored(callers, id, limit).await;
+    }
     let first = callers
         .link
         .submit(id, &record, limit.min(SCHEDULER_LIMIT))
@@ -203,6 +206,23 @@
     }
 }
 
+/// Answers for a job that the scheduler does not take for now: an earlier try may
+/// have been stored.
+async fn refuse_unless_stored(
+    callers: &Callers,
+    id: JobId,
+    limit: Duration,
+) -> Response<Full<Bytes>> {
+    match dotterelsill_rpc::timeout(limit, intake::state(&callers.store, id)).await {
+        Ok(Ok(Some(_))) => json(StatusCode::OK, "{}".to_owned()),
+        Ok(Ok(None)) => come_back("more jobs wait than can be placed"),
+        Ok(Err(_)) | Err(_) => text(
+            StatusCode::GATEWAY_TIMEOUT,
+            "the job may be stored; send it again",
+        ),
+    }
+}
+
 async fn state(callers: &Callers, id: JobId, limit: Duration) -> Response<Full<Bytes>> {
     let begin = clock::now();
     let (outcome, state) = callers.link.state(id, limit.min(SCHEDULER_LIMIT)).await;
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -50,6 +50,7 @@
 };
 
 use crate::{
+    admission::Admission,
     advice,
     callers::{
         self,
@@ -172,7 +173,14 @@
         tasks: tasks.clone(),
     });
     let serving = tasks.new_group();
-    let link = LeaderLink::new(node.leader.clone(), node.leading.clone(), lateness, &tasks);
+    let admission = Arc::new(Admission::default());
+    let link = LeaderLink::new(
+        node.leader.clone(),
+        node.leading.clone(),
+        admission.clone(),
+        lateness,
+        &tasks,
+    );
     let callers = Arc::new(Callers {
         operators: node.operators.clone(),
         link: Arc::new(link),
@@ -216,6 +224,7 @@
         node.leader.clone(),
         node.leading.clone(),
         reach,
+        admission,
     ));
     let registering = node.clone();
     tasks.spawn_until_stop(async move {
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -146,6 +146,11 @@
         self.handles.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the share of new jobs that is to be refused, in percent.
+    pub(crate) fn refused_percent(&self) -> u32 {
+        self.scheduler().refused_percent(clock::now())
+    }
+
     /// Returns whether no other instance can schedule.
     pub(crate) fn is_valid(&self) -> bool {
         self.authority.is_valid(clock::now())
--- a/crates/dotterelsill_node/src/leader_link.rs
+++ b/crates/dotterelsill_node/src/leader_link.rs
@@ -38,6 +38,7 @@
 };
 
 use crate::{
+    admission::Admission,
     call_times::CallTimes,
     clock,
     election::Leader,
@@ -52,6 +53,7 @@
 pub(crate) struct LeaderLink {
     pub(crate) leader: Arc<ArcSwapOption<Leader>>,
     pub(crate) leading: Arc<ArcSwapOption<Lead>>,
+    pub(crate) admission: Arc<Admission>,
     channel: Mutex<Option<(SocketAddr, Channel)>>,
     lateness: Arc<Lateness>,
     tasks: Tasks,
@@ -62,12 +64,14 @@
     pub(crate) fn new(
         leader: Arc<ArcSwapOption<Leader>>,
         leading: Arc<ArcSwapOption<Lead>>,
+        admission: Arc<Admission>,
         lateness: Arc<Lateness>,
         tasks: &Tasks,
     ) -> Self {
         Self {
             leader,
             leading,
+            admission,
             channel: Mutex::default(),
             lateness,
             tasks: tasks.clone(),
@@ -87,7 +91,10 @@
             record: Some(record.clone()),
         };
         match self.answer(limit, client.submit(request)).await {
-            Ok(response) => response.outcome(),
+            Ok(response) => {
+                self.admission.set_refused(response.refused_percent);
+                response.outcome()
+            }
             Err(error) => unanswered("submit", id, &error),
         }
     }
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -1,5 +1,6 @@
 //! Node daemon: takes jobs, schedules their tasks and maintains instances.
 
+mod admission;
 mod advice;
 mod authority;
 mod call_times;
--- a/crates/dotterelsill_node/src/peer.rs
+++ b/crates/dotterelsill_node/src/peer.rs
@@ -70,6 +70,7 @@
         if let (Some(lead), Some(record)) = (self.leading.load_full(), record) {
             let outcome = requests::submit(&lead, JobId(job), record, CALL_LIMIT).await;
             response.set_outcome(outcome);
+            response.refused_percent = lead.refused_percent();
         }
         Ok(Response::new(response))
     }
@@ -161,6 +162,7 @@
         let is_scheduling = lead.is_some_and(|lead| lead.authority.is_fresh(clock::now()));
         Ok(Response::new(PingResponse {
             is_scheduling,
+            refused_percent: lead.map_or(0, |lead| lead.refused_percent()),
             could_schedule: (self.could_schedule)(),
         }))
     }
--- a/crates/dotterelsill_node/src/peers.rs
+++ b/crates/dotterelsill_node/src/peers.rs
@@ -36,6 +36,7 @@
 use prost::Message as _;
 
 use crate::{
+    admission::Admission,
     clock,
     election::Leader,
     keys,
@@ -220,6 +221,7 @@
     leader: Arc<ArcSwapOption<Leader>>,
     leading: Arc<ArcSwapOption<Lead>>,
     reach: Arc<Reach>,
+    admission: Arc<Admission>,
 ) {
     loop {
         Timer::after(PING_INTERVAL).await;
@@ -227,6 +229,7 @@
             if lead.authority.is_fresh(clock::now()) {
                 reach.on_scheduler(clock::now());
             }
+            admission.set_refused(lead.refused_percent());
             continue;
         }
         let Some(leader) = leader.load_full() else {
@@ -236,6 +239,7 @@
         match timeout(PING_TIMEOUT, client.ping(PingRequest {})).await {
             Ok(Ok(response)) if response.get_ref().is_scheduling => {
                 reach.on_scheduler(clock::now());
+                admission.set_refused(response.get_ref().refused_percent);
             }
             Ok(Ok(_)) => log::debug!(scheduler = leader.instance; "scheduler_has_ended"),
             Ok(Err(error)) => log::debug!(error:% = error.message(); "scheduler_unreached"),
