Poll sockets on the thread that runs the tasks

A daemon on one core handed each socket event from a polling thread to the thread that runs its tasks: the polling thread took 25% of the scheduler's processor time (epoll_wait 16%, futex 3%). The thread that runs the tasks now polls when it has nothing else to do.

--- a/crates/dotterelsill_rpc/src/runtime.rs
+++ b/crates/dotterelsill_rpc/src/runtime.rs
@@ -8,14 +8,12 @@
 };
 
 use async_executor::Executor;
+use async_io::block_on;
 use async_signal::{
     Signal,
     Signals, //
 };
-use futures_lite::{
-    future::block_on,
-    StreamExt as _, //
-};
+use futures_lite::StreamExt as _;
 
 use crate::Tasks;
 
