Count starts that are not answered as late

The share of new jobs that is taken counted answered starts only: a scheduler whose orders were not answered at all took more and more jobs. Starts that were decided in the window before and not answered by the end of this one now count, unless half of them were.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -288,7 +288,7 @@
                         run.state = RunState::Running;
                     }
                     run.advanced_at = now;
-                    self.overload.on_start(took);
+                    self.overload.on_answered(took);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
                     job.has_begun = true;
--- a/crates/dotterelsill_jobs/src/overload.rs
+++ b/crates/dotterelsill_jobs/src/overload.rs
@@ -31,8 +31,13 @@
 #[derive(Debug)]
 pub(crate) struct Overload {
     window_end: Duration,
-    starts: u32,
-    late_starts: u32,
+    /// Starts that were decided.
+    decided: u32,
+    /// Starts that were answered.
+    answered: u32,
+    late: u32,
+    /// Starts that were decided and answered in the window before.
+    before: (u32, u32),
     share: f64,
 }
 
@@ -40,19 +45,26 @@
     fn default() -> Self {
         Self {
             window_end: Duration::ZERO,
-            starts: 0,
-            late_starts: 0,
+            decided: 0,
+            answered: 0,
+            late: 0,
+            before: (0, 0),
             share: 1.0,
         }
     }
 }
 
 impl Overload {
+    /// Notes the decision to start a task.
+    pub(crate) fn on_decided(&mut self) {
+        self.decided += 1;
+    }
+
     /// Notes a start that a worker has answered, and the time since the decision.
-    pub(crate) fn on_start(&mut self, took: Duration) {
-        self.starts += 1;
+    pub(crate) fn on_answered(&mut self, took: Duration) {
+        self.answered += 1;
         if took > LATE_START {
-            self.late_starts += 1;
+            self.late += 1;
         }
     }
 
@@ -61,19 +73,23 @@
         if now < self.window_end {
             return self.share;
         }
-        let is_late = self.starts >= LEAST_STARTS && self.late_starts * 2 > self.starts;
-        self.share = if is_late {
+        let is_late = self.answered >= LEAST_STARTS && self.late * 2 > self.answered;
+        // What was decided in the window before had this one to be answered.
+        let (decided, answered) = self.before;
+        let is_stuck = decided >= LEAST_STARTS && (answered + self.answered) * 2 < decided;
+        self.share = if is_late || is_stuck {
             (self.share * DECREASE).max(LEAST_SHARE)
         } else {
             (self.share + INCREASE).min(1.0)
         };
         if self.share < 1.0 {
             log::warn!(
-                starts = self.starts, late_starts = self.late_starts,
+                decided = self.decided, answered = self.answered, late = self.late,
                 share_percent = (self.share * 100.0) as u64; "new_jobs_limited"
             );
         }
-        (self.starts, self.late_starts) = (0, 0);
+        self.before = (self.decided, self.answered);
+        (self.decided, self.answered, self.late) = (0, 0, 0);
         self.window_end = now + WINDOW;
         self.share
     }
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -437,6 +437,7 @@
             );
         }
         self.add_usage(spec.workspace.clone(), &room);
+        self.overload.on_decided();
         log::debug!(task:%, attempt, worker = key.0; "task_placed");
         self.orders.push(Addressed {
             worker: key,
