Acknowledge ends that are listed after their job has ended

A worker whose run of a cancelled or failed job ended by itself, before the order to stop it arrived, was never acknowledged an end again: the late end counted as a further change of the job, which nobody stored, and every later end of the worker waits behind it. The worker then lists all of its ends with each look, and a second cancel of the job was never answered. A late `done` could also turn a cancelled job into a completed one in memory.

A job that has ended takes no more changes; the end is acknowledged once the job's own end is stored. Found by review of the lost jobs; ends are read late when a scheduler is behind. late_end_of_a_cancelled_job_blocks_acknowledgements failed before (acknowledged 0, not 1).

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -97,13 +97,13 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return 0;
         };
-        let was_open = job.is_open();
+        if !job.is_open() {
+            // Nothing more of the job is stored than its end.
+            return job.changes;
+        }
         let is_new = job.complete(task.step, task.index);
         let changes = job.changes;
-        let has_ended = was_open && !job.is_open();
-        if !was_open {
-            return changes;
-        }
+        let has_ended = !job.is_open();
         if is_new {
             self.stop_other_runs(task);
             self.list_followers(task.step);
@@ -171,11 +171,13 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return 0;
         };
-        let was_open = job.is_open();
+        if !job.is_open() {
+            return job.changes;
+        }
         let is_lasting = job.spec.steps[task.step.step as usize].is_lasting;
         job.fail(task.step, task.index, end.attempt, max_attempts);
         let changes = if is_lasting { 0 } else { job.changes };
-        let has_ended = was_open && !job.is_open();
+        let has_ended = !job.is_open();
         let mut failures = 0;
         if let Some(state) = job.task(task.step, task.index) {
             failures = state.failed_attempts.len();
@@ -194,7 +196,7 @@
         }
         if has_ended {
             self.end_job(task.step.job, now);
-        } else if was_open && !is_lasting {
+        } else if !is_lasting {
             self.mark_dirty(task.step.job);
         }
         changes
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -113,6 +113,31 @@
     assert_eq!(scheduler.state(JobId(1)).unwrap().phase, Phase::Completed);
 }
 
+/// Guards against a worker whose ends are never acknowledged again since one of
+/// them came after the end of its job was stored.
+#[test]
+fn late_end_of_a_cancelled_job_blocks_acknowledgements() {
+    for how in [How::Done, How::Failed] {
+        let mut scheduler = scheduler(7, ms(1000));
+        let key = add_worker(&mut scheduler, 0, ms(1000));
+        let job = record("urgent", 7, vec![step(1, 1000)]);
+        submit(&mut scheduler, 1, &job, ms(1000));
+        let orders = scheduler.plan(ms(1010));
+        confirm(&mut scheduler, &orders, ms(1020));
+        scheduler.cancel(JobId(1), ms(1500));
+        let change = scheduler.take_changes(1).remove(0);
+        scheduler.on_stored(change.job, change.number, 5);
+        // The run ended before the order to stop it arrived.
+        let mut look = look_at(ms(2000));
+        look.ended = vec![ended(1, task(1, 0, 0), 1, how)];
+        scheduler.on_look(key, &look, ms(2000));
+        assert_eq!(scheduler.acknowledged(key), 1, "{how:?}");
+        let state = scheduler.state(JobId(1)).unwrap();
+        assert_eq!(state.phase, Phase::Cancelled, "{how:?}");
+        assert!(scheduler.is_stored(JobId(1)));
+    }
+}
+
 /// Guards against looks at a crashed worker that extend its lease for ever, so
 /// that its tasks are never started elsewhere.
 #[test]
