Read the registered instances before the first election

After a loss of power all instances start at once, and a small one that knew no other yet did not give larger ones the time to be elected. A new process waits for the first list, for 300 ms at most.

--- a/crates/dotterelsill_jobs/src/changes.rs
+++ b/crates/dotterelsill_jobs/src/changes.rs
@@ -53,12 +53,22 @@
         }
     }
 
-    /// Takes the next job, one that something waits for first.
-    fn pop(&mut self) -> Option<JobId> {
-        if let Some(id) = self.urgent.pop_front() {
-            self.is_urgent.remove(&id);
-            return Some(id);
+    /// Takes the next job: an urgent one first, unless it is the others' turn.
+    fn pop(&mut self, is_others_turn: bool) -> Option<JobId> {
+        if is_others_turn {
+            self.pop_other().or_else(|| self.pop_urgent())
+        } else {
+            self.pop_urgent().or_else(|| self.pop_other())
         }
+    }
+
+    fn pop_urgent(&mut self) -> Option<JobId> {
+        let id = self.urgent.pop_front()?;
+        self.is_urgent.remove(&id);
+        Some(id)
+    }
+
+    fn pop_other(&mut self) -> Option<JobId> {
         while let Some(id) = self.others.pop_front() {
             // A job that has become urgent since is no longer in the set.
             if self.is_other.remove(&id) {
@@ -89,8 +99,11 @@
     /// [`Self::on_stored`] or [`Self::on_not_stored`].
     pub fn take_changes(&mut self, most: usize) -> Vec<Change> {
         let mut taken = Vec::new();
+        // Ends that workers list again and again wait for the others.
+        let others = self.dirty.is_other.len().min(most.div_ceil(2));
         while taken.len() < most {
-            let Some(id) = self.dirty.pop() else {
+            let is_others_turn = taken.len() + others >= most;
+            let Some(id) = self.dirty.pop(is_others_turn) else {
                 break;
             };
             let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -310,6 +310,7 @@
 /// leaves.
 async fn elect(node: &Arc<Node>, leaving: &Tasks) {
     let dependency = Dependency::new("election");
+    node.peers.wait_for_list().await;
     loop {
         let stepped = async { Some(elect_once(node, leaving).await) };
         let stopped = async {
--- a/crates/dotterelsill_node/src/peers.rs
+++ b/crates/dotterelsill_node/src/peers.rs
@@ -5,6 +5,7 @@
     net::SocketAddr,
     sync::{
         atomic::{
+            AtomicBool,
             AtomicUsize,
             Ordering, //
         },
@@ -56,6 +57,12 @@
 /// Time between two reads of the registered instances.
 const READ_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Longest time for which a new process waits for the first list.
+const LIST_LIMIT: Duration = Duration::from_millis(300);
+
+/// Time between two looks whether the first list was read.
+const LIST_LOOK: Duration = Duration::from_millis(20);
+
 /// Pause before another try after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -71,6 +78,8 @@
     own: SocketAddr,
     channels: Mutex<BTreeMap<SocketAddr, Registered>>,
     next: AtomicUsize,
+    /// Whether the registered instances were read.
+    is_read: AtomicBool,
     tasks: Tasks,
 }
 
@@ -81,6 +90,7 @@
             own,
             channels: Mutex::default(),
             next: AtomicUsize::new(0),
+            is_read: AtomicBool::new(false),
             tasks: tasks.clone(),
         }
     }
@@ -103,6 +113,14 @@
         larger.map(|peer| client(&peer.channel)).collect()
     }
 
+    /// Waits for a limited time until the registered instances were read.
+    pub(crate) async fn wait_for_list(&self) {
+        let until = clock::now() + LIST_LIMIT;
+        while !self.is_read.load(Ordering::Relaxed) && clock::now() < until {
+            Timer::after(LIST_LOOK).await;
+        }
+    }
+
     fn client_of(&self, address: SocketAddr) -> NodeClient<Channel> {
         let mut channels = self.lock();
         let peer = channels
@@ -191,6 +209,7 @@
                     Some((address, record.processor_milli))
                 };
                 peers.set(&items.iter().filter_map(peer).collect());
+                peers.is_read.store(true, Ordering::Relaxed);
                 Timer::after(READ_INTERVAL).await;
             }
             Err(error) => {
