Read the lists of a worker that is back without waiting for an end

The look at a worker whose lists are not known waited up to 1.5 s for an end of a run, so that an idle worker got tasks only 2 s after it was back. Such a look is now answered at once, like the first one.

--- a/crates/dotterelsill_node/src/worker_loops.rs
+++ b/crates/dotterelsill_node/src/worker_loops.rs
@@ -120,7 +120,8 @@
                 }
                 Timer::after(IDLE_RETRY).await;
             }
-            match self.look_once(is_first).await {
+            let is_unread = is_first || self.lead.scheduler().needs_look(self.key);
+            match self.look_once(is_unread).await {
                 Looked::Listed { has_ends } => {
                     is_first = false;
                     if has_ends {
@@ -144,12 +145,12 @@
         address.is_none_or(|(_, address)| address != self.address)
     }
 
-    async fn look_once(&self, is_first: bool) -> Looked {
+    async fn look_once(&self, is_unread: bool) -> Looked {
         let lead = &self.lead;
         let may_extend = lead.is_valid();
         let call = {
             let mut scheduler = lead.scheduler();
-            let wait = if is_first {
+            let wait = if is_unread {
                 None
             } else if scheduler.is_mixed(self.key) {
                 Some(MIXED_LOOK_WAIT)
