Know jobs that are being stored when callers ask for them

A job whose record was on its way to the store was known to nobody: a request for its state found neither an entry in the intake nor a job, and was answered 410 if the write was carried out without an answer; the intake handed it in again; and a caller whose first try was cut off could be refused with 503 although the job then ran.

The queue of submissions remembers the jobs that were taken out of it until their outcome is known. State and cancel of such a job are refused for the moment, the intake passes over it, and before an instance refuses a new job it asks the scheduler whether an earlier try was taken, then the store. The writer is woken for jobs that are put back, which otherwise waited for the next one.

--- a/crates/dotterelsill_jobs/examples/scheduler_cost.rs
+++ b/crates/dotterelsill_jobs/examples/scheduler_cost.rs
@@ -288,11 +288,11 @@
                     false => turn,
                 };
                 let scheduler = &mut self.scheduler;
-                let queue = format!("queue-{turn}");
+                let mut record = record(job, turn, None);
                 let home = self
                     .costs
-                    .time("choose_home", || scheduler.choose_home(&queue, now));
-                let record = record(job, turn, home);
+                    .time("choose_home", || scheduler.choose_home(&record, now));
+                record.home = home.unwrap_or_default();
                 let spec = JobSpec::try_from(&record).expect("the job is usable");
                 self.costs.time("submit", || {
                     scheduler.submit(JobId(job + 1), spec, now, now);
--- a/crates/dotterelsill_jobs/src/submissions.rs
+++ b/crates/dotterelsill_jobs/src/submissions.rs
@@ -1,6 +1,9 @@
 //! Jobs that wait to be stored.
 
-use std::collections::VecDeque;
+use std::collections::{
+    BTreeSet,
+    VecDeque, //
+};
 
 use dotterelsill_proto::jobs::JobRecord;
 
@@ -31,52 +34,71 @@
 
 /// Jobs that wait to be stored, in order, each once.
 #[derive(Debug)]
-pub struct Submissions<W>(VecDeque<Submission<W>>);
+pub struct Submissions<W> {
+    waiting: VecDeque<Submission<W>>,
+    /// Jobs that were taken and are being stored.
+    taken: BTreeSet<JobId>,
+}
 
 impl<W> Default for Submissions<W> {
     fn default() -> Self {
-        Self(VecDeque::new())
+        Self {
+            waiting: VecDeque::new(),
+            taken: BTreeSet::new(),
+        }
     }
 }
 
 impl<W> Submissions<W> {
     /// Adds a job, or another caller that waits for it.
     pub fn add(&mut self, submission: Submission<W>) {
-        match self.0.iter_mut().find(|other| other.id == submission.id) {
+        let mut waiting = self.waiting.iter_mut();
+        match waiting.find(|other| other.id == submission.id) {
             Some(other) => merge(other, submission),
-            None => self.0.push_back(submission),
+            None => self.waiting.push_back(submission),
         }
     }
 
-    /// Takes jobs off the front.
+    /// Takes jobs off the front; each is put back or settled.
     pub fn take(&mut self, most: usize) -> Vec<Submission<W>> {
-        let count = self.0.len().min(most);
-        self.0.drain(..count).collect()
+        let count = self.waiting.len().min(most);
+        let taken: Vec<Submission<W>> = self.waiting.drain(..count).collect();
+        self.taken
+            .extend(taken.iter().map(|submission| submission.id));
+        taken
+    }
+
+    /// Notes that the outcome of a job that was taken is known.
+    pub fn settle(&mut self, id: JobId) {
+        self.taken.remove(&id);
     }
 
     /// Puts a job whose outcome is open back to the front. If it was handed in
     /// again meanwhile, its record counts, which may be stored.
     pub fn put_back(&mut self, mut submission: Submission<W>) {
-        let place = self.0.iter().position(|other| other.id == submission.id);
-        if let Some(again) = place.and_then(|place| self.0.remove(place)) {
+        self.settle(submission.id);
+        let mut waiting = self.waiting.iter();
+        let place = waiting.position(|other| other.id == submission.id);
+        if let Some(again) = place.and_then(|place| self.waiting.remove(place)) {
             merge(&mut submission, again);
         }
-        self.0.push_front(submission);
+        self.waiting.push_front(submission);
     }
 
-    /// Returns whether a job waits.
+    /// Returns whether a job waits or is being stored.
     pub fn contains(&self, id: JobId) -> bool {
-        self.0.iter().any(|submission| submission.id == id)
+        let mut waiting = self.waiting.iter();
+        self.taken.contains(&id) || waiting.any(|submission| submission.id == id)
     }
 
     /// Returns the number of jobs that wait.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.waiting.len()
     }
 
     /// Returns whether no job waits.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.waiting.is_empty()
     }
 }
 
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -206,14 +206,30 @@
     }
 }
 
-/// Answers for a job that the scheduler does not take for now: an earlier try may
-/// have been stored.
+/// Answers for a job that the scheduler does not take for now. An earlier try may
+/// have been accepted, or may be on its way to the store.
 async fn refuse_unless_stored(
     callers: &Callers,
     id: JobId,
     limit: Duration,
 ) -> Response<Full<Bytes>> {
-    match dotterelsill_rpc::timeout(limit, intake::state(&callers.store, id)).await {
+    let begin = clock::now();
+    match callers
+        .link
+        .earlier_try(id, limit.min(SCHEDULER_LIMIT))
+        .await
+    {
+        Outcome::Done => return json(StatusCode::OK, "{}".to_owned()),
+        Outcome::Unknown => {
+            return text(
+                StatusCode::GATEWAY_TIMEOUT,
+                "the job may be stored; send it again",
+            )
+        }
+        Outcome::Refused | Outcome::Absent => {}
+    }
+    let left = limit.saturating_sub(clock::now().saturating_sub(begin));
+    match dotterelsill_rpc::timeout(left, intake::state(&callers.store, id)).await {
         Ok(Ok(Some(_))) => json(StatusCode::OK, "{}".to_owned()),
         Ok(Ok(None)) => come_back("more jobs wait than can be placed"),
         Ok(Err(_)) | Err(_) => text(
--- a/crates/dotterelsill_node/src/intake.rs
+++ b/crates/dotterelsill_node/src/intake.rs
@@ -123,10 +123,12 @@
                 dependency.on_answer();
                 let mut known = Vec::new();
                 for item in items {
-                    if is_known(&lead, &item) {
-                        known.push(item.key);
-                    } else {
-                        take(&lead, &item);
+                    match keys::job_of(keys::INTAKE, &item.key) {
+                        Some(id) if lead.scheduler().knows(id) => known.push(item.key),
+                        Some(id) if lead.submissions.lock().contains(id) => {}
+                        _ => {
+                            take(&lead, &item);
+                        }
                     }
                 }
                 if let Err(error) = remove(&lead, &known).await {
@@ -139,14 +141,8 @@
     }
 }
 
-/// Returns whether a job that lies in the intake is accepted already: an instance
-/// stored it here while the scheduler's own write was under way.
-fn is_known(lead: &Lead, item: &Item) -> bool {
-    let id = keys::job_of(keys::INTAKE, &item.key);
-    id.is_some_and(|id| lead.scheduler().knows(id))
-}
-
-/// Removes jobs from the intake that are accepted.
+/// Removes jobs from the intake that are accepted: an instance stored them here
+/// while the scheduler's own write was under way.
 async fn remove(lead: &Lead, known: &[String]) -> Result<(), OperationError> {
     for keys in known.chunks(REMOVED_AT_ONCE) {
         let transaction = Transaction {
--- a/crates/dotterelsill_node/src/leader_link.rs
+++ b/crates/dotterelsill_node/src/leader_link.rs
@@ -99,6 +99,27 @@
         }
     }
 
+    /// Asks whether an earlier try to hand in a job was taken.
+    pub(crate) async fn earlier_try(&self, id: JobId, limit: Duration) -> Outcome {
+        if let Some(lead) = self.leading.load_full() {
+            return requests::earlier_try(&lead, id);
+        }
+        let Some(mut client) = self.client() else {
+            return Outcome::Unknown;
+        };
+        let request = SubmitRequest {
+            job: id.0,
+            record: None,
+        };
+        match self.answer(limit, client.submit(request)).await {
+            Ok(response) => {
+                self.admission.set_refused(response.refused_percent);
+                response.outcome()
+            }
+            Err(error) => unanswered("earlier_try", id, &error),
+        }
+    }
+
     /// Asks for the state of a job.
     pub(crate) async fn state(&self, id: JobId, limit: Duration) -> (Outcome, Option<JobState>) {
         if let Some(lead) = self.leading.load_full() {
--- a/crates/dotterelsill_node/src/peer.rs
+++ b/crates/dotterelsill_node/src/peer.rs
@@ -67,8 +67,12 @@
         }
         let mut response = SubmitResponse::default();
         response.set_outcome(Outcome::Refused);
-        if let (Some(lead), Some(record)) = (self.leading.load_full(), record) {
-            let outcome = requests::submit(&lead, JobId(job), record, CALL_LIMIT).await;
+        if let Some(lead) = self.leading.load_full() {
+            let id = JobId(job);
+            let outcome = match record {
+                Some(record) => requests::submit(&lead, id, record, CALL_LIMIT).await,
+                None => requests::earlier_try(&lead, id),
+            };
             response.set_outcome(outcome);
             response.refused_percent = lead.refused_percent();
         }
--- a/crates/dotterelsill_node/src/requests.rs
+++ b/crates/dotterelsill_node/src/requests.rs
@@ -52,6 +52,19 @@
     within(lead, limit, answered).await
 }
 
+/// Tells what became of an earlier try to hand in a job: `Refused` if none was
+/// taken here, and `Unknown` while it is being stored.
+pub(crate) fn earlier_try(lead: &Lead, id: JobId) -> Outcome {
+    // A job leaves the submissions only once it is known.
+    if lead.submissions.lock().contains(id) {
+        Outcome::Unknown
+    } else if lead.scheduler().knows(id) {
+        Outcome::Done
+    } else {
+        Outcome::Refused
+    }
+}
+
 /// Waits for an outcome for a limited time and as long as this instance
 /// schedules; it is not known otherwise.
 async fn within(lead: &Lead, limit: Duration, outcome: impl Future<Output = Outcome>) -> Outcome {
@@ -116,6 +129,8 @@
 async fn import(lead: &Arc<Lead>, id: JobId) -> Outcome {
     match intake::import(lead, id).await {
         Ok(true) => Outcome::Done,
+        // Its record may be stored by a write that was not answered yet.
+        Ok(false) if lead.submissions.lock().contains(id) => Outcome::Refused,
         // Another scheduler may know jobs that this one does not.
         Ok(false) if lead.is_valid() => Outcome::Absent,
         Ok(false) => Outcome::Refused,
--- a/crates/dotterelsill_node/src/writer.rs
+++ b/crates/dotterelsill_node/src/writer.rs
@@ -185,6 +185,7 @@
         }
         Err(error) => log::error!(job:% = submission.id, error:%; "stored_job_unusable"),
     }
+    lead.submissions.lock().settle(submission.id);
     answer(submission, Outcome::Done);
 }
 
@@ -232,12 +233,15 @@
     for submission in submissions.into_iter().rev() {
         queue.put_back(submission);
     }
+    drop(queue);
+    lead.write_wanted.set();
 }
 
 fn put_back(lead: &Lead, submissions: Vec<Submission>, changes: Vec<Change>, is_not_done: bool) {
     let mut open = Vec::new();
     for mut submission in submissions {
         if is_not_done && !submission.may_be_stored && !submission.is_from_intake {
+            lead.submissions.lock().settle(submission.id);
             answer(&submission, Outcome::Refused);
             continue;
         }
