End runs after maintenance only when the list of instances shows it

`maintenance_that_was_done_before_ends_no_runs` shows the decision.

The platform answers 200 to an order of maintenance that has been carried out already. When an earlier scheduler had ordered it and could not store that, the next one orders it again, is told that it is done, and took the worker for ended; but the worker is in its next life and goes on. It was also never given tasks again, because it stayed reserved.

The answer now ends nothing by itself. The runs stay booked, and count as away for what a step may miss, until a list of instances that was asked for after the answer shows the instance not up, or up with another worker or none; then they end as before. When a list that was asked for 1.5 s after the answer, the lag of a list, shows the instance up with the same worker, that worker is used again. A worker that is never listed again ends by its lease, as any other. The list is asked for at once after such an answer, so that lasting tasks are not kept waiting for the next interval of 1 s.

Ruled out: telling the two answers apart by what this scheduler or the stored record knows. The order that was carried out may be of any earlier scheduler, also one whose record has been replaced since. Moves stay as they are: an order to move is given to idle instances only, and one that was done before finds the instance in the other pool with another worker.

The listed test now has the idle instance in its list too, which two lists without it would end, and checks one more plan after a list.

--- a/crates/dotterelsill_jobs/src/orders_to_instances.rs
+++ b/crates/dotterelsill_jobs/src/orders_to_instances.rs
@@ -43,11 +43,15 @@
     pub(crate) done_at: Option<Duration>,
     /// Pools that the platform refused for it.
     pub(crate) refused_pools: BTreeSet<String>,
+    /// Worker that has ended unless the last order had been carried out before;
+    /// a list that was asked for since tells.
+    pub(crate) may_have_ended: Option<WorkerKey>,
 }
 
 impl Scheduler {
     /// Notes the platform's list of instances, which was asked for at a time.
     pub fn on_instances(&mut self, list: Vec<Instance>, asked_at: Duration, now: Duration) {
+        self.settle_ended_workers(&list, asked_at, now);
         self.end_unlisted_workers(&list, asked_at, now);
         let names: BTreeSet<String> = list.iter().map(|entry| entry.name.clone()).collect();
         for instance in list {
@@ -66,6 +70,7 @@
                 late_until: held_until.unwrap_or_default(),
                 done_at: None,
                 refused_pools: BTreeSet::new(),
+                may_have_ended: None,
             };
             self.instances.insert(known.instance.name.clone(), known);
         }
@@ -74,6 +79,35 @@
         self.has_instances = true;
     }
 
+    /// Ends workers of instances that are in maintenance, and lets those go on
+    /// whose instance had its maintenance before.
+    fn settle_ended_workers(&mut self, list: &[Instance], asked_at: Duration, now: Duration) {
+        for entry in list {
+            let Some(known) = self.instances.get_mut(&entry.name) else {
+                continue;
+            };
+            let (Some(key), Some(done_at)) = (known.may_have_ended, known.done_at) else {
+                continue;
+            };
+            let Some(worker) = self.workers.get_mut(&key) else {
+                known.may_have_ended = None;
+                continue;
+            };
+            if asked_at <= done_at {
+                continue;
+            }
+            let goes_on = entry.state == InstanceState::Up && entry.worker == worker.report.id;
+            if !goes_on {
+                known.may_have_ended = None;
+                self.on_worker_ended(key, now);
+            } else if asked_at > done_at + LIST_LAG {
+                log::info!(instance = entry.name, worker = worker.report.id; "worker_goes_on");
+                known.may_have_ended = None;
+                worker.may_be_used_again();
+            }
+        }
+    }
+
     /// Ends workers whose instance runs another one or none. A worker that is only
     /// cut off stays listed with its instance.
     fn end_unlisted_workers(&mut self, list: &[Instance], asked_at: Duration, now: Duration) {
@@ -228,6 +262,9 @@
                     }
                     InstanceAction::Maintain { .. } => {
                         known.instance.state = InstanceState::Maintenance;
+                        // An earlier scheduler may have had it done, in an
+                        // earlier life of the worker.
+                        known.may_have_ended = key;
                     }
                 }
                 known.instance.worker.clear();
@@ -241,16 +278,18 @@
                 }
             }
         }
-        if answer == InstanceAnswer::Done {
-            if let Some(key) = key {
-                self.on_worker_ended(key, now);
+        match (answer, &order.action) {
+            (InstanceAnswer::Done, InstanceAction::Maintain { .. }) => {}
+            (InstanceAnswer::Done, InstanceAction::Move { .. }) => {
+                if let Some(key) = key {
+                    self.on_worker_ended(key, now);
+                }
+            }
+            _ => {
+                if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
+                    worker.may_be_used_again();
+                }
             }
-        } else if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
-            worker.reserved = false;
-            worker.is_ending = false;
-            // It may have left the stored record when it ran nothing, and must be
-            // in it again before it gets tasks.
-            worker.may_grant = false;
         }
         if let InstanceAction::Maintain { wave } = order.action {
             let unanswered_until = was_unanswered.then_some(late_until);
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -253,6 +253,15 @@
         is_over && now >= self.unknown_until
     }
 
+    /// Notes that no order ends the worker after all.
+    pub(crate) fn may_be_used_again(&mut self) {
+        self.reserved = false;
+        self.is_ending = false;
+        // It may have left the stored record when it ran nothing, and must be in
+        // it again before it gets tasks.
+        self.may_grant = false;
+    }
+
     /// Returns whether nothing runs here and nothing will: its instance leaves.
     pub(crate) fn is_left(&self) -> bool {
         self.is_ending && self.booked.is_empty()
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -550,23 +550,89 @@
     assert_eq!(scheduler.plan_instances(ms(5500), ms(5500)), []);
 }
 
-/// Guards against runs that are taken for ended, and started again, when an order
-/// of maintenance is answered as done although an earlier scheduler had it done
-/// before: the worker goes on.
-#[test]
-fn maintenance_that_was_done_before_ends_no_runs() {
+/// Orders the maintenance of one of four instances with a lasting task each, beside
+/// an idle one, and has it answered as done at 4010 ms.
+fn with_maintenance_done() -> (Scheduler, usize) {
     let (mut scheduler, _) = with_lasting(4);
     add_worker(&mut scheduler, 4, ms(2000));
-    let list: Vec<Instance> = (0..4)
-        .map(|index| instance(index, "work", InstanceState::Up))
-        .collect();
-    scheduler.on_instances(list, ms(2000), ms(2000));
+    scheduler.on_instances(all_up(), ms(2000), ms(2000));
     ask_wave(&mut scheduler, 4, 1);
     let orders = scheduler.plan_instances(ms(4000), ms(4000));
     assert_eq!(orders.len(), 1, "{orders:?}");
     scheduler.on_instance_answer(&orders[0], InstanceAnswer::Done, ms(4010));
+    let place = orders[0].instance[1..]
+        .parse::<usize>()
+        .expect("instances are numbered");
+    (scheduler, place)
+}
+
+fn all_up() -> Vec<Instance> {
+    (0..5)
+        .map(|index| instance(index, "work", InstanceState::Up))
+        .collect()
+}
+
+/// Guards against runs that are taken for ended, and started again, when an order
+/// of maintenance is answered as done although an earlier scheduler had it done
+/// before: the worker goes on.
+#[test]
+fn maintenance_that_was_done_before_ends_no_runs() {
+    let (mut scheduler, place) = with_maintenance_done();
     // The worker lives and answers; its task must not be started elsewhere.
-    let place = orders[0].instance[1..].parse::<usize>().unwrap();
     scheduler.on_report(report(place, "dc"), ms(4020));
     assert_eq!(starts(&scheduler.plan(ms(4030))), []);
+    scheduler.on_instances(all_up(), ms(4040), ms(4050));
+    assert_eq!(starts(&scheduler.plan(ms(4060))), []);
+}
+
+/// Guards against a worker that gets no more tasks because its instance was
+/// ordered a maintenance that it had before.
+#[test]
+fn worker_is_used_again_after_maintenance_that_was_done_before() {
+    let (mut scheduler, place) = with_maintenance_done();
+    let wide = jobs::Step {
+        max_per_worker: 1,
+        ..step(5, 500)
+    };
+    submit(
+        &mut scheduler,
+        2,
+        &record("urgent", 7, vec![wide]),
+        ms(4020),
+    );
+    let orders = scheduler.plan(ms(4030));
+    assert_eq!(starts(&orders).len(), 4, "{orders:?}");
+    // A list may lag behind; one that was asked for later does not.
+    scheduler.on_instances(all_up(), ms(4100), ms(4110));
+    assert_eq!(starts(&scheduler.plan(ms(4120))), []);
+    scheduler.on_instances(all_up(), ms(5600), ms(5610));
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    let orders = scheduler.plan(ms(5620));
+    let started = starts(&orders);
+    let ids: Vec<&str> = started
+        .iter()
+        .filter_map(|(_, key)| Some(scheduler.worker_address(*key)?.0))
+        .collect();
+    assert_eq!(ids, [format!("w{place}")]);
+}
+
+/// Guards against lasting tasks that stay away after maintenance which has ended
+/// them, and against a list from before the order that is taken for a sign of it.
+#[test]
+fn maintenance_ends_runs_once_a_list_shows_it() {
+    for (state, worker) in [
+        (InstanceState::Maintenance, ""),
+        (InstanceState::Down, ""),
+        (InstanceState::Up, "another"),
+    ] {
+        let (mut scheduler, place) = with_maintenance_done();
+        let mut list = all_up();
+        list[place].state = state;
+        worker.clone_into(&mut list[place].worker);
+        scheduler.on_instances(list.clone(), ms(4000), ms(4020));
+        assert_eq!(starts(&scheduler.plan(ms(4030))), [], "{state:?}");
+        scheduler.on_instances(list, ms(4040), ms(4050));
+        assert_eq!(starts(&scheduler.plan(ms(4060))).len(), 1, "{state:?}");
+    }
 }
--- a/crates/dotterelsill_node/src/instance_orders.rs
+++ b/crates/dotterelsill_node/src/instance_orders.rs
@@ -7,6 +7,7 @@
 
 use async_io::Timer;
 use dotterelsill_jobs::{
+    InstanceAction,
     InstanceAnswer,
     InstanceOrder,
     WaveChange, //
@@ -20,6 +21,7 @@
     Transaction,
     Write, //
 };
+use futures_lite::FutureExt as _;
 use prost::Message as _;
 
 use crate::{
@@ -52,7 +54,10 @@
             }
             Err(error) => dependency.on_error(&error),
         }
-        Timer::after(LIST_INTERVAL).await;
+        let rest = async {
+            Timer::after(LIST_INTERVAL).await;
+        };
+        rest.or(lead.list_wanted.wait()).await;
     }
 }
 
@@ -110,6 +115,11 @@
             .scheduler()
             .on_instance_answer(order, answer, clock::now());
         lead.on_changed();
+        let is_maintenance = matches!(order.action, InstanceAction::Maintain { .. });
+        if is_maintenance && answer == InstanceAnswer::Done {
+            // The runs count until a list shows that their worker has ended.
+            lead.list_wanted.set();
+        }
         if !is_open {
             return;
         }
--- a/crates/dotterelsill_node/src/lead.rs
+++ b/crates/dotterelsill_node/src/lead.rs
@@ -74,6 +74,8 @@
     pub(crate) token: u64,
     plan_wanted: Signal,
     pub(crate) write_wanted: Signal,
+    /// Set when the list of instances is to be asked for at once.
+    pub(crate) list_wanted: Signal,
     /// Notified when changes of jobs are stored.
     pub(crate) stored: Event,
 }
@@ -115,6 +117,7 @@
             tasks,
             plan_wanted: Signal::default(),
             write_wanted: Signal::default(),
+            list_wanted: Signal::default(),
             stored: Event::new(),
         }
     }
