Refuse calls that are meant for the process that had the address before

An entry knows the peer addresses of the members as listed last, some seconds after one of them is gone. When the address has gone to an entry of another fleet by then, that one grants claims in the log of its own store. The request runs, and its retry through another entry finds no claim in the right log and runs again. In the same way a relay renewed the lease of that number in the other store, and the entry took its own for renewed.

A claim and a relay now name the process that is asked, which the list of members holds, and any other process refuses them. Handing a request over names its claimant already, and a document is checked by its digest. Calls without the new field, from instances of the version before, are served as they were.

Until the next list of members, 2 s, an entry that was restarted at its old address now refuses the claims that it granted before; callers are told that the request was not run.

The part for the relay has no test of its own.

--- a/crates/dotterelsill_e2e/tests/once.rs
+++ b/crates/dotterelsill_e2e/tests/once.rs
@@ -221,3 +221,26 @@
         tasks.stop();
     });
 }
+
+/// Guards against a claim that an instance of another fleet grants, which now has
+/// the address of a peer that is gone: the claim is not in the own log.
+#[test]
+fn other_fleet_at_the_address_of_a_peer_grants_no_claim() {
+    dotterelsill_rpc::run(2, |tasks| async move {
+        let (mut fleet, other) = zip(start(2, 1, &tasks), start(2, 1, &tasks)).await;
+        let gone = &mut fleet.entries[1];
+        gone.process.kill();
+        let address = other.entries[1].process.address("listen_peers");
+        gone.peer_link.set_target(address);
+        for number in 0..8 {
+            refund(&fleet, 0, &format!("moved-{number}")).await;
+        }
+        fleet.entries[1] = fleet.start_entry(1);
+        for number in 0..8 {
+            let identifier = format!("moved-{number}");
+            refund_until_settled(&fleet, 1, &identifier).await;
+            assert_eq!(fleet.runs(&identifier).await, 1, "{identifier}");
+        }
+        tasks.stop();
+    });
+}
--- a/crates/dotterelsill_entry/src/forward.rs
+++ b/crates/dotterelsill_entry/src/forward.rs
@@ -90,6 +90,7 @@
     let request = ClaimRequest {
         key: claim.key.0.to_vec(),
         claimant: incarnation_bytes(claim.claimant),
+        process: member.process.clone(),
     };
     let answer = timeout(CLAIM_TIMEOUT, client.claim(request)).await.ok()?;
     match answer.ok()?.into_inner().reply? {
--- a/crates/dotterelsill_entry/src/peer.rs
+++ b/crates/dotterelsill_entry/src/peer.rs
@@ -28,6 +28,7 @@
 };
 
 use crate::{
+    claim_store::incarnation_bytes,
     forward,
     once,
     shared::Shared, //
@@ -48,6 +49,17 @@
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Self { shared }
     }
+
+    /// Refuses a call to a process that had this address before. It may have
+    /// been one of another fleet, whose store knows nothing of this one.
+    fn check_process(&self, process: &[u8]) -> Result<(), Status> {
+        if process.is_empty() || process == incarnation_bytes(self.shared.process) {
+            return Ok(());
+        }
+        Err(Status::failed_precondition(
+            "another process has this address now; list the members again",
+        ))
+    }
 }
 
 #[tonic::async_trait]
@@ -56,7 +68,8 @@
         &self,
         request: Request<RelayRequest>,
     ) -> Result<Response<RelayResponse>, Status> {
-        let lease = request.into_inner().lease;
+        let RelayRequest { lease, process, .. } = request.into_inner();
+        self.check_process(&process)?;
         let lease_renewed = match lease {
             0 => false,
             lease => matches!(self.shared.store.lease_keep_alive(lease).await, Ok(true)),
@@ -91,6 +104,7 @@
         &self,
         request: Request<ClaimRequest>,
     ) -> Result<Response<ClaimResponse>, Status> {
+        self.check_process(&request.get_ref().process)?;
         forward::answer_claim(&self.shared, request.get_ref())
             .await
             .map(Response::new)
--- a/crates/dotterelsill_entry/src/peers.rs
+++ b/crates/dotterelsill_entry/src/peers.rs
@@ -155,6 +155,7 @@
     let request = RelayRequest {
         instance: shared.settings.instance.clone(),
         lease,
+        process: peer.process.clone(),
     };
     match timeout(CALL_TIMEOUT, client.relay(request)).await {
         Ok(Ok(answer)) => Some(answer.into_inner()),
