Give each listener of the tests an address that nobody had before

The processes of the fault matrix bound port 0. Callers use the address of an entry until it is replaced, and members are known for some seconds longer, so requests and calls of one fleet could reach another one, with the same keys, identifiers and lease numbers.

A link, a process and the daemons of the platform's tests now listen on `new_address`: a loopback address that is made of the process identifier, and a port that is counted up. The observer's tests send to a new address instead of a port that was freed a moment ago.

--- a/crates/dotterelsill_e2e/src/fleet.rs
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -23,6 +23,7 @@
 };
 
 use crate::{
+    new_address,
     read_runs,
     Caller,
     Link,
@@ -84,7 +85,7 @@
     ) -> Self {
         let store = Process::start(
             "dotterelsill-standin-store",
-            "{ listen: \"127.0.0.1:0\" }",
+            &format!("{{ listen: \"{}\" }}", new_address()),
             1,
         );
         let mut fleet = Self {
@@ -111,8 +112,6 @@
     /// the entry that it replaces.
     pub fn start_entry(&self, index: usize) -> Entry {
         let store_link = Link::new(self.store.address(""));
-        // The port of the peers is known only after the start. One that is set
-        // aside before may be taken by a connection in between.
         let peer_link = Link::new(store_link.address());
         peer_link.set(Mode::Cut);
         let name = data_centre(index);
@@ -120,10 +119,13 @@
         let platform = platform.map_or(String::new(), |platform| platform.address("").to_string());
         let settings = format!(
             "instance: entry-{name}\ndata_centre: {name}\n\
-             listen_callers: \"127.0.0.1:0\"\nlisten_peers: \"127.0.0.1:0\"\n\
-             listen_admin: \"127.0.0.1:0\"\nstore: \"{}\"\n\
+             listen_callers: \"{}\"\nlisten_peers: \"{}\"\n\
+             listen_admin: \"{}\"\nstore: \"{}\"\n\
              advertise_peers: \"{}\"\nthreads: 2\nbalancer_grace_ms: 100\n\
              shutdown_timeout_ms: 15000\nplatform: \"{platform}\"\n",
+            new_address(),
+            new_address(),
+            new_address(),
             store_link.address(),
             peer_link.address(),
         );
@@ -287,7 +289,10 @@
 }
 
 fn start_platform(data_centres: usize) -> Process {
-    let mut settings = "listen: \"127.0.0.1:0\"\nlist_lag_ms: 1000\ninstances:\n".to_owned();
+    let mut settings = format!(
+        "listen: \"{}\"\nlist_lag_ms: 1000\ninstances:\n",
+        new_address()
+    );
     for index in 0..data_centres {
         let name = data_centre(index);
         let _ = writeln!(
@@ -300,8 +305,9 @@
 
 fn start_upstream(service_time_ms: u32) -> Process {
     let settings = format!(
-        "{{ listen: \"127.0.0.1:0\", slots: 8, connections: 64, service_time_us: {}, \
+        "{{ listen: \"{}\", slots: 8, connections: 64, service_time_us: {}, \
          log_level: debug }}",
+        new_address(),
         service_time_ms * 1000
     );
     Process::start("dotterelsill-standin-upstream", &settings, 1)
--- a/crates/dotterelsill_e2e/src/lib.rs
+++ b/crates/dotterelsill_e2e/src/lib.rs
@@ -4,6 +4,7 @@
 //! identifier when its handle is dropped. The harness starts processes; the
 //! system itself never does.
 
+mod address;
 mod caller;
 mod fleet;
 mod link;
@@ -13,6 +14,7 @@
 mod run_log;
 mod violations;
 
+pub use address::new_address;
 pub use caller::{
     Answer,
     Caller, //
--- a/crates/dotterelsill_e2e/src/link.rs
+++ b/crates/dotterelsill_e2e/src/link.rs
@@ -25,6 +25,8 @@
     time::Duration, //
 };
 
+use crate::new_address;
+
 /// Time after which a blocked read looks at the mode again.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -63,9 +65,9 @@
     ///
     /// # Panics
     ///
-    /// Panics when no loopback port is free.
+    /// Panics when the link cannot listen.
     pub fn new(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let listener = TcpListener::bind(new_address()).expect("the address is new");
         let address = listener.local_addr().expect("the socket is bound");
         let shared = Arc::new(Shared {
             target: Mutex::new(target),
--- a/crates/dotterelsill_e2e/src/violations.rs
+++ b/crates/dotterelsill_e2e/src/violations.rs
@@ -115,6 +115,13 @@
     by_identifier
         .into_iter()
         .filter(|(_, runs)| runs.len() > 1)
-        .map(|(identifier, runs)| format!("P8: {identifier} ran more than once: {runs:?}"))
+        .map(|(identifier, runs)| {
+            let attempts: Vec<(usize, &Sent)> = sent
+                .iter()
+                .enumerate()
+                .filter(|(_, sent)| sent.work.identifier == identifier)
+                .collect();
+            format!("P8: {identifier} ran more than once: {runs:?}; attempts: {attempts:?}")
+        })
         .collect()
 }
--- a/crates/dotterelsill_e2e/tests/observer.rs
+++ b/crates/dotterelsill_e2e/tests/observer.rs
@@ -15,6 +15,7 @@
 
 use dotterelsill_e2e::{
     clock_us,
+    new_address,
     violations,
     Observer,
     Run,
@@ -28,9 +29,7 @@
 fn found(works: &[Work], runs: &[Run], before: impl Fn(&Observer)) -> Vec<String> {
     dotterelsill_rpc::run(1, |tasks| async move {
         let observer = Observer::default();
-        let closed = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let address = closed.local_addr().expect("the socket is bound");
-        drop(closed);
+        let address = new_address();
         for work in works {
             observer.send(address, work, &tasks).await;
         }
@@ -105,7 +104,7 @@
 
 /// Answers one request with a body that is not its own.
 fn answer_once(outcome: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let listener = TcpListener::bind(new_address()).expect("the address is new");
     let address = listener.local_addr().expect("the socket is bound");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a caller connects");
--- a/crates/dotterelsill_planner/tests/common/mod.rs
+++ b/crates/dotterelsill_planner/tests/common/mod.rs
@@ -14,7 +14,10 @@
 };
 
 use async_io::Timer;
-use dotterelsill_e2e::Process;
+use dotterelsill_e2e::{
+    new_address,
+    Process, //
+};
 use dotterelsill_proto::{
     config::{
         Document,
@@ -95,12 +98,14 @@
     fn start(tasks: &Tasks) -> Self {
         let store = Process::start(
             "dotterelsill-standin-store",
-            "{ listen: \"127.0.0.1:0\" }",
+            &format!("{{ listen: \"{}\" }}", new_address()),
             1,
         );
-        let mut settings = "listen: \"127.0.0.1:0\"\nlist_lag_ms: 200\ndrain_ms: 10\n\
-             empty_ms: 20\ndetach_ms: 10\nattach_ms: 10\nreboot_ms: 30\ninstances:\n"
-            .to_owned();
+        let mut settings = format!(
+            "listen: \"{}\"\nlist_lag_ms: 200\ndrain_ms: 10\n\
+             empty_ms: 20\ndetach_ms: 10\nattach_ms: 10\nreboot_ms: 30\ninstances:\n",
+            new_address()
+        );
         for (name, pool, data_centre, rack) in instances() {
             let _ = writeln!(
                 settings,
@@ -149,9 +154,10 @@
     /// Starts a planner that reaches the store through an address.
     pub(crate) fn planner_through(&self, name: &str, store: SocketAddr, lease_ms: u32) -> Process {
         let settings = format!(
-            "planner: {name}\nlisten: \"127.0.0.1:0\"\nstore: \"{store}\"\nplatform: \"{}\"\n\
+            "planner: {name}\nlisten: \"{}\"\nstore: \"{store}\"\nplatform: \"{}\"\n\
              lease_ms: {lease_ms}\ntick_ms: 50\ninterval_h: 5000\nplan_hour_ms: 200\n\
              soak_ms: 50\nwatch_ms: 2000\nmove_limit_ms: 10000\n",
+            new_address(),
             self.platform.address("")
         );
         Process::start("dotterelsill-planner", &settings, 1)
