Lift the limit on new jobs sooner, and know larger instances earlier

The share of new jobs that is taken rose by 5% of all jobs each half second, so that jobs were refused for up to 9 s after an overload. It now grows by a fifth as well: from the least share to all jobs in 4 s.

The first five reads follow each other after a second.

--- a/crates/dotterelsill_jobs/src/overload.rs
+++ b/crates/dotterelsill_jobs/src/overload.rs
@@ -21,7 +21,9 @@
 /// Factor on the share while most starts are late.
 const DECREASE: f64 = 0.85;
 
-/// Growth of the share in a window while few starts are late.
+/// Factor on the share, and share added to it, in a window in which few starts are
+/// late: from the least share to all jobs in 4 s.
+const GROWTH: f64 = 1.2;
 const INCREASE: f64 = 0.05;
 
 /// Least share, so that a recovery is seen.
@@ -80,7 +82,7 @@
         self.share = if is_late || is_stuck {
             (self.share * DECREASE).max(LEAST_SHARE)
         } else {
-            (self.share + INCREASE).min(1.0)
+            (self.share * GROWTH + INCREASE).min(1.0)
         };
         if self.share < 1.0 {
             log::warn!(
--- a/crates/dotterelsill_node/src/peers.rs
+++ b/crates/dotterelsill_node/src/peers.rs
@@ -63,6 +63,13 @@
 /// Time between two looks whether the first list was read.
 const LIST_LOOK: Duration = Duration::from_millis(20);
 
+/// Time between two of the first reads: instances that start together are
+/// registered one after the other.
+const EARLY_READ_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of the reads that follow each other early.
+const EARLY_READS: u32 = 5;
+
 /// Pause before another try after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -200,6 +207,7 @@
 
 /// Follows the registered instances until the program stops.
 pub(crate) async fn follow(store: Arc<Operations>, peers: Arc<Peers>) {
+    let mut reads = 0;
     loop {
         match store.list(keys::NODES, Staleness::Stale).await {
             Ok((items, _)) => {
@@ -210,7 +218,14 @@
                 };
                 peers.set(&items.iter().filter_map(peer).collect());
                 peers.is_read.store(true, Ordering::Relaxed);
-                Timer::after(READ_INTERVAL).await;
+                reads += 1;
+                let is_early = reads <= EARLY_READS;
+                Timer::after(if is_early {
+                    EARLY_READ_INTERVAL
+                } else {
+                    READ_INTERVAL
+                })
+                .await;
             }
             Err(error) => {
                 log::debug!(error:%; "instances_not_read");
