Limit new jobs only when nearly all starts are late

Nine of ten starts must be late now, or not answered.

slow_workers_limit_new_jobs holds the rule with 7 of 10 starts late and failed with the earlier one.

--- a/crates/dotterelsill_jobs/src/overload.rs
+++ b/crates/dotterelsill_jobs/src/overload.rs
@@ -14,6 +14,11 @@
 /// is late: about half of what a short job may take beyond its own work.
 const LATE_START: Duration = Duration::from_millis(250);
 
+/// Part of the starts, in percent, that must be late. When workers leave orders
+/// unanswered, those of the others are in time; a full processor or link makes
+/// all of them late.
+const LATE_PERCENT: u32 = 90;
+
 /// Starts that a window must have before it counts: a few may have gone to slow
 /// workers.
 const LEAST_STARTS: u32 = 10;
@@ -75,10 +80,11 @@
         if now < self.window_end {
             return self.share;
         }
-        let is_late = self.answered >= LEAST_STARTS && self.late * 2 > self.answered;
+        let is_late = self.answered >= LEAST_STARTS && is_most(self.late, self.answered);
         // What was decided in the window before had this one to be answered.
         let (decided, answered) = self.before;
-        let is_stuck = decided >= LEAST_STARTS && (answered + self.answered) * 2 < decided;
+        let unanswered = decided.saturating_sub(answered + self.answered);
+        let is_stuck = decided >= LEAST_STARTS && is_most(unanswered, decided);
         self.share = if is_late || is_stuck {
             (self.share * DECREASE).max(LEAST_SHARE)
         } else {
@@ -96,3 +102,7 @@
         self.share
     }
 }
+
+fn is_most(part: u32, all: u32) -> bool {
+    part * 100 >= all * LATE_PERCENT
+}
