Count the candidates of a pool only when its steps wait

A plan went over all workers once and looked up the pool of each. It now goes over them for each pool whose steps wait, in one function with the report on steps that are held back.

--- a/crates/dotterelsill_jobs/src/held_back.rs
+++ b/crates/dotterelsill_jobs/src/held_back.rs
@@ -5,13 +5,7 @@
     time::Duration, //
 };
 
-use crate::{
-    place::{
-        candidate,
-        Candidates, //
-    },
-    Scheduler, //
-};
+use crate::Scheduler;
 
 /// What keeps the waiting tasks of a step from a worker.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -47,16 +41,15 @@
     /// Returns the steps that are held back, by pool and reason. Pauses after
     /// failed runs, limits of workspaces and the advisor are left out.
     pub fn held_back(&self, now: Duration) -> Vec<HeldBack> {
-        let waiting = self.ready.iter().filter(|(_, steps)| !steps.is_empty());
-        waiting
-            .flat_map(|(pool, _)| self.held_back_in(pool, now))
+        let pools = self.waiting_pools();
+        pools
+            .iter()
+            .flat_map(|pool| self.held_back_in(pool, now))
             .collect()
     }
 
     fn held_back_in(&self, pool: &str, now: Duration) -> Vec<HeldBack> {
-        let of_pool = self.workers.iter().filter(|(_, w)| w.report.pool == pool);
-        let usable = of_pool.filter_map(|(&key, w)| candidate(key, w, &self.requests, now));
-        let usable = Candidates::new(usable.collect());
+        let usable = self.candidates_of(pool, now);
         let unsettled = self.unsettled(pool, now);
         let unread = self.workers.values().filter(|worker| {
             let is_of_pool = worker.report.pool.is_empty() || worker.report.pool == pool;
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -42,8 +42,11 @@
             self.needs_plan = false;
             self.relist_unknown_queues();
             self.unseen_usage = self.count_unseen(now);
-            for (pool, candidates) in self.candidates_by_pool(now) {
-                self.plan_pool(&pool, candidates, now);
+            for pool in self.waiting_pools() {
+                let candidates = self.candidates_of(&pool, now);
+                if !candidates.list().is_empty() {
+                    self.plan_pool(&pool, candidates, now);
+                }
             }
         }
         std::mem::take(&mut self.orders)
@@ -60,22 +63,17 @@
         }
     }
 
-    /// Returns the workers that may get tasks, of each pool with waiting steps.
-    fn candidates_by_pool(&self, now: Duration) -> BTreeMap<String, Candidates> {
+    /// Returns the pools that have steps in the list of those that wait.
+    pub(crate) fn waiting_pools(&self) -> Vec<String> {
         let waiting = self.ready.iter().filter(|(_, steps)| !steps.is_empty());
-        let mut of_pool: BTreeMap<&str, Vec<Candidate>> = waiting
-            .map(|(pool, _)| (pool.as_str(), Vec::new()))
-            .collect();
-        for (&key, worker) in &self.workers {
-            if let Some(candidates) = of_pool.get_mut(worker.report.pool.as_str()) {
-                candidates.extend(candidate(key, worker, &self.requests, now));
-            }
-        }
-        of_pool
-            .into_iter()
-            .filter(|(_, candidates)| !candidates.is_empty())
-            .map(|(pool, candidates)| (pool.to_owned(), Candidates::new(candidates)))
-            .collect()
+        waiting.map(|(pool, _)| pool.clone()).collect()
+    }
+
+    /// Returns the workers of a pool that may get tasks.
+    pub(crate) fn candidates_of(&self, pool: &str, now: Duration) -> Candidates {
+        let of_pool = self.workers.iter().filter(|(_, w)| w.report.pool == pool);
+        let usable = of_pool.filter_map(|(&key, w)| candidate(key, w, &self.requests, now));
+        Candidates::new(usable.collect())
     }
 
     fn plan_pool(&mut self, pool: &str, mut candidates: Candidates, now: Duration) {
