Take new jobs into the intake while nobody schedules

An instance went on to refuse the share that the last scheduler had named while no scheduler was known, and answered 504, as nobody could tell of an earlier try.

--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -184,7 +184,7 @@
     if let Err(error) = JobSpec::try_from(&record) {
         return text(StatusCode::BAD_REQUEST, error.to_string());
     }
-    if !callers.link.admission.takes_job() {
+    if !callers.link.takes_job() {
         return refuse_unless_stored(callers, id, limit).await;
     }
     let first = callers
--- a/crates/dotterelsill_node/src/leader_link.rs
+++ b/crates/dotterelsill_node/src/leader_link.rs
@@ -53,7 +53,7 @@
 pub(crate) struct LeaderLink {
     pub(crate) leader: Arc<ArcSwapOption<Leader>>,
     pub(crate) leading: Arc<ArcSwapOption<Lead>>,
-    pub(crate) admission: Arc<Admission>,
+    admission: Arc<Admission>,
     channel: Mutex<Option<(SocketAddr, Channel)>>,
     lateness: Arc<Lateness>,
     tasks: Tasks,
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Returns whether the next new job is taken; without a scheduler all are,
+    /// which the intake keeps for the next one.
+    pub(crate) fn takes_job(&self) -> bool {
+        let has_scheduler = self.leading.load().is_some() || self.leader.load().is_some();
+        !has_scheduler || self.admission.takes_job()
+    }
+
     /// Hands in a job.
     pub(crate) async fn submit(&self, id: JobId, record: &JobRecord, limit: Duration) -> Outcome {
         if let Some(lead) = self.leading.load_full() {
