Ask one function for the workers of a pool that take tasks

The choice of a job's home and the explanation of a job went over the workers by themselves, beside `candidates_of`, which plans use. The comment on refusals named no cost for the scheduler; it is asked for an earlier try. No change of behaviour: tests of the decisions and of the daemon pass.

--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -11,7 +11,6 @@
         StepState,
         Task, //
     },
-    place::candidate,
     scheduler::steps_of,
     Room,
     Scheduler,
@@ -115,12 +114,8 @@
         {
             return "the advisor, who has allowed no worker yet".to_owned();
         }
-        let of_pool = self
-            .workers
-            .iter()
-            .filter(|(_, w)| w.report.pool == queue.pool);
-        let usable = of_pool.filter_map(|(&key, w)| candidate(key, w, &self.requests, now));
-        let usable: Vec<_> = usable.collect();
+        let usable = self.candidates_of(&queue.pool, now);
+        let usable = usable.list();
         let fits = |free: &Room| free.fits(&Room::default(), &room);
         let with_room = usable
             .iter()
--- a/crates/dotterelsill_jobs/src/home.rs
+++ b/crates/dotterelsill_jobs/src/home.rs
@@ -15,7 +15,6 @@
 use dotterelsill_proto::jobs::JobRecord;
 
 use crate::{
-    place::candidate,
     Room,
     Scheduler, //
 };
@@ -53,17 +52,13 @@
 
     fn count_free(&self, pool: &str, now: Duration) -> BTreeMap<String, i64> {
         let mut room: BTreeMap<String, i64> = BTreeMap::new();
-        for (&key, worker) in &self.workers {
-            if worker.report.pool != pool {
-                continue;
-            }
-            if let Some(candidate) = candidate(key, worker, &self.requests, now) {
-                let free = candidate.free.cpu_milli as i64;
-                match room.get_mut(&worker.report.data_centre) {
-                    Some(sum) => *sum += free,
-                    None => {
-                        room.insert(worker.report.data_centre.clone(), free);
-                    }
+        for candidate in self.candidates_of(pool, now).list() {
+            let data_centre = &self.workers[&candidate.key].report.data_centre;
+            let free = candidate.free.cpu_milli as i64;
+            match room.get_mut(data_centre) {
+                Some(sum) => *sum += free,
+                None => {
+                    room.insert(data_centre.clone(), free);
                 }
             }
         }
--- a/crates/dotterelsill_node/src/admission.rs
+++ b/crates/dotterelsill_node/src/admission.rs
@@ -1,7 +1,7 @@
 //! Which new jobs this instance refuses while the scheduler has too many.
 //!
 //! The scheduler names a share. Each instance refuses by itself, so that a refusal
-//! costs the scheduler nothing.
+//! costs the scheduler only the question for an earlier try.
 
 use std::sync::atomic::{
     AtomicU32,
