Log which calls of the store failed and how old a refusal's view was

The logs could not tell apart whether a configuration was late because calls failed one after the other, because a change was missed, or because it could not be read: no line named the call that failed, its way and its time, and a refusal did not tell the age of what it was decided from.

store_call_failed has one line for each try, direct or over a peer. request_not_allowed has version, revision and age of the view for each 401 and 404. configuration_adopted names the call that showed the change and the time for which nothing was known. No decision changes.

--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -116,7 +116,15 @@
     let path = head.uri.path().to_owned();
     let allowed = match allow(&view.catalogue, &host, &path, &head.headers) {
         Ok(allowed) => allowed,
-        Err((status, reason)) => return text(status, reason),
+        Err((status, reason)) => {
+            let age = callers.operators.age(clock::now());
+            log::info!(
+                method:% = head.method, path, status = status.as_u16(),
+                version = view.catalogue.version, revision = view.revision,
+                view_age_ms = age.as_millis() as u64; "request_not_allowed"
+            );
+            return text(status, reason);
+        }
     };
     if head.method != Method::GET && !callers.reach.can_serve(clock::now()) {
         // What is sent now may be carried out once the partition heals; nothing
--- a/crates/dotterelsill_node/src/operators.rs
+++ b/crates/dotterelsill_node/src/operators.rs
@@ -2,7 +2,13 @@
 
 use std::{
     collections::BTreeMap,
-    sync::Arc,
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Arc, //
+    },
     time::Duration, //
 };
 
@@ -54,6 +60,8 @@
 #[derive(Default)]
 pub(crate) struct Operators {
     view: ArcSwap<View>,
+    /// Instant at which the view was last known to be current, in microseconds.
+    current_us: AtomicU64,
     pub(crate) changed: Signal,
 }
 
@@ -63,8 +71,22 @@
         self.view.load_full()
     }
 
-    /// Adopts what was read, unless an older configuration was read.
-    fn adopt(&self, items: &BTreeMap<String, Item>) {
+    /// Returns the time since the view was last known to be current.
+    pub(crate) fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(Duration::from_micros(
+            self.current_us.load(Ordering::Relaxed),
+        ))
+    }
+
+    /// Notes that the view was current at an instant.
+    fn note_current(&self, at: Duration) {
+        self.current_us
+            .fetch_max(at.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// Adopts what was read, unless an older configuration was read; `source` names
+    /// the call.
+    fn adopt(&self, items: &BTreeMap<String, Item>, source: &str) {
         let items: Vec<Item> = items.values().cloned().collect();
         let operators = match decode_operators(&items) {
             Ok(operators) => operators,
@@ -81,9 +103,14 @@
         };
         if let Some((catalogue, revision)) = operators.catalogue {
             if revision > old.revision {
+                let known_age_ms = match old.revision {
+                    0 => 0,
+                    _ => self.age(clock::now()).as_millis() as u64,
+                };
                 log::info!(
                     version = catalogue.version, revision,
-                    queues = catalogue.queues.len() as u64; "configuration_adopted"
+                    queues = catalogue.queues.len() as u64, source, known_age_ms;
+                    "configuration_adopted"
                 );
                 view.catalogue = Arc::new(catalogue);
                 view.revision = revision;
@@ -116,14 +143,17 @@
 
 /// Reads everything, then follows the changes for some time.
 async fn follow_from_list(store: &Operations, operators: &Operators) -> Result<(), OperationError> {
+    let sent_at = clock::now();
     let (list, mut revision) = store.list(OPERATOR_PREFIX, Staleness::Current).await?;
     let mut items: BTreeMap<String, Item> = list
         .into_iter()
         .map(|item| (item.key.clone(), item))
         .collect();
-    operators.adopt(&items);
+    operators.adopt(&items, "list");
+    operators.note_current(sent_at);
     let read_at = clock::now();
     while clock::now() < read_at + READ_AGAIN {
+        let sent_at = clock::now();
         let watched = match (store.watch)(OPERATOR_PREFIX, revision, WATCH_WAIT).await {
             Ok(watched) => watched,
             // The list that is read next shows what was missed.
@@ -132,6 +162,7 @@
         };
         revision = revision.max(watched.revision);
         if watched.events.is_empty() {
+            operators.note_current(unchanged_at(sent_at, clock::now()));
             continue;
         }
         for event in watched.events {
@@ -144,7 +175,19 @@
                 }
             }
         }
-        operators.adopt(&items);
+        operators.adopt(&items, "watch");
+        operators.note_current(sent_at);
     }
     Ok(())
 }
+
+/// Returns the instant at which nothing had changed, for a watch that was answered
+/// without changes: the store answers so when the wait is over.
+fn unchanged_at(sent_at: Duration, answered_at: Duration) -> Duration {
+    let waited_until = sent_at + WATCH_WAIT;
+    if answered_at < waited_until {
+        sent_at
+    } else {
+        waited_until
+    }
+}
--- a/crates/dotterelsill_node/src/peers.rs
+++ b/crates/dotterelsill_node/src/peers.rs
@@ -102,13 +102,14 @@
         }
     }
 
-    /// Returns clients of all peers, beginning with another one each time.
-    pub(crate) fn clients(&self) -> Vec<NodeClient<Channel>> {
+    /// Returns all peers with their clients, beginning with another one each time.
+    pub(crate) fn clients(&self) -> Vec<(SocketAddr, NodeClient<Channel>)> {
         let channels = self.lock();
         let count = channels.len().max(1);
         let first = self.next.fetch_add(1, Ordering::Relaxed) % count;
-        let all = channels.values().cycle().skip(first).take(channels.len());
-        all.map(|peer| client(&peer.channel)).collect()
+        let all = channels.iter().cycle().skip(first).take(channels.len());
+        all.map(|(&address, peer)| (address, client(&peer.channel)))
+            .collect()
     }
 
     /// Returns clients of the peers that get more processor time than a limit,
--- a/crates/dotterelsill_node/src/relay.rs
+++ b/crates/dotterelsill_node/src/relay.rs
@@ -178,6 +178,9 @@
             let begin = clock::now();
             let result = direct().await;
             self.count("direct", &call, result.as_ref().err(), begin);
+            if let Err(error) = &result {
+                log_failed(&call, "store", begin, error);
+            }
             match &result {
                 Err(OperationError::NotDone { .. }) if !avoids && !peers_fail => {
                     self.avoid_direct();
@@ -222,34 +225,25 @@
         let mut last = OperationError::NotDone {
             reason: "no peer is known".to_owned(),
         };
-        for mut client in self.peers.clients().into_iter().take(PEERS_ASKED) {
+        for (address, mut client) in self.peers.clients().into_iter().take(PEERS_ASKED) {
+            let asked_at = clock::now();
             let request = RelayRequest {
                 call: Some(call.clone()),
             };
             let answer = timeout(RELAY_TIMEOUT + wait, client.relay(request)).await;
-            let response = match answer {
-                Ok(Ok(response)) => response.into_inner(),
+            let result = match answer {
+                Ok(Ok(response)) => result_of(call, response.into_inner()),
                 Ok(Err(error)) => {
                     let reason = error.message().to_owned();
-                    if !is_unsent(&error) && changes_something(call) {
-                        return Err(OperationError::Unknown { reason });
-                    }
-                    last = OperationError::NotDone { reason };
-                    continue;
-                }
-                Err(error) => {
-                    let reason = error.to_string();
-                    if changes_something(call) {
-                        return Err(OperationError::Unknown { reason });
-                    }
-                    last = OperationError::NotDone { reason };
-                    continue;
+                    Err(unanswered(call, reason, is_unsent(&error)))
                 }
+                Err(error) => Err(unanswered(call, error.to_string(), false)),
             };
-            match result_of(call, response) {
-                Err(OperationError::NotDone { reason }) => {
-                    last = OperationError::NotDone { reason };
-                }
+            if let Err(error) = &result {
+                log_failed(call, &address.to_string(), asked_at, error);
+            }
+            match result {
+                Err(error @ OperationError::NotDone { .. }) => last = error,
                 result => {
                     self.count("peer", call, result.as_ref().err(), begin);
                     if !matches!(result, Err(OperationError::Unknown { .. })) {
@@ -266,6 +260,32 @@
     }
 }
 
+/// Returns why a call to a peer gave no result. A call that changes nothing may be
+/// made again even if the peer has carried it out.
+fn unanswered(call: &Call, reason: String, is_unsent: bool) -> OperationError {
+    if changes_something(call) && !is_unsent {
+        OperationError::Unknown { reason }
+    } else {
+        OperationError::NotDone { reason }
+    }
+}
+
+/// Logs a call that failed on its way to the store or over a peer.
+fn log_failed(call: &Call, way: &str, begin: Duration, error: &OperationError) {
+    let took_ms = clock::now().saturating_sub(begin).as_millis() as u64;
+    let wait_ms = wait_of(call).as_millis() as u64;
+    let (call, subject) = match call {
+        Call::Get(key) => ("get", key.as_str()),
+        Call::Range(range) => ("list", range.prefix.as_str()),
+        Call::Watch(watch) => ("watch", watch.prefix.as_str()),
+        Call::Commit(_) => ("commit", ""),
+        Call::GrantMs(_) => ("grant", ""),
+        Call::Keep(_) => ("keep", ""),
+        Call::End(_) => ("end", ""),
+    };
+    log::info!(call, subject, way, took_ms, wait_ms, error:%; "store_call_failed");
+}
+
 /// Returns how long a call is to wait at the store.
 fn wait_of(call: &Call) -> Duration {
     match call {
