Refuse by the configuration only while it is known to be current

Callers saw 401 or 404 for a key or route that had been added more than the bound of a change before. An instance answered these from what it had read last, whatever its age, before it asked itself whether it reaches the store.

Beyond the bound within which a change is in force, what the view does not allow may have been added: the answer is 503 with a time to come back, and the connection is closed so that the caller reaches another instance. Past the extended bound all requests are answered so, since a key may have been withdrawn.

added_key_is_refused_while_the_store_is_silent failed before and passes. How late a change is does not change with this.

--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -32,6 +32,7 @@
 mod scheduler;
 mod spec;
 mod submissions;
+mod validity;
 mod waves;
 mod worker;
 
@@ -100,5 +101,9 @@
     Submission,
     Submissions, //
 };
+pub use validity::{
+    ApplyBounds,
+    Validity, //
+};
 pub use waves::WaveChange;
 pub use worker::WorkerReport;
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -7,11 +7,13 @@
 
 use bytes::Bytes;
 use dotterelsill_jobs::{
+    ApplyBounds,
     Catalogue,
     JobId,
     JobSpec,
     JobState,
-    Queue, //
+    Queue,
+    Validity, //
 };
 use dotterelsill_platform as platform;
 use dotterelsill_proto::jobs::Outcome;
@@ -69,6 +71,7 @@
     pub(crate) store: Arc<Operations>,
     pub(crate) reach: Arc<Reach>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) bounds: ApplyBounds,
 }
 
 /// A request that was found to be allowed.
@@ -114,18 +117,30 @@
     let (head, body) = request.into_parts();
     let host = platform::host(&head.headers, &head.uri).to_owned();
     let path = head.uri.path().to_owned();
+    let age = callers.operators.age(clock::now());
+    let validity = callers.bounds.validity(age);
     let allowed = match allow(&view.catalogue, &host, &path, &head.headers) {
         Ok(allowed) => allowed,
         Err((status, reason)) => {
-            let age = callers.operators.age(clock::now());
+            let is_certain = validity == Validity::Current;
             log::info!(
-                method:% = head.method, path, status = status.as_u16(),
+                method:% = head.method, path, status = status.as_u16(), is_certain,
                 version = view.catalogue.version, revision = view.revision,
                 view_age_ms = age.as_millis() as u64; "request_not_allowed"
             );
-            return text(status, reason);
+            if is_certain {
+                return text(status, reason);
+            }
+            return go_elsewhere("the configuration may have changed");
         }
     };
+    if validity == Validity::Outdated {
+        log::warn!(
+            method:% = head.method, path, version = view.catalogue.version,
+            view_age_ms = age.as_millis() as u64; "configuration_outdated"
+        );
+        return go_elsewhere("the configuration was not read for too long");
+    }
     if head.method != Method::GET && !callers.reach.can_serve(clock::now()) {
         // What is sent now may be carried out once the partition heals; nothing
         // is sent, so that the refusal holds.
@@ -293,6 +308,15 @@
     response
 }
 
+/// Returns a refusal after which the caller reaches another instance: its
+/// connection is closed.
+fn go_elsewhere(reason: &str) -> Response<Full<Bytes>> {
+    let mut response = come_back(reason);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 fn json(status: StatusCode, body: String) -> Response<Full<Bytes>> {
     let mut response = text(status, body);
     let kind = HeaderValue::from_static("application/json");
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -187,6 +187,7 @@
         store: node.store.clone(),
         reach: node.reach.clone(),
         metrics: node.metrics.clone(),
+        bounds: settings.bounds.configuration,
     });
     serving.spawn(serve_http1(
         callers_listener,
