Hedge reads of the store while its answers do not come

After connections went silent for good an instance had a change of the configuration 3 to 5 s later, while the platform holds it to its bounds 3 s after the fault: the failed calls added up. A watch is given up after at most 1.7 s; then came a pause of 0.2 s, up to three peers in turn for 1 s each, and the store over a connection that was silent as well, for 0.9 s.

While calls go over peers, those that change nothing are hedged: over a peer, directly after 0.2 s, over two further peers after 0.2 s each. The first result counts. The pause is left out after a call that took longer than the pause.

Calls that change something still take one way after the other. Ruled out: a missed change; each late adoption follows failed calls in the logs.

--- a/crates/dotterelsill_node/src/operators.rs
+++ b/crates/dotterelsill_node/src/operators.rs
@@ -36,16 +36,17 @@
     dependency::Dependency, //
 };
 
-/// Time for which one watch waits; a connection that went silent is found soon
-/// enough for a change to be in force within the 2 s that are required.
+/// Time for which one watch waits. A connection that went silent is found when the
+/// watch has no answer 0.7 s after that.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 
 /// Time after which everything is read again, should a watch have missed a
 /// change.
 const READ_AGAIN: Duration = Duration::from_secs(3);
 
-/// Pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Least time between the beginnings of two tries: calls that fail at once are not
+/// repeated without a pause.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// What the operators have written, as known last.
 #[derive(Default)]
@@ -132,9 +133,11 @@
 pub(crate) async fn follow(store: Arc<Operations>, operators: Arc<Operators>) {
     let dependency = Dependency::new("operators");
     loop {
+        let begin = clock::now();
         if let Err(error) = follow_from_list(&store, &operators).await {
             dependency.on_error(&error);
-            Timer::after(RETRY_PAUSE).await;
+            let took = clock::now().saturating_sub(begin);
+            Timer::after(RETRY_INTERVAL.saturating_sub(took)).await;
         } else {
             dependency.on_answer();
         }
--- a/crates/dotterelsill_node/src/relay.rs
+++ b/crates/dotterelsill_node/src/relay.rs
@@ -6,6 +6,7 @@
 
 use std::{
     future::Future,
+    net::SocketAddr,
     sync::{
         atomic::{
             AtomicU64,
@@ -17,6 +18,7 @@
 };
 
 use dotterelsill_proto::jobs::{
+    node_client::NodeClient,
     relay_request::Call,
     ChangeEntry,
     CommitCall,
@@ -27,7 +29,12 @@
     StoredItem,
     WatchCall, //
 };
-use dotterelsill_rpc::timeout;
+use dotterelsill_rpc::{
+    hedged,
+    timeout,
+    Attempt,
+    Channel, //
+};
 use dotterelsill_store::{
     Committed,
     Event,
@@ -62,6 +69,10 @@
 /// Peers that are asked for one call.
 const PEERS_ASKED: usize = 3;
 
+/// Time beyond its own wait that a call is given on one way before it is made on
+/// the next as well: many times what an answer takes within a region.
+const HEDGE_DELAY: Duration = Duration::from_millis(200);
+
 /// The store, called directly or over a peer.
 pub(crate) struct Relayed {
     direct: Operations,
@@ -170,36 +181,68 @@
             let avoids = is_before(&self.avoid_until_us);
             let peers_fail = is_before(&self.peers_fail_until_us);
             if avoids && !peers_fail {
+                if !changes_something(&call) {
+                    return self.hedged(&call, decode, direct()).await;
+                }
                 match self.over_peers(&call).await {
                     Err(OperationError::NotDone { .. }) => {}
                     result => return result.map(decode),
                 }
             }
-            let begin = clock::now();
-            let result = direct().await;
-            self.count("direct", &call, result.as_ref().err(), begin);
-            if let Err(error) = &result {
-                log_failed(&call, "store", begin, error);
-            }
-            match &result {
+            match self.directly(&call, direct()).await {
                 Err(OperationError::NotDone { .. }) if !avoids && !peers_fail => {
-                    self.avoid_direct();
                     self.over_peers(&call).await.map(decode)
                 }
-                Err(OperationError::Unknown { .. }) => {
-                    // It may be carried out; later calls take the other way.
-                    self.avoid_direct();
-                    result
-                }
-                Err(OperationError::NotDone { .. }) => result,
-                _ => {
-                    self.reach.on_store(clock::now());
-                    result
-                }
+                result => result,
             }
         })
     }
 
+    /// Makes a call over a peer, directly and over further peers, each when the ones
+    /// before give no result for some time.
+    async fn hedged<T: Send + 'static>(
+        &self,
+        call: &Call,
+        decode: fn(RelayResponse) -> T,
+        direct: Pending<T>,
+    ) -> Result<T, OperationError> {
+        let peers = self.peers.clients().into_iter().take(PEERS_ASKED);
+        let over_peer = |(address, client)| -> Attempt<'_, _, _> {
+            Box::pin(async move {
+                let response = self.over_peer(address, client, call).await;
+                conclusive(response.map(decode))
+            })
+        };
+        let mut ways: Vec<Attempt<'_, _, _>> = peers.map(over_peer).collect();
+        let directly = async { conclusive(self.directly(call, direct).await) };
+        ways.insert(ways.len().min(1), Box::pin(directly));
+        match hedged(ways, wait_of(call) + HEDGE_DELAY).await {
+            Ok(result) => result,
+            Err(error) => {
+                self.peers_fail();
+                Err(error)
+            }
+        }
+    }
+
+    /// Makes a call directly.
+    async fn directly<T>(&self, call: &Call, direct: Pending<T>) -> Result<T, OperationError> {
+        let begin = clock::now();
+        let result = direct.await;
+        self.count("direct", call, result.as_ref().err(), begin);
+        if let Err(error) = &result {
+            log_failed(call, "store", begin, error);
+        }
+        match &result {
+            Err(OperationError::NotDone { .. } | OperationError::Unknown { .. }) => {
+                // Later calls take the other way.
+                self.set_until(&self.avoid_until_us, AVOID_DIRECT);
+            }
+            _ => self.reach.on_store(clock::now()),
+        }
+        result
+    }
+
     fn count(&self, way: &str, call: &Call, error: Option<&OperationError>, begin: Duration) {
         let result = match error {
             None => "answered",
@@ -212,52 +255,72 @@
         self.metrics.on_store_call(way, result, took, wait_of(call));
     }
 
-    fn avoid_direct(&self) {
-        let until = clock::now() + AVOID_DIRECT;
-        self.avoid_until_us
-            .store(until.as_micros() as u64, Ordering::Relaxed);
+    fn set_until(&self, until_us: &AtomicU64, time: Duration) {
+        let until = clock::now() + time;
+        until_us.store(until.as_micros() as u64, Ordering::Relaxed);
     }
 
-    /// Has a peer make a call.
+    fn peers_fail(&self) {
+        self.set_until(&self.peers_fail_until_us, AVOID_PEERS);
+    }
+
+    /// Has the peers make a call, one after the other until one has.
     async fn over_peers(&self, call: &Call) -> Result<RelayResponse, OperationError> {
-        let wait = wait_of(call);
-        let begin = clock::now();
         let mut last = OperationError::NotDone {
             reason: "no peer is known".to_owned(),
         };
-        for (address, mut client) in self.peers.clients().into_iter().take(PEERS_ASKED) {
-            let asked_at = clock::now();
-            let request = RelayRequest {
-                call: Some(call.clone()),
-            };
-            let answer = timeout(RELAY_TIMEOUT + wait, client.relay(request)).await;
-            let result = match answer {
-                Ok(Ok(response)) => result_of(call, response.into_inner()),
-                Ok(Err(error)) => {
-                    let reason = error.message().to_owned();
-                    Err(unanswered(call, reason, is_unsent(&error)))
-                }
-                Err(error) => Err(unanswered(call, error.to_string(), false)),
-            };
-            if let Err(error) = &result {
-                log_failed(call, &address.to_string(), asked_at, error);
-            }
-            match result {
+        for (address, client) in self.peers.clients().into_iter().take(PEERS_ASKED) {
+            match self.over_peer(address, client, call).await {
                 Err(error @ OperationError::NotDone { .. }) => last = error,
-                result => {
-                    self.count("peer", call, result.as_ref().err(), begin);
-                    if !matches!(result, Err(OperationError::Unknown { .. })) {
-                        self.reach.on_store(clock::now());
-                    }
-                    return result;
-                }
+                result => return result,
             }
         }
-        let until = clock::now() + AVOID_PEERS;
-        self.peers_fail_until_us
-            .store(until.as_micros() as u64, Ordering::Relaxed);
+        self.peers_fail();
         Err(last)
     }
+
+    /// Has a peer make a call.
+    async fn over_peer(
+        &self,
+        address: SocketAddr,
+        mut client: NodeClient<Channel>,
+        call: &Call,
+    ) -> Result<RelayResponse, OperationError> {
+        let begin = clock::now();
+        let request = RelayRequest {
+            call: Some(call.clone()),
+        };
+        let answer = timeout(RELAY_TIMEOUT + wait_of(call), client.relay(request)).await;
+        let result = match answer {
+            Ok(Ok(response)) => result_of(call, response.into_inner()),
+            Ok(Err(error)) => {
+                let reason = error.message().to_owned();
+                Err(unanswered(call, reason, is_unsent(&error)))
+            }
+            Err(error) => Err(unanswered(call, error.to_string(), false)),
+        };
+        self.count("peer", call, result.as_ref().err(), begin);
+        match &result {
+            Err(error @ (OperationError::NotDone { .. } | OperationError::Unknown { .. })) => {
+                log_failed(call, &address.to_string(), begin, error);
+            }
+            _ => self.reach.on_store(clock::now()),
+        }
+        result
+    }
+}
+
+/// Separates results that end a hedged call from failures after which another way
+/// may give a result.
+fn conclusive<T>(
+    result: Result<T, OperationError>,
+) -> Result<Result<T, OperationError>, OperationError> {
+    match result {
+        Err(error @ (OperationError::NotDone { .. } | OperationError::Unknown { .. })) => {
+            Err(error)
+        }
+        result => Ok(result),
+    }
 }
 
 /// Returns why a call to a peer gave no result. A call that changes nothing may be
--- /dev/null
+++ b/crates/dotterelsill_rpc/src/hedge.rs
@@ -0,0 +1,65 @@
+//! Hedged calls: further ways are tried while the first ones are slow.
+
+use std::{
+    future::{
+        poll_fn,
+        Future, //
+    },
+    pin::Pin,
+    task::Poll,
+    time::Duration, //
+};
+
+use async_io::Timer;
+
+/// An attempt that has not begun.
+pub type Attempt<'a, T, E> = Pin<Box<dyn Future<Output = Result<T, E>> + Send + 'a>>;
+
+/// Makes attempts in turn and returns the first success, or the last error when all
+/// have failed. Each begins when the one before has failed, or was given `delay` to
+/// answer; earlier ones go on meanwhile and are dropped in the end.
+///
+/// # Panics
+///
+/// Panics when there is no attempt.
+pub async fn hedged<T, E>(
+    attempts: impl IntoIterator<Item = Attempt<'_, T, E>>,
+    delay: Duration,
+) -> Result<T, E> {
+    let mut waiting = attempts.into_iter();
+    let mut running: Vec<Attempt<'_, T, E>> = Vec::new();
+    let mut last_error = None;
+    let mut next_begins = Timer::after(Duration::ZERO);
+    poll_fn(|context| loop {
+        let mut index = 0;
+        let mut has_failed = false;
+        while index < running.len() {
+            match running[index].as_mut().poll(context) {
+                Poll::Ready(Ok(value)) => return Poll::Ready(Ok(value)),
+                Poll::Ready(Err(error)) => {
+                    last_error = Some(error);
+                    has_failed = true;
+                    drop(running.swap_remove(index));
+                }
+                Poll::Pending => index += 1,
+            }
+        }
+        if !has_failed && Pin::new(&mut next_begins).poll(context).is_pending() {
+            return Poll::Pending;
+        }
+        match waiting.next() {
+            Some(attempt) => {
+                running.push(attempt);
+                next_begins.set_after(delay);
+            }
+            None => {
+                next_begins = Timer::never();
+                if running.is_empty() {
+                    let error = last_error.take().expect("at least one attempt is made");
+                    return Poll::Ready(Err(error));
+                }
+            }
+        }
+    })
+    .await
+}
--- a/crates/dotterelsill_rpc/src/lib.rs
+++ b/crates/dotterelsill_rpc/src/lib.rs
@@ -4,6 +4,7 @@
 //! call over HTTP/2 on loopback takes 44 ms instead of 0.13 ms.
 
 mod channel;
+mod hedge;
 mod http1;
 mod lateness;
 mod listener;
@@ -16,6 +17,10 @@
     Channel,
     ChannelError, //
 };
+pub use hedge::{
+    hedged,
+    Attempt, //
+};
 pub use http1::{
     Http1Connection,
     Http1Error, //
