Tell peers which of the operators' entries an instance knows

An instance that the store does not answer had a change of the configuration up to 2.9 s after the others, with a bound of 2 s, though it exchanges calls with them all the time. Each followed the store by itself: a watch without an answer is given up after 1.7 s at most, and a list follows.

Pings carry a summary: the revision up to which all changes are known, the highest revision of an entry, and the number of entries. An instance that lacks a change asks the other one for the entries, once at a time. An answer that says the same proves that the entries were current at the age that the peer tells, so that refusals stay certain where the store is not reached. Where a removal cannot be told from a change that was missed, the entries are read from the store again.

The 503 of such requests is unchanged.

--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -84,7 +84,8 @@
     },
     peers::{
         self,
-        Peers, //
+        Peers,
+        Pings, //
     },
     reach::Reach,
     relay,
@@ -213,6 +214,7 @@
             let node = node.clone();
             Arc::new(move || could_schedule(&node))
         },
+        operators: node.operators.clone(),
     };
     tasks.spawn(serve_grpc(
         peers_listener,
@@ -220,13 +222,15 @@
         Pair::new(SchedulerServer::new(peer), NodeServer::new(neighbour)),
     ));
     tasks.spawn_until_stop(peers::follow(node.store.clone(), peers.clone()));
-    tasks.spawn_until_stop(peers::ping(
+    tasks.spawn_until_stop(operators::ask_peers(peers.clone(), node.operators.clone()));
+    tasks.spawn_until_stop(peers::ping(Pings {
         peers,
-        node.leader.clone(),
-        node.leading.clone(),
+        leader: node.leader.clone(),
+        leading: node.leading.clone(),
         reach,
         admission,
-    ));
+        operators: node.operators.clone(),
+    }));
     let registering = node.clone();
     tasks.spawn_until_stop(async move {
         let settings = &registering.settings;
--- a/crates/dotterelsill_node/src/operators.rs
+++ b/crates/dotterelsill_node/src/operators.rs
@@ -1,19 +1,19 @@
 //! Follows what the operators write.
 
 use std::{
-    collections::BTreeMap,
+    net::SocketAddr,
     sync::{
-        atomic::{
-            AtomicU64,
-            Ordering, //
-        },
-        Arc, //
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
     },
     time::Duration, //
 };
 
 use arc_swap::ArcSwap;
 use async_io::Timer;
+use dotterelsill_freshness::Drift;
 use dotterelsill_jobs::{
     Catalogue,
     Requests, //
@@ -22,18 +22,29 @@
     decode_operators,
     OPERATOR_PREFIX, //
 };
+use dotterelsill_proto::jobs::{
+    EntriesRequest,
+    EntriesResponse,
+    EntriesSummary, //
+};
+use dotterelsill_rpc::timeout;
 use dotterelsill_store::{
-    Event,
+    Comparison,
+    Followed,
     Item,
     OperationError,
     Operations,
-    Staleness, //
+    Staleness,
+    Summary, //
 };
-use event_listener::Event as Signal;
+use futures_lite::FutureExt as _;
 
 use crate::{
     clock,
-    dependency::Dependency, //
+    dependency::Dependency,
+    peers::Peers,
+    relay,
+    signal::Signal, //
 };
 
 /// Time for which one watch waits. A connection that went silent is found when the
@@ -48,6 +59,10 @@
 /// repeated without a pause.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Longest time that a peer takes to send its entries: a megabyte over the slowest
+/// link of an instance, 10 Mbit/s.
+const ENTRIES_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What the operators have written, as known last.
 #[derive(Default)]
 pub(crate) struct View {
@@ -57,13 +72,16 @@
     pub(crate) revision: u64,
 }
 
-/// The current view, and a signal for each change.
+/// The current view, and the entries that it was made of.
 #[derive(Default)]
 pub(crate) struct Operators {
     view: ArcSwap<View>,
-    /// Instant at which the view was last known to be current, in microseconds.
-    current_us: AtomicU64,
-    pub(crate) changed: Signal,
+    entries: Mutex<Followed>,
+    /// Peer that knows more than this instance, until it is asked.
+    offer: Mutex<Option<SocketAddr>>,
+    offered: Signal,
+    /// Set when the entries are to be read from the store at once.
+    read_wanted: Signal,
 }
 
 impl Operators {
@@ -74,21 +92,80 @@
 
     /// Returns the time since the view was last known to be current.
     pub(crate) fn age(&self, now: Duration) -> Duration {
-        now.saturating_sub(Duration::from_micros(
-            self.current_us.load(Ordering::Relaxed),
-        ))
+        self.entries().age(now).unwrap_or(Duration::MAX)
+    }
+
+    fn entries(&self) -> MutexGuard<'_, Followed> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that the view was current at an instant.
-    fn note_current(&self, at: Duration) {
-        self.current_us
-            .fetch_max(at.as_micros() as u64, Ordering::Relaxed);
+    /// Returns what peers are told with each ping.
+    pub(crate) fn summary(&self) -> EntriesSummary {
+        let Summary {
+            revision,
+            newest,
+            items,
+        } = self.entries().summary();
+        EntriesSummary {
+            revision,
+            newest,
+            count: items,
+        }
     }
 
-    /// Adopts what was read, unless an older configuration was read; `source` names
-    /// the call.
-    fn adopt(&self, items: &BTreeMap<String, Item>, source: &str) {
-        let items: Vec<Item> = items.values().cloned().collect();
+    /// Returns the age that peers are told, in microseconds and rounded up; 0 before
+    /// the entries were read.
+    pub(crate) fn age_us(&self, now: Duration) -> u64 {
+        let age = self.entries().age(now);
+        age.map_or(0, |age| age.as_micros() as u64 + 1)
+    }
+
+    /// Returns the entries for a peer.
+    pub(crate) fn response(&self) -> EntriesResponse {
+        let entries = self.entries();
+        EntriesResponse {
+            revision: entries.revision(),
+            entries: entries.items().cloned().map(relay::stored).collect(),
+        }
+    }
+
+    /// Takes what a peer tells that asks, or answers a ping sent at `asked_at`.
+    pub(crate) fn on_summary(
+        &self,
+        peer: SocketAddr,
+        told: &EntriesSummary,
+        proof: Option<(Duration, u64)>,
+    ) {
+        let told = Summary {
+            revision: told.revision,
+            newest: told.newest,
+            items: told.count,
+        };
+        let comparison = self.entries().compare(&told);
+        match comparison {
+            Comparison::Same => {
+                let current_at = proof.and_then(|(asked_at, age_us)| current_at(asked_at, age_us));
+                if let Some(current_at) = current_at {
+                    self.entries().on_same(&told, current_at);
+                }
+            }
+            Comparison::PeerIsNewer => {
+                *self.offer.lock().unwrap_or_else(PoisonError::into_inner) = Some(peer);
+                self.offered.set();
+            }
+            Comparison::Unclear => {
+                log::info!(peer:%, newest = told.newest; "peer_knows_other_entries");
+                self.read_wanted.set();
+            }
+            Comparison::Older => {}
+        }
+    }
+
+    /// Adopts the entries, unless they hold an older configuration; `source` names
+    /// the call that showed them. The caller holds the entries' lock, so that no view
+    /// of older ones is stored after this one.
+    fn adopt(&self, entries: &Followed, known_age: Duration, source: &str) {
+        let items: Vec<Item> = entries.items().cloned().collect();
         let operators = match decode_operators(&items) {
             Ok(operators) => operators,
             Err(error) => {
@@ -104,10 +181,7 @@
         };
         if let Some((catalogue, revision)) = operators.catalogue {
             if revision > old.revision {
-                let known_age_ms = match old.revision {
-                    0 => 0,
-                    _ => self.age(clock::now()).as_millis() as u64,
-                };
+                let known_age_ms = known_age.as_millis() as u64;
                 log::info!(
                     version = catalogue.version, revision,
                     queues = catalogue.queues.len() as u64, source, known_age_ms;
@@ -120,15 +194,32 @@
         if *view.requests != operators.requests {
             log::info!(
                 out:? = operators.requests.out,
-                waves = operators.requests.waves.len() as u64; "requests_adopted"
+                waves = operators.requests.waves.len() as u64, source; "requests_adopted"
             );
             view.requests = Arc::new(operators.requests);
         }
         self.view.store(Arc::new(view));
-        self.changed.notify(usize::MAX);
+    }
+
+    /// Changes the entries, and adopts them if that changed an item.
+    fn change(&self, source: &str, change: impl FnOnce(&mut Followed) -> bool) {
+        let mut entries = self.entries();
+        let known_age = entries.age(clock::now()).unwrap_or_default();
+        if change(&mut entries) {
+            self.adopt(&entries, known_age, source);
+        }
     }
 }
 
+/// Returns the instant at which a peer's entries were current.
+fn current_at(asked_at: Duration, age_us: u64) -> Option<Duration> {
+    if age_us == 0 {
+        return None;
+    }
+    let age = Drift::default().checked_widen(Duration::from_micros(age_us))?;
+    asked_at.checked_sub(age)
+}
+
 /// Follows the operators until the program stops.
 pub(crate) async fn follow(store: Arc<Operations>, operators: Arc<Operators>) {
     let dependency = Dependency::new("operators");
@@ -144,43 +235,41 @@
     }
 }
 
-/// Reads everything, then follows the changes for some time.
+/// Reads everything, then follows the changes for some time, or until everything is
+/// to be read again.
 async fn follow_from_list(store: &Operations, operators: &Operators) -> Result<(), OperationError> {
     let sent_at = clock::now();
-    let (list, mut revision) = store.list(OPERATOR_PREFIX, Staleness::Current).await?;
-    let mut items: BTreeMap<String, Item> = list
-        .into_iter()
-        .map(|item| (item.key.clone(), item))
-        .collect();
-    operators.adopt(&items, "list");
-    operators.note_current(sent_at);
+    let (list, revision) = store.list(OPERATOR_PREFIX, Staleness::Current).await?;
+    operators.change("list", |entries| entries.on_list(list, revision, sent_at));
     let read_at = clock::now();
-    while clock::now() < read_at + READ_AGAIN {
-        let sent_at = clock::now();
-        let watched = match (store.watch)(OPERATOR_PREFIX, revision, WATCH_WAIT).await {
-            Ok(watched) => watched,
-            // The list that is read next shows what was missed.
-            Err(OperationError::HistoryDropped { .. }) => return Ok(()),
-            Err(error) => return Err(error),
-        };
-        revision = revision.max(watched.revision);
-        if watched.events.is_empty() {
-            operators.note_current(unchanged_at(sent_at, clock::now()));
-            continue;
+    let watching = async {
+        while clock::now() < read_at + READ_AGAIN {
+            watch(store, operators).await?;
         }
-        for event in watched.events {
-            match event {
-                Event::Written(item) => {
-                    items.insert(item.key.clone(), item);
-                }
-                Event::Removed { key } => {
-                    items.remove(&key);
-                }
-            }
-        }
-        operators.adopt(&items, "watch");
-        operators.note_current(sent_at);
+        Ok(())
+    };
+    let read_wanted = async {
+        operators.read_wanted.wait().await;
+        Ok(())
+    };
+    match watching.or(read_wanted).await {
+        // The list that is read next shows what was missed.
+        Err(OperationError::HistoryDropped { .. }) => Ok(()),
+        result => result,
     }
+}
+
+async fn watch(store: &Operations, operators: &Operators) -> Result<(), OperationError> {
+    let sent_at = clock::now();
+    let after = operators.entries().revision();
+    let watched = (store.watch)(OPERATOR_PREFIX, after, WATCH_WAIT).await?;
+    let current_at = match watched.events.is_empty() {
+        true => unchanged_at(sent_at, clock::now()),
+        false => sent_at,
+    };
+    operators.change("watch", |entries| {
+        entries.on_watch(after, watched, current_at)
+    });
     Ok(())
 }
 
@@ -194,3 +283,33 @@
         waited_until
     }
 }
+
+/// Asks peers for entries that they know and this instance does not, until the
+/// program stops.
+pub(crate) async fn ask_peers(peers: Arc<Peers>, operators: Arc<Operators>) {
+    loop {
+        operators.offered.wait().await;
+        let offer = operators
+            .offer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        let Some(peer) = offer else {
+            continue;
+        };
+        let begin = clock::now();
+        let mut client = peers.client_of(peer);
+        let error = match timeout(ENTRIES_TIMEOUT, client.entries(EntriesRequest {})).await {
+            Ok(Ok(response)) => {
+                let EntriesResponse { revision, entries } = response.into_inner();
+                let items = entries.into_iter().map(relay::item).collect();
+                operators.change("peer", |entries| entries.on_peer(items, revision));
+                continue;
+            }
+            Ok(Err(error)) => error.message().to_owned(),
+            Err(error) => error.to_string(),
+        };
+        let took_ms = clock::now().saturating_sub(begin).as_millis() as u64;
+        log::info!(peer:%, took_ms, error; "entries_not_sent_by_peer");
+    }
+}
--- a/crates/dotterelsill_node/src/peer.rs
+++ b/crates/dotterelsill_node/src/peer.rs
@@ -15,6 +15,8 @@
     scheduler_server::Scheduler,
     CancelRequest,
     CancelResponse,
+    EntriesRequest,
+    EntriesResponse,
     ExplainRequest,
     ExplainResponse,
     Outcome,
@@ -42,6 +44,7 @@
     clock,
     election::Leader,
     lead::Lead,
+    operators::Operators,
     relay,
     requests, //
 };
@@ -156,11 +159,17 @@
     pub(crate) direct: Arc<Operations>,
     /// Tells whether this instance could take over from the scheduler.
     pub(crate) could_schedule: Arc<dyn Fn() -> bool + Send + Sync>,
+    pub(crate) operators: Arc<Operators>,
 }
 
 #[tonic::async_trait]
 impl Node for Neighbour {
-    async fn ping(&self, _: Request<PingRequest>) -> Result<Response<PingResponse>, Status> {
+    async fn ping(&self, request: Request<PingRequest>) -> Result<Response<PingResponse>, Status> {
+        let PingRequest { address, entries } = request.into_inner();
+        if let (Ok(peer), Some(entries)) = (address.parse(), entries) {
+            // The time that the request took on its way is not known.
+            self.operators.on_summary(peer, &entries, None);
+        }
         let lead = self.leading.load();
         let lead = lead.as_ref();
         let is_scheduling = lead.is_some_and(|lead| lead.authority.is_fresh(clock::now()));
@@ -168,9 +177,18 @@
             is_scheduling,
             refused_percent: lead.map_or(0, |lead| lead.refused_percent()),
             could_schedule: (self.could_schedule)(),
+            entries: Some(self.operators.summary()),
+            entries_age_us: self.operators.age_us(clock::now()),
         }))
     }
 
+    async fn entries(
+        &self,
+        _: Request<EntriesRequest>,
+    ) -> Result<Response<EntriesResponse>, Status> {
+        Ok(Response::new(self.operators.response()))
+    }
+
     async fn r#where(&self, _: Request<WhereRequest>) -> Result<Response<WhereResponse>, Status> {
         let leader = self.leader.load();
         let address = leader.as_ref().map(|leader| leader.address.to_string());
--- a/crates/dotterelsill_node/src/peers.rs
+++ b/crates/dotterelsill_node/src/peers.rs
@@ -42,6 +42,7 @@
     election::Leader,
     keys,
     lead::Lead,
+    operators::Operators,
     reach::Reach, //
 };
 
@@ -129,7 +130,13 @@
         }
     }
 
-    fn client_of(&self, address: SocketAddr) -> NodeClient<Channel> {
+    /// Returns the address of this instance.
+    pub(crate) fn own(&self) -> SocketAddr {
+        self.own
+    }
+
+    /// Returns a client of the instance at an address.
+    pub(crate) fn client_of(&self, address: SocketAddr) -> NodeClient<Channel> {
         let mut channels = self.lock();
         let peer = channels
             .entry(address)
@@ -240,7 +247,8 @@
 /// from the scheduler.
 pub(crate) async fn has_larger(peers: &Peers, processor_milli: u32) -> bool {
     for mut client in peers.larger_than(processor_milli) {
-        match timeout(PING_TIMEOUT, client.ping(PingRequest {})).await {
+        // An empty request asks nothing about the operators' entries.
+        match timeout(PING_TIMEOUT, client.ping(PingRequest::default())).await {
             Ok(Ok(response)) if response.get_ref().could_schedule => return true,
             Ok(Ok(_)) => {}
             Ok(Err(error)) => log::debug!(error:% = error.message(); "larger_peer_unreached"),
@@ -250,35 +258,67 @@
     false
 }
 
-/// Asks the scheduler whether it answers, until the program stops.
-pub(crate) async fn ping(
-    peers: Arc<Peers>,
-    leader: Arc<ArcSwapOption<Leader>>,
-    leading: Arc<ArcSwapOption<Lead>>,
-    reach: Arc<Reach>,
-    admission: Arc<Admission>,
-) {
+/// Handles that pings need.
+pub(crate) struct Pings {
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) leader: Arc<ArcSwapOption<Leader>>,
+    pub(crate) leading: Arc<ArcSwapOption<Lead>>,
+    pub(crate) reach: Arc<Reach>,
+    pub(crate) admission: Arc<Admission>,
+    pub(crate) operators: Arc<Operators>,
+}
+
+/// Asks the scheduler whether it answers, until the program stops. Both tell each
+/// other what they know of the operators' entries; while nobody schedules, this
+/// instance asks the others in turn.
+pub(crate) async fn ping(pings: Pings) {
     loop {
         Timer::after(PING_INTERVAL).await;
-        if let Some(lead) = leading.load_full() {
+        if let Some(lead) = pings.leading.load_full() {
             if lead.authority.is_fresh(clock::now()) {
-                reach.on_scheduler(clock::now());
+                pings.reach.on_scheduler(clock::now());
             }
-            admission.set_refused(lead.refused_percent());
+            pings.admission.set_refused(lead.refused_percent());
             continue;
         }
-        let Some(leader) = leader.load_full() else {
-            continue;
+        let (address, client) = match pings.leader.load_full() {
+            Some(leader) => (leader.address, pings.peers.client_of(leader.address)),
+            None => match pings.peers.clients().into_iter().next() {
+                Some(peer) => peer,
+                None => continue,
+            },
+        };
+        pings.ask(address, client).await;
+    }
+}
+
+impl Pings {
+    async fn ask(&self, address: SocketAddr, mut client: NodeClient<Channel>) {
+        let asked_at = clock::now();
+        let request = PingRequest {
+            address: self.peers.own().to_string(),
+            entries: Some(self.operators.summary()),
         };
-        let mut client = peers.client_of(leader.address);
-        match timeout(PING_TIMEOUT, client.ping(PingRequest {})).await {
-            Ok(Ok(response)) if response.get_ref().is_scheduling => {
-                reach.on_scheduler(clock::now());
-                admission.set_refused(response.get_ref().refused_percent);
+        let response = match timeout(PING_TIMEOUT, client.ping(request)).await {
+            Ok(Ok(response)) => response.into_inner(),
+            Ok(Err(error)) => {
+                log::debug!(error:% = error.message(); "peer_unreached");
+                return;
             }
-            Ok(Ok(_)) => log::debug!(scheduler = leader.instance; "scheduler_has_ended"),
-            Ok(Err(error)) => log::debug!(error:% = error.message(); "scheduler_unreached"),
-            Err(error) => log::debug!(error:%; "scheduler_unreached"),
+            Err(error) => {
+                log::debug!(error:%; "peer_unreached");
+                return;
+            }
+        };
+        if response.is_scheduling {
+            self.reach.on_scheduler(clock::now());
+            self.admission.set_refused(response.refused_percent);
+        } else {
+            log::debug!(peer:% = address; "peer_does_not_schedule");
+        }
+        if let Some(entries) = response.entries {
+            let proof = (asked_at, response.entries_age_us);
+            self.operators.on_summary(address, &entries, Some(proof));
         }
     }
 }
--- a/crates/dotterelsill_node/src/relay.rs
+++ b/crates/dotterelsill_node/src/relay.rs
@@ -471,7 +471,8 @@
     }
 }
 
-fn stored(item: Item) -> StoredItem {
+/// Returns an item as it is sent to a peer.
+pub(crate) fn stored(item: Item) -> StoredItem {
     StoredItem {
         key: item.key,
         value: item.value,
@@ -480,7 +481,8 @@
     }
 }
 
-fn item(stored: StoredItem) -> Item {
+/// Returns an item as a peer has sent it.
+pub(crate) fn item(stored: StoredItem) -> Item {
     Item {
         key: stored.key,
         value: stored.value,
--- a/crates/dotterelsill_store/src/lib.rs
+++ b/crates/dotterelsill_store/src/lib.rs
@@ -3,8 +3,14 @@
 //! Every call has a timeout and is counted. An error of a write does not tell
 //! whether the write took effect, unless [`Error::is_without_effect`] says so.
 
+mod followed;
 mod operations;
 
+pub use followed::{
+    Comparison,
+    Followed,
+    Summary, //
+};
 pub use operations::{
     CallOfKey,
     CallOfPrefix,
