--- a/crates/dotterelsill_jobs/src/rank.rs
+++ b/crates/dotterelsill_jobs/src/rank.rs
@@ -36,7 +36,7 @@
         let remaining = job.chains[step.step as usize];
         let since_due = match job.spec.schedule {
             // Occurrences are opened when they are due.
-            Some(schedule) => schedule.interval * step.occurrence,
+            Some(schedule) => schedule.interval.saturating_mul(step.occurrence),
             None => Duration::ZERO,
         };
         let due = job.known_at + since_due + objective;
--- a/crates/dotterelsill_jobs/src/spec.rs
+++ b/crates/dotterelsill_jobs/src/spec.rs
@@ -112,7 +112,8 @@
 impl Schedule {
     /// Returns when an occurrence is due, since the Unix epoch.
     pub fn due(&self, occurrence: u32) -> Duration {
-        self.first + self.interval * occurrence
+        self.first
+            .saturating_add(self.interval.saturating_mul(occurrence))
     }
 }
 
