Cut amounts of a resource that no worker has

A job whose task asks for 1e300 thousandths of a core made the scheduler multiply beyond the type: debug builds panicked, and the sums of optimised ones wrapped, so that room could seem to be free. Amounts of tasks and of workers are cut at 2^30 as they are read, from callers, the store and the list of instances; the work that arrives is summed up to the end of the type.

--- a/crates/dotterelsill_jobs/src/arrivals.rs
+++ b/crates/dotterelsill_jobs/src/arrivals.rs
@@ -46,8 +46,8 @@
         }
         let first = self.jobs.front().map_or(now, |(at, _)| *at);
         let span = now.saturating_sub(first).max(LEAST_SPAN);
-        let work: u64 = self.jobs.iter().map(|(_, work)| work).sum();
-        work / span.as_millis() as u64
+        let work = self.jobs.iter().map(|(_, work)| *work);
+        work.fold(0, u64::saturating_add) / span.as_millis() as u64
     }
 
     fn forget(&mut self, now: Duration) {
@@ -62,7 +62,7 @@
     let steps = spec.steps.iter().filter(|step| !step.is_lasting);
     let work = steps.map(|step| {
         let task = step.counted_room().cpu_milli * step.estimated.as_millis() as u64;
-        task * u64::from(step.count)
+        task.saturating_mul(step.count.into())
     });
-    work.sum()
+    work.fold(0, u64::saturating_add)
 }
--- a/crates/dotterelsill_jobs/src/room.rs
+++ b/crates/dotterelsill_jobs/src/room.rs
@@ -13,7 +13,21 @@
     pub accelerators: u64,
 }
 
+/// Largest amount of a resource: sums of it over all tasks and workers, and its
+/// products with a duration in milliseconds, are far from the end of the type.
+const AMOUNT_MAX: u64 = 1 << 30;
+
 impl Room {
+    /// Returns the room with larger amounts than any worker has cut to the largest.
+    #[must_use]
+    pub fn bounded(self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(AMOUNT_MAX),
+            memory_mb: self.memory_mb.min(AMOUNT_MAX),
+            accelerators: self.accelerators.min(AMOUNT_MAX),
+        }
+    }
+
     /// Returns whether this room takes another one beside what is used.
     pub fn fits(&self, used: &Room, wanted: &Room) -> bool {
         used.cpu_milli + wanted.cpu_milli <= self.cpu_milli
@@ -43,5 +57,6 @@
             memory_mb: room.memory_mb,
             accelerators: room.accelerators,
         }
+        .bounded()
     }
 }
