End the daemon when one of its tasks panics

With several cores a panic ended one thread and its task only: callers were served by a daemon that no longer followed the operators' entries, and no change was in force any more. Seen with a wave of an absurd duration. The process ends now and is started again. With one core it ended before.

--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -32,7 +32,10 @@
 mod workers_followed;
 mod writer;
 
-use std::process::ExitCode;
+use std::{
+    panic,
+    process::ExitCode, //
+};
 
 use argh::FromArgs;
 use dotterelsill_telemetry::{
@@ -72,7 +75,18 @@
     exit_code("dotterelsill-node", run(&args))
 }
 
+/// Ends the process when a task panics: the other threads would go on without it,
+/// and serve callers from what it no longer follows.
+fn abort_on_panic() {
+    let report = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        report(info);
+        std::process::abort();
+    }));
+}
+
 fn run(args: &Args) -> Result<(), Error> {
+    abort_on_panic();
     init_request_logs(&args.log_level).context(LogSnafu)?;
     let settings = dotterelsill_platform::load().context(SettingsSnafu)?;
     dotterelsill_rpc::run(settings.cores, |tasks| daemon::run(settings, tasks)).context(DaemonSnafu)
