--- a/crates/dotterelsill_jobs/src/instance.rs
+++ b/crates/dotterelsill_jobs/src/instance.rs
@@ -13,6 +13,9 @@
     Maintenance,
     /// It is down.
     Down,
+    /// Its entry in the list cannot be read; of the other fields only the name
+    /// counts.
+    Unknown,
 }
 
 /// An instance as the platform lists it.
--- a/crates/dotterelsill_jobs/src/orders_to_instances.rs
+++ b/crates/dotterelsill_jobs/src/orders_to_instances.rs
@@ -51,6 +51,13 @@
 impl Scheduler {
     /// Notes the platform's list of instances, which was asked for at a time.
     pub fn on_instances(&mut self, list: Vec<Instance>, asked_at: Duration, now: Duration) {
+        // An entry that cannot be read tells neither that its worker has ended nor
+        // anything else.
+        let as_known = |entry: Instance| match entry.state {
+            InstanceState::Unknown => Some(self.instances.get(&entry.name)?.instance.clone()),
+            _ => Some(entry),
+        };
+        let list: Vec<Instance> = list.into_iter().filter_map(as_known).collect();
         self.settle_ended_workers(&list, asked_at, now);
         self.end_unlisted_workers(&list, asked_at, now);
         let names: BTreeSet<String> = list.iter().map(|entry| entry.name.clone()).collect();
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -393,6 +393,21 @@
     assert!(scheduler.wave_changes()[0].is_completed);
 }
 
+/// Guards against tasks that run twice because the entry of their worker's instance
+/// cannot be read for a while.
+#[test]
+fn worker_goes_on_while_its_instance_is_unreadable() {
+    let (mut scheduler, keys) = with_lasting(2);
+    let up = |index| instance(index, "work", InstanceState::Up);
+    scheduler.on_instances(vec![up(0), up(1)], ms(3000), ms(3000));
+    for at in [4000, 5000, 6000, 7000] {
+        let mut odd = instance(0, "", InstanceState::Unknown);
+        odd.worker.clear();
+        scheduler.on_instances(vec![odd, up(1)], ms(at), ms(at));
+        assert!(scheduler.is_busy(keys[0]), "after {at} ms");
+    }
+}
+
 /// Guards against a crashed worker whose tasks wait until its lease ends although
 /// its instance is known to be down, and against a worker that is only cut off
 /// and counted as ended.
