Schedule by the configuration as it is after the jobs were read

A scheduler that takes over kept the configuration from before it read the jobs until its first tick, so that plans of its first 50 ms could use one that had been replaced while a slow store was read.

--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -384,6 +384,9 @@
     loop {
         match restore::restore(&node.store, &mut scheduler, clock::now).await {
             Ok(()) => {
+                // The configuration may have changed while the jobs were read.
+                let view = node.operators.view();
+                scheduler.configure(view.catalogue.clone(), view.requests.clone());
                 scheduler.open_due_jobs(clock::unix());
                 break;
             }
