Count jobs that wait to leave the intake as pending

The number of pending jobs left out jobs that callers were told are accepted while the scheduler had not stored them under its own key yet. Jobs that the scheduler has not read from the intake yet, up to a second, are still left out.

--- a/crates/dotterelsill_jobs/src/submissions.rs
+++ b/crates/dotterelsill_jobs/src/submissions.rs
@@ -91,6 +91,15 @@
         self.taken.contains(&id) || waiting.any(|submission| submission.id == id)
     }
 
+    /// Returns the number of jobs of a queue that wait although they were accepted: an
+    /// instance has stored them in the intake.
+    pub fn accepted_on(&self, queue: &str) -> usize {
+        let is_accepted = |submission: &&Submission<W>| {
+            submission.is_from_intake && submission.record.queue == queue
+        };
+        self.waiting.iter().filter(is_accepted).count()
+    }
+
     /// Returns the number of jobs that wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/dotterelsill_jobs/tests/acceptance.rs
+++ b/crates/dotterelsill_jobs/tests/acceptance.rs
@@ -69,3 +69,21 @@
     assert_eq!(places_for_jobs(10, 1000, 0), 10);
     assert_eq!(places_for_jobs(1, 1, 1), 1);
 }
+
+/// Guards against accepted jobs that are not counted as pending while a scheduler that
+/// falls behind has not taken them over from the intake yet.
+#[test]
+fn job_from_the_intake_is_pending() {
+    let submission = |id, queue: &str, is_from_intake| Submission {
+        id: JobId(id),
+        record: record(queue, 7, vec![step(1, 1000)]),
+        is_from_intake,
+        may_be_stored: false,
+        waiting: vec![()],
+    };
+    let mut queue = Submissions::default();
+    queue.add(submission(1, "urgent", true));
+    queue.add(submission(2, "urgent", false));
+    queue.add(submission(3, "other", true));
+    assert_eq!(queue.accepted_on("urgent"), 1);
+}
--- a/crates/dotterelsill_node/src/requests.rs
+++ b/crates/dotterelsill_node/src/requests.rs
@@ -118,7 +118,8 @@
 /// Returns how many jobs of a queue have not begun.
 pub(crate) fn pending(lead: &Lead, queue: &str) -> (Outcome, u64) {
     if lead.is_valid() {
-        (Outcome::Done, lead.scheduler().pending(queue))
+        let accepted = lead.submissions.lock().accepted_on(queue) as u64;
+        (Outcome::Done, lead.scheduler().pending(queue) + accepted)
     } else {
         (Outcome::Refused, 0)
     }
