Doubt refusals while the newest configuration cannot be read

An instance that could not read the newest version went on refusing with 401 and 404 by the version before, and the age of its view did not tell, since the entries themselves were current. Such refusals are 503 now; what the older version allows is served.

--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -118,7 +118,7 @@
     let host = platform::host(&head.headers, &head.uri).to_owned();
     let path = head.uri.path().to_owned();
     let age = callers.operators.age(clock::now());
-    let validity = callers.bounds.validity(age);
+    let validity = callers.operators.validity(&callers.bounds, age);
     let allowed = match allow(&view.catalogue, &host, &path, &head.headers) {
         Ok(allowed) => allowed,
         Err((status, reason)) => {
--- a/crates/dotterelsill_node/src/operators.rs
+++ b/crates/dotterelsill_node/src/operators.rs
@@ -3,6 +3,10 @@
 use std::{
     net::SocketAddr,
     sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
         Arc,
         Mutex,
         MutexGuard,
@@ -15,8 +19,10 @@
 use async_io::Timer;
 use dotterelsill_freshness::Drift;
 use dotterelsill_jobs::{
+    ApplyBounds,
     Catalogue,
-    Requests, //
+    Requests,
+    Validity, //
 };
 use dotterelsill_platform::{
     decode_operators,
@@ -77,6 +83,8 @@
 pub(crate) struct Operators {
     view: ArcSwap<View>,
     entries: Mutex<Followed>,
+    /// Whether the newest entries cannot be read, so that the view is an older one.
+    is_unreadable: AtomicBool,
     /// Peer that knows more than this instance, until it is asked.
     offer: Mutex<Option<SocketAddr>>,
     offered: Signal,
@@ -95,6 +103,17 @@
         self.entries().age(now).unwrap_or(Duration::MAX)
     }
 
+    /// Returns what a view of some age still decides. One that is older than entries
+    /// that cannot be read decides no refusal.
+    pub(crate) fn validity(&self, bounds: &ApplyBounds, age: Duration) -> Validity {
+        match bounds.validity(age) {
+            Validity::Current if self.is_unreadable.load(Ordering::Relaxed) => {
+                Validity::Unconfirmed
+            }
+            validity => validity,
+        }
+    }
+
     fn entries(&self) -> MutexGuard<'_, Followed> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -166,7 +185,10 @@
     /// of older ones is stored after this one.
     fn adopt(&self, entries: &Followed, known_age: Duration, source: &str) {
         let items: Vec<Item> = entries.items().cloned().collect();
-        let operators = match decode_operators(&items) {
+        let decoded = decode_operators(&items);
+        self.is_unreadable
+            .store(decoded.is_err(), Ordering::Relaxed);
+        let operators = match decoded {
             Ok(operators) => operators,
             Err(error) => {
                 log::error!(error:%; "configuration_unreadable");
