Read the age of the configuration before the configuration

A request read the view first and its age after. With several threads a newer view could be adopted between the two, and its age made a refusal by the older one count as certain. The age is at least that of the view now.

--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -110,6 +110,9 @@
 }
 
 async fn answer(callers: &Callers, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    // The age comes first: a view that is adopted meanwhile is newer than it tells.
+    let age = callers.operators.age(clock::now());
+    let validity = callers.operators.validity(&callers.bounds, age);
     let view = callers.operators.view();
     if view.revision == 0 {
         return come_back("no configuration yet");
@@ -117,8 +120,6 @@
     let (head, body) = request.into_parts();
     let host = platform::host(&head.headers, &head.uri).to_owned();
     let path = head.uri.path().to_owned();
-    let age = callers.operators.age(clock::now());
-    let validity = callers.operators.validity(&callers.bounds, age);
     let allowed = match allow(&view.catalogue, &host, &path, &head.headers) {
         Ok(allowed) => allowed,
         Err((status, reason)) => {
