node: make calls to workers over dispatchers

Change: beyond the workers that its processor time can call, the scheduler opens streams to the largest instances of each data centre, which make the calls to the workers there. Starts are sent in batches without a task for each; a call that a dispatcher loses, delays or refuses is to the scheduler a call without an answer, and the worker is called directly for some time. A dispatcher makes no call that is older than 2 s by its own clock, none under a token below the highest it has seen, and tells when it leaves. daemon.rs and worker_loops.rs are split by what they do.

Tests of daemons kill, freeze and shut down a dispatcher and kill the scheduler in a burst: each task runs once.

--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -1,4 +1,4 @@
-//! Startup, election loop and shutdown of the daemon.
+//! Startup and shutdown of the daemon.
 
 use std::{
     sync::{
@@ -13,15 +13,11 @@
 
 use arc_swap::ArcSwapOption;
 use async_io::Timer;
-use dotterelsill_jobs::Scheduler;
-use dotterelsill_platform::{
-    AdvisorClient,
-    InstanceClient,
-    Settings, //
-};
+use dotterelsill_platform::Settings;
 use dotterelsill_proto::jobs::{
     node_server::NodeServer,
-    scheduler_server::SchedulerServer, //
+    scheduler_server::SchedulerServer,
+    NodeRecord, //
 };
 use dotterelsill_rpc::{
     on_reload_signal,
@@ -34,10 +30,7 @@
     ServicePair,
     Tasks, //
 };
-use dotterelsill_store::{
-    OperationError,
-    Operations, //
-};
+use dotterelsill_store::Operations;
 use futures_lite::FutureExt as _;
 use http::{
     Response,
@@ -51,28 +44,17 @@
 
 use crate::{
     admission::Admission,
-    advice,
     callers::{
         self,
         CallerService, //
     },
     clock,
-    dependency::Dependency,
-    election::{
-        self,
-        Leader,
-        SchedulerLease, //
-    },
+    dispatch::Dispatcher,
+    election::Leader,
     event_loop,
     handover::Handovers,
-    instance_orders,
-    intake,
     leader_link::LeaderLink,
-    leadership::{
-        self,
-        Leadership, //
-    },
-    load,
+    leadership::Leadership,
     metrics::Metrics,
     operators::{
         self,
@@ -89,19 +71,13 @@
     },
     reach::Reachability,
     relay,
-    restore,
-    worker_registry,
-    writer, //
+    scheduling, //
 };
 
 /// Part of the platform's grace period after SIGTERM that is reserved for process
 /// exit.
 const EXIT_RESERVE: Duration = Duration::from_millis(1500);
 
-/// Longest time that a scheduler which steps down waits for its changes to be
-/// stored.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Longest wait for responses in flight after the listeners are closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -120,20 +96,20 @@
 }
 
 /// State shared by the tasks of the daemon.
-struct Node {
-    settings: Arc<Settings>,
-    store: Arc<Operations>,
-    peers: Arc<Peers>,
-    reachability: Arc<Reachability>,
-    handovers: Handovers,
-    metrics: Arc<Metrics>,
-    lateness: Arc<Lateness>,
-    operators: Arc<OperatorState>,
-    leader: Arc<ArcSwapOption<Leader>>,
-    leadership: Arc<ArcSwapOption<Leadership>>,
+pub(crate) struct Node {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) store: Arc<Operations>,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) reachability: Arc<Reachability>,
+    pub(crate) handovers: Handovers,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) lateness: Arc<Lateness>,
+    pub(crate) operators: Arc<OperatorState>,
+    pub(crate) leader: Arc<ArcSwapOption<Leader>>,
+    pub(crate) leadership: Arc<ArcSwapOption<Leadership>>,
     is_leaving: AtomicBool,
     was_ready: AtomicBool,
-    tasks: Tasks,
+    pub(crate) tasks: Tasks,
 }
 
 /// Runs the daemon until SIGTERM.
@@ -175,6 +151,7 @@
         tasks: tasks.clone(),
     });
     let serving = tasks.new_group();
+    let shutdown = tasks.new_group();
     let admission = Arc::new(Admission::default());
     let link = LeaderLink::new(
         node.leader.clone(),
@@ -216,6 +193,7 @@
             Arc::new(move || could_schedule(&node))
         },
         operators: node.operators.clone(),
+        dispatcher: Arc::new(Dispatcher::new(&tasks, &shutdown, &node.metrics)),
     };
     tasks.spawn(serve_grpc(
         peers_listener,
@@ -241,20 +219,18 @@
     let registration_node = node.clone();
     tasks.spawn_until_stop(async move {
         let settings = &registration_node.settings;
-        peers::register(
-            &registration_node.store,
-            &settings.instance,
-            settings.peers_address,
-            settings.processor_milli(),
-        )
-        .await;
+        let record = NodeRecord {
+            address: settings.peers_address.to_string(),
+            processor_milli: settings.processor_milli(),
+            data_centre: settings.data_centre.clone(),
+        };
+        peers::register(&registration_node.store, &settings.instance, &record).await;
     });
     tasks.spawn_until_stop(operators::sync(node.store.clone(), node.operators.clone()));
     tasks.spawn_until_stop(reload());
-    let shutdown = tasks.new_group();
     let election_node = node.clone();
     let election_shutdown = shutdown.clone();
-    tasks.spawn(async move { run_elections(&election_node, &election_shutdown).await });
+    tasks.spawn(async move { scheduling::run_elections(&election_node, &election_shutdown).await });
 
     termination_signal().await.context(SignalSnafu)?;
     log::info!("stopping");
@@ -314,179 +290,3 @@
         && node.operators.view().revision > 0
         && node.reachability.is_store_reachable(clock::now())
 }
-
-/// Watches for the current scheduler and stands for election when there is none,
-/// until this instance shuts down.
-async fn run_elections(node: &Arc<Node>, shutdown: &Tasks) {
-    let dependency = Dependency::new("election");
-    node.peers.wait_for_list().await;
-    loop {
-        let round = async { Some(run_election(node, shutdown).await) };
-        let stopped = async {
-            shutdown.stopped().await;
-            None
-        };
-        // `schedule` itself watches for the shutdown and steps down.
-        if node.leadership.load().is_none() && shutdown.is_stopping() {
-            return;
-        }
-        match round.or(stopped).await {
-            Some(Ok(())) => dependency.on_answer(),
-            Some(Err(error)) => {
-                dependency.on_error(&error);
-                election::wait_before_retry().await;
-            }
-            None => return,
-        }
-    }
-}
-
-async fn run_election(node: &Arc<Node>, shutdown: &Tasks) -> Result<(), OperationError> {
-    election::watch_until_vacant(&node.store, &node.leader).await?;
-    if shutdown.is_stopping() {
-        return Ok(());
-    }
-    let settings = &node.settings;
-    let has_larger = !node
-        .peers
-        .larger_than(settings.processor_milli())
-        .is_empty();
-    if has_larger && election::yield_to_larger(&node.store).await? {
-        return Ok(());
-    }
-    let scheduler_lease =
-        election::campaign(&node.store, &settings.instance, settings.peers_address).await?;
-    if let Some(scheduler_lease) = scheduler_lease {
-        let group = node.tasks.new_group();
-        let node = node.clone();
-        let shutdown = shutdown.clone();
-        let (ended, end) = async_channel::bounded::<()>(1);
-        // A separate task, so that it still hands over in order when the election
-        // loop is cancelled on shutdown.
-        node.tasks.clone().spawn(async move {
-            schedule(&node, scheduler_lease, &group, &shutdown).await;
-            drop(ended);
-        });
-        // The channel closes when the scheduler has stopped.
-        let _ = end.recv().await;
-    }
-    Ok(())
-}
-
-/// Schedules until the authority is lost, the instance shuts down, or a larger
-/// instance can take over.
-async fn schedule(
-    node: &Arc<Node>,
-    scheduler_lease: SchedulerLease,
-    group: &Tasks,
-    shutdown: &Tasks,
-) {
-    let SchedulerLease {
-        token,
-        lease,
-        authority,
-    } = scheduler_lease;
-    log::info!(token, lease; "scheduling");
-    let renewing = (node.store.clone(), authority.clone());
-    group.spawn_until_stop(async move { election::renew(&renewing.0, lease, &renewing.1).await });
-    let mut scheduler = Scheduler::new(token, leadership::limits(&node.settings), clock::now());
-    let view = node.operators.view();
-    scheduler.configure(view.configuration.clone(), view.requests.clone());
-    loop {
-        match restore::restore(&node.store, &mut scheduler, clock::now).await {
-            Ok(()) => {
-                // The configuration may have changed while the jobs were being read.
-                let view = node.operators.view();
-                scheduler.configure(view.configuration.clone(), view.requests.clone());
-                scheduler.open_due_jobs(clock::unix());
-                break;
-            }
-            Err(error) => {
-                log::warn!(error:%; "jobs_not_restored");
-                if authority.is_lost() || shutdown.is_stopping() {
-                    end_scheduling(node, lease, group).await;
-                    return;
-                }
-                scheduler = Scheduler::new(token, leadership::limits(&node.settings), clock::now());
-                scheduler.configure(view.configuration.clone(), view.requests.clone());
-                election::wait_before_retry().await;
-            }
-        }
-    }
-    let leadership = Arc::new(Leadership::new(
-        scheduler,
-        InstanceClient::new(
-            node.settings.instances_address,
-            &node.settings.instance,
-            group,
-        ),
-        node.store.clone(),
-        authority.clone(),
-        node.operators.clone(),
-        node.lateness.clone(),
-        group.clone(),
-    ));
-    node.leader.store(Some(Arc::new(Leader {
-        instance: node.settings.instance.clone(),
-        address: node.settings.peers_address,
-        token,
-    })));
-    node.leadership.store(Some(leadership.clone()));
-    node.metrics.is_scheduling.set(1);
-    let (planning, ticking) = (leadership.clone(), leadership.clone());
-    group.spawn_until_stop(async move { planning.plan().await });
-    group.spawn_until_stop(async move { ticking.tick().await });
-    group.spawn_until_stop(writer::run(leadership.clone()));
-    group.spawn_until_stop(load::report(leadership.clone()));
-    group.spawn_until_stop(worker_registry::track(leadership.clone()));
-    group.spawn_until_stop(intake::import_all(leadership.clone()));
-    let advisor = node.settings.advisor_address;
-    let advisor = advisor.map(|address| AdvisorClient::new(address, group));
-    group.spawn_until_stop(advice::run(leadership.clone(), advisor));
-    group.spawn_until_stop(instance_orders::give_orders(leadership.clone()));
-    group.spawn_until_stop(instance_orders::list_instances(leadership.clone()));
-    let processor_milli = node.settings.processor_milli();
-    let larger_available = node.handovers.wait_for_larger(&node.peers, processor_milli);
-    authority
-        .lost()
-        .or(shutdown.stopped())
-        .or(larger_available)
-        .await;
-    if !authority.is_lost() {
-        flush(&leadership).await;
-        let timed_out = Timer::after(FLUSH_TIMEOUT);
-        worker_registry::store_granted(&leadership)
-            .or(async {
-                timed_out.await;
-            })
-            .await;
-    }
-    node.leadership.store(None);
-    node.metrics.is_scheduling.set(0);
-    node.leader.store(None);
-    authority.mark_lost("this instance has stopped scheduling");
-    end_scheduling(node, lease, group).await;
-}
-
-/// Waits until all jobs and changes are stored, for at most `FLUSH_TIMEOUT`.
-async fn flush(leadership: &Leadership) {
-    let deadline = clock::now() + FLUSH_TIMEOUT;
-    while clock::now() < deadline {
-        let stored = leadership.stored.listen();
-        if leadership.submissions.lock().is_empty() && !leadership.scheduler().has_change() {
-            return;
-        }
-        leadership.write_wanted.set();
-        let timed_out = async {
-            Timer::at(std::time::Instant::now() + deadline.saturating_sub(clock::now())).await;
-        };
-        stored.or(timed_out).await;
-    }
-}
-
-async fn end_scheduling(node: &Node, lease: u64, group: &Tasks) {
-    group.stop();
-    election::end_lease(&node.store, lease).await;
-    group.join().await;
-    log::info!(lease; "scheduling_ended");
-}
--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -16,8 +16,10 @@
 use dotterelsill_jobs::{
     Limits,
     Order,
+    Route,
     Scheduler,
-    WorkerKey, //
+    WorkerKey,
+    WorkerOrder, //
 };
 use dotterelsill_platform::{
     InstanceClient,
@@ -34,6 +36,11 @@
 use crate::{
     authority::Authority,
     clock,
+    dispatch::{
+        DispatchLinks,
+        SentOrder,
+        WorkerTarget, //
+    },
     guarded::GuardedRecord,
     keys,
     load::Load,
@@ -67,10 +74,19 @@
 
 /// Channels into the loops of one worker.
 pub(crate) struct WorkerHandle {
-    pub(crate) orders: Sender<Order>,
+    pub(crate) target: Arc<WorkerTarget>,
+    pub(crate) orders: Sender<QueuedOrder>,
     pub(crate) wake: Arc<Signal>,
 }
 
+/// An order for the order loop of a worker.
+#[derive(Debug)]
+pub(crate) struct QueuedOrder {
+    pub(crate) order: Order,
+    /// Whether the order was sent before and may still be carried out.
+    pub(crate) may_come_late: bool,
+}
+
 /// State of this instance while it is the elected scheduler, shared by the tasks
 /// that schedule.
 pub(crate) struct Leadership {
@@ -83,6 +99,7 @@
     pub(crate) submissions: Submissions,
     pub(crate) lateness: Arc<Lateness>,
     pub(crate) load: Load,
+    pub(crate) dispatch: DispatchLinks,
     /// Stored record of the workers that may run tasks.
     pub(crate) granted: async_lock::Mutex<GuardedRecord>,
     pub(crate) tasks: Tasks,
@@ -113,7 +130,7 @@
     /// Creates the state for a scheduler that was restored from the store.
     pub(crate) fn new(
         scheduler: Scheduler,
-        instances: InstanceClient,
+        settings: &Settings,
         store: Arc<Operations>,
         authority: Arc<Authority>,
         operators: Arc<OperatorState>,
@@ -124,13 +141,14 @@
             token: scheduler.token(),
             scheduler: Mutex::new(scheduler),
             handles: Mutex::default(),
-            instances,
+            instances: InstanceClient::new(settings.instances_address, &settings.instance, &tasks),
             store,
             authority,
             operators,
             submissions: Submissions::default(),
             lateness,
             load: Load::default(),
+            dispatch: DispatchLinks::new(settings.processor_milli()),
             granted: async_lock::Mutex::new(GuardedRecord::new(keys::GRANTED)),
             tasks,
             plan_wanted: Signal::default(),
@@ -203,14 +221,43 @@
             if has_change {
                 self.write_wanted.set();
             }
-            let handles = self.handles();
-            for order in orders {
-                if let Some(handle) = handles.get(&order.worker) {
-                    // Sending fails only if the worker is gone and its loop has ended.
-                    let _ = handle.orders.try_send(order.order);
-                    handle.wake.set();
+            self.hand_out(orders);
+        }
+    }
+
+    /// Sends the starts for workers that are called over dispatchers, and hands the
+    /// other orders to the loops of their workers.
+    fn hand_out(&self, orders: Vec<WorkerOrder>) {
+        let may_extend = self.is_valid();
+        let now = clock::now();
+        let mut scheduler = self.scheduler();
+        let dispatchers = self.dispatch.dispatchers();
+        let handles = self.handles();
+        for WorkerOrder { worker, order } in orders {
+            let Some(handle) = handles.get(&worker) else {
+                continue;
+            };
+            let mut is_sent = false;
+            if let (Order::Start { .. }, Route::Over(address)) =
+                (&order, dispatchers.order_route(worker))
+            {
+                if let Some(lease_end_ms) = scheduler.start_lease_end(worker, may_extend, now) {
+                    let sent = SentOrder {
+                        target: handle.target.clone(),
+                        order: order.clone(),
+                        sent_at: now,
+                    };
+                    is_sent = self.dispatch.send_order(address, sent, lease_end_ms);
                 }
             }
+            if !is_sent {
+                // Sending fails only if the worker is gone and its loop has ended.
+                let _ = handle.orders.try_send(QueuedOrder {
+                    order,
+                    may_come_late: false,
+                });
+            }
+            handle.wake.set();
         }
     }
 
--- a/crates/dotterelsill_node/src/load.rs
+++ b/crates/dotterelsill_node/src/load.rs
@@ -12,11 +12,6 @@
 };
 
 use async_io::Timer;
-use dotterelsill_jobs::{
-    Answer,
-    WorkerStatus, //
-};
-use dotterelsill_platform::CallError;
 use dotterelsill_store::{
     CommitOutcome,
     OperationError, //
@@ -24,6 +19,10 @@
 
 use crate::{
     clock,
+    dispatch::{
+        CallAnswer,
+        CallFailure, //
+    },
     leadership::Leadership, //
 };
 
@@ -73,30 +72,28 @@
     }
 
     /// Counts a status call that has ended.
-    pub(crate) fn on_worker_status(
-        &self,
-        result: &Result<Result<WorkerStatus, Answer>, CallError>,
-    ) {
+    pub(crate) fn on_worker_status(&self, result: &Result<CallAnswer, CallFailure>) {
         match result {
             Ok(answer) => {
                 self.status_responses.add(1);
-                let ends = answer.as_ref().map_or(0, |status| status.ended.len());
-                self.ends_listed.add(ends as u64);
+                if let CallAnswer::Status(status) = answer {
+                    self.ends_listed.add(status.ended.len() as u64);
+                }
             }
-            Err(error) => self.on_call_error(error),
+            Err(failure) => self.on_call_failure(failure),
         }
     }
 
     /// Counts a call that sent an order.
-    pub(crate) fn on_order(&self, result: &Result<Answer, CallError>) {
+    pub(crate) fn on_order(&self, result: &Result<CallAnswer, CallFailure>) {
         match result {
             Ok(_) => self.orders_answered.add(1),
-            Err(error) => self.on_call_error(error),
+            Err(failure) => self.on_call_failure(failure),
         }
     }
 
-    fn on_call_error(&self, error: &CallError) {
-        match error.time_limit() {
+    fn on_call_failure(&self, failure: &CallFailure) {
+        match failure.time_limit {
             Some(_) => self.timeouts.add(1),
             None => self.call_failures.add(1),
         }
@@ -126,6 +123,7 @@
         };
         let orders_queued: usize = leadership.handles().values().map(|h| h.orders.len()).sum();
         let submissions = leadership.submissions.lock().len();
+        let (dispatchers, workers_dispatched) = leadership.dispatch.dispatchers().in_use();
         let load = &leadership.load;
         log::info!(
             passed_ms = now.saturating_sub(period_start).as_millis() as u64,
@@ -141,6 +139,7 @@
             timeouts = load.timeouts.take(), broken = load.call_failures.take(),
             workers = backlog.workers, workers_known = backlog.workers_known,
             workers_silent = backlog.workers_silent, workers_unread = backlog.workers_unread,
+            dispatchers = dispatchers as u64, workers_dispatched = workers_dispatched as u64,
             submissions, unstored = backlog.unstored,
             oldest_unstored_ms = backlog.oldest_unstored.as_millis() as u64,
             stores = load.stores.take(), stores_failed = load.stores_failed.take(),
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod daemon;
 mod dependency;
+mod dispatch;
 mod election;
 mod event_loop;
 mod guarded;
@@ -26,6 +27,7 @@
 mod relay;
 mod requests;
 mod restore;
+mod scheduling;
 mod signal;
 mod submission;
 mod worker_loops;
@@ -47,6 +49,10 @@
     Snafu, //
 };
 
+// A busy scheduler allocates many short-lived objects.
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 /// Takes jobs, schedules their tasks and maintains instances.
 #[derive(FromArgs)]
 struct Args {
--- a/crates/dotterelsill_node/src/metrics.rs
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -30,6 +30,7 @@
     durations: HistogramVec,
     store_calls: IntCounterVec,
     store_durations: HistogramVec,
+    dispatched_calls: IntCounterVec,
     loop_lateness: Histogram,
     loop_lateness_worst: Gauge,
     /// Whether this instance schedules.
@@ -63,6 +64,13 @@
                 "Time until the store answered, without the wait of watches",
                 "way",
             )?,
+            dispatched_calls: IntCounterVec::new(
+                Opts::new(
+                    "dotterelsill_dispatched_calls_total",
+                    "Calls to workers for a scheduler on another instance",
+                ),
+                &["result"],
+            )?,
             loop_lateness: Histogram::with_opts(
                 HistogramOpts::new(
                     "dotterelsill_loop_late_seconds",
@@ -84,6 +92,7 @@
         registry.register(Box::new(metrics.durations.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.store_durations.clone()))?;
+        registry.register(Box::new(metrics.dispatched_calls.clone()))?;
         registry.register(Box::new(metrics.loop_lateness.clone()))?;
         registry.register(Box::new(metrics.loop_lateness_worst.clone()))?;
         registry.register(Box::new(metrics.is_scheduling.clone()))?;
@@ -123,6 +132,12 @@
         }
     }
 
+    /// Records a call to a worker for a scheduler on another instance. `result` is
+    /// `answered`, `unanswered` or `not_made`.
+    pub(crate) fn on_dispatched_call(&self, result: &str) {
+        self.dispatched_calls.with_label_values(&[result]).inc();
+    }
+
     /// Records by how much a sample of the event loop was late.
     pub(crate) fn on_loop_wake(&self, late: Duration) {
         self.loop_lateness.observe(late.as_secs_f64());
--- a/crates/dotterelsill_node/src/peer_service.rs
+++ b/crates/dotterelsill_node/src/peer_service.rs
@@ -15,6 +15,7 @@
     scheduler_server::Scheduler,
     CancelRequest,
     CancelResponse,
+    DispatchRequest,
     EntriesRequest,
     EntriesResponse,
     ExplainRequest,
@@ -37,11 +38,16 @@
 use tonic::{
     Request,
     Response,
-    Status, //
+    Status,
+    Streaming, //
 };
 
 use crate::{
     clock,
+    dispatch::{
+        DispatchStream,
+        Dispatcher, //
+    },
     election::Leader,
     leadership::Leadership,
     operators::OperatorState,
@@ -160,10 +166,22 @@
     /// Returns whether this instance could take over from the scheduler.
     pub(crate) could_schedule: Arc<dyn Fn() -> bool + Send + Sync>,
     pub(crate) operators: Arc<OperatorState>,
+    pub(crate) dispatcher: Arc<Dispatcher>,
 }
 
 #[tonic::async_trait]
 impl Node for NodeService {
+    type DispatchStream = DispatchStream;
+
+    async fn dispatch(
+        &self,
+        request: Request<Streaming<DispatchRequest>>,
+    ) -> Result<Response<DispatchStream>, Status> {
+        self.dispatcher
+            .serve(request.into_inner())
+            .map(Response::new)
+    }
+
     async fn ping(&self, request: Request<PingRequest>) -> Result<Response<PingResponse>, Status> {
         let PingRequest { address, entries } = request.into_inner();
         if let (Ok(peer), Some(entries)) = (address.parse(), entries) {
--- a/crates/dotterelsill_node/src/peers.rs
+++ b/crates/dotterelsill_node/src/peers.rs
@@ -18,6 +18,7 @@
 
 use arc_swap::ArcSwapOption;
 use async_io::Timer;
+use dotterelsill_jobs::DispatcherReport;
 use dotterelsill_proto::jobs::{
     node_client::NodeClient,
     NodeRecord,
@@ -79,6 +80,8 @@
     channel: Channel,
     /// CPU share of the instance, in thousandths of a core; 0 if unknown.
     processor_milli: u32,
+    /// Data centre of the instance; empty if unknown.
+    data_centre: String,
 }
 
 /// Connections to the other instances.
@@ -123,6 +126,21 @@
         larger.map(|peer| client(&peer.channel)).collect()
     }
 
+    /// Returns the registered peers that can be dispatchers.
+    pub(crate) fn dispatchers(&self) -> BTreeMap<SocketAddr, DispatcherReport> {
+        let by_address = self.lock();
+        let peers = by_address.iter();
+        let can_dispatch = peers.filter(|(_, peer)| !peer.data_centre.is_empty());
+        let report = |(&address, peer): (&SocketAddr, &RegisteredPeer)| {
+            let report = DispatcherReport {
+                data_centre: peer.data_centre.clone(),
+                processor_milli: peer.processor_milli,
+            };
+            (address, report)
+        };
+        can_dispatch.map(report).collect()
+    }
+
     /// Waits until the registered instances have been listed, for at most
     /// `FIRST_LIST_TIMEOUT`.
     pub(crate) async fn wait_for_list(&self) {
@@ -146,15 +164,16 @@
         client(&peer.channel)
     }
 
-    fn update(&self, peers: &BTreeMap<SocketAddr, u32>) {
+    fn update(&self, peers: &BTreeMap<SocketAddr, NodeRecord>) {
         let mut by_address = self.lock();
         by_address.retain(|address, _| peers.contains_key(address));
-        for (&address, &processor_milli) in peers {
+        for (&address, record) in peers {
             if address != self.own_address {
-                by_address
+                let peer = by_address
                     .entry(address)
-                    .or_insert_with(|| self.new_peer(address))
-                    .processor_milli = processor_milli;
+                    .or_insert_with(|| self.new_peer(address));
+                peer.processor_milli = record.processor_milli;
+                peer.data_centre.clone_from(&record.data_centre);
             }
         }
     }
@@ -163,6 +182,7 @@
         RegisteredPeer {
             channel: Channel::new(address, CONNECT_TIMEOUT, &self.tasks),
             processor_milli: 0,
+            data_centre: String::new(),
         }
     }
 
@@ -178,16 +198,7 @@
 }
 
 /// Registers this instance in the store; retries until it succeeds.
-pub(crate) async fn register(
-    store: &Operations,
-    instance: &str,
-    own_address: SocketAddr,
-    processor_milli: u32,
-) {
-    let record = NodeRecord {
-        address: own_address.to_string(),
-        processor_milli,
-    };
+pub(crate) async fn register(store: &Operations, instance: &str, record: &NodeRecord) {
     let write = || Transaction {
         writes: vec![Write {
             key: node_key(instance),
@@ -226,7 +237,7 @@
                 let peer = |item: &dotterelsill_store::Item| {
                     let record = NodeRecord::decode(item.value.as_slice()).ok()?;
                     let address: SocketAddr = record.address.parse().ok()?;
-                    Some((address, record.processor_milli))
+                    Some((address, record))
                 };
                 peers.update(&items.iter().filter_map(peer).collect());
                 peers.is_loaded.store(true, Ordering::Relaxed);
--- /dev/null
+++ b/crates/dotterelsill_node/src/worker_loops/status.rs
@@ -0,0 +1,212 @@
+//! Polls the status of a worker.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use dotterelsill_jobs::{
+    Answer,
+    Route,
+    WorkerStatus, //
+};
+use dotterelsill_platform::WorkerStatusRequest;
+use futures_lite::FutureExt as _;
+
+use super::{
+    WorkerLoops,
+    RETRY_PAUSE, //
+};
+use crate::{
+    clock,
+    dispatch::{
+        Call,
+        CallAnswer, //
+    },
+    signal::Signal, //
+};
+
+/// Longest time that a worker waits for a run to end before it answers a status
+/// call. Each status call also renews the worker's lease.
+const STATUS_WAIT: Duration = Duration::from_millis(1500);
+
+/// The same wait while both serving and filler tasks run on the worker. It is
+/// shorter, so that harm to the serving tasks is detected soon.
+const MIXED_STATUS_WAIT: Duration = Duration::from_millis(700);
+
+/// Minimum time between status calls that list ended runs, since each one costs a
+/// call.
+const STATUS_PAUSE: Duration = Duration::from_millis(60);
+
+/// Longest time that the next status call is delayed until the ended runs of the
+/// last one are stored, so that it can acknowledge them.
+const STORE_WAIT: Duration = Duration::from_millis(250);
+
+/// Pause before the status of a worker that runs nothing is queried again after its
+/// last status call was not answered.
+const IDLE_RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Maximum number of doublings of the pause after status calls without an answer:
+/// it is at most 0.8 s, much less than a lease.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// Outcome of a status call.
+enum PollOutcome {
+    Answered { has_ended_runs: bool },
+    Refused,
+    Unanswered,
+}
+
+impl WorkerLoops {
+    /// Polls the worker's status until the scheduler no longer knows the worker, or
+    /// other loops have replaced these.
+    pub(super) async fn poll_status(&self, wake: &Signal) {
+        self.leadership.dispatch.wait_until_settled().await;
+        let mut is_first = true;
+        let mut unanswered = 0;
+        loop {
+            if !self.leadership.scheduler().has_worker(self.key) {
+                self.leadership.handles().remove(&self.key);
+                self.leadership.dispatch.dispatchers().forget(self.key);
+                return;
+            }
+            if self.is_replaced() {
+                return;
+            }
+            let (route, is_route_new) = self.choose_route();
+            if !is_first && !self.leadership.scheduler().is_busy(self.key) {
+                let needs_status = self.leadership.scheduler().needs_status(self.key);
+                if !needs_status && !is_route_new {
+                    wake.wait().await;
+                    continue;
+                }
+                if unanswered > 0 {
+                    Timer::after(IDLE_RETRY_PAUSE).await;
+                }
+            }
+            let is_status_unknown =
+                is_first || is_route_new || self.leadership.scheduler().needs_status(self.key);
+            match self.poll_once(route, is_status_unknown).await {
+                PollOutcome::Answered { has_ended_runs } => {
+                    is_first = false;
+                    unanswered = 0;
+                    if has_ended_runs {
+                        self.wait_for_store().await;
+                    }
+                }
+                PollOutcome::Refused => {
+                    unanswered += 1;
+                    Timer::after(IDLE_RETRY_PAUSE).await;
+                }
+                PollOutcome::Unanswered => {
+                    let pause = RETRY_PAUSE * 2_u32.pow(unanswered.min(MAX_DOUBLINGS));
+                    unanswered += 1;
+                    Timer::after(pause).await;
+                }
+            }
+        }
+    }
+
+    /// Returns the route for the next status call, and whether orders do not use it
+    /// yet.
+    fn choose_route(&self) -> (Route, bool) {
+        let data_centre = {
+            let scheduler = self.leadership.scheduler();
+            let data_centre = scheduler.worker_data_centre(self.key);
+            data_centre.unwrap_or_default().to_owned()
+        };
+        let mut dispatchers = self.leadership.dispatch.dispatchers();
+        let route = dispatchers.status_route(self.key, &data_centre, clock::now());
+        (route, dispatchers.order_route(self.key) != route)
+    }
+
+    /// Returns whether the worker has another address, which other loops call.
+    fn is_replaced(&self) -> bool {
+        let scheduler = self.leadership.scheduler();
+        let address = scheduler.worker_address(self.key);
+        address.is_none_or(|(_, address)| address != self.target.address)
+    }
+
+    async fn poll_once(&self, route: Route, is_status_unknown: bool) -> PollOutcome {
+        let leadership = &self.leadership;
+        let may_extend = leadership.is_valid();
+        let (request, processed) = {
+            let mut scheduler = leadership.scheduler();
+            let wait = if is_status_unknown {
+                None
+            } else if scheduler.has_serving_and_filler(self.key) {
+                Some(MIXED_STATUS_WAIT)
+            } else {
+                Some(STATUS_WAIT)
+            };
+            let request = WorkerStatusRequest {
+                fencing_token: leadership.token,
+                lease_end_ms: scheduler.lease_end(self.key, may_extend, clock::now()),
+                acknowledged: scheduler.acknowledged(self.key),
+                wait,
+            };
+            (request, scheduler.processed_ends(self.key))
+        };
+        let sent_at = clock::now();
+        let result = self.call(route, Call::Status { request, processed }).await;
+        leadership.load.on_worker_status(&result);
+        match result {
+            Ok(CallAnswer::Status(status)) => self.on_status(route, status, sent_at),
+            Ok(CallAnswer::Answer(answer)) => self.on_refusal(answer),
+            Err(failure) => {
+                self.on_call_failed("look", route, &failure, sent_at);
+                PollOutcome::Unanswered
+            }
+        }
+    }
+
+    fn on_status(&self, route: Route, mut status: WorkerStatus, sent_at: Duration) -> PollOutcome {
+        let now = clock::now();
+        status.sent_at = sent_at;
+        status.read_at = now;
+        let has_pending_ends = {
+            let mut scheduler = self.leadership.scheduler();
+            scheduler.on_worker_status(self.key, &status, now);
+            scheduler.has_pending_ends(self.key)
+        };
+        self.leadership
+            .dispatch
+            .dispatchers()
+            .on_answered(self.key, route);
+        self.leadership.on_changed();
+        PollOutcome::Answered {
+            has_ended_runs: has_pending_ends || !status.ended.is_empty(),
+        }
+    }
+
+    fn on_refusal(&self, answer: Answer) -> PollOutcome {
+        let leadership = &self.leadership;
+        match answer {
+            Answer::Fenced => leadership
+                .authority
+                .mark_lost("a worker has seen a higher fencing token"),
+            Answer::OtherWorker => {
+                leadership
+                    .scheduler()
+                    .on_other_worker(self.key, clock::now());
+                leadership.on_changed();
+            }
+            answer => log::warn!(worker = self.key.0, answer:?; "look_refused"),
+        }
+        PollOutcome::Refused
+    }
+
+    /// Waits until the listed ended runs can be acknowledged, for at most `STORE_WAIT`.
+    async fn wait_for_store(&self) {
+        Timer::after(STATUS_PAUSE).await;
+        let deadline = clock::now() + STORE_WAIT;
+        while clock::now() < deadline {
+            let stored = self.leadership.stored.listen();
+            if !self.leadership.scheduler().has_pending_ends(self.key) {
+                return;
+            }
+            let timed_out = async {
+                Timer::after(deadline.saturating_sub(clock::now())).await;
+            };
+            stored.or(timed_out).await;
+        }
+    }
+}
--- a/crates/dotterelsill_node/src/worker_registry.rs
+++ b/crates/dotterelsill_node/src/worker_registry.rs
@@ -70,6 +70,7 @@
         registered.extend(worker_id(&item.key).map(str::to_owned));
     }
     mark_absent(leadership, &registered);
+    leadership.dispatch.on_workers_listed();
     store_granted(leadership).await;
     let listed_at = clock::now();
     while clock::now() < listed_at + RELIST_INTERVAL {
