Apply strict revocation of keys

Cause: strictRevocation and revokeMs of the settings were not read. A daemon that schedules but cannot read the configuration accepted a withdrawn key for configApplyMs + maxExtensionMs, 7 or 9 s where the platform allows 5 s.

Change: where withdrawals are strict, a configuration that was not known to be current within revokeMs allows no request with a key. The search of orders to instances also runs with instances that refuse no lower token, and finds both injected bugs there.

--- a/crates/dotterelsill_jobs/src/validity.rs
+++ b/crates/dotterelsill_jobs/src/validity.rs
@@ -9,6 +9,9 @@
     pub apply: Duration,
     /// Additional time that is allowed while an instance is impaired.
     pub extension: Duration,
+    /// Time after which a withdrawn key must not be accepted by any instance, however
+    /// impaired; `None` if the other limits hold for keys as well.
+    pub revocation: Option<Duration>,
 }
 
 /// What a configuration can still be used for.
@@ -24,14 +27,18 @@
 
 impl ApplyBounds {
     /// Returns the validity of a configuration that was known to be current `age`
-    /// ago.
-    pub fn validity(&self, age: Duration) -> Validity {
-        if age < self.apply {
+    /// ago, for a request with or without a key.
+    pub fn validity(&self, age: Duration, has_key: bool) -> Validity {
+        let outdated_at = match self.revocation {
+            Some(revocation) if has_key => revocation.min(self.apply + self.extension),
+            _ => self.apply + self.extension,
+        };
+        if age >= outdated_at {
+            Validity::Outdated
+        } else if age < self.apply {
             Validity::Current
-        } else if age < self.apply + self.extension {
-            Validity::Unconfirmed
         } else {
-            Validity::Outdated
+            Validity::Unconfirmed
         }
     }
 }
--- a/crates/dotterelsill_jobs/tests/orders_search.rs
+++ b/crates/dotterelsill_jobs/tests/orders_search.rs
@@ -88,6 +88,8 @@
 
 struct World {
     random: StdRng,
+    /// Whether instances refuse orders under a lower token than one they have seen.
+    are_fenced: bool,
     bugs: InjectedBugs,
     now_ms: u64,
     token: u64,
@@ -137,7 +139,7 @@
 }
 
 impl World {
-    fn new(seed: u64, bugs: InjectedBugs) -> Self {
+    fn new(seed: u64, are_fenced: bool, bugs: InjectedBugs) -> Self {
         let pool = |index: usize| ["work", "other", "off"][index % 3].to_owned();
         let machine = |index| Machine {
             pool: pool(index),
@@ -150,6 +152,7 @@
         };
         Self {
             random: StdRng::seed_from_u64(seed),
+            are_fenced,
             bugs,
             now_ms: 1000,
             token: 1,
@@ -236,7 +239,7 @@
                 ));
             }
         }
-        if token < machine.fence {
+        if self.are_fenced && token < machine.fence {
             return Ok(InstanceAnswer::Fenced);
         }
         machine.fence = token;
@@ -394,11 +397,15 @@
     }
 }
 
-fn run(seeds: u64, bugs: InjectedBugs) -> BTreeMap<u64, String> {
+/// Searches instances that fence orders and instances that do not; returns the
+/// violations by seed and by whether the instances fence.
+fn run(seeds: u64, bugs: InjectedBugs) -> BTreeMap<(u64, bool), String> {
     let mut found = BTreeMap::new();
     for seed in 0..seeds {
-        if let Err(violation) = World::new(seed, bugs).run() {
-            found.insert(seed, violation);
+        for are_fenced in [true, false] {
+            if let Err(violation) = World::new(seed, are_fenced, bugs).run() {
+                found.insert((seed, are_fenced), violation);
+            }
         }
     }
     found
@@ -415,6 +422,14 @@
     assert!(found.is_empty(), "{found:#?}");
 }
 
+/// Checks that a bug was found with fenced and with unfenced instances.
+fn check_found(found: &BTreeMap<(u64, bool), String>) {
+    for are_fenced in [true, false] {
+        let of_kind = found.keys().filter(|(_, fenced)| *fenced == are_fenced);
+        assert!(of_kind.count() > 0, "not found, fenced: {are_fenced}");
+    }
+}
+
 /// Checks that the simulation detects a scheduler that ignores the orders of its
 /// predecessor.
 #[test]
@@ -423,7 +438,7 @@
         forgets_orders: true,
         ..InjectedBugs::default()
     };
-    assert!(!run(SEEDS_UNTIL_FOUND, bugs).is_empty());
+    check_found(&run(SEEDS_UNTIL_FOUND, bugs));
 }
 
 /// Checks that the simulation detects orders that are sent before they are stored.
@@ -433,5 +448,5 @@
         stores_late: true,
         ..InjectedBugs::default()
     };
-    assert!(!run(SEEDS_UNTIL_FOUND, bugs).is_empty());
+    check_found(&run(SEEDS_UNTIL_FOUND, bugs));
 }
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -113,7 +113,8 @@
     // Read the age before the view: a view that replaces it in between is newer than
     // this age says, never older.
     let age = service.operators.age(clock::now());
-    let validity = service.operators.validity(&service.bounds, age);
+    let has_key = platform::workspace_key(request.headers()).is_some();
+    let validity = service.operators.validity(&service.bounds, age, has_key);
     let view = service.operators.view();
     if view.revision == 0 {
         return unavailable("no configuration yet");
--- a/crates/dotterelsill_node/src/operators.rs
+++ b/crates/dotterelsill_node/src/operators.rs
@@ -105,8 +105,8 @@
 
     /// Returns which decisions a view of the given age still permits. If the newest
     /// entries cannot be decoded, the view is not current and justifies no refusal.
-    pub(crate) fn validity(&self, bounds: &ApplyBounds, age: Duration) -> Validity {
-        match bounds.validity(age) {
+    pub(crate) fn validity(&self, bounds: &ApplyBounds, age: Duration, has_key: bool) -> Validity {
+        match bounds.validity(age, has_key) {
             Validity::Current if self.is_unreadable.load(Ordering::Relaxed) => {
                 Validity::Unconfirmed
             }
