--- a/crates/dotterelsill_node/src/dispatch.rs
+++ b/crates/dotterelsill_node/src/dispatch.rs
@@ -2,12 +2,16 @@
 //!
 //! The scheduler decides on every call. `links` and `link` are its side: they open
 //! streams to dispatchers and send them batches of calls. `service` is the side of
-//! the dispatcher.
+//! the dispatcher, which calls the workers and sends `answers` back.
 
+mod answers;
+mod batch;
+mod called_workers;
 mod link;
 mod links;
 mod messages;
 mod service;
+mod status_messages;
 mod waiting;
 
 use std::time::Duration;
--- a/crates/dotterelsill_node/src/dispatch/link.rs
+++ b/crates/dotterelsill_node/src/dispatch/link.rs
@@ -1,7 +1,6 @@
 //! The scheduler's side of the stream to one dispatcher.
 
 use std::{
-    collections::HashMap,
     sync::{
         atomic::{
             AtomicU64,
@@ -17,16 +16,10 @@
     Sender, //
 };
 use async_io::Timer;
-use dotterelsill_jobs::{
-    PayloadCache,
-    WorkerKey, //
-};
 use dotterelsill_proto::jobs::{
     node_client::NodeClient,
     DispatchRequest,
-    DispatchResponse,
-    DispatchWorker,
-    WorkerCall, //
+    DispatchResponse, //
 };
 use dotterelsill_rpc::{
     timeout,
@@ -39,8 +32,11 @@
 };
 
 use super::{
+    batch::BatchEncoder,
     messages,
     waiting::{
+        closed,
+        timed_out,
         CallResult,
         SentOrder,
         WaitingCalls, //
@@ -151,7 +147,12 @@
                 Timer::after(GIVE_UP_INTERVAL).await;
                 let overdue = self.waiting.take_overdue(clock::now());
                 if !overdue.is_empty() {
-                    settle(overdue.into_iter().map(timed_out).collect());
+                    settle(
+                        overdue
+                            .into_iter()
+                            .map(|sent| timed_out(sent, CALL_MARGIN))
+                            .collect(),
+                    );
                 }
             }
         };
@@ -203,7 +204,7 @@
         let (sender, answer) = async_channel::bounded(1);
         self.waiting.add_task(number, sender);
         // Removes the entry also when the future is dropped.
-        let _entry = WaitingEntry { link: self, number };
+        let _entry = self.waiting.guard(number);
         let queued = QueuedCall {
             number,
             target: target.clone(),
@@ -224,9 +225,10 @@
         }
     }
 
+    /// Sends queued calls in batches. After a pause of this process the calls from
+    /// before are too old.
     async fn send(&self, requests: &Sender<DispatchRequest>) {
-        let mut introduced: HashMap<WorkerKey, Arc<WorkerTarget>> = HashMap::new();
-        let mut payloads = PayloadCache::default();
+        let mut encoder = BatchEncoder::default();
         while let Ok(first) = self.queued.recv().await {
             Timer::after(GATHER_TIME).await;
             let mut batch = DispatchRequest {
@@ -236,21 +238,9 @@
             };
             let mut next = Some(first);
             while let Some(queued) = next {
-                if self.is_wanted(&queued) {
-                    let target = &queued.target;
-                    if introduced.get(&target.key) != Some(target) {
-                        batch.workers.push(DispatchWorker {
-                            worker: target.key.0,
-                            id: target.id.clone(),
-                            address: target.address.clone(),
-                        });
-                        introduced.insert(target.key, target.clone());
-                    }
-                    batch.calls.push(WorkerCall {
-                        call: queued.number,
-                        worker: target.key.0,
-                        body: Some(messages::encode_call(&queued.call, &mut payloads)),
-                    });
+                let now = clock::now();
+                if now < queued.give_up_at && self.waiting.contains(queued.number) {
+                    encoder.add(&mut batch, queued.number, &queued.target, &queued.call, now);
                 }
                 next = (batch.calls.len() < MAX_BATCH)
                     .then(|| self.queued.try_recv().ok())
@@ -262,12 +252,6 @@
         }
     }
 
-    /// Returns whether a queued call is still to be sent. After a pause of this
-    /// process the calls from before are too old.
-    fn is_wanted(&self, queued: &QueuedCall) -> bool {
-        clock::now() < queued.give_up_at && self.waiting.contains(queued.number)
-    }
-
     async fn receive(
         &self,
         responses: &mut Streaming<DispatchResponse>,
@@ -296,37 +280,3 @@
         }
     }
 }
-
-/// Entry of a call that waits for its answer.
-struct WaitingEntry<'a> {
-    link: &'a Link,
-    number: u64,
-}
-
-impl Drop for WaitingEntry<'_> {
-    fn drop(&mut self) {
-        self.link.waiting.remove(self.number);
-    }
-}
-
-/// Returns the result of an order that was not answered in time.
-fn timed_out(sent: SentOrder) -> (SentOrder, CallResult) {
-    let failure = CallFailure {
-        was_sent: true,
-        time_limit: Some(CALL_MARGIN),
-        reason: format!(
-            "dispatcher: no result within {} ms",
-            CALL_MARGIN.as_millis()
-        ),
-    };
-    (sent, Err(failure))
-}
-
-/// Returns the failure of a call whose link is closed.
-pub(super) fn closed(was_sent: bool) -> CallFailure {
-    CallFailure {
-        was_sent,
-        time_limit: None,
-        reason: "the link to the dispatcher is closed".to_owned(),
-    }
-}
--- a/crates/dotterelsill_node/src/dispatch/links.rs
+++ b/crates/dotterelsill_node/src/dispatch/links.rs
@@ -27,11 +27,13 @@
 
 use super::{
     link::{
-        closed,
         Link,
         LinkEvent, //
     },
-    waiting::CallResult,
+    waiting::{
+        closed,
+        CallResult, //
+    },
     Call,
     CallAnswer,
     CallFailure,
--- a/crates/dotterelsill_node/src/dispatch/messages.rs
+++ b/crates/dotterelsill_node/src/dispatch/messages.rs
@@ -8,24 +8,16 @@
 use dotterelsill_jobs::{
     Answer,
     JobId,
-    ListedEnd,
-    ListedRun,
     Order,
     PayloadCache,
     ProcessedEnds,
-    RunOutcome,
     StepId,
-    TaskId,
-    WorkerStatus, //
+    TaskId, //
 };
 use dotterelsill_platform::WorkerStatusRequest;
 use dotterelsill_proto::jobs::{
     worker_answer,
     worker_call,
-    DispatchedEnd,
-    DispatchedRun,
-    DispatchedStatus,
-    EndOutcome,
     OrderAnswer,
     PaceCall,
     StartCall,
@@ -36,6 +28,10 @@
 };
 
 use super::{
+    status_messages::{
+        decode_status,
+        encode_status, //
+    },
     Call,
     CallAnswer,
     CallFailure, //
@@ -195,82 +191,6 @@
     }
 }
 
-fn encode_status(status: &WorkerStatus) -> DispatchedStatus {
-    DispatchedStatus {
-        worker_ms: status.worker_ms,
-        started_unix_ms: status.started_unix_ms,
-        running: status.running.iter().map(encode_run).collect(),
-        ended: status.ended.iter().map(encode_end).collect(),
-    }
-}
-
-fn decode_status(status: DispatchedStatus) -> WorkerStatus {
-    WorkerStatus {
-        worker_ms: status.worker_ms,
-        started_unix_ms: status.started_unix_ms,
-        running: status.running.into_iter().filter_map(decode_run).collect(),
-        ended: status.ended.into_iter().filter_map(decode_end).collect(),
-        ..WorkerStatus::default()
-    }
-}
-
-fn encode_run(run: &ListedRun) -> DispatchedRun {
-    DispatchedRun {
-        task: Some(encode_task(run.task)),
-        attempt: run.attempt,
-        checkpoint: run.checkpoint.clone(),
-        percent: run.percent,
-        measure: run.measure,
-    }
-}
-
-fn decode_run(run: DispatchedRun) -> Option<ListedRun> {
-    Some(ListedRun {
-        task: decode_task(run.task).ok()?,
-        attempt: run.attempt,
-        checkpoint: run.checkpoint,
-        percent: run.percent,
-        measure: run.measure,
-    })
-}
-
-fn encode_end(end: &ListedEnd) -> DispatchedEnd {
-    let outcome = match end.outcome {
-        RunOutcome::Done => EndOutcome::Done,
-        RunOutcome::Failed => EndOutcome::Failed,
-        RunOutcome::Stopped => EndOutcome::Stopped,
-        RunOutcome::Lapsed => EndOutcome::Lapsed,
-        RunOutcome::Broken => EndOutcome::Broken,
-        RunOutcome::Alone => EndOutcome::Alone,
-    };
-    DispatchedEnd {
-        number: end.number,
-        task: Some(encode_task(end.task)),
-        attempt: end.attempt,
-        outcome: outcome.into(),
-        checkpoint: end.checkpoint.clone(),
-    }
-}
-
-fn decode_end(end: DispatchedEnd) -> Option<ListedEnd> {
-    let outcome = match end.outcome() {
-        EndOutcome::Unknown => return None,
-        EndOutcome::Done => RunOutcome::Done,
-        EndOutcome::Failed => RunOutcome::Failed,
-        EndOutcome::Stopped => RunOutcome::Stopped,
-        EndOutcome::Lapsed => RunOutcome::Lapsed,
-        EndOutcome::Broken => RunOutcome::Broken,
-        EndOutcome::Alone => RunOutcome::Alone,
-    };
-    Some(ListedEnd {
-        number: end.number,
-        task: decode_task(end.task).ok()?,
-        attempt: end.attempt,
-        outcome,
-        checkpoint: end.checkpoint,
-    })
-}
-
 fn encode_answer(answer: Answer) -> OrderAnswer {
     match answer {
         Answer::Done => OrderAnswer::Done,
@@ -297,7 +217,7 @@
     }
 }
 
-fn encode_task(task: TaskId) -> TaskName {
+pub(super) fn encode_task(task: TaskId) -> TaskName {
     TaskName {
         job: task.step.job.0,
         occurrence: task.step.occurrence,
@@ -306,7 +226,7 @@
     }
 }
 
-fn decode_task(task: Option<TaskName>) -> Result<TaskId, &'static str> {
+pub(super) fn decode_task(task: Option<TaskName>) -> Result<TaskId, &'static str> {
     let task = task.ok_or("the call names no task")?;
     let step = StepId {
         job: JobId(task.job),
--- a/crates/dotterelsill_node/src/dispatch/service.rs
+++ b/crates/dotterelsill_node/src/dispatch/service.rs
@@ -1,8 +1,6 @@
 //! The dispatcher's side of the stream: makes the scheduler's calls to workers.
 
 use std::{
-    collections::HashMap,
-    net::SocketAddr,
     pin::Pin,
     sync::{
         atomic::{
@@ -17,21 +15,15 @@
     time::Duration, //
 };
 
-use async_channel::{
-    Receiver,
-    Sender, //
-};
-use async_io::Timer;
+use async_channel::Sender;
 use dotterelsill_jobs::{
     Answer,
     HeartbeatClock,
     PayloadCache, //
 };
-use dotterelsill_platform::WorkerClient;
 use dotterelsill_proto::jobs::{
     DispatchRequest,
     DispatchResponse,
-    DispatchWorker,
     WorkerAnswer,
     WorkerCall, //
 };
@@ -46,6 +38,10 @@
 };
 
 use super::{
+    called_workers::{
+        CalledWorker,
+        CalledWorkers, //
+    },
     make_call,
     messages,
     Call,
@@ -59,19 +55,7 @@
 
 /// Age of the heartbeat that a call carries beyond which the call is not made. It is
 /// part of the time within which the scheduler expects late orders.
-const MAX_HEARTBEAT_AGE: Duration = Duration::from_secs(2);
-
-/// Interval between heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Minimum time between two heartbeats; answers in between carry the earlier one.
-const MIN_HEARTBEAT_AGE: Duration = Duration::from_millis(100);
-
-/// Time for which answers are gathered for a batch.
-const GATHER_TIME: Duration = Duration::from_millis(1);
-
-/// Maximum number of answers in a batch.
-const MAX_BATCH: usize = 32;
+pub(super) const MAX_HEARTBEAT_AGE: Duration = Duration::from_secs(2);
 
 /// Number of batches that are handed to the connection before it has sent them.
 const MAX_QUEUED_BATCHES: usize = 4;
@@ -136,24 +120,17 @@
 }
 
 /// State of one stream.
-struct Session {
-    answers: Sender<WorkerAnswer>,
+pub(super) struct Session {
+    pub(super) answers: Sender<WorkerAnswer>,
     heartbeats: Mutex<HeartbeatClock>,
     highest_token: Arc<AtomicU64>,
     metrics: Arc<Metrics>,
     group: Tasks,
 }
 
-/// A worker that the scheduler calls over this instance.
-struct CalledWorker {
-    client: WorkerClient,
-    /// Held while an order is under way.
-    orders: async_lock::Mutex<()>,
-}
-
 impl Session {
     async fn receive(self: &Arc<Self>, mut requests: Streaming<DispatchRequest>) {
-        let mut workers = HashMap::new();
+        let mut workers = CalledWorkers::default();
         let mut payloads = PayloadCache::default();
         loop {
             let request = match requests.message().await {
@@ -166,11 +143,12 @@
             };
             self.highest_token
                 .fetch_max(request.token, Ordering::SeqCst);
+            workers.drop_unused(clock::now());
             for worker in &request.workers {
-                self.introduce(&mut workers, worker);
+                workers.introduce(worker, &self.group);
             }
             for call in request.calls {
-                let called = workers.get(&call.worker).cloned();
+                let called = workers.get(call.worker, clock::now());
                 self.start_call(
                     call,
                     called,
@@ -182,23 +160,6 @@
         }
     }
 
-    fn introduce(&self, workers: &mut HashMap<u32, Arc<CalledWorker>>, worker: &DispatchWorker) {
-        match worker.address.parse::<SocketAddr>() {
-            Ok(address) => {
-                let client = WorkerClient::new(&worker.id, address, &self.group);
-                let called = CalledWorker {
-                    client,
-                    orders: async_lock::Mutex::new(()),
-                };
-                workers.insert(worker.worker, Arc::new(called));
-            }
-            Err(error) => {
-                workers.remove(&worker.worker);
-                log::warn!(worker = worker.id, error:%; "worker_address_unusable");
-            }
-        }
-    }
-
     /// Makes a call in a task of its own.
     fn start_call(
         self: &Arc<Self>,
@@ -264,66 +225,7 @@
         });
     }
 
-    /// Sends answers and heartbeats until the scheduler ends the stream.
-    async fn send(
-        &self,
-        answered: &Receiver<WorkerAnswer>,
-        responses: &Sender<Result<DispatchResponse, Status>>,
-        shutdown: &Tasks,
-    ) {
-        let mut has_told_leaving = false;
-        loop {
-            let mut response = DispatchResponse {
-                heartbeat: self.next_heartbeat(),
-                ..DispatchResponse::default()
-            };
-            if shutdown.is_stopping() && !has_told_leaving {
-                has_told_leaving = true;
-                response.is_leaving = true;
-            }
-            while response.answers.len() < MAX_BATCH {
-                match answered.try_recv() {
-                    Ok(answer) => response.answers.push(answer),
-                    Err(_) => break,
-                }
-            }
-            if responses.send(Ok(response)).await.is_err() {
-                return;
-            }
-            let next = async { answered.recv().await.ok() };
-            let due = async {
-                Timer::after(HEARTBEAT_INTERVAL).await;
-                None
-            };
-            let leaving = async {
-                if has_told_leaving {
-                    std::future::pending::<()>().await;
-                }
-                shutdown.stopped().await;
-                None
-            };
-            if let Some(answer) = next.or(due).or(leaving).await {
-                // Put first again; the order of answers does not matter.
-                let _ = self.answers.try_send(answer);
-                Timer::after(GATHER_TIME).await;
-            }
-        }
-    }
-
-    fn next_heartbeat(&self) -> u64 {
-        let now = clock::now();
-        let mut heartbeats = self.heartbeats();
-        let latest = heartbeats.latest();
-        let is_recent =
-            heartbeats.valid_until(latest) + MIN_HEARTBEAT_AGE > now + MAX_HEARTBEAT_AGE;
-        if is_recent {
-            latest
-        } else {
-            heartbeats.on_heartbeat(now)
-        }
-    }
-
-    fn heartbeats(&self) -> MutexGuard<'_, HeartbeatClock> {
+    pub(super) fn heartbeats(&self) -> MutexGuard<'_, HeartbeatClock> {
         self.heartbeats
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- /dev/null
+++ b/crates/dotterelsill_node/src/dispatch/status_messages.rs
@@ -0,0 +1,95 @@
+//! Conversion of the status of a worker.
+
+use dotterelsill_jobs::{
+    ListedEnd,
+    ListedRun,
+    RunOutcome,
+    WorkerStatus, //
+};
+use dotterelsill_proto::jobs::{
+    DispatchedEnd,
+    DispatchedRun,
+    DispatchedStatus,
+    EndOutcome, //
+};
+
+use super::messages::{
+    decode_task,
+    encode_task, //
+};
+
+pub(super) fn encode_status(status: &WorkerStatus) -> DispatchedStatus {
+    DispatchedStatus {
+        worker_ms: status.worker_ms,
+        started_unix_ms: status.started_unix_ms,
+        running: status.running.iter().map(encode_run).collect(),
+        ended: status.ended.iter().map(encode_end).collect(),
+    }
+}
+
+pub(super) fn decode_status(status: DispatchedStatus) -> WorkerStatus {
+    WorkerStatus {
+        worker_ms: status.worker_ms,
+        started_unix_ms: status.started_unix_ms,
+        running: status.running.into_iter().filter_map(decode_run).collect(),
+        ended: status.ended.into_iter().filter_map(decode_end).collect(),
+        ..WorkerStatus::default()
+    }
+}
+
+fn encode_run(run: &ListedRun) -> DispatchedRun {
+    DispatchedRun {
+        task: Some(encode_task(run.task)),
+        attempt: run.attempt,
+        checkpoint: run.checkpoint.clone(),
+        percent: run.percent,
+        measure: run.measure,
+    }
+}
+
+fn decode_run(run: DispatchedRun) -> Option<ListedRun> {
+    Some(ListedRun {
+        task: decode_task(run.task).ok()?,
+        attempt: run.attempt,
+        checkpoint: run.checkpoint,
+        percent: run.percent,
+        measure: run.measure,
+    })
+}
+
+fn encode_end(end: &ListedEnd) -> DispatchedEnd {
+    let outcome = match end.outcome {
+        RunOutcome::Done => EndOutcome::Done,
+        RunOutcome::Failed => EndOutcome::Failed,
+        RunOutcome::Stopped => EndOutcome::Stopped,
+        RunOutcome::Lapsed => EndOutcome::Lapsed,
+        RunOutcome::Broken => EndOutcome::Broken,
+        RunOutcome::Alone => EndOutcome::Alone,
+    };
+    DispatchedEnd {
+        number: end.number,
+        task: Some(encode_task(end.task)),
+        attempt: end.attempt,
+        outcome: outcome.into(),
+        checkpoint: end.checkpoint.clone(),
+    }
+}
+
+fn decode_end(end: DispatchedEnd) -> Option<ListedEnd> {
+    let outcome = match end.outcome() {
+        EndOutcome::Unknown => return None,
+        EndOutcome::Done => RunOutcome::Done,
+        EndOutcome::Failed => RunOutcome::Failed,
+        EndOutcome::Stopped => RunOutcome::Stopped,
+        EndOutcome::Lapsed => RunOutcome::Lapsed,
+        EndOutcome::Broken => RunOutcome::Broken,
+        EndOutcome::Alone => RunOutcome::Alone,
+    };
+    Some(ListedEnd {
+        number: end.number,
+        task: decode_task(end.task).ok()?,
+        attempt: end.attempt,
+        outcome,
+        checkpoint: end.checkpoint,
+    })
+}
--- a/crates/dotterelsill_node/src/dispatch/waiting.rs
+++ b/crates/dotterelsill_node/src/dispatch/waiting.rs
@@ -65,6 +65,14 @@
         self.lock().remove(&number);
     }
 
+    /// Returns a guard that removes a call when it is dropped.
+    pub(super) fn guard(&self, number: u64) -> WaitingGuard<'_> {
+        WaitingGuard {
+            calls: self,
+            number,
+        }
+    }
+
     /// Handles an answer. Returns the order if it was one that no task waits for.
     pub(super) fn on_answer(
         &self,
@@ -112,3 +120,34 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Removes a call when it is dropped.
+pub(super) struct WaitingGuard<'a> {
+    calls: &'a WaitingCalls,
+    number: u64,
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.calls.remove(self.number);
+    }
+}
+
+/// Returns the result of an order that was not answered in time.
+pub(super) fn timed_out(sent: SentOrder, limit: Duration) -> (SentOrder, CallResult) {
+    let failure = CallFailure {
+        was_sent: true,
+        time_limit: Some(limit),
+        reason: format!("dispatcher: no result within {} ms", limit.as_millis()),
+    };
+    (sent, Err(failure))
+}
+
+/// Returns the failure of a call whose link is closed.
+pub(super) fn closed(was_sent: bool) -> CallFailure {
+    CallFailure {
+        was_sent,
+        time_limit: None,
+        reason: "the link to the dispatcher is closed".to_owned(),
+    }
+}
