Split relay.rs, scheduler.rs and fleet.rs by what they do

The peer's side, the messages and the operations of relayed store calls; the life of a job; the status of a worker. run_link handles a dispatcher that leaves in one loop, and a field says what waits for it.

--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -11,7 +11,7 @@
         StepState,
         Task, //
     },
-    scheduler::steps_of,
+    job_life::steps_of,
     Resources,
     Scheduler,
     StepId, //
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -1,4 +1,4 @@
-//! Registration of workers, their leases, and their status.
+//! Registration of workers, their leases, and their end.
 
 use std::{
     collections::BTreeSet,
@@ -6,31 +6,16 @@
 };
 
 use crate::{
-    ends::RunEnd,
     granted::MAX_ORDER_DELAY,
-    job::{
-        Job,
-        Run, //
-    },
-    order::MAX_LISTED_ENDS,
-    worker::BookedRun,
     JobId,
-    ListedEnd,
-    ListedRun,
     ProcessedEnds,
     Resources,
-    RunState,
     Scheduler,
     TaskId,
     WorkerKey,
-    WorkerReport,
-    WorkerStatus, //
+    WorkerReport, //
 };
 
-/// Processor time reserved for a task of an unknown job: more than any worker has,
-/// so that the worker counts as full.
-const UNKNOWN_TASK_CPU_MILLI: u64 = 1_000_000;
-
 impl Scheduler {
     /// Handles a worker's registration; returns its key and whether a new
     /// connection to it is needed.
@@ -179,199 +164,6 @@
         }
     }
 
-    /// Handles the status of a worker.
-    pub fn on_worker_status(&mut self, key: WorkerKey, status: &WorkerStatus, now: Duration) {
-        let Some(worker) = self.workers.get_mut(&key) else {
-            return;
-        };
-        if status.started_unix_ms != 0 && status.started_unix_ms < worker.report.started_unix_ms {
-            log::info!(worker = worker.report.id; "look_of_an_earlier_life");
-            return;
-        }
-        worker.on_incarnation(status.started_unix_ms, self.limits.max_lease, now);
-        worker.on_clock(status.worker_ms, status.sent_at, status.read_at);
-        worker.on_first_status(self.limits.max_lease);
-        let was_known = worker.is_known;
-        worker.is_known = true;
-        if !was_known {
-            self.needs_plan = true;
-        }
-        for end in &status.ended {
-            self.note_listed_end(key, end, now);
-        }
-        for run in &status.running {
-            self.note_listed_run(key, run, now);
-        }
-        if status.ended.len() < MAX_LISTED_ENDS {
-            self.end_unlisted_runs(key, status, now);
-        }
-        self.acknowledge_stored(key);
-        self.pace_fillers(key);
-    }
-
-    fn note_listed_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Duration) {
-        let Some(worker) = self.workers.get_mut(&key) else {
-            return;
-        };
-        if end.number <= worker.processed_end {
-            return;
-        }
-        worker.processed_end = end.number;
-        let change = self.end_run(
-            key,
-            &RunEnd {
-                task: end.task,
-                attempt: end.attempt,
-                outcome: end.outcome,
-                checkpoint: &end.checkpoint,
-            },
-            now,
-        );
-        if let Some(worker) = self.workers.get_mut(&key) {
-            worker.pending_ends.push_back(crate::worker::PendingEnd {
-                number: end.number,
-                job: end.task.step.job,
-                change,
-            });
-        }
-    }
-
-    fn note_listed_run(&mut self, key: WorkerKey, listed: &ListedRun, now: Duration) {
-        let task = listed.task;
-        let booked = self
-            .workers
-            .get_mut(&key)
-            .and_then(|worker| worker.booked.get_mut(&task))
-            .filter(|booked| booked.attempt == listed.attempt);
-        let Some(booked) = booked else {
-            self.adopt_run(key, listed, now);
-            return;
-        };
-        if booked.target.is_some() {
-            booked.tail_latency = Duration::from_millis(listed.measure);
-        }
-        let job = self.jobs.get_mut(&task.step.job);
-        if let Some(job) = job {
-            job.has_begun = true;
-            if let Some(state) = job.task(task.step, task.index) {
-                if !listed.checkpoint.is_empty() {
-                    state.checkpoint.clone_from(&listed.checkpoint);
-                }
-            }
-        }
-        if let Some(run) = self.run_mut(key, task, listed.attempt) {
-            if run.state == RunState::Ordered {
-                run.state = RunState::Running;
-            }
-            if run.percent != listed.percent {
-                run.percent = listed.percent;
-                run.advanced_at = now;
-            }
-        }
-    }
-
-    /// Takes over a run that this scheduler did not order, or stops it if it is not
-    /// needed.
-    fn adopt_run(&mut self, key: WorkerKey, listed: &ListedRun, now: Duration) {
-        let task = listed.task;
-        let job = self.jobs.get_mut(&task.step.job);
-        let wanted = job.and_then(|job| wanted_run(job, task));
-        let is_wanted = wanted.is_some();
-        let booked = match wanted {
-            Some(ref booked) => booked.clone(),
-            None => self.booking_of(task),
-        };
-        let booked = BookedRun {
-            attempt: listed.attempt,
-            ..booked
-        };
-        let workspace = self.workspace_of(task.step.job);
-        let Some(worker) = self.workers.get_mut(&key) else {
-            return;
-        };
-        if worker.booked.contains_key(&task) {
-            // Another attempt of the task is booked here; the listed one is older
-            // or late.
-            log::warn!(task:%, attempt = listed.attempt, worker = worker.report.id; "stray_run_stopped");
-            self.stop(key, task, listed.attempt);
-            return;
-        }
-        log::info!(
-            task:%, attempt = listed.attempt, worker = worker.report.id, is_wanted;
-            "run_adopted"
-        );
-        let resources = booked.resources;
-        worker.note_foreign_lease(self.limits.max_lease);
-        worker.book(task, booked);
-        self.add_usage(workspace, &resources);
-        if !is_wanted {
-            self.stop(key, task, listed.attempt);
-            return;
-        }
-        if let Some(job) = self.jobs.get_mut(&task.step.job) {
-            job.has_begun = true;
-            if let Some(state) = job.task(task.step, task.index) {
-                state.next_attempt = state.next_attempt.max(listed.attempt + 1);
-                state.checkpoint.clone_from(&listed.checkpoint);
-                state.runs.push(Run {
-                    worker: key,
-                    attempt: listed.attempt,
-                    state: RunState::Running,
-                    ordered_at: now,
-                    percent: listed.percent,
-                    advanced_at: now,
-                });
-            }
-        }
-    }
-
-    /// Returns a booking for a run that is to be stopped. The resources of an
-    /// unknown task are unknown, so the worker counts as full.
-    fn booking_of(&self, task: TaskId) -> BookedRun {
-        let job = self.jobs.get(&task.step.job);
-        let step = job.and_then(|job| job.spec.steps.get(task.step.step as usize));
-        let unknown = Resources {
-            cpu_milli: UNKNOWN_TASK_CPU_MILLI,
-            ..Resources::default()
-        };
-        BookedRun {
-            attempt: 0,
-            resources: step.map_or(unknown, crate::Step::counted_resources),
-            is_lasting: false,
-            is_filler: false,
-            target: None,
-            pace_percent: 100,
-            tail_latency: Duration::ZERO,
-            confirmed_at: None,
-            is_stopping: false,
-        }
-    }
-
-    /// Ends runs that were confirmed before the status was requested but are not in
-    /// it.
-    fn end_unlisted_runs(&mut self, key: WorkerKey, status: &WorkerStatus, now: Duration) {
-        let Some(worker) = self.workers.get(&key) else {
-            return;
-        };
-        let is_listed = |task: &TaskId, attempt: u32| {
-            status
-                .running
-                .iter()
-                .any(|run| run.task == *task && run.attempt == attempt)
-        };
-        let gone: Vec<(TaskId, u32)> = worker
-            .booked
-            .iter()
-            .filter(|(_, booked)| booked.confirmed_at.is_some_and(|at| at < status.sent_at))
-            .filter(|(task, booked)| !is_listed(task, booked.attempt))
-            .map(|(task, booked)| (*task, booked.attempt))
-            .collect();
-        for (task, attempt) in gone {
-            log::warn!(task:%, attempt, worker = self.workers[&key].report.id; "run_gone");
-            self.lapse_run(key, task, attempt, now);
-        }
-    }
-
     /// Ends the runs of workers whose leases have certainly ended, and removes
     /// workers that are gone.
     pub fn expire_leases(&mut self, now: Duration) {
@@ -471,28 +263,3 @@
         }
     }
 }
-
-/// Returns a booking for a listed run if the task still needs one.
-fn wanted_run(job: &mut Job, task: TaskId) -> Option<BookedRun> {
-    if !job.is_open() || task.step.step as usize >= job.spec.steps.len() {
-        return None;
-    }
-    if task.step.occurrence >= job.spec.occurrences() {
-        return None;
-    }
-    job.ensure_occurrence(task.step.occurrence);
-    let step = job.spec.steps[task.step.step as usize].clone();
-    let state = job.task(task.step, task.index)?;
-    let is_wanted = !state.is_done && (state.runs.is_empty() || step.is_speculative);
-    is_wanted.then(|| BookedRun {
-        attempt: 0,
-        resources: step.counted_resources(),
-        is_lasting: step.is_lasting,
-        is_filler: step.is_filler,
-        target: step.target,
-        pace_percent: 100,
-        tail_latency: Duration::ZERO,
-        confirmed_at: Some(Duration::ZERO),
-        is_stopping: false,
-    })
-}
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -0,0 +1,251 @@
+//! The life of a job in the scheduler: restored or submitted, opened, ended,
+//! forgotten; and its state for callers.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use dotterelsill_proto::jobs::{
+    JobRecord,
+    Phase,
+    ProgressRecord, //
+};
+
+use crate::{
+    job::Job,
+    JobId,
+    JobSpec,
+    Scheduler,
+    SpecError,
+    StepId, //
+};
+
+/// State of a job as reported to callers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct JobState {
+    /// Phase of the job.
+    pub phase: Phase,
+    /// Whether a task has started.
+    pub has_begun: bool,
+}
+
+impl Scheduler {
+    /// Restores a job that an earlier scheduler stored.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is invalid.
+    pub fn restore(
+        &mut self,
+        id: JobId,
+        record: &JobRecord,
+        progress: Option<(&ProgressRecord, u64)>,
+        now: Duration,
+    ) -> Result<(), SpecError> {
+        let spec = Arc::new(JobSpec::try_from(record)?);
+        let mut job = Job::new(id, spec, self.token, now);
+        if let Some((progress, revision)) = progress {
+            job.restore(progress, revision);
+        }
+        self.add(job, now);
+        Ok(())
+    }
+
+    /// Restores a job that ended under an earlier scheduler.
+    pub fn restore_ended(
+        &mut self,
+        id: JobId,
+        progress: &ProgressRecord,
+        revision: u64,
+        now: Duration,
+    ) {
+        let spec = JobSpec {
+            queue: String::new(),
+            workspace: None,
+            payload: "".into(),
+            steps: Vec::new(),
+            schedule: None,
+            home: None,
+            accepted_token: 0,
+            accepted_unix: Duration::ZERO,
+        };
+        let mut job = Job::new(id, Arc::new(spec), self.token, now);
+        job.restore(progress, revision);
+        self.add(job, now);
+    }
+
+    /// Adds a job that is stored.
+    pub fn submit(&mut self, id: JobId, spec: JobSpec, now: Duration, unix: Duration) {
+        if !self.jobs.contains_key(&id) {
+            if let Some(queue) = self.configuration.queue(&spec.queue) {
+                let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
+                arrivals.note(&spec, now);
+            }
+            let job = Job::new(id, Arc::new(spec), self.token, now);
+            self.add(job, now);
+            self.open_due(id, unix);
+        }
+    }
+
+    fn add(&mut self, job: Job, now: Duration) {
+        let id = job.id;
+        if job.is_open() {
+            self.scheduled.insert(id);
+            let steps: Vec<StepId> = steps_of(&job).collect();
+            self.jobs.insert(id, job);
+            for step in steps {
+                self.make_ready(step);
+            }
+        } else {
+            self.jobs.insert(id, job);
+            self.note_ended(id, now);
+        }
+        self.needs_plan = true;
+    }
+
+    /// Opens all due occurrences of all jobs.
+    pub fn open_due_jobs(&mut self, unix: Duration) {
+        let ids: Vec<JobId> = self.scheduled.iter().copied().collect();
+        for id in ids {
+            self.open_due(id, unix);
+        }
+    }
+
+    fn open_due(&mut self, id: JobId, unix: Duration) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.scheduled.remove(&id);
+            return;
+        };
+        let opened = job.open_due(unix);
+        let is_last = job.next_occurrence >= job.spec.occurrences();
+        if is_last || !job.is_open() {
+            self.scheduled.remove(&id);
+        }
+        let count = job.spec.steps.len() as u32;
+        for occurrence in opened {
+            for step in 0..count {
+                self.make_ready(StepId {
+                    job: id,
+                    occurrence,
+                    step,
+                });
+            }
+        }
+    }
+
+    /// Cancels a job; returns whether it is known.
+    pub fn cancel(&mut self, id: JobId, now: Duration) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        if job.is_open() {
+            job.cancel();
+            self.end_job(id, now);
+        }
+        true
+    }
+
+    /// Stops the runs of an ended job and queues its final progress for storage.
+    pub(crate) fn end_job(&mut self, id: JobId, now: Duration) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        log::info!(
+            job:% = id, phase:? = job.phase, changes = job.changes,
+            age_ms = now.saturating_sub(job.known_at).as_millis() as u64; "job_ended"
+        );
+        let mut running = Vec::new();
+        for step in steps_of(job) {
+            if let Some(ready) = self
+                .configuration
+                .queue(&job.spec.queue)
+                .and_then(|queue| self.ready.get_mut(&queue.pool))
+            {
+                ready.remove(&step);
+            }
+            let state = &job.occurrences[&step.occurrence].steps[step.step as usize];
+            for (index, task) in state.tasks.iter().enumerate() {
+                for run in &task.runs {
+                    running.push((run.worker, step.task(index as u32), run.attempt));
+                }
+            }
+        }
+        for (worker, task, attempt) in running {
+            self.stop(worker, task, attempt);
+        }
+        self.mark_dirty(id);
+        self.note_ended(id, now);
+    }
+
+    fn note_ended(&mut self, id: JobId, now: Duration) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.ended_at = Some(now);
+            self.ended.push_back(id);
+        }
+    }
+
+    /// Removes ended jobs after the retention time; returns their identifiers.
+    pub fn forget_ended(&mut self, now: Duration) -> Vec<JobId> {
+        let mut forgotten = Vec::new();
+        while let Some(&id) = self.ended.front() {
+            let Some(job) = self.jobs.get(&id) else {
+                self.ended.pop_front();
+                continue;
+            };
+            let is_kept = job
+                .ended_at
+                .is_none_or(|ended| now < ended + self.limits.ended_job_retention);
+            let has_runs = job.occurrences.values().any(|occurrence| {
+                let tasks = occurrence.steps.iter().flat_map(|step| &step.tasks);
+                tasks.into_iter().any(|task| !task.runs.is_empty())
+            });
+            if is_kept || has_runs || !self.is_stored(id) {
+                break;
+            }
+            self.ended.pop_front();
+            self.jobs.remove(&id);
+            forgotten.push(id);
+        }
+        forgotten
+    }
+
+    /// Returns whether all changes of a job are stored.
+    pub fn is_stored(&self, id: JobId) -> bool {
+        self.jobs
+            .get(&id)
+            .is_none_or(|job| job.stored_changes == job.changes)
+    }
+
+    /// Returns the state of a job, which counts as open until its end is stored;
+    /// `None` if the job is not known.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        let job = self.jobs.get(&id)?;
+        let is_stored = job.stored_changes == job.changes;
+        let phase = if is_stored { job.phase } else { Phase::Open };
+        Some(JobState {
+            phase,
+            has_begun: job.has_begun,
+        })
+    }
+
+    /// Returns the number of open jobs of a queue that have not begun.
+    pub fn pending(&self, queue: &str) -> u64 {
+        let is_pending = |job: &&Job| job.is_open() && !job.has_begun && job.spec.queue == queue;
+        self.jobs.values().filter(is_pending).count() as u64
+    }
+}
+
+/// Returns the steps of all opened occurrences.
+pub(crate) fn steps_of(job: &Job) -> impl Iterator<Item = StepId> + '_ {
+    let id = job.id;
+    job.occurrences
+        .iter()
+        .flat_map(move |(&occurrence, state)| {
+            (0..state.steps.len() as u32).map(move |step| StepId {
+                job: id,
+                occurrence,
+                step,
+            })
+        })
+}
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -24,6 +24,7 @@
 mod instance;
 mod instance_orders;
 mod job;
+mod job_life;
 mod moves;
 mod order;
 mod overload;
@@ -38,6 +39,7 @@
 mod validity;
 mod waves;
 mod worker;
+mod worker_status;
 
 pub use acceptance::effective_record;
 pub use advice::{
@@ -86,6 +88,7 @@
     Run,
     RunState, //
 };
+pub use job_life::JobState;
 pub use order::{
     Answer,
     ListedEnd,
@@ -98,7 +101,6 @@
 };
 pub use resources::Resources;
 pub use scheduler::{
-    JobState,
     Limits,
     Scheduler, //
 };
--- a/crates/dotterelsill_node/src/dispatch/links.rs
+++ b/crates/dotterelsill_node/src/dispatch/links.rs
@@ -62,7 +62,8 @@
     workers_listed: Signal,
     /// Number of links that are being opened.
     opening: AtomicUsize,
-    /// Whether the first links were opened or are not needed.
+    /// Whether the attempts to open the first links have ended, or none are needed.
+    /// First calls to workers wait for it, so that they go over dispatchers.
     is_settled: AtomicBool,
     settled: Event,
 }
@@ -190,24 +191,21 @@
         worker_loops::settle_orders(leadership, route, results);
     };
     let link = Arc::new(Link::new(leadership.token));
-    let opened = link.open(peers.client_of(address)).await;
-    let reason = match opened {
+    let reason = match link.open(peers.client_of(address)).await {
         Ok(mut stream) => {
             links.links().insert(address, link.clone());
             links.dispatchers().on_open(address);
             log::info!(dispatcher:% = address; "dispatch_link_opened");
             on_opening_ended(leadership);
-            match link.run(&mut stream, &settle).await {
-                LinkEvent::Leaving => {
-                    release_workers(leadership, address);
-                    log::info!(dispatcher:% = address; "dispatcher_leaves");
+            loop {
+                match link.run(&mut stream, &settle).await {
                     // Calls under way are still answered.
-                    match link.run(&mut stream, &settle).await {
-                        LinkEvent::Leaving => "the dispatcher leaves".to_owned(),
-                        LinkEvent::Ended(reason) => reason,
+                    LinkEvent::Leaving => {
+                        release_workers(leadership, address);
+                        log::info!(dispatcher:% = address; "dispatcher_leaves");
                     }
+                    LinkEvent::Ended(reason) => break reason,
                 }
-                LinkEvent::Ended(reason) => reason,
             }
         }
         Err(error) => {
--- a/crates/dotterelsill_node/src/relay.rs
+++ b/crates/dotterelsill_node/src/relay.rs
@@ -4,8 +4,11 @@
 //! store did not execute is relayed by a peer, so that a rejected instance can
 //! continue to serve and, if it is the scheduler, to schedule.
 
+mod messages;
+mod operations;
+mod serve;
+
 use std::{
-    future::Future,
     net::SocketAddr,
     sync::{
         atomic::{
@@ -20,14 +23,8 @@
 use dotterelsill_proto::jobs::{
     node_client::NodeClient,
     relay_request::Call,
-    ChangeEntry,
-    CommitCall,
-    RangeCall,
-    RelayError,
     RelayRequest,
-    RelayResponse,
-    StoredItem,
-    WatchCall, //
+    RelayResponse, //
 };
 use dotterelsill_rpc::{
     hedged,
@@ -36,18 +33,19 @@
     Channel, //
 };
 use dotterelsill_store::{
-    CommitOutcome,
-    Event,
-    Item,
     OperationError,
     Operations,
-    Page,
-    Pending,
-    Staleness,
-    Transaction,
-    WatchResult,
-    Write, //
+    Pending, //
+};
+
+pub(crate) use messages::{
+    from_stored_item,
+    to_stored_item, //
 };
+pub(crate) use operations::operations;
+pub(crate) use serve::serve;
+
+use messages::result_of;
 
 use crate::{
     clock,
@@ -85,92 +83,6 @@
     avoid_peers_until_us: AtomicU64,
 }
 
-/// Returns store operations that fall back to a peer if the direct call is not
-/// executed.
-pub(crate) fn operations(
-    direct: Operations,
-    peers: Arc<Peers>,
-    reachability: Arc<Reachability>,
-    metrics: Arc<Metrics>,
-) -> Operations {
-    let relayed = Arc::new(RelayedStore {
-        direct,
-        peers,
-        reachability,
-        metrics,
-        avoid_direct_until_us: AtomicU64::new(0),
-        avoid_peers_until_us: AtomicU64::new(0),
-    });
-    let shared = || relayed.clone();
-    let (get, range, watch, commit) = (shared(), shared(), shared(), shared());
-    let (grant, keep, end) = (shared(), shared(), shared());
-    Operations {
-        get: Box::new(move |key| {
-            let call = Call::Get(key.to_owned());
-            let key = key.to_owned();
-            let store = get.clone();
-            get.clone()
-                .call(call, item_of, move || (store.direct.get)(&key))
-        }),
-        range: Box::new(move |prefix, after, staleness| {
-            let call = Call::Range(RangeCall {
-                prefix: prefix.to_owned(),
-                after: after.clone(),
-                is_stale: staleness == Staleness::Stale,
-            });
-            let prefix = prefix.to_owned();
-            let store = range.clone();
-            range.clone().call(call, page_of, move || {
-                (store.direct.range)(&prefix, after.clone(), staleness)
-            })
-        }),
-        watch: Box::new(move |prefix, after, wait| {
-            let call = Call::Watch(WatchCall {
-                prefix: prefix.to_owned(),
-                after,
-                wait_ms: wait.as_millis() as u64,
-            });
-            let prefix = prefix.to_owned();
-            let store = watch.clone();
-            watch.clone().call(call, watched_of, move || {
-                (store.direct.watch)(&prefix, after, wait)
-            })
-        }),
-        commit: Box::new(move |transaction| {
-            let call = Call::Commit(commit_call(&transaction));
-            let store = commit.clone();
-            commit.clone().call(call, committed_of, move || {
-                (store.direct.commit)(transaction.clone())
-            })
-        }),
-        grant_lease: Box::new(move |ttl| {
-            let call = Call::GrantMs(ttl.as_millis() as u64);
-            let store = grant.clone();
-            grant.clone().call(
-                call,
-                |response| response.lease,
-                move || (store.direct.grant_lease)(ttl),
-            )
-        }),
-        renew_lease: Box::new(move |lease| {
-            let store = keep.clone();
-            keep.clone().call(
-                Call::Keep(lease),
-                |_| (),
-                move || (store.direct.renew_lease)(lease),
-            )
-        }),
-        end_lease: Box::new(move |lease| {
-            let store = end.clone();
-            end.clone().call(
-                Call::End(lease),
-                |_| (),
-                move || (store.direct.end_lease)(lease),
-            )
-        }),
-    }
-}
-
 impl RelayedStore {
     fn call<T: Send + 'static>(
         self: Arc<Self>,
@@ -377,218 +289,3 @@
 fn is_unrepeatable(call: &Call) -> bool {
     matches!(call, Call::Commit(_) | Call::GrantMs(_))
 }
-
-/// Executes a relayed call for a peer, directly on the store.
-pub(crate) async fn serve(direct: &Operations, call: Call) -> RelayResponse {
-    match call {
-        Call::Get(key) => {
-            respond((direct.get)(&key), |item| RelayResponse {
-                items: item.into_iter().map(to_stored_item).collect(),
-                ..RelayResponse::default()
-            })
-            .await
-        }
-        Call::Range(range) => {
-            let staleness = if range.is_stale {
-                Staleness::Stale
-            } else {
-                Staleness::Current
-            };
-            let page = (direct.range)(&range.prefix, range.after, staleness);
-            respond(page, |page| RelayResponse {
-                items: page.items.into_iter().map(to_stored_item).collect(),
-                has_more: page.has_more,
-                revision: page.revision,
-                ..RelayResponse::default()
-            })
-            .await
-        }
-        Call::Watch(watch) => {
-            let wait = Duration::from_millis(watch.wait_ms);
-            let watched = (direct.watch)(&watch.prefix, watch.after, wait);
-            respond(watched, |watched| RelayResponse {
-                changes: watched.events.into_iter().map(change_entry).collect(),
-                revision: watched.revision,
-                ..RelayResponse::default()
-            })
-            .await
-        }
-        Call::Commit(commit) => {
-            let committed = (direct.commit)(transaction_of(commit));
-            respond(committed, |committed| match committed {
-                CommitOutcome::Done { revision } => RelayResponse {
-                    revision,
-                    ..RelayResponse::default()
-                },
-                CommitOutcome::Conflict { current } => RelayResponse {
-                    is_conflict: true,
-                    items: current.into_iter().map(to_stored_item).collect(),
-                    ..RelayResponse::default()
-                },
-            })
-            .await
-        }
-        Call::GrantMs(ms) => {
-            let lease = (direct.grant_lease)(Duration::from_millis(ms));
-            respond(lease, |lease| RelayResponse {
-                lease,
-                ..RelayResponse::default()
-            })
-            .await
-        }
-        Call::Keep(lease) => {
-            respond((direct.renew_lease)(lease), |()| RelayResponse::default()).await
-        }
-        Call::End(lease) => respond((direct.end_lease)(lease), |()| RelayResponse::default()).await,
-    }
-}
-
-async fn respond<T>(
-    result: impl Future<Output = Result<T, OperationError>>,
-    encode: impl FnOnce(T) -> RelayResponse,
-) -> RelayResponse {
-    let (error, reason) = match result.await {
-        Ok(value) => return encode(value),
-        Err(OperationError::NotDone { reason }) => (RelayError::NotDone, reason),
-        Err(OperationError::Unknown { reason }) => (RelayError::Unknown, reason),
-        Err(OperationError::HistoryDropped { .. }) => (RelayError::HistoryDropped, String::new()),
-        Err(OperationError::LeaseEnded { .. }) => (RelayError::LeaseEnded, String::new()),
-    };
-    RelayResponse {
-        error: error.into(),
-        reason,
-        ..RelayResponse::default()
-    }
-}
-
-/// Converts a response with an error into `Err`.
-fn result_of(call: &Call, response: RelayResponse) -> Result<RelayResponse, OperationError> {
-    let reason = response.reason.clone();
-    match response.error() {
-        RelayError::None => Ok(response),
-        RelayError::NotDone => Err(OperationError::NotDone { reason }),
-        RelayError::Unknown => Err(OperationError::Unknown { reason }),
-        RelayError::HistoryDropped => {
-            let after = match call {
-                Call::Watch(watch) => watch.after,
-                _ => 0,
-            };
-            Err(OperationError::HistoryDropped { after })
-        }
-        RelayError::LeaseEnded => {
-            let lease = match call {
-                Call::Keep(lease) | Call::End(lease) => *lease,
-                _ => 0,
-            };
-            Err(OperationError::LeaseEnded { lease })
-        }
-    }
-}
-
-/// Encodes an item for a peer.
-pub(crate) fn to_stored_item(item: Item) -> StoredItem {
-    StoredItem {
-        key: item.key,
-        value: item.value,
-        revision: item.revision,
-        lease: 0,
-    }
-}
-
-/// Decodes an item received from a peer.
-pub(crate) fn from_stored_item(stored: StoredItem) -> Item {
-    Item {
-        key: stored.key,
-        value: stored.value,
-        revision: stored.revision,
-    }
-}
-
-fn item_of(response: RelayResponse) -> Option<Item> {
-    response.items.into_iter().next().map(from_stored_item)
-}
-
-fn page_of(response: RelayResponse) -> Page {
-    Page {
-        items: response.items.into_iter().map(from_stored_item).collect(),
-        has_more: response.has_more,
-        revision: response.revision,
-    }
-}
-
-fn watched_of(response: RelayResponse) -> WatchResult {
-    let event = |entry: ChangeEntry| match entry.written {
-        Some(written) => Event::Written(from_stored_item(written)),
-        None => Event::Removed {
-            key: entry.removed_key,
-        },
-    };
-    WatchResult {
-        events: response.changes.into_iter().map(event).collect(),
-        revision: response.revision,
-    }
-}
-
-fn change_entry(event: Event) -> ChangeEntry {
-    match event {
-        Event::Written(item) => ChangeEntry {
-            written: Some(to_stored_item(item)),
-            removed_key: String::new(),
-        },
-        Event::Removed { key } => ChangeEntry {
-            written: None,
-            removed_key: key,
-        },
-    }
-}
-
-fn committed_of(response: RelayResponse) -> CommitOutcome {
-    if response.is_conflict {
-        CommitOutcome::Conflict {
-            current: response.items.into_iter().map(from_stored_item).collect(),
-        }
-    } else {
-        CommitOutcome::Done {
-            revision: response.revision,
-        }
-    }
-}
-
-fn commit_call(transaction: &Transaction) -> CommitCall {
-    let expected = |(key, revision): &(String, u64)| StoredItem {
-        key: key.clone(),
-        revision: *revision,
-        ..StoredItem::default()
-    };
-    let write = |write: &Write| StoredItem {
-        key: write.key.clone(),
-        value: write.value.clone(),
-        lease: write.lease,
-        ..StoredItem::default()
-    };
-    CommitCall {
-        expected: transaction.expected.iter().map(expected).collect(),
-        writes: transaction.writes.iter().map(write).collect(),
-        removes: transaction.removes.clone(),
-    }
-}
-
-fn transaction_of(call: CommitCall) -> Transaction {
-    Transaction {
-        expected: call
-            .expected
-            .into_iter()
-            .map(|expected| (expected.key, expected.revision))
-            .collect(),
-        writes: call
-            .writes
-            .into_iter()
-            .map(|write| Write {
-                key: write.key,
-                value: write.value,
-                lease: write.lease,
-            })
-            .collect(),
-        removes: call.removes,
-    }
-}
