--- a/review/rig/src/cases/mod.rs
+++ b/review/rig/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns whether its rule was broken; `None` if it could not run.
 
 mod attempts;
+mod pending;
 mod quota;
 mod restarted;
 mod stale_list;
@@ -17,6 +18,7 @@
 pub fn run(case: &str, out: &Path, has_trouble: bool) -> Outcome {
     match case {
         "attempts" => attempts::run(out, has_trouble),
+        "pending" => pending::run(out, has_trouble),
         "quota" => quota::run(out, has_trouble),
         "restarted-busy" => restarted::twice(out, has_trouble),
         "restarted-rack" => restarted::lost(out, has_trouble),
--- a/review/rig/src/site.rs
+++ b/review/rig/src/site.rs
@@ -311,9 +311,14 @@
 
     /// Submits a job of one step, and tries again as clients do until it is accepted.
     pub fn submit(&self, node: usize, id: &str, spec: &str, count: u64, cpu: u64) -> bool {
+        self.submit_step(node, id, spec, &format!("\"count\":{count},\"cpu\":{cpu}"))
+    }
+
+    /// Submits a job of one step with the given fields.
+    pub fn submit_step(&self, node: usize, id: &str, spec: &str, fields: &str) -> bool {
         let body = format!(
-            "{{\"spec\":\"{spec}\",\"steps\":[{{\"count\":{count},\"cpu\":{cpu},\
-             \"memMb\":256,\"estimatedMs\":900}}]}}"
+            "{{\"spec\":\"{spec}\",\"steps\":[{{{fields},\"memMb\":256,\
+             \"estimatedMs\":900}}]}}"
         );
         let accepted = || self.client(node, "POST", id, &body).0 == 200;
         wait_until(Duration::from_secs(10), accepted)
--- a/review/rig/src/worker.rs
+++ b/review/rig/src/worker.rs
@@ -115,6 +115,7 @@
     life: Mutex<Option<Life>>,
     server: Mutex<Option<Server>>,
     is_cut: AtomicBool,
+    is_unhealthy: AtomicBool,
 }
 
 #[derive(Clone)]
@@ -144,6 +145,7 @@
             life: Mutex::new(None),
             server: Mutex::new(None),
             is_cut: AtomicBool::new(false),
+            is_unhealthy: AtomicBool::new(false),
         }));
         worker.begin_life();
         let ticking = worker.clone();
@@ -177,6 +179,17 @@
         self.0.record.write(&format!("runner {} {what}", self.id()));
     }
 
+    /// Makes the runner refuse starts as an unhealthy one does, or take them again.
+    pub fn set_unhealthy(&self, is_unhealthy: bool) {
+        self.0.is_unhealthy.store(is_unhealthy, Ordering::SeqCst);
+        let what = if is_unhealthy {
+            "refuses starts"
+        } else {
+            "takes starts again"
+        };
+        self.0.record.write(&format!("runner {} {what}", self.id()));
+    }
+
     /// Crashes the runner: all that it runs and knows is lost.
     pub fn crash(&self) {
         if let Some(server) = self.0.server.lock().expect("no panic").take() {
@@ -253,7 +266,8 @@
     }
 
     fn labels(&self) -> Json {
-        Json::List(vec![Json::text("a"), Json::text(&self.0.rack)])
+        let kind = if self.0.zone == "rvk" { "b" } else { "a" };
+        Json::List(vec![Json::text(kind), Json::text(&self.0.rack)])
     }
 
     /// Writes the runner's entry in the store.
@@ -366,6 +380,9 @@
         life.lease_end_ms = life.lease_end_ms.max(lease_end_ms);
         let clock = Json::object(&[("clockMs", Json::number(clock_ms))]);
         match request.path.as_str() {
+            "/run-start" if self.0.is_unhealthy.load(Ordering::SeqCst) => {
+                Reply::Answer(503, Json::Object(Vec::new()))
+            }
             "/run-start" => {
                 let running = life.running.get(&task).map(|active| active.attempt);
                 if running == Some(attempt) {
