--- a/review/rig/src/cases/mod.rs
+++ b/review/rig/src/cases/mod.rs
@@ -5,6 +5,7 @@
 mod quota;
 mod restarted;
 mod stale_list;
+mod uppercase;
 
 use std::path::Path;
 
@@ -23,6 +24,7 @@
         "restarted-busy" => restarted::twice(out, has_trouble),
         "restarted-rack" => restarted::lost(out, has_trouble),
         "stale-list" => stale_list::run(out, has_trouble),
+        "uppercase" => uppercase::run(out, has_trouble),
         _ => Ok(None),
     }
 }
