Review: a gang whose member lost its runner never runs again

Cause: each member of a gang keeps a checkpoint of its own, and a restart sends these although all members must carry the same value.

Nothing is fixed.

--- a/review/rig/src/cases/mod.rs
+++ b/review/rig/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns whether its rule was broken; `None` if it could not run.
 
 mod attempts;
+mod gang;
 mod pending;
 mod quota;
 mod restarted;
@@ -19,6 +20,7 @@
 pub fn run(case: &str, out: &Path, has_trouble: bool) -> Outcome {
     match case {
         "attempts" => attempts::run(out, has_trouble),
+        "gang" => gang::run(out, has_trouble),
         "pending" => pending::run(out, has_trouble),
         "quota" => quota::run(out, has_trouble),
         "restarted-busy" => restarted::twice(out, has_trouble),
--- a/review/rig/src/worker.rs
+++ b/review/rig/src/worker.rs
@@ -1,7 +1,10 @@
 //! Stand-in for a runner and the machine that it runs on.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     sync::{
         atomic::{
@@ -52,9 +55,43 @@
     pub how: &'static str,
 }
 
-/// All runs on all workers, in the order of their starts.
+/// `gangTimeoutMs` of the settings: how long a member waits for the others.
+const GANG_TIMEOUT: Duration = Duration::from_millis(3000);
+
+/// `checkpointIntervalS` of the settings.
+const CHECKPOINT_MS: u64 = 1000;
+
+/// The members of one run of a gang that carry one checkpoint.
+struct Gang {
+    count: usize,
+    present: BTreeSet<String>,
+    /// Time since which all members are present.
+    begun: Option<Instant>,
+    /// Work that the checkpoint holds.
+    from_ms: u64,
+    /// How the run has ended for all members.
+    over: Option<&'static str>,
+}
+
+impl Gang {
+    fn progress_ms(&self) -> u64 {
+        let worked = self.begun.map_or(0, |begun| begun.elapsed().as_millis());
+        self.from_ms + worked as u64
+    }
+
+    /// Returns the checkpoint of the work so far.
+    fn checkpoint(&self) -> String {
+        match self.progress_ms() / CHECKPOINT_MS * CHECKPOINT_MS {
+            0 => String::new(),
+            saved_ms => format!("{saved_ms:016}"),
+        }
+    }
+}
+
+/// All runs on all workers, in the order of their starts, and the gangs by step,
+/// attempt and checkpoint.
 #[derive(Clone, Default)]
-pub struct Runs(Arc<Mutex<Vec<Run>>>);
+pub struct Runs(Arc<Mutex<Vec<Run>>>, Arc<Mutex<BTreeMap<String, Gang>>>);
 
 impl Runs {
     pub fn all(&self) -> Vec<Run> {
@@ -77,6 +114,9 @@
     fails: bool,
     stops_at: Option<Instant>,
     percent: u64,
+    /// Key of its gang.
+    gang: Option<String>,
+    checkpoint: String,
     /// Index in `Runs`.
     index: usize,
 }
@@ -198,7 +238,8 @@
         let mut life = self.lock();
         let now_ms = self.0.record.now_ms();
         if let Some(life) = life.take() {
-            for (_, active) in life.running {
+            for (task, active) in life.running {
+                self.leave_gang(&task, &active, "crashed");
                 self.end_record(active.index, now_ms, "crashed");
             }
         }
@@ -295,6 +336,36 @@
         self.0.store.put(&format!("servers/{}", self.0.id), &report);
     }
 
+    /// Takes a member out of its gang; the others end with it.
+    fn leave_gang(&self, task: &str, active: &Active, how: &'static str) {
+        let Some(key) = &active.gang else {
+            return;
+        };
+        let mut gangs = self.0.runs.1.lock().expect("no writer panics");
+        if let Some(gang) = gangs.get_mut(key) {
+            gang.present.remove(task);
+            if gang.begun.is_some() && how != "done" {
+                gang.over.get_or_insert("broken");
+            }
+        }
+    }
+
+    /// Returns how a member of a gang ends now, if it does, and its checkpoint.
+    fn gang_state(&self, active: &Active) -> Option<(Option<&'static str>, String, u64)> {
+        let mut gangs = self.0.runs.1.lock().expect("no writer panics");
+        let gang = gangs.get_mut(active.gang.as_ref()?)?;
+        if gang.begun.is_none() {
+            let is_alone = active.begin.elapsed() >= GANG_TIMEOUT;
+            return Some((is_alone.then_some("alone"), active.checkpoint.clone(), 0));
+        }
+        let whole_ms = (active.ends_at - active.begin).as_millis() as u64;
+        if gang.over.is_none() && gang.progress_ms() >= whole_ms {
+            gang.over = Some("done");
+        }
+        let percent = (gang.progress_ms() * 100 / whole_ms.max(1)).min(99);
+        Some((gang.over, gang.checkpoint(), percent))
+    }
+
     /// Ends the runs whose time is over, and all when the lease has lapsed.
     fn tick(&self) {
         let mut guard = self.lock();
@@ -308,8 +379,19 @@
             let passed = active.begin.elapsed().as_millis() as u64;
             let whole = (active.ends_at - active.begin).as_millis() as u64;
             active.percent = (passed * 100 / whole.max(1)).min(99);
+            let member = self.gang_state(active);
+            if let Some((_, checkpoint, percent)) = &member {
+                active.checkpoint.clone_from(checkpoint);
+                active.percent = *percent;
+            }
             let how = if active.stops_at.is_some_and(|at| now >= at) {
                 "stopped"
+            } else if let Some((over, _, _)) = member {
+                match over {
+                    Some(how) => how,
+                    None if has_lapsed => "lapsed",
+                    None => continue,
+                }
             } else if now >= active.ends_at && active.fails {
                 "failed"
             } else if now >= active.ends_at {
@@ -325,13 +407,14 @@
             let Some(active) = life.running.remove(&task) else {
                 continue;
             };
+            self.leave_gang(&task, &active, how);
             life.next_end += 1;
             let row = Json::List(vec![
                 Json::number(life.next_end),
                 Json::text(&task),
                 Json::number(active.attempt),
                 Json::text(how),
-                Json::text(""),
+                Json::text(&active.checkpoint),
             ]);
             life.finished.push((life.next_end, row));
             life.ended_attempts.insert(task, active.attempt);
@@ -397,6 +480,24 @@
                 }
                 let spec = body.get("spec").as_str();
                 let (ms, fails) = spec.split_once(' ').unwrap_or((spec, ""));
+                let checkpoint = body.get("checkpoint").as_str().to_owned();
+                let gang = fails.strip_prefix("gang ").and_then(|count| {
+                    let step = task.rsplit_once('.')?.0;
+                    let key = format!("{step} #{attempt} {checkpoint}");
+                    let mut gangs = self.0.runs.1.lock().expect("no writer panics");
+                    let gang = gangs.entry(key.clone()).or_insert(Gang {
+                        count: count.parse().ok()?,
+                        present: BTreeSet::new(),
+                        begun: None,
+                        from_ms: checkpoint.parse().unwrap_or(0),
+                        over: None,
+                    });
+                    gang.present.insert(task.clone());
+                    if gang.present.len() == gang.count {
+                        gang.begun.get_or_insert(Instant::now());
+                    }
+                    Some(key)
+                });
                 let time = Duration::from_millis(ms.parse().unwrap_or(500));
                 let run = Run {
                     task: task.clone(),
@@ -407,7 +508,7 @@
                     how: "",
                 };
                 let line = format!(
-                    "run {task} #{attempt} begins on {} under token {token}",
+                    "run {task} #{attempt} begins on {} under token {token}, checkpoint \"{checkpoint}\"",
                     self.0.id
                 );
                 self.0.record.write(&line);
@@ -420,6 +521,8 @@
                     fails: fails == "fails",
                     stops_at: None,
                     percent: 0,
+                    gang,
+                    checkpoint: checkpoint.clone(),
                     index: runs.len() - 1,
                 };
                 life.running.insert(task, active);
@@ -465,7 +568,7 @@
                 Json::List(vec![
                     Json::text(task),
                     Json::number(active.attempt),
-                    Json::text(""),
+                    Json::text(&active.checkpoint),
                     Json::number(active.percent),
                     Json::number(1000),
                 ])
