Review: a schedule that began long ago ends each scheduling process

Cause: all due occurrences of a job are opened at once, and neither their number nor their age is limited. The state of a year of minutes exceeds the memory of an instance. The job is stored, so that the next scheduler fails in the same way.

Nothing is fixed.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# LOST: the idle runners of a rack are back within a second.
+# LOST: a schedule that began a year ago is handed in.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 leaves the disruption out. RIG_LOGS names a folder for the logs.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/rig/target/release/rig restarted-rack review/1
+exec review/rig/target/release/rig schedule review/1
--- a/review/rig/src/cases/mod.rs
+++ b/review/rig/src/cases/mod.rs
@@ -5,6 +5,7 @@
 mod pending;
 mod quota;
 mod restarted;
+mod schedule;
 mod stale_list;
 mod uppercase;
 
@@ -25,6 +26,7 @@
         "quota" => quota::run(out, has_trouble),
         "restarted-busy" => restarted::twice(out, has_trouble),
         "restarted-rack" => restarted::lost(out, has_trouble),
+        "schedule" => schedule::run(out, has_trouble),
         "stale-list" => stale_list::run(out, has_trouble),
         "uppercase" => uppercase::run(out, has_trouble),
         _ => Ok(None),
--- a/review/rig/src/site.rs
+++ b/review/rig/src/site.rs
@@ -28,7 +28,9 @@
     thread,
     time::{
         Duration,
-        Instant, //
+        Instant,
+        SystemTime,
+        UNIX_EPOCH, //
     }, //
 };
 
@@ -316,14 +318,56 @@
 
     /// Submits a job of one step with the given fields.
     pub fn submit_step(&self, node: usize, id: &str, spec: &str, fields: &str) -> bool {
-        let body = format!(
-            "{{\"spec\":\"{spec}\",\"steps\":[{{{fields},\"memMb\":256,\
-             \"estimatedMs\":900}}]}}"
-        );
+        let body = Self::body(spec, fields);
         let accepted = || self.client(node, "POST", id, &body).0 == 200;
         wait_until(Duration::from_secs(10), accepted)
     }
 
+    /// Returns the body of a job of one step with the given fields.
+    pub fn body(spec: &str, fields: &str) -> String {
+        format!(
+            "{{\"spec\":\"{spec}\",\"steps\":[{{{fields},\"memMb\":256,\
+             \"estimatedMs\":900}}]}}"
+        )
+    }
+
+    /// Returns the time of day.
+    pub fn unix_ms(&self) -> u64 {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        unix.map_or(0, |unix| unix.as_millis() as u64)
+    }
+
+    /// Kills the processes that use more memory than the platform allows, as it does.
+    /// Returns their number, and adds them to `killed`.
+    pub fn kill_above(&mut self, most_mb: u64, killed: &mut Vec<(usize, Instant)>) -> usize {
+        let mut count = 0;
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            let Some(child) = &mut node.child else {
+                continue;
+            };
+            let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+            let resident_kb: u64 = status
+                .unwrap_or_default()
+                .lines()
+                .find_map(|line| line.strip_prefix("VmRSS:"))
+                .and_then(|rest| rest.split_whitespace().next()?.parse().ok())
+                .unwrap_or(0);
+            if resident_kb <= most_mb * 1024 {
+                continue;
+            }
+            let _ = child.kill();
+            let _ = child.wait();
+            node.child = None;
+            killed.push((index, Instant::now()));
+            count += 1;
+            self.record.write(&format!(
+                "process of {} uses {resident_kb} KB and is killed",
+                node.name
+            ));
+        }
+        count
+    }
+
     /// Waits until all machines serve and one schedules.
     pub fn wait_until_ready(&self) -> bool {
         let unknown = format!("{PATH_PREFIX}00000000000000ff");
