--- a/review/rig/src/cases/schedule.rs
+++ b/review/rig/src/cases/schedule.rs
@@ -12,7 +12,8 @@
 use super::Outcome;
 use crate::site::{
     Config,
-    Site, //
+    Site,
+    OTHER_KEY, //
 };
 
 const SCHEDULED: &str = "0d41e5a96b73c802";
@@ -69,7 +70,10 @@
             asked_at = Instant::now();
             let step = "\"count\":2,\"cpu\":1000";
             let body = Site::body("1000", step);
-            is_accepted = site.client(kills % 3, "POST", OTHER, &body).0 == 200;
+            is_accepted = site
+                .client_with(OTHER_KEY, kills % 3, "POST", OTHER, &body)
+                .0
+                == 200;
         }
         std::thread::sleep(Duration::from_millis(20));
     }
--- a/review/rig/src/site.rs
+++ b/review/rig/src/site.rs
@@ -58,6 +58,8 @@
 
 pub const HOST: &str = "host.example";
 pub const KEY: &str = "sjnbanfqasnmgkcuyj8p";
+/// Key of a second tenant, which has no upper limit.
+pub const OTHER_KEY: &str = "jbvk9m68k7b2ex5wa5xw";
 pub const PATH_PREFIX: &str = "/kafi706/";
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
@@ -196,6 +198,18 @@
             ("weight", Json::number(54)),
             ("cap", cap),
         ]);
+        let no_cap = Json::object(&[
+            ("cpu", Json::number(0)),
+            ("memMb", Json::number(0)),
+            ("gpu", Json::number(0)),
+        ]);
+        let other_tenant = Json::object(&[
+            ("name", Json::text("dara217")),
+            ("apiKeys", Json::List(vec![Json::text(OTHER_KEY)])),
+            ("priority", Json::number(1)),
+            ("weight", Json::number(54)),
+            ("cap", no_cap),
+        ]);
         let routes = if config.has_route {
             vec![route]
         } else {
@@ -206,7 +220,7 @@
             ("routes", Json::List(routes)),
             ("services", Json::List(vec![service])),
             ("limits", limits),
-            ("tenants", Json::List(vec![tenant])),
+            ("tenants", Json::List(vec![tenant, other_tenant])),
         ]);
         self.store.put("op/config", &document);
         self.record.write(&format!(
@@ -299,10 +313,22 @@
 
     /// Sends a client's request to a machine, and records it with its answer.
     pub fn client(&self, node: usize, method: &str, id: &str, body: &str) -> (u16, String) {
+        self.client_with(KEY, node, method, id, body)
+    }
+
+    /// Sends a request with a tenant's key.
+    pub fn client_with(
+        &self,
+        key: &str,
+        node: usize,
+        method: &str,
+        id: &str,
+        body: &str,
+    ) -> (u16, String) {
         let path = format!("{PATH_PREFIX}{id}");
         let sent_ms = self.record.now_ms();
         let callers = self.nodes[node].callers();
-        let (status, answer) = call(callers, method, HOST, &path, KEY, body);
+        let (status, answer) = call(callers, method, HOST, &path, key, body);
         self.record.write(&format!(
             "client: {method} {id} sent to {} at {:.3} s: {status} {answer}",
             self.nodes[node].name,
