Poll every worker whose status is unread

Cause: a worker gets tasks only after its status was read, and its status loop sleeps while the worker runs nothing. Only an order woke it. A restart under the same identifier makes the status unread, so no order comes and nothing wakes the loop. The same holds for the end of an idle worker that registers again, for a stop that fails after the last run has ended, and for loops of workers that were removed or moved, which slept for good.

Change: the scheduler lists the unread workers, and each tick wakes their loops and those of removed workers. The condition is checked at one place, so that no event has to remember the loop. The loops that a moved worker's new ones replace are woken too.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     granted::MAX_ORDER_DELAY,
+    worker::Worker,
     JobId,
     ProcessedEnds,
     Resources,
@@ -131,9 +132,18 @@
     /// Returns whether a worker's status must be read before it gets tasks, because
     /// its lease has lapsed or its last call was not answered.
     pub fn needs_status(&self, key: WorkerKey) -> bool {
-        self.workers
-            .get(&key)
-            .is_some_and(|worker| !worker.is_known || worker.is_silent)
+        self.workers.get(&key).is_some_and(Worker::needs_status)
+    }
+
+    /// Returns the workers whose status must be read before they get tasks. The caller
+    /// has to poll each of them, whatever made its status outdated: a restart, the end
+    /// of its lease, or a call without an answer.
+    pub fn unread_workers(&self) -> impl Iterator<Item = WorkerKey> + '_ {
+        let unread = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.needs_status());
+        unread.map(|(&key, _)| key)
     }
 
     /// Returns whether a worker runs both serving and filler tasks.
@@ -165,8 +175,8 @@
     }
 
     /// Ends the runs of workers whose leases have certainly ended, and removes
-    /// workers that are gone.
-    pub fn expire_leases(&mut self, now: Duration) {
+    /// workers that are gone. Returns the keys of the removed workers.
+    pub fn expire_leases(&mut self, now: Duration) -> Vec<WorkerKey> {
         self.late_orders.retain(|_, (_, until)| now < *until);
         let lapsed: Vec<WorkerKey> = self
             .workers
@@ -175,6 +185,7 @@
             .filter(|(_, worker)| worker.has_lapsed(now))
             .map(|(&key, _)| key)
             .collect();
+        let mut removed = Vec::new();
         for key in lapsed {
             let worker = &self.workers[&key];
             let is_listed = worker.is_listed;
@@ -188,8 +199,10 @@
             self.end_worker_runs(key, now);
             if !is_listed {
                 self.remove_worker(key);
+                removed.push(key);
             }
         }
+        removed
     }
 
     /// Handles an answer of another worker at the address of a worker, which means
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -214,6 +214,11 @@
         self.health = Health::default();
     }
 
+    /// Returns whether the worker's status must be read before it gets tasks.
+    pub(crate) fn needs_status(&self) -> bool {
+        !self.is_known || self.is_silent
+    }
+
     /// Records that the worker responded.
     pub(crate) fn on_answer(&mut self, now: Duration) {
         self.answered_at = now;
--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -261,6 +261,23 @@
         }
     }
 
+    /// Wakes the status loops of workers whose status must be read, and those of
+    /// removed workers, which end. Doing so at each tick covers every event that makes
+    /// the status of an idle worker outdated.
+    fn wake_status_loops(&self, scheduler: &Scheduler, removed: &[WorkerKey]) {
+        let mut handles = self.handles();
+        for key in scheduler.unread_workers() {
+            if let Some(handle) = handles.get(&key) {
+                handle.wake.set();
+            }
+        }
+        for key in removed {
+            if let Some(handle) = handles.remove(key) {
+                handle.wake.set();
+            }
+        }
+    }
+
     /// Applies configuration changes, expired leases and due jobs at each tick, until
     /// the task group stops.
     pub(crate) async fn tick(&self) {
@@ -277,9 +294,12 @@
             let now = clock::now();
             // Once this scheduler's own lease has ended, another scheduler may have
             // renewed the leases of workers.
-            if self.is_valid() {
-                scheduler.expire_leases(now);
-            }
+            let removed = if self.is_valid() {
+                scheduler.expire_leases(now)
+            } else {
+                Vec::new()
+            };
+            self.wake_status_loops(&scheduler, &removed);
             scheduler.open_due_jobs(clock::unix());
             scheduler.forget_ended(now);
             scheduler.replan();
--- a/crates/dotterelsill_node/src/worker_loops.rs
+++ b/crates/dotterelsill_node/src/worker_loops.rs
@@ -68,7 +68,10 @@
         orders: sender,
         wake: wake.clone(),
     };
-    leadership.handles().insert(key, handle);
+    if let Some(replaced) = leadership.handles().insert(key, handle) {
+        // Its loops end once they see that the worker has another address.
+        replaced.wake.set();
+    }
     let loops = WorkerLoops {
         leadership: leadership.clone(),
         key,
