Apply facts about a worker to the life that they are about

A worker restarts under its identifier while the platform's list of instances is slow, and its new tasks are started elsewhere although it is up and runs them.

Cause: a list in which an instance is down ended its worker, whatever the age of the list. The time since which a worker is known, which guards against lists without it, was that of its first life. `421` from another worker ended the present life although the call was older than it, or went to an address that the worker has left.

Change: what belongs to one life of a worker is in `Life`, which is replaced as a whole at a restart. `Life::is_shown_by_list` decides whether a list tells about the present life; a `421` carries the address and the time of its call.

Evidence: in the log of the failing run, `worker_born_again` comes 344 ms before `worker_has_no_instance`.

--- a/crates/dotterelsill_jobs/src/advice.rs
+++ b/crates/dotterelsill_jobs/src/advice.rs
@@ -176,7 +176,7 @@
                 (Some((_, text)), Some(worker)) => {
                     let ticket = Ticket {
                         text: text.as_str().into(),
-                        started_unix_ms: worker.report.started_unix_ms,
+                        started_unix_ms: worker.life.started_unix_ms,
                         valid_until: requested_at + advisor.validity.saturating_sub(TICKET_MARGIN),
                     };
                     tickets.by_worker.insert(name.clone(), ticket);
@@ -202,8 +202,8 @@
         for (name, ticket) in self.tickets.get(&id).into_iter().flat_map(|t| &t.by_worker) {
             let key = self.by_id.get(name);
             let worker = key.and_then(|key| self.workers.get(key));
-            let is_life = worker
-                .is_some_and(|worker| worker.report.started_unix_ms == ticket.started_unix_ms);
+            let is_life =
+                worker.is_some_and(|worker| worker.life.started_unix_ms == ticket.started_unix_ms);
             if let Some(&key) = key.filter(|_| is_life && now < ticket.valid_until) {
                 valid.insert(key, ticket.text.clone());
             }
--- a/crates/dotterelsill_jobs/src/changes.rs
+++ b/crates/dotterelsill_jobs/src/changes.rs
@@ -177,7 +177,7 @@
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
-        while let Some(end) = worker.pending_ends.front() {
+        while let Some(end) = worker.life.pending_ends.front() {
             let is_stored = self
                 .jobs
                 .get(&end.job)
@@ -187,8 +187,8 @@
                 self.unacknowledged.entry(end.job).or_default().insert(key);
                 break;
             }
-            worker.acknowledged_end = end.number;
-            worker.pending_ends.pop_front();
+            worker.life.acknowledged_end = end.number;
+            worker.life.pending_ends.pop_front();
         }
     }
 }
--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -92,7 +92,7 @@
 
     fn note_done(&mut self, key: WorkerKey, task: TaskId, now: Duration) -> u64 {
         if let Some(worker) = self.workers.get_mut(&key) {
-            worker.health.on_done();
+            worker.life.health.on_done();
         }
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return 0;
@@ -188,7 +188,7 @@
         // A task that fails everywhere is no evidence against its workers.
         if failures < TASK_FAILURE_THRESHOLD {
             if let Some(worker) = self.workers.get_mut(&key) {
-                if worker.health.on_failed(task.step.job, now) {
+                if worker.life.health.on_failed(task.step.job, now) {
                     log::warn!(worker = worker.report.id; "worker_set_aside");
                 }
             }
@@ -237,8 +237,8 @@
         }
     }
 
-    /// Handles the response to an order; returns whether the order must be sent
-    /// again. `may_come_late` is set if an earlier attempt got no response and may
+    /// Handles the response of the worker itself to an order; returns whether the order
+    /// must be sent again. [`Self::on_other_worker`] handles that of another worker. `may_come_late` is set if an earlier attempt got no response and may
     /// still be executed.
     pub fn on_answer(
         &mut self,
@@ -248,11 +248,10 @@
         may_come_late: bool,
         now: Duration,
     ) -> bool {
-        let (task, attempt) = order.run();
         if answer == Answer::OtherWorker {
-            self.on_other_worker(key, now);
             return false;
         }
+        let (task, attempt) = order.run();
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.on_answer(now);
         }
@@ -304,7 +303,6 @@
             }
             // The run may have ended already; the next status shows it.
             Answer::Old => self.confirm(key, task, attempt, Some(now)),
-            // `OtherWorker` was handled by the caller, where it ends this worker.
             Answer::Fenced | Answer::OtherWorker => {}
             Answer::Ticket => {
                 log::info!(task:%, attempt, worker = key.0; "ticket_refused");
@@ -313,7 +311,7 @@
             }
             Answer::Late | Answer::NoRoom | Answer::Unhealthy => {
                 if let Some(worker) = self.workers.get_mut(&key) {
-                    worker.health.on_refused(now);
+                    worker.life.health.on_refused(now);
                     log::warn!(
                         task:%, attempt, worker = worker.report.id, answer:?; "start_refused"
                     );
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -26,12 +26,9 @@
             let longest = self.limits.max_lease;
             let worker = self.workers.get_mut(&key).expect("by_id names workers");
             let is_moved = worker.report.address != report.address;
-            if worker.report.started_unix_ms > report.started_unix_ms && report.started_unix_ms != 0
-            {
-                // A status has already shown a newer incarnation.
+            if !worker.on_started(report.started_unix_ms, longest, now) {
                 return (key, false);
             }
-            worker.on_incarnation(report.started_unix_ms, longest, now);
             worker.report = report;
             worker.is_listed = true;
             return (key, is_moved);
@@ -89,9 +86,9 @@
         // A request to a silent worker may still be executed. Extending the lease
         // with it would mean that the lease never certainly ends.
         if may_extend && worker.may_grant && !worker.is_silent {
-            worker.grant(lease, now)
+            worker.life.grant(lease, now)
         } else {
-            worker.granted()
+            worker.life.granted()
         }
     }
 
@@ -102,15 +99,15 @@
         self.workers
             .get(&key)
             .filter(|worker| !worker.is_silent)
-            .map_or(0, |worker| worker.acknowledged_end)
+            .map_or(0, |worker| worker.life.acknowledged_end)
     }
 
     /// Returns the ends of a worker that need not be listed to this scheduler again.
     pub fn processed_ends(&self, key: WorkerKey) -> ProcessedEnds {
         let worker = self.workers.get(&key);
         worker.map_or(ProcessedEnds::default(), |worker| ProcessedEnds {
-            started_unix_ms: worker.report.started_unix_ms,
-            number: worker.processed_end,
+            started_unix_ms: worker.life.started_unix_ms,
+            number: worker.life.processed_end,
         })
     }
 
@@ -118,7 +115,7 @@
     pub fn has_pending_ends(&self, key: WorkerKey) -> bool {
         self.workers
             .get(&key)
-            .is_some_and(|worker| !worker.pending_ends.is_empty())
+            .is_some_and(|worker| !worker.life.pending_ends.is_empty())
     }
 
     /// Returns whether a worker has something to report: runs, or ends that are not
@@ -126,7 +123,7 @@
     pub fn is_busy(&self, key: WorkerKey) -> bool {
         self.workers
             .get(&key)
-            .is_some_and(|worker| !worker.booked.is_empty() || !worker.pending_ends.is_empty())
+            .is_some_and(|worker| !worker.booked.is_empty() || !worker.life.pending_ends.is_empty())
     }
 
     /// Returns whether a worker's status must be read before it gets tasks, because
@@ -205,13 +202,24 @@
         removed
     }
 
-    /// Handles an answer of another worker at the address of a worker, which means
-    /// that the latter has ended.
-    pub fn on_other_worker(&mut self, key: WorkerKey, now: Duration) {
-        if let Some(worker) = self.workers.get(&key) {
-            log::info!(worker = worker.report.id; "worker_replaced");
-            self.on_worker_ended(key, now);
+    /// Handles an answer of another worker at an address of a worker, to a call that
+    /// was sent at `sent_at`. The worker has ended, unless it moved or restarted since.
+    pub fn on_other_worker(
+        &mut self,
+        key: WorkerKey,
+        address: &str,
+        sent_at: Duration,
+        now: Duration,
+    ) {
+        let Some(worker) = self.workers.get(&key) else {
+            return;
+        };
+        if worker.report.address != address || sent_at <= worker.life.since {
+            log::info!(worker = worker.report.id, address; "answer_of_earlier_address_ignored");
+            return;
         }
+        log::info!(worker = worker.report.id; "worker_replaced");
+        self.on_worker_ended(key, now);
     }
 
     /// Handles the certain end of a worker incarnation and all of its runs.
@@ -228,7 +236,7 @@
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
-        worker.is_known = false;
+        worker.life.is_known = false;
         self.needs_plan = true;
         let mut booked = worker.booked.values();
         if booked.any(|booked| booked.confirmed_at.is_none()) {
--- a/crates/dotterelsill_jobs/src/instance_orders.rs
+++ b/crates/dotterelsill_jobs/src/instance_orders.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     granted::MAX_ORDER_DELAY,
+    life::LIST_LAG,
     Instance,
     InstanceAction,
     InstanceAnswer,
@@ -20,9 +21,6 @@
     WorkerKey, //
 };
 
-/// Maximum delay until a new worker appears in the platform's list.
-const LIST_LAG: Duration = Duration::from_millis(1500);
-
 /// Number of consecutive lists without a worker after which it counts as ended.
 const MAX_MISSED_LISTS: u32 = 2;
 
@@ -134,10 +132,10 @@
         }
         for (&key, worker) in &mut self.workers {
             if listed.contains(worker.report.id.as_str()) {
-                worker.missed_lists = 0;
-            } else if requested_at > worker.known_since + LIST_LAG {
-                worker.missed_lists += 1;
-                if worker.missed_lists >= MAX_MISSED_LISTS {
+                worker.life.missed_lists = 0;
+            } else if requested_at > worker.life.since + LIST_LAG {
+                worker.life.missed_lists += 1;
+                if worker.life.missed_lists >= MAX_MISSED_LISTS {
                     ended.push(key);
                 }
             }
@@ -145,6 +143,10 @@
         for key in ended {
             let worker = self.workers.get(&key).filter(|worker| !worker.has_ended);
             if let Some(worker) = worker {
+                if !worker.life.is_shown_by_list(requested_at) {
+                    log::info!(worker = worker.report.id; "outdated_list_ignored");
+                    continue;
+                }
                 log::info!(
                     worker = worker.report.id, runs = worker.booked.len() as u64;
                     "worker_has_no_instance"
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -25,6 +25,7 @@
 mod instance_orders;
 mod job;
 mod job_life;
+mod life;
 mod moves;
 mod order;
 mod overload;
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -0,0 +1,173 @@
+//! One life of a worker: the process that holds the worker's identifier.
+//!
+//! A worker that restarts under its identifier gets a new [`Life`], so that nothing
+//! that is known of the earlier one is applied to the later one.
+
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
+
+use crate::{
+    health::Health,
+    JobId, //
+};
+
+/// Bound on the rate by which a worker's clock may run slow, as a divisor: 50
+/// stands for 2%.
+const SLOW_CLOCK_DIVISOR: u32 = 50;
+
+/// Additional time before a lease counts as lapsed, for the worker to end its runs.
+const LAPSE_MARGIN: Duration = Duration::from_millis(150);
+
+/// Maximum delay until the platform's list of instances shows a change.
+pub(crate) const LIST_LAG: Duration = Duration::from_millis(1500);
+
+/// A reading of the worker's clock, with the scheduler's times around it.
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    worker_ms: u64,
+    /// Time at which the request was sent whose response carried the reading.
+    sent_at: Duration,
+    /// Time at which the response arrived.
+    read_at: Duration,
+}
+
+/// A reported end that is acknowledged once its effect on the job is stored.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingEnd {
+    pub(crate) number: u64,
+    pub(crate) job: JobId,
+    /// Number of the job's progress change that must be stored first.
+    pub(crate) change: u64,
+}
+
+/// What the scheduler knows of one life.
+#[derive(Debug)]
+pub(crate) struct Life {
+    /// Start time, in milliseconds since the Unix epoch; 0 if not known.
+    pub(crate) started_unix_ms: u64,
+    /// Time at which the scheduler learned of the life.
+    pub(crate) since: Duration,
+    /// Whether a status was read under this scheduler's fencing token.
+    pub(crate) is_known: bool,
+    pub(crate) pending_ends: VecDeque<PendingEnd>,
+    /// Highest number of an end that was processed.
+    pub(crate) processed_end: u64,
+    /// Highest number of an end that may be acknowledged.
+    pub(crate) acknowledged_end: u64,
+    pub(crate) health: Health,
+    /// Number of consecutive instance lists that did not contain the worker.
+    pub(crate) missed_lists: u32,
+    clock: Option<ClockReading>,
+    /// End of the latest lease granted by this scheduler, on the worker's clock.
+    granted_until_ms: u64,
+    /// Latest end of a lease that another scheduler may have granted. It is never
+    /// sent to the worker, because an order must not extend it.
+    foreign_until_ms: u64,
+    /// Time until which orders that were meant for an earlier life may be executed,
+    /// as long as no status was read.
+    unread_until: Duration,
+}
+
+impl Life {
+    pub(crate) fn new(started_unix_ms: u64, since: Duration) -> Self {
+        Self {
+            started_unix_ms,
+            since,
+            is_known: false,
+            pending_ends: VecDeque::new(),
+            processed_end: 0,
+            acknowledged_end: 0,
+            health: Health::default(),
+            missed_lists: 0,
+            clock: None,
+            granted_until_ms: 0,
+            foreign_until_ms: 0,
+            unread_until: Duration::ZERO,
+        }
+    }
+
+    /// Creates a life that follows another one. Orders for the earlier one may reach
+    /// it, and grant leases of at most `longest`.
+    pub(crate) fn successor(started_unix_ms: u64, longest: Duration, now: Duration) -> Self {
+        Self {
+            unread_until: now + longest,
+            ..Self::new(started_unix_ms, now)
+        }
+    }
+
+    /// Returns whether a list of instances tells about this life. One that was
+    /// requested earlier may show what was so before the life began.
+    pub(crate) fn is_shown_by_list(&self, requested_at: Duration) -> bool {
+        // Nothing was started on a worker whose status was not read. Its end is
+        // believed sooner, as restored jobs wait for it after a takeover.
+        let lag = if self.is_known {
+            LIST_LAG
+        } else {
+            Duration::ZERO
+        };
+        requested_at > self.since + lag
+    }
+
+    /// Records the worker's clock as carried by a response.
+    pub(crate) fn on_clock(&mut self, worker_ms: u64, sent_at: Duration, read_at: Duration) {
+        let is_newer = |clock: ClockReading| sent_at >= clock.sent_at;
+        if self.clock.is_none_or(is_newer) {
+            self.clock = Some(ClockReading {
+                worker_ms,
+                sent_at,
+                read_at,
+            });
+        }
+    }
+
+    /// Handles the first status. An order for an earlier life may have reached this
+    /// one and granted it a lease.
+    pub(crate) fn on_first_status(&mut self, longest: Duration) {
+        if !self.unread_until.is_zero() {
+            self.unread_until = Duration::ZERO;
+            self.note_foreign_lease(longest);
+        }
+    }
+
+    /// Grants a lease that starts now and returns its end on the worker's clock.
+    pub(crate) fn grant(&mut self, lease: Duration, now: Duration) -> Option<u64> {
+        let clock = self.clock?;
+        let passed = now.saturating_sub(clock.read_at);
+        // The worker's clock has advanced by at least this much, so the lease is
+        // never longer than requested.
+        let min_passed = passed - passed / SLOW_CLOCK_DIVISOR;
+        let until_ms = clock.worker_ms + (min_passed + lease).as_millis() as u64;
+        self.granted_until_ms = self.granted_until_ms.max(until_ms);
+        Some(self.granted_until_ms)
+    }
+
+    /// Accounts for a run under a lease that another scheduler granted, for at most
+    /// `longest` from the last clock reading.
+    pub(crate) fn note_foreign_lease(&mut self, longest: Duration) {
+        if let Some(clock) = self.clock {
+            let until_ms = clock.worker_ms + longest.as_millis() as u64;
+            self.foreign_until_ms = self.foreign_until_ms.max(until_ms);
+        }
+    }
+
+    /// Returns the end of the granted lease, on the worker's clock.
+    pub(crate) fn granted(&self) -> Option<u64> {
+        (self.granted_until_ms > 0).then_some(self.granted_until_ms)
+    }
+
+    /// Returns whether the lease, and with it every run, has certainly ended, given
+    /// the time until which leases of earlier schedulers may last.
+    pub(crate) fn has_lapsed(&self, unknown_until: Duration, now: Duration) -> bool {
+        let Some(clock) = self.clock else {
+            return now >= unknown_until.max(self.unread_until);
+        };
+        let passed = now.saturating_sub(clock.read_at);
+        let min_passed = passed - passed / SLOW_CLOCK_DIVISOR;
+        let lower = Duration::from_millis(clock.worker_ms) + min_passed;
+        let until_ms = self.granted_until_ms.max(self.foreign_until_ms);
+        let is_over = lower > Duration::from_millis(until_ms) + LAPSE_MARGIN;
+        is_over && now >= unknown_until
+    }
+}
--- a/crates/dotterelsill_jobs/src/moves.rs
+++ b/crates/dotterelsill_jobs/src/moves.rs
@@ -198,7 +198,9 @@
                 .get(&known.instance.worker)
                 .and_then(|key| self.workers.get(key));
             let is_idle = match worker {
-                Some(worker) => worker.booked.is_empty() && worker.is_known && !worker.is_cordoned,
+                Some(worker) => {
+                    worker.booked.is_empty() && worker.life.is_known && !worker.is_cordoned
+                }
                 None => false,
             };
             if is_idle {
@@ -252,7 +254,7 @@
                 continue;
             }
             let worker = self.worker_of(name).map(|key| &self.workers[&key]);
-            let has_worker = worker.is_some_and(|worker| worker.is_known);
+            let has_worker = worker.is_some_and(|worker| worker.life.is_known);
             let is_recent = known.done_at.is_some_and(|at| now < at + MAX_ARRIVAL_TIME);
             let is_standby = self.is_standby(&instance.pool);
             if is_standby {
--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -89,13 +89,13 @@
     let is_in = !operator_requests
         .excluded_data_centres
         .contains(&worker.report.data_centre);
-    let takes_tasks = worker.is_known
+    let takes_tasks = worker.life.is_known
         && (worker.is_listed || now < worker.unlisted_at + UNLISTED_GRACE)
         && worker.may_grant
         && !worker.is_silent
         && !worker.is_cordoned
         && !worker.report.is_draining
-        && !worker.health.is_quarantined(now);
+        && !worker.life.health.is_quarantined(now);
     if !(is_in && takes_tasks) {
         return None;
     }
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -185,7 +185,7 @@
     /// any tasks.
     pub(crate) fn may_run_unseen(&self, worker: &Worker, now: Duration) -> bool {
         worker.is_expected
-            && !worker.is_known
+            && !worker.life.is_known
             && (now < worker.unknown_until || !self.has_authority)
     }
 
--- a/crates/dotterelsill_jobs/src/waves.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -308,7 +308,7 @@
             return true;
         }
         self.worker_of(name)
-            .is_some_and(|key| self.workers[&key].is_known && self.lasting_on(key).is_empty())
+            .is_some_and(|key| self.workers[&key].life.is_known && self.lasting_on(key).is_empty())
     }
 
     /// Returns whether the runs of an instance may be ended now.
@@ -363,7 +363,7 @@
         let is_staying = |key: WorkerKey| {
             let worker = self.workers.get(&key);
             worker.is_some_and(|worker| {
-                worker.is_known && !worker.is_silent && !worker.is_terminating
+                worker.life.is_known && !worker.is_silent && !worker.is_terminating
             })
         };
         task.runs.iter().any(|run| {
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -8,11 +8,9 @@
         Job,
         Run, //
     },
+    life::PendingEnd,
     order::MAX_LISTED_ENDS,
-    worker::{
-        BookedRun,
-        PendingEnd, //
-    },
+    worker::BookedRun,
     ListedEnd,
     ListedRun,
     Resources,
@@ -33,15 +31,15 @@
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
-        if status.started_unix_ms != 0 && status.started_unix_ms < worker.report.started_unix_ms {
-            log::info!(worker = worker.report.id; "look_of_an_earlier_life");
+        if !worker.on_started(status.started_unix_ms, self.limits.max_lease, now) {
             return;
         }
-        worker.on_incarnation(status.started_unix_ms, self.limits.max_lease, now);
-        worker.on_clock(status.worker_ms, status.sent_at, status.read_at);
-        worker.on_first_status(self.limits.max_lease);
-        let was_known = worker.is_known;
-        worker.is_known = true;
+        worker.on_answer(status.read_at);
+        let life = &mut worker.life;
+        life.on_clock(status.worker_ms, status.sent_at, status.read_at);
+        life.on_first_status(self.limits.max_lease);
+        let was_known = worker.life.is_known;
+        worker.life.is_known = true;
         if !was_known {
             self.needs_plan = true;
         }
@@ -62,10 +60,10 @@
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
-        if end.number <= worker.processed_end {
+        if end.number <= worker.life.processed_end {
             return;
         }
-        worker.processed_end = end.number;
+        worker.life.processed_end = end.number;
         let change = self.end_run(
             key,
             &RunEnd {
@@ -77,7 +75,7 @@
             now,
         );
         if let Some(worker) = self.workers.get_mut(&key) {
-            worker.pending_ends.push_back(PendingEnd {
+            worker.life.pending_ends.push_back(PendingEnd {
                 number: end.number,
                 job: end.task.step.job,
                 change,
@@ -150,7 +148,7 @@
             "run_adopted"
         );
         let resources = booked.resources;
-        worker.note_foreign_lease(self.limits.max_lease);
+        worker.life.note_foreign_lease(self.limits.max_lease);
         worker.book(task, booked);
         self.add_usage(workspace, &resources);
         if !is_wanted {
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -485,7 +485,7 @@
     let (gone, stays) = (add_worker(&mut first, 0, ms(1000)), report(1, "dc"));
     add_worker(&mut first, 1, ms(1000));
     assert!(!first.has_granted_change());
-    first.on_other_worker(gone, ms(2000));
+    first.on_other_worker(gone, "127.0.0.1:2000", ms(1990), ms(2000));
     first.expire_leases(ms(2050));
     assert!(first.has_granted_change());
     let record = first.granted();
--- a/crates/dotterelsill_node/src/worker_loops.rs
+++ b/crates/dotterelsill_node/src/worker_loops.rs
@@ -119,6 +119,13 @@
     }
 }
 
+/// Handles an answer of another worker at the address that was called.
+fn on_other_worker(leadership: &Leadership, target: &WorkerTarget, sent_at: Duration) {
+    leadership
+        .scheduler()
+        .on_other_worker(target.key, &target.address, sent_at, clock::now());
+}
+
 /// Handles a call without an answer: the worker gets no tasks until its status was
 /// read.
 fn on_call_failed(
--- a/crates/dotterelsill_node/src/worker_loops/orders.rs
+++ b/crates/dotterelsill_node/src/worker_loops/orders.rs
@@ -12,6 +12,7 @@
 
 use super::{
     on_call_failed,
+    on_other_worker,
     WorkerLoops,
     RETRY_PAUSE, //
 };
@@ -105,7 +106,7 @@
             leadership.load.on_order(&result);
             match result {
                 Ok(CallAnswer::Answer(answer)) => {
-                    return self.on_order_answer(order, answer, may_come_late);
+                    return self.on_order_answer(order, answer, may_come_late, sent_at);
                 }
                 // No worker answers an order with a status.
                 Ok(CallAnswer::Status(_)) => return OrderOutcome::Unsettled,
@@ -121,7 +122,13 @@
         }
     }
 
-    fn on_order_answer(&self, order: &Order, answer: Answer, may_come_late: bool) -> OrderOutcome {
+    fn on_order_answer(
+        &self,
+        order: &Order,
+        answer: Answer,
+        may_come_late: bool,
+        sent_at: Duration,
+    ) -> OrderOutcome {
         let leadership = &self.leadership;
         if answer == Answer::Fenced {
             leadership
@@ -129,6 +136,11 @@
                 .mark_lost("a worker has seen a higher fencing token");
             return OrderOutcome::Settled;
         }
+        if answer == Answer::OtherWorker {
+            on_other_worker(leadership, &self.target, sent_at);
+            leadership.on_changed();
+            return OrderOutcome::Unsettled;
+        }
         let is_unsettled =
             leadership
                 .scheduler()
@@ -160,6 +172,10 @@
                     .mark_lost("a worker has seen a higher fencing token");
                 return;
             }
+            Ok(CallAnswer::Answer(Answer::OtherWorker)) => {
+                on_other_worker(leadership, &sent.target, sent.sent_at);
+                false
+            }
             Ok(CallAnswer::Answer(answer)) => {
                 let mut scheduler = leadership.scheduler();
                 if !scheduler.on_answer(key, &sent.order, answer, false, now) {
--- a/crates/dotterelsill_node/src/worker_loops/status.rs
+++ b/crates/dotterelsill_node/src/worker_loops/status.rs
@@ -12,6 +12,7 @@
 use futures_lite::FutureExt as _;
 
 use super::{
+    on_other_worker,
     WorkerLoops,
     RETRY_PAUSE, //
 };
@@ -150,7 +151,7 @@
         leadership.load.on_worker_status(&result);
         match result {
             Ok(CallAnswer::Status(status)) => self.on_status(route, status, sent_at),
-            Ok(CallAnswer::Answer(answer)) => self.on_refusal(answer),
+            Ok(CallAnswer::Answer(answer)) => self.on_refusal(answer, sent_at),
             Err(failure) => {
                 self.on_call_failed("look", route, &failure, sent_at);
                 PollOutcome::Unanswered
@@ -177,16 +178,14 @@
         }
     }
 
-    fn on_refusal(&self, answer: Answer) -> PollOutcome {
+    fn on_refusal(&self, answer: Answer, sent_at: Duration) -> PollOutcome {
         let leadership = &self.leadership;
         match answer {
             Answer::Fenced => leadership
                 .authority
                 .mark_lost("a worker has seen a higher fencing token"),
             Answer::OtherWorker => {
-                leadership
-                    .scheduler()
-                    .on_other_worker(self.key, clock::now());
+                on_other_worker(leadership, &self.target, sent_at);
                 leadership.on_changed();
             }
             answer => log::warn!(worker = self.key.0, answer:?; "look_refused"),
