Open overdue occurrences a few at a time

Cause: all occurrences that are due were opened in one step, each with the state of its tasks, without a bound; each further scheduler did the same. Behind it, state of completed occurrences was kept, the progress record listed each of them, plans went over all their steps, and tickets of an advisor stayed.

Change: a job opens occurrences in their order while fewer than 1,000 of its tasks wait. The state of a completed occurrence is dropped, and completed ones are kept as a number below which all are completed. An occurrence that a run of an earlier scheduler shows is opened whole, so that it cannot take the room of others without being made ready.

--- a/crates/dotterelsill_jobs/src/advice.rs
+++ b/crates/dotterelsill_jobs/src/advice.rs
@@ -89,7 +89,10 @@
             return None;
         }
         let jobs = &self.jobs;
-        let is_open = |step: &StepId| jobs.get(&step.job).is_some_and(crate::job::Job::is_open);
+        let is_open = |step: &StepId| {
+            let job = jobs.get(&step.job).filter(|job| job.is_open());
+            job.is_some_and(|job| job.occurrences.contains_key(&step.occurrence))
+        };
         self.tickets.retain(|step, _| is_open(step));
         for pool in pools {
             for rank in self.ranks(&pool, now, |_| true) {
--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -45,7 +45,7 @@
             }
         }
         let max_attempts = self.max_attempts(task);
-        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+        let Some(job) = self.jobs.get(&task.step.job) else {
             return 0;
         };
         if task.step.step as usize >= job.spec.steps.len() {
@@ -55,7 +55,10 @@
             return 0;
         }
         // The worker may report the end before the occurrence was opened as due.
-        job.ensure_occurrence(task.step.occurrence);
+        self.reopen_occurrence(task.step.job, task.step.occurrence);
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return 0;
+        };
         let is_lasting = job.spec.steps[task.step.step as usize].is_lasting;
         if let Some(state) = job.task(task.step, task.index) {
             state
@@ -75,6 +78,9 @@
             RunOutcome::Failed => self.note_failed(key, end, max_attempts, now),
             _ => 0,
         };
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.drop_if_over(task.step.occurrence);
+        }
         self.make_ready(task.step);
         change
     }
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -17,6 +17,7 @@
 };
 
 use crate::{
+    done_occurrences::DoneOccurrences,
     spec::FORMAT,
     JobId,
     JobSpec,
@@ -30,6 +31,10 @@
 /// scheduler never starts a task that often.
 const ATTEMPTS_PER_TOKEN: u64 = 1024;
 
+/// Number of waiting tasks of a job from which on no further occurrences are opened.
+/// A schedule may have begun long ago, with any number of occurrences that are due.
+const MAX_WAITING_TASKS: usize = 1000;
+
 /// Lifecycle state of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunState {
@@ -115,11 +120,12 @@
     /// Number of the progress change that spread the job beyond its home data
     /// centre.
     spread_change: Option<u64>,
-    /// Opened occurrences, including completed ones.
+    /// Opened occurrences that are not completed, and completed ones that still have
+    /// runs.
     pub(crate) occurrences: BTreeMap<u32, Occurrence>,
-    pub(crate) done_occurrences: BTreeSet<u32>,
-    /// Number of the next occurrence that is not due yet.
-    pub(crate) next_occurrence: u32,
+    done_occurrences: DoneOccurrences,
+    /// Number of the next occurrence to open once it is due.
+    next_occurrence: u32,
     first_attempt: u32,
     /// Number of changes of the progress so far, and number of the last stored one.
     pub(crate) changes: u64,
@@ -148,7 +154,7 @@
             is_restored: spec.accepted_token != token,
             spread_change: None,
             occurrences: BTreeMap::new(),
-            done_occurrences: BTreeSet::new(),
+            done_occurrences: DoneOccurrences::default(),
             next_occurrence: 0,
             first_attempt: u32::try_from(first).unwrap_or(u32::MAX / 2),
             changes: 0,
@@ -164,30 +170,50 @@
         self.phase == Phase::Open
     }
 
-    /// Opens all occurrences that are due and returns those that are not completed.
+    /// Opens due occurrences, in their order, until enough tasks wait; returns those
+    /// that it has opened.
     pub(crate) fn open_due(&mut self, unix: Duration) -> Vec<u32> {
         let mut opened = Vec::new();
-        while self.next_occurrence < self.spec.occurrences() {
+        let tasks_each: usize = self.spec.steps.iter().map(|step| step.count as usize).sum();
+        let mut waiting = None;
+        self.next_occurrence = self.next_occurrence.max(self.done_occurrences.first_open());
+        while self.has_unopened() {
             let number = self.next_occurrence;
             let is_due = |schedule: crate::Schedule| schedule.due(number) <= unix;
             if !self.spec.schedule.is_none_or(is_due) {
                 break;
             }
-            self.next_occurrence += 1;
-            // The occurrence may already exist: stored progress or an adopted run
-            // created it.
-            self.ensure_occurrence(number);
-            if !self.done_occurrences.contains(&number) {
+            let waiting = waiting.get_or_insert_with(|| self.waiting_tasks());
+            let has_room = self.occurrences.is_empty() || *waiting < MAX_WAITING_TASKS;
+            // Stored progress or an adopted run may have opened it before.
+            let is_new = !self.occurrences.contains_key(&number);
+            if is_new && !has_room {
+                break;
+            }
+            if self.ensure_occurrence(number) {
+                *waiting += tasks_each;
                 opened.push(number);
             }
+            self.next_occurrence += 1;
         }
         opened
     }
 
+    /// Returns whether there are occurrences left to open.
+    pub(crate) fn has_unopened(&self) -> bool {
+        self.next_occurrence < self.spec.occurrences()
+    }
+
+    fn waiting_tasks(&self) -> usize {
+        let steps = self.occurrences.values().flat_map(|state| &state.steps);
+        let tasks = steps.flat_map(|step| &step.tasks);
+        tasks.filter(|task| task.is_waiting()).count()
+    }
+
     /// Creates an occurrence unless it exists or is completed; returns whether it
     /// was created.
     pub(crate) fn ensure_occurrence(&mut self, number: u32) -> bool {
-        if self.occurrences.contains_key(&number) || self.done_occurrences.contains(&number) {
+        if self.occurrences.contains_key(&number) || self.done_occurrences.contains(number) {
             return false;
         }
         let first_attempt = self.first_attempt;
@@ -255,12 +281,27 @@
         let is_done = |occurrence: &Occurrence| occurrence.steps.iter().all(StepState::is_done);
         if self.occurrences.get(&number).is_some_and(is_done) {
             self.done_occurrences.insert(number);
+            self.drop_if_over(number);
         }
-        if self.done_occurrences.len() as u32 == self.spec.occurrences() {
+        if self.done_occurrences.count() == u64::from(self.spec.occurrences()) {
             self.phase = Phase::Completed;
         }
     }
 
+    /// Drops the state of an occurrence that is completed and has no runs left.
+    pub(crate) fn drop_if_over(&mut self, number: u32) {
+        if !self.done_occurrences.contains(number) {
+            return;
+        }
+        let is_over = |state: &Occurrence| {
+            let tasks = state.steps.iter().flat_map(|step| &step.tasks);
+            tasks.into_iter().all(|task| task.runs.is_empty())
+        };
+        if self.occurrences.get(&number).is_some_and(is_over) {
+            self.occurrences.remove(&number);
+        }
+    }
+
     /// Records a failed run and fails the job once `max_attempts` runs of the task
     /// have failed; returns whether the failure was new.
     pub(crate) fn fail(
@@ -340,7 +381,7 @@
         let mut steps = Vec::new();
         if self.is_open() {
             for (&occurrence, state) in &self.occurrences {
-                if self.done_occurrences.contains(&occurrence) {
+                if self.done_occurrences.contains(occurrence) {
                     continue;
                 }
                 for (step, state) in state.steps.iter().enumerate() {
@@ -348,11 +389,13 @@
                 }
             }
         }
+        let (done_below, done_occurrences) = self.done_occurrences.to_record();
         ProgressRecord {
             format: FORMAT,
             phase: self.phase.into(),
             steps,
-            done_occurrences: self.done_occurrences.iter().copied().collect(),
+            done_occurrences,
+            done_below,
             is_spread: self.spread_change.is_some(),
         }
     }
@@ -361,7 +404,8 @@
     pub(crate) fn restore(&mut self, record: &ProgressRecord, revision: u64) {
         self.progress_revision = revision;
         self.spread_change = record.is_spread.then_some(0);
-        self.done_occurrences = record.done_occurrences.iter().copied().collect();
+        self.done_occurrences =
+            DoneOccurrences::from_record(record.done_below, &record.done_occurrences);
         for progress in &record.steps {
             self.ensure_occurrence(progress.occurrence);
             let step = StepId {
@@ -384,7 +428,7 @@
             }
             state.done = state.tasks.iter().filter(|task| task.is_done).count() as u32;
         }
-        if !record.steps.is_empty() || !record.done_occurrences.is_empty() {
+        if !record.steps.is_empty() || self.done_occurrences.count() > 0 {
             self.has_begun = true;
         }
         self.phase = record.phase();
--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -104,7 +104,7 @@
         self.needs_plan = true;
     }
 
-    /// Opens all due occurrences of all jobs.
+    /// Opens due occurrences of all jobs, of each as many as it may have waiting.
     pub fn open_due_jobs(&mut self, unix: Duration) {
         let ids: Vec<JobId> = self.scheduled.iter().copied().collect();
         for id in ids {
@@ -117,20 +117,35 @@
             self.scheduled.remove(&id);
             return;
         };
+        if !job.is_open() {
+            self.scheduled.remove(&id);
+            return;
+        }
         let opened = job.open_due(unix);
-        let is_last = job.next_occurrence >= job.spec.occurrences();
-        if is_last || !job.is_open() {
+        if !job.has_unopened() {
             self.scheduled.remove(&id);
         }
-        let count = job.spec.steps.len() as u32;
         for occurrence in opened {
-            for step in 0..count {
-                self.make_ready(StepId {
-                    job: id,
-                    occurrence,
-                    step,
-                });
-            }
+            self.make_occurrence_ready(id, occurrence);
+        }
+    }
+
+    /// Opens an occurrence that an earlier scheduler has opened, since it had runs.
+    pub(crate) fn reopen_occurrence(&mut self, id: JobId, occurrence: u32) {
+        let job = self.jobs.get_mut(&id);
+        if job.is_some_and(|job| job.ensure_occurrence(occurrence)) {
+            self.make_occurrence_ready(id, occurrence);
+        }
+    }
+
+    fn make_occurrence_ready(&mut self, id: JobId, occurrence: u32) {
+        let count = self.jobs.get(&id).map_or(0, |job| job.spec.steps.len());
+        for step in 0..count as u32 {
+            self.make_ready(StepId {
+                job: id,
+                occurrence,
+                step,
+            });
         }
     }
 
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod configuration;
 mod dispatch_batch;
 mod dispatchers;
+mod done_occurrences;
 mod ends;
 mod explain;
 mod fleet;
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -121,6 +121,9 @@
     /// needed.
     fn adopt_run(&mut self, key: WorkerKey, listed: &ListedRun, now: Duration) {
         let task = listed.task;
+        if self.is_valid_task(task) {
+            self.reopen_occurrence(task.step.job, task.step.occurrence);
+        }
         let job = self.jobs.get_mut(&task.step.job);
         let wanted = job.and_then(|job| wanted_run(job, task));
         let is_wanted = wanted.is_some();
@@ -172,6 +175,16 @@
         }
     }
 
+    /// Returns whether a task is one of an open job that is known.
+    fn is_valid_task(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.step.job).filter(|job| job.is_open());
+        job.is_some_and(|job| {
+            let step = job.spec.steps.get(task.step.step as usize);
+            step.is_some_and(|step| task.index < step.count)
+                && task.step.occurrence < job.spec.occurrences()
+        })
+    }
+
     /// Returns a booking for a run that is to be stopped. The resources of an
     /// unknown task are unknown, so the worker counts as full.
     fn booking_of(&self, task: TaskId) -> BookedRun {
@@ -222,14 +235,10 @@
 
 /// Returns a booking for a listed run if the task still needs one.
 fn wanted_run(job: &mut Job, task: TaskId) -> Option<BookedRun> {
-    if !job.is_open() || task.step.step as usize >= job.spec.steps.len() {
-        return None;
-    }
-    if task.step.occurrence >= job.spec.occurrences() {
+    if !job.is_open() {
         return None;
     }
-    job.ensure_occurrence(task.step.occurrence);
-    let step = job.spec.steps[task.step.step as usize].clone();
+    let step = job.spec.steps.get(task.step.step as usize)?.clone();
     let state = job.task(task.step, task.index)?;
     let is_wanted = !state.is_done && (state.runs.is_empty() || step.is_speculative);
     is_wanted.then(|| BookedRun {
