Let the mark of an ended worker end with its life

Cause: the mark that a worker has ended was kept with its identifier and cleared only by removing the worker, which waits for the scheduler's own lease. When the registration of the new life is read first, the worker stays with the mark, and each tick takes its runs for ended.

Change: the mark is a part of `Life`.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -226,7 +226,7 @@
     pub(crate) fn on_worker_ended(&mut self, key: WorkerKey, now: Duration) {
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.is_listed = false;
-            worker.has_ended = true;
+            worker.life.end(now);
             self.end_worker_runs(key, now);
         }
     }
--- a/crates/dotterelsill_jobs/src/instance_orders.rs
+++ b/crates/dotterelsill_jobs/src/instance_orders.rs
@@ -141,7 +141,10 @@
             }
         }
         for key in ended {
-            let worker = self.workers.get(&key).filter(|worker| !worker.has_ended);
+            let worker = self
+                .workers
+                .get(&key)
+                .filter(|worker| !worker.life.has_ended());
             if let Some(worker) = worker {
                 if !worker.life.is_shown_by_list(requested_at) {
                     log::info!(worker = worker.report.id; "outdated_list_ignored");
--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -49,6 +49,8 @@
     pub(crate) started_unix_ms: u64,
     /// Time at which the scheduler learned of the life.
     pub(crate) since: Duration,
+    /// Time at which the life was found to have ended.
+    ended_at: Option<Duration>,
     /// Whether a status was read under this scheduler's fencing token.
     pub(crate) is_known: bool,
     pub(crate) pending_ends: VecDeque<PendingEnd>,
@@ -75,6 +77,7 @@
         Self {
             started_unix_ms,
             since,
+            ended_at: None,
             is_known: false,
             pending_ends: VecDeque::new(),
             processed_end: 0,
@@ -110,6 +113,25 @@
         requested_at > self.since + lag
     }
 
+    /// Records that the life, and with it every run, has ended.
+    pub(crate) fn end(&mut self, now: Duration) {
+        self.ended_at = Some(now);
+    }
+
+    pub(crate) fn has_ended(&self) -> bool {
+        self.ended_at.is_some()
+    }
+
+    /// Handles a status for which the worker was asked at `sent_at`. One that was asked
+    /// for after the life was found to have ended proves that it goes on; an earlier one
+    /// no longer counts. Returns whether the life goes on.
+    pub(crate) fn on_status_answered(&mut self, sent_at: Duration) -> bool {
+        if self.ended_at.is_some_and(|ended_at| sent_at > ended_at) {
+            self.ended_at = None;
+        }
+        !self.has_ended()
+    }
+
     /// Records the worker's clock as carried by a response.
     pub(crate) fn on_clock(&mut self, worker_ms: u64, sent_at: Duration, read_at: Duration) {
         let is_newer = |clock: ClockReading| sent_at >= clock.sent_at;
@@ -160,6 +182,9 @@
     /// Returns whether the lease, and with it every run, has certainly ended, given
     /// the time until which leases of earlier schedulers may last.
     pub(crate) fn has_lapsed(&self, unknown_until: Duration, now: Duration) -> bool {
+        if self.has_ended() {
+            return true;
+        }
         let Some(clock) = self.clock else {
             return now >= unknown_until.max(self.unread_until);
         };
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -61,8 +61,6 @@
     pub(crate) is_listed: bool,
     /// Time at which the registration disappeared.
     pub(crate) unlisted_at: Duration,
-    /// Whether the worker has certainly ended.
-    pub(crate) has_ended: bool,
     /// The present life.
     pub(crate) life: Life,
     pub(crate) used: Resources,
@@ -91,7 +89,6 @@
             report,
             is_listed: true,
             unlisted_at: Duration::ZERO,
-            has_ended: false,
             used: Resources::default(),
             booked: BTreeMap::new(),
             unknown_until,
@@ -143,7 +140,7 @@
 
     /// Returns whether the lease, and with it every run, has certainly ended.
     pub(crate) fn has_lapsed(&self, now: Duration) -> bool {
-        self.has_ended || self.life.has_lapsed(self.unknown_until, now)
+        self.life.has_lapsed(self.unknown_until, now)
     }
 
     /// Resumes use of the worker after an order that would have ended it was not
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -34,6 +34,10 @@
         if !worker.on_started(status.started_unix_ms, self.limits.max_lease, now) {
             return;
         }
+        if !worker.life.on_status_answered(status.sent_at) {
+            log::info!(worker = worker.report.id; "status_of_an_ended_life_ignored");
+            return;
+        }
         worker.on_answer(status.read_at);
         let life = &mut worker.life;
         life.on_clock(status.worker_ms, status.sent_at, status.read_at);
--- a/crates/dotterelsill_jobs/tests/lives.rs
+++ b/crates/dotterelsill_jobs/tests/lives.rs
@@ -138,3 +138,51 @@
     assert_eq!(scheduler.worker_data_centre(key), Some("dc"));
     assert_run_goes_on(&mut scheduler, key, ms(10_710));
 }
+
+/// Starts tasks on worker 0 and checks that their runs are not taken for ended by the
+/// next tick.
+fn assert_runs_are_kept(scheduler: &mut Scheduler, key: WorkerKey, status: &WorkerStatus) {
+    let now = status.read_at;
+    scheduler.on_worker_status(key, status, now);
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    add_worker(scheduler, 1, now);
+    submit(scheduler, 1, &record("urgent", 7, vec![step(4, 1000)]), now);
+    let orders = scheduler.plan(now + ms(10));
+    assert_eq!(starts(&orders).len(), 4);
+    assert!(starts(&orders).iter().all(|(_, worker)| *worker == key));
+    confirm(scheduler, &orders, now + ms(20));
+    scheduler.expire_leases(now + ms(70));
+    let orders = scheduler.plan(now + ms(80));
+    assert!(orders.is_empty(), "the tasks run twice: {orders:?}");
+}
+
+/// Guards against a worker whose earlier life ended while the scheduler could not judge
+/// leases: the mark of that end stays, and each tick takes the runs of the new life for
+/// ended.
+#[test]
+fn end_of_an_earlier_life_ends_no_runs_of_a_later_one() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    scheduler.on_instances(list(InstanceState::Up), ms(3000), ms(3010));
+    scheduler.on_instances(list(InstanceState::Down), ms(4000), ms(4010));
+    // The outage of the store ends, and the registration is read before the next tick.
+    let mut restarted = report(0, "dc");
+    restarted.started_unix_ms = 2;
+    assert_eq!(scheduler.on_report(restarted, ms(5000)), (key, false));
+    assert_runs_are_kept(&mut scheduler, key, &second_life(ms(5050)));
+}
+
+/// Guards against a worker that answers although it was found to have ended, and whose
+/// runs are taken for ended at each tick.
+#[test]
+fn worker_that_answers_after_its_end_goes_on() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    scheduler.on_other_worker(key, "127.0.0.1:2000", ms(3990), ms(4000));
+    assert_eq!(scheduler.on_report(report(0, "dc"), ms(4010)), (key, false));
+    // A status that was asked for before is no sign of life.
+    scheduler.on_worker_status(key, &status_at(ms(3995)), ms(4020));
+    assert_eq!(scheduler.unread_workers().collect::<Vec<_>>(), [key]);
+    assert_runs_are_kept(&mut scheduler, key, &status_at(ms(4050)));
+}
