Count a refused start as no begin of a job

What callers saw (review, `pending`): jobs whose starts every worker refuses are shown as running, and `pending` leaves them out.

Cause: `end_run` marked the job as begun for each run that is given up, also for those that the worker refused.

Change: a listed end marks the job as begun, as confirmed starts and listed runs do; a run that is given up does not.

Evidence: `refused_start_does_not_begin_a_job` counts 0 pending jobs in place of 1 on the code before, and passes now.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -69,7 +69,6 @@
                 end.checkpoint.clone_into(&mut state.checkpoint);
             }
         }
-        job.has_begun = true;
         log::debug!(
             task:%, attempt, how:? = end.outcome, worker = key.0; "run_ended"
         );
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -68,6 +68,9 @@
             return;
         }
         worker.life.processed_end = end.number;
+        if let Some(job) = self.jobs.get_mut(&end.task.step.job) {
+            job.has_begun = true;
+        }
         let change = self.end_run(
             key,
             &RunEnd {
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -477,6 +477,48 @@
     assert_eq!(change.record.phase(), Phase::Failed, "two runs have failed");
 }
 
+/// Guards against jobs that are reported as running although each worker has refused
+/// to start their tasks.
+#[test]
+fn refused_start_does_not_begin_a_job() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1000),
+    );
+    let orders = scheduler.plan(ms(1010));
+    assert_eq!(orders.len(), 1);
+    for answer in [Answer::Unhealthy, Answer::NoRoom, Answer::Late] {
+        scheduler.on_answer(key, &orders[0].order, answer, false, ms(1020));
+        assert_eq!(scheduler.pending("urgent"), 1, "{answer:?}");
+    }
+    assert!(scheduler
+        .state(JobId(1))
+        .is_some_and(|state| !state.has_begun));
+}
+
+/// Guards against a job whose begin is not noticed, because the worker lists the end
+/// of its task before the answer to the start arrives.
+#[test]
+fn listed_end_begins_a_job() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1000),
+    );
+    scheduler.plan(ms(1010));
+    let mut status = status_at(ms(1100));
+    status.ended = vec![ended(1, task(1, 0, 0), 1, RunOutcome::Failed)];
+    scheduler.on_worker_status(key, &status, ms(1100));
+    assert_eq!(scheduler.pending("urgent"), 0);
+}
+
 /// Guards against a scheduler that waits for the leases of workers that its
 /// predecessor knew to have ended: these must leave the stored record.
 #[test]
