Check the limit of attempts before a task is started

What callers saw (review, `attempts`): a task runs a third time although its queue allows two attempts, when the queue was out of the configuration while the second one failed.

Cause: failed runs were compared with the limit at the end of a run alone, and the limit of a queue that is not configured counted as none.

Change: `plan_step` fails the job of a waiting task that has failed as often as the queue in force allows.

Evidence: `attempts_are_limited_though_the_queue_was_away` sees a third start with the check taken out, and none with it.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -44,10 +44,10 @@
                 self.subtract_usage(workspace, &booked.resources);
             }
         }
-        let max_attempts = self.max_attempts(task);
         let Some(job) = self.jobs.get(&task.step.job) else {
             return 0;
         };
+        let max_attempts = self.max_attempts(&job.spec.queue);
         if task.step.step as usize >= job.spec.steps.len() {
             return 0;
         }
@@ -206,10 +206,11 @@
         changes
     }
 
-    fn max_attempts(&self, task: TaskId) -> u32 {
-        let job = self.jobs.get(&task.step.job);
-        let queue = job.and_then(|job| self.configuration.queue(&job.spec.queue));
-        // Without a configured queue no task of the job is started.
+    /// Returns how often a task of a queue may fail. While the queue is not configured
+    /// the number is unknown; no task is started, and the next plan after that checks
+    /// it.
+    pub(crate) fn max_attempts(&self, queue: &str) -> u32 {
+        let queue = self.configuration.queue(queue);
         queue.map_or(u32::MAX, |queue| queue.max_attempts.max(1))
     }
 
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -328,6 +328,20 @@
         true
     }
 
+    /// Fails the job if a waiting task of a step has failed as often as it may; returns
+    /// whether it did. The last run may have failed while the limit was not known.
+    pub(crate) fn fail_if_exhausted(&mut self, step: StepId, max_attempts: u32) -> bool {
+        let is_exhausted =
+            |task: &Task| task.is_waiting() && task.failed_attempts.len() >= max_attempts as usize;
+        let state = self.step(step);
+        let is_over = state.is_some_and(|state| state.tasks.iter().any(is_exhausted));
+        if is_over && self.is_open() {
+            self.phase = Phase::Failed;
+            self.changes += 1;
+        }
+        is_over
+    }
+
     /// Returns the data centre to which the tasks are bound. After a failover the
     /// next scheduler relies on the stored binding and looks for runs only there.
     pub(crate) fn bound_to(&self) -> Option<&str> {
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -151,6 +151,13 @@
         if job.waits_for_unread_workers(unread_data_centres) {
             return;
         }
+        let max_attempts = self.max_attempts(&job.spec.queue);
+        let job = self.jobs.get_mut(&id.job);
+        if job.is_some_and(|job| job.fail_if_exhausted(id, max_attempts)) {
+            self.end_job(id.job, now);
+            return;
+        }
+        let job = &self.jobs[&id.job];
         let spec = job.spec.clone();
         let job_known_at = job.known_at;
         let step = &spec.steps[id.step as usize];
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -500,6 +500,37 @@
         .is_some_and(|state| !state.has_begun));
 }
 
+/// Guards against a task that is started more often than its queue allows, because its
+/// last run failed while the queue was not configured.
+#[test]
+fn attempts_are_limited_though_the_queue_was_away() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1000),
+    );
+    for (number, now) in [(1, 1000), (2, 3000)] {
+        let orders = scheduler.plan(ms(now + 10));
+        assert_eq!(starts(&orders), [(task(1, 0, 0), key)]);
+        confirm(&mut scheduler, &orders, ms(now + 20));
+        if number == 2 {
+            scheduler.configure(Arc::default(), Arc::default());
+        }
+        let mut status = status_at(ms(now + 100));
+        let attempt = u32::try_from(number).expect("the number is small");
+        status.ended = vec![ended(number, task(1, 0, 0), attempt, RunOutcome::Failed)];
+        scheduler.on_worker_status(key, &status, ms(now + 100));
+    }
+    scheduler.configure(configuration(), Arc::default());
+    let orders = scheduler.plan(ms(6000));
+    assert!(orders.is_empty(), "{orders:?}");
+    let changes = scheduler.take_changes(10);
+    assert_eq!(changes[0].record.phase(), Phase::Failed);
+}
+
 /// Guards against a job whose begin is not noticed, because the worker lists the end
 /// of its task before the answer to the start arrives.
 #[test]
