Refuse identifiers with capital digits

Cause: identifiers are kept as numbers, which have no spelling.

Change: such an identifier is answered 400 with the reason, for submissions, queries and cancels alike.

Evidence: `identifier_with_capital_digits_is_refused` gets 200 in place of 400 on the code before, and passes now.

--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -15,7 +15,10 @@
     Queue,
     Validity, //
 };
-use dotterelsill_platform as platform;
+use dotterelsill_platform::{
+    self as platform,
+    JobIdError, //
+};
 use dotterelsill_proto::jobs::Outcome;
 use dotterelsill_store::Operations;
 use http::{
@@ -154,8 +157,15 @@
     if authorized.path_suffix.is_empty() && parts.method == Method::GET {
         return pending(service, authorized.queue, limit).await;
     }
-    let Some(id) = platform::parse_job_id(authorized.path_suffix) else {
-        return text_response(StatusCode::NOT_FOUND, "the path names no job");
+    let id = match platform::parse_job_id(authorized.path_suffix) {
+        Ok(id) => id,
+        Err(error) => {
+            let status = match error {
+                JobIdError::NoId => StatusCode::NOT_FOUND,
+                JobIdError::Capital => StatusCode::BAD_REQUEST,
+            };
+            return text_response(status, error.to_string());
+        }
     };
     match parts.method {
         Method::POST => {
