Start all members of a gang from one checkpoint

Cause: each task kept a checkpoint of its own. The lost member resumed from what its run had listed last, the others from what they had when they ended, while all members must carry the same value.

Change: a gang keeps the latest checkpoint of any member, and each member's start carries it. What takes checkpoints from lists and ends is one function, `Job::note_checkpoint`.

Evidence: `members_of_a_gang_resume_from_one_checkpoint` sees `older` and `newer` on the code before, and `newer` twice now. The case itself is run on the final code.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -65,10 +65,8 @@
                 .runs
                 .retain(|run| !(run.worker == key && run.attempt == attempt));
             state.next_attempt = state.next_attempt.max(attempt + 1);
-            if !end.checkpoint.is_empty() {
-                end.checkpoint.clone_into(&mut state.checkpoint);
-            }
         }
+        job.note_checkpoint(task.step, task.index, end.checkpoint);
         log::debug!(
             task:%, attempt, how:? = end.outcome, worker = key.0; "run_ended"
         );
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -71,7 +71,7 @@
     pub(crate) runs: Vec<Run>,
     pub(crate) next_attempt: u32,
     pub(crate) failed_attempts: BTreeSet<u32>,
-    pub(crate) checkpoint: String,
+    checkpoint: String,
     /// Worker on which the last run failed or made no progress; others are
     /// preferred.
     pub(crate) avoid: Option<WorkerKey>,
@@ -90,6 +90,8 @@
 pub(crate) struct StepState {
     pub(crate) tasks: Vec<Task>,
     pub(crate) done: u32,
+    /// Latest checkpoint of any member of a gang, which all members resume from.
+    gang_checkpoint: String,
 }
 
 impl StepState {
@@ -219,6 +221,7 @@
         let first_attempt = self.first_attempt;
         let step = |step: &Step| StepState {
             done: 0,
+            gang_checkpoint: String::new(),
             tasks: (0..step.count)
                 .map(|_| Task {
                     next_attempt: first_attempt,
@@ -236,6 +239,39 @@
         self.step(step)?.tasks.get_mut(index as usize)
     }
 
+    /// Records the checkpoint of a run, unless it has none. That of any member of a
+    /// gang is valid for the whole gang.
+    pub(crate) fn note_checkpoint(&mut self, step: StepId, index: u32, checkpoint: &str) {
+        let is_gang = self.is_gang(step);
+        let Some(state) = self.step(step).filter(|_| !checkpoint.is_empty()) else {
+            return;
+        };
+        if is_gang {
+            checkpoint.clone_into(&mut state.gang_checkpoint);
+        } else if let Some(task) = state.tasks.get_mut(index as usize) {
+            checkpoint.clone_into(&mut task.checkpoint);
+        }
+    }
+
+    /// Returns the checkpoint from which a task resumes: the same for all members of a
+    /// gang. Empty for none.
+    pub(crate) fn checkpoint(&self, step: StepId, index: u32) -> String {
+        let state = self.occurrences.get(&step.occurrence);
+        let Some(state) = state.and_then(|state| state.steps.get(step.step as usize)) else {
+            return String::new();
+        };
+        if self.is_gang(step) {
+            return state.gang_checkpoint.clone();
+        }
+        let task = state.tasks.get(index as usize);
+        task.map_or(String::new(), |task| task.checkpoint.clone())
+    }
+
+    fn is_gang(&self, step: StepId) -> bool {
+        let step = self.spec.steps.get(step.step as usize);
+        step.is_some_and(|step| step.is_gang)
+    }
+
     pub(crate) fn step(&mut self, step: StepId) -> Option<&mut StepState> {
         let occurrence = self.occurrences.get_mut(&step.occurrence)?;
         occurrence.steps.get_mut(step.step as usize)
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -432,7 +432,7 @@
             percent: 0,
             advanced_at: now,
         });
-        let checkpoint = state.checkpoint.clone();
+        let checkpoint = job.checkpoint(id, index);
         let resources = step.counted_resources();
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.book(
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -107,11 +107,7 @@
         let job = self.jobs.get_mut(&task.step.job);
         if let Some(job) = job {
             job.has_begun = true;
-            if let Some(state) = job.task(task.step, task.index) {
-                if !listed.checkpoint.is_empty() {
-                    state.checkpoint.clone_from(&listed.checkpoint);
-                }
-            }
+            job.note_checkpoint(task.step, task.index, &listed.checkpoint);
         }
         if let Some(run) = self.run_mut(key, task, listed.attempt) {
             if run.state == RunState::Ordered {
@@ -167,9 +163,9 @@
         }
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             job.has_begun = true;
+            job.note_checkpoint(task.step, task.index, &listed.checkpoint);
             if let Some(state) = job.task(task.step, task.index) {
                 state.next_attempt = state.next_attempt.max(listed.attempt + 1);
-                state.checkpoint.clone_from(&listed.checkpoint);
                 state.runs.push(Run {
                     worker: key,
                     attempt: listed.attempt,
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -531,6 +531,51 @@
     assert_eq!(changes[0].record.phase(), Phase::Failed);
 }
 
+/// Guards against members of a gang that resume from different checkpoints, and so never
+/// get together: after the loss of one member, the others end with newer ones.
+#[test]
+fn members_of_a_gang_resume_from_one_checkpoint() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let keys = [0, 1].map(|index| add_worker(&mut scheduler, index, ms(1000)));
+    let gang = jobs::Step {
+        is_gang: true,
+        max_per_worker: 1,
+        ..step(2, 1000)
+    };
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![gang]),
+        ms(1000),
+    );
+    let orders = scheduler.plan(ms(1010));
+    confirm(&mut scheduler, &orders, ms(1020));
+    let index_on = |key| {
+        let started = starts(&orders);
+        let on_it = started.iter().find(|(_, worker)| *worker == key);
+        on_it
+            .map(|(task, _)| task.index)
+            .expect("each worker has a member")
+    };
+    let (lost, broken) = (index_on(keys[0]), index_on(keys[1]));
+    let mut status = status_at(ms(1100));
+    status.running = vec![running(task(1, 0, lost), 1, 40)];
+    status.running[0].checkpoint = "older".to_owned();
+    scheduler.on_worker_status(keys[0], &status, ms(1100));
+    scheduler.on_other_worker(keys[0], "127.0.0.1:2000", ms(1190), ms(1200));
+    let mut status = status_at(ms(1300));
+    status.ended = vec![ended(1, task(1, 0, broken), 1, RunOutcome::Broken)];
+    status.ended[0].checkpoint = "newer".to_owned();
+    scheduler.on_worker_status(keys[1], &status, ms(1300));
+    add_worker(&mut scheduler, 2, ms(1400));
+    let orders = scheduler.plan(ms(2000));
+    let checkpoints = orders.iter().map(|order| match &order.order {
+        Order::Start { checkpoint, .. } => checkpoint.as_str(),
+        other => panic!("not a start: {other:?}"),
+    });
+    assert_eq!(checkpoints.collect::<Vec<_>>(), ["newer", "newer"]);
+}
+
 /// Guards against a job whose begin is not noticed, because the worker lists the end
 /// of its task before the answer to the start arrives.
 #[test]
