Ask whether a start may still be sent before each try

Cause: a start for a silent worker waits in the worker's order loop. Before it was sent, only `is_wanted` was asked, which does not look at what changed since the decision.

Change: `Scheduler::may_send` is asked right before each try, and uses the predicate of the placement for evacuation, drain, registration, upkeep and moves. A start that may not be sent is withdrawn: its task waits again at once, or once a stop has settled a start that was sent before. The random search asks it as the daemon does.

`start_that_waited_is_not_sent_to_a_worker_that_is_emptied` covers evacuation, drain, and starts that were sent before.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     job::RunState,
+    placement::may_be_sent_starts,
     Answer,
     Order,
     RunOutcome,
@@ -241,6 +242,38 @@
         }
     }
 
+    /// Returns whether an order may be sent now. A start that may not is withdrawn, so
+    /// that its task waits again: at once if the start was never sent, and otherwise once
+    /// a stop has settled that the worker does not run it. Each sender asks this right
+    /// before each try.
+    pub fn may_send(
+        &mut self,
+        key: WorkerKey,
+        order: &Order,
+        may_come_late: bool,
+        now: Duration,
+    ) -> bool {
+        if !self.is_wanted(key, order) {
+            return false;
+        }
+        let Order::Start { task, attempt, .. } = order else {
+            return true;
+        };
+        let worker = &self.workers[&key];
+        if may_be_sent_starts(worker, &self.operator_requests, now) {
+            return true;
+        }
+        log::info!(
+            task:%, attempt, worker = worker.report.id, may_come_late; "start_withdrawn"
+        );
+        if may_come_late {
+            self.stop(key, *task, *attempt);
+        } else {
+            self.lapse_run(key, *task, *attempt, now);
+        }
+        false
+    }
+
     /// Handles the response of the worker itself to an order; returns whether the order
     /// must be sent again. [`Self::on_other_worker`] handles that of another worker. `may_come_late` is set if an earlier attempt got no response and may
     /// still be executed.
--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -79,6 +79,23 @@
         })
 }
 
+/// Returns whether a start may be sent to a worker: neither the operator nor the
+/// scheduler empties it, and it has not left. A start that was decided earlier may have
+/// waited for a silent worker since.
+pub(crate) fn may_be_sent_starts(
+    worker: &Worker,
+    operator_requests: &OperatorRequests,
+    now: Duration,
+) -> bool {
+    let is_excluded = operator_requests
+        .excluded_data_centres
+        .contains(&worker.report.data_centre);
+    !is_excluded
+        && (worker.is_listed || now < worker.unlisted_at + UNLISTED_GRACE)
+        && !worker.is_cordoned
+        && !worker.report.is_draining
+}
+
 /// Returns the free resources of a worker, or `None` if it may not get tasks.
 pub(crate) fn candidate(
     key: WorkerKey,
@@ -86,17 +103,12 @@
     operator_requests: &OperatorRequests,
     now: Duration,
 ) -> Option<Candidate> {
-    let is_in = !operator_requests
-        .excluded_data_centres
-        .contains(&worker.report.data_centre);
-    let takes_tasks = worker.life.is_known
-        && (worker.is_listed || now < worker.unlisted_at + UNLISTED_GRACE)
+    let takes_tasks = may_be_sent_starts(worker, operator_requests, now)
+        && worker.life.is_known
         && worker.may_grant
         && !worker.is_silent
-        && !worker.is_cordoned
-        && !worker.report.is_draining
         && !worker.life.health.is_quarantined(now);
-    if !(is_in && takes_tasks) {
+    if !takes_tasks {
         return None;
     }
     let mut free = worker.report.capacity;
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -17,6 +17,7 @@
     Scheduler,
     Wave,
     WorkerKey,
+    WorkerReport,
     FORMAT, //
 };
 use dotterelsill_proto::jobs::{
@@ -576,6 +577,56 @@
     assert_eq!(checkpoints.collect::<Vec<_>>(), ["newer", "newer"]);
 }
 
+/// Guards against starts that wait for a silent worker and are sent although the worker
+/// was evacuated, or has begun to drain, since they were decided.
+#[test]
+fn start_that_waited_is_not_sent_to_a_worker_that_is_emptied() {
+    let excluded = dotterelsill_jobs::OperatorRequests {
+        excluded_data_centres: ["dc".to_owned()].into(),
+        ..dotterelsill_jobs::OperatorRequests::default()
+    };
+    let draining = WorkerReport {
+        is_draining: true,
+        ..report(0, "dc")
+    };
+    for (is_evacuated, may_come_late) in [(true, false), (true, true), (false, false)] {
+        let mut scheduler = scheduler(7, ms(1000));
+        let key = add_worker(&mut scheduler, 0, ms(1000));
+        submit(
+            &mut scheduler,
+            1,
+            &record("urgent", 7, vec![step(1, 1000)]),
+            ms(1000),
+        );
+        let orders = scheduler.plan(ms(1010));
+        let start = &orders[0].order;
+        scheduler.on_silence(key, ms(1020));
+        assert!(scheduler.may_send(key, start, may_come_late, ms(1030)));
+        if is_evacuated {
+            scheduler.configure(configuration(), Arc::new(excluded.clone()));
+        } else {
+            scheduler.on_report(draining.clone(), ms(1040));
+        }
+        scheduler.on_worker_status(key, &status_at(ms(1100)), ms(1100));
+        assert!(!scheduler.may_send(key, start, may_come_late, ms(1110)));
+        let (elsewhere, _) = scheduler.on_report(report(1, "other"), ms(1120));
+        let granted = scheduler.granted();
+        scheduler.on_granted_stored(&granted);
+        scheduler.on_worker_status(elsewhere, &status_at(ms(1130)), ms(1130));
+        let orders = scheduler.plan(ms(1140));
+        if may_come_late {
+            // The stop must settle first that the worker does not run the task.
+            assert!(matches!(orders[0].order, Order::Stop { .. }), "{orders:?}");
+            assert_eq!(starts(&orders), []);
+            scheduler.on_answer(key, &orders[0].order, Answer::Old, false, ms(1150));
+            scheduler.on_worker_status(key, &status_at(ms(1170)), ms(1170));
+            assert_eq!(starts(&scheduler.plan(ms(1180))).len(), 1);
+        } else {
+            assert_eq!(starts(&orders), [(task(1, 0, 0), elsewhere)]);
+        }
+    }
+}
+
 /// Guards against a job whose begin is not noticed, because the worker lists the end
 /// of its task before the answer to the start arrives.
 #[test]
--- a/crates/dotterelsill_jobs/tests/search/world.rs
+++ b/crates/dotterelsill_jobs/tests/search/world.rs
@@ -522,7 +522,9 @@
                 continue;
             }
             let WorkerOrder { worker: key, order } = pending.order.clone();
-            if !self.drivers[index].scheduler.is_wanted(key, &order) {
+            let now = at(self.now_ms);
+            let scheduler = &mut self.drivers[index].scheduler;
+            if !scheduler.may_send(key, &order, pending.may_come_late, now) {
                 continue;
             }
             match self.send_order(index, key, &order) {
--- a/crates/dotterelsill_node/src/worker_loops/orders.rs
+++ b/crates/dotterelsill_node/src/worker_loops/orders.rs
@@ -82,7 +82,11 @@
             let now = clock::now();
             let lease_end_ms = {
                 let mut scheduler = leadership.scheduler();
-                if leadership.authority.is_lost() || !scheduler.is_wanted(self.key, order) {
+                if leadership.authority.is_lost()
+                    || !scheduler.may_send(self.key, order, may_come_late, now)
+                {
+                    drop(scheduler);
+                    leadership.on_changed();
                     return OrderOutcome::Settled;
                 }
                 match order {
