Start no other step of a job that a plan has failed

Cause, found when the change was read: a plan that fails a job because of a task without attempts left went on to start the other ready steps of the job, whose ranks it had already made. The check of starts was missing for orders that go straight to a dispatcher.

Change: `plan_step` skips jobs that are not open, and `hand_out` asks `may_send` too.

Evidence: `attempts_are_limited_though_the_queue_was_away` has a second step now, which starts without the first change and does not with it.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -275,8 +275,9 @@
     }
 
     /// Handles the response of the worker itself to an order; returns whether the order
-    /// must be sent again. [`Self::on_other_worker`] handles that of another worker. `may_come_late` is set if an earlier attempt got no response and may
-    /// still be executed.
+    /// must be sent again. [`Self::on_other_worker`] handles that of another worker.
+    /// `may_come_late` is set if an earlier attempt got no response and may still be
+    /// executed.
     pub fn on_answer(
         &mut self,
         key: WorkerKey,
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -140,7 +140,8 @@
         unread_data_centres: &BTreeSet<String>,
         now: Duration,
     ) {
-        let Some(job) = self.jobs.get(&id.job) else {
+        // The plan may have failed the job at another of its steps.
+        let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
             return;
         };
         let resources = job.spec.steps[id.step as usize].counted_resources();
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -502,7 +502,8 @@
 }
 
 /// Guards against a task that is started more often than its queue allows, because its
-/// last run failed while the queue was not configured.
+/// last run failed while the queue was not configured, and against other steps of its
+/// job that start in the plan that fails the job.
 #[test]
 fn attempts_are_limited_though_the_queue_was_away() {
     let mut scheduler = scheduler(7, ms(1000));
@@ -510,7 +511,7 @@
     submit(
         &mut scheduler,
         1,
-        &record("urgent", 7, vec![step(1, 1000)]),
+        &record("urgent", 7, vec![step(1, 1000), step(1, 9000)]),
         ms(1000),
     );
     for (number, now) in [(1, 1000), (2, 3000)] {
@@ -526,6 +527,13 @@
         scheduler.on_worker_status(key, &status, ms(now + 100));
     }
     scheduler.configure(configuration(), Arc::default());
+    // The second step fits on a further worker alone.
+    let mut larger = report(1, "dc");
+    larger.capacity.cpu_milli = 9000;
+    let (other, _) = scheduler.on_report(larger, ms(5900));
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    scheduler.on_worker_status(other, &status_at(ms(5950)), ms(5950));
     let orders = scheduler.plan(ms(6000));
     assert!(orders.is_empty(), "{orders:?}");
     let changes = scheduler.take_changes(10);
--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -241,6 +241,9 @@
             if let (Order::Start { .. }, Route::Over(address)) =
                 (&order, dispatchers.order_route(worker))
             {
+                if !scheduler.may_send(worker, &order, false, now) {
+                    continue;
+                }
                 if let Some(lease_end_ms) = scheduler.start_lease_end(worker, may_extend, now) {
                     let sent = SentOrder {
                         target: handle.target.clone(),
