jobs: log listed ends, runs given up, and starts of tasks that ran before

The logs of the incident could not tell whether a run had been given up, why, or whether its end was read by a scheduler that did not know the job: the only line was a debug line without the number of the end and the worker's life.

Each end is now logged when it is first listed, and each run that is given up with the fact that decided it and the age of that fact. Ends of unknown jobs and of runs that had been given up have lines and counts of their own, and so have starts of tasks with earlier runs and the first status of a worker. No decision reads what is recorded.

The debug line run_ended is gone: end_listed and run_given_up say more.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -3,7 +3,14 @@
 use std::time::Duration;
 
 use crate::{
-    job::RunState,
+    given_up::{
+        Evidence,
+        GivenUpReason, //
+    },
+    job::{
+        LastEnd,
+        RunState, //
+    },
     placement::may_be_sent_starts,
     Answer,
     Order,
@@ -31,6 +38,8 @@
     pub(crate) attempt: u32,
     pub(crate) outcome: RunOutcome,
     pub(crate) checkpoint: &'a str,
+    /// Why the run is given up if the worker reported no end.
+    pub(crate) given_up: Option<GivenUpReason>,
 }
 
 impl Scheduler {
@@ -68,14 +77,12 @@
             state.next_attempt = state.next_attempt.max(attempt + 1);
         }
         job.note_checkpoint(task.step, task.index, end.checkpoint);
-        log::debug!(
-            task:%, attempt, how:? = end.outcome, worker = key.0; "run_ended"
-        );
         let change = match end.outcome {
             RunOutcome::Done if !is_lasting => self.note_done(key, task, now),
             RunOutcome::Failed => self.note_failed(key, end, max_attempts, now),
             _ => 0,
         };
+        self.record_last_end(key, end, now);
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             job.drop_if_over(task.step.occurrence);
         }
@@ -84,16 +91,57 @@
     }
 
     /// Ends a run that is known to be gone although the worker reported no end.
-    pub(crate) fn lapse_run(&mut self, key: WorkerKey, task: TaskId, attempt: u32, now: Duration) {
+    pub(crate) fn lapse_run(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        attempt: u32,
+        evidence: Evidence,
+        now: Duration,
+    ) {
+        self.record_given_up(key, task, attempt, evidence, now);
         let end = RunEnd {
             task,
             attempt,
             outcome: RunOutcome::Lapsed,
             checkpoint: "",
+            given_up: Some(evidence.reason),
         };
         self.end_run(key, &end, now);
     }
 
+    /// Gives up a run that the worker did not start.
+    fn lapse_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        attempt: u32,
+        reason: GivenUpReason,
+        now: Duration,
+    ) {
+        self.lapse_run(key, task, attempt, Evidence { reason, at: now }, now);
+    }
+
+    /// Records the end of a run for the log line of the task's next start.
+    fn record_last_end(&mut self, key: WorkerKey, end: &RunEnd<'_>, now: Duration) {
+        let Some(worker) = self.workers.get(&key) else {
+            return;
+        };
+        let last_end = LastEnd {
+            attempt: end.attempt,
+            worker: worker.report.id.clone(),
+            outcome: end.outcome,
+            given_up: end
+                .given_up
+                .or_else(|| self.given_up.reason(end.task, end.attempt)),
+            at: now,
+        };
+        let job = self.jobs.get_mut(&end.task.step.job);
+        if let Some(state) = job.and_then(|job| job.task(end.task.step, end.task.index)) {
+            state.last_end = Some(Box::new(last_end));
+        }
+    }
+
     fn note_done(&mut self, key: WorkerKey, task: TaskId, now: Duration) -> u64 {
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.life.health.on_done();
@@ -269,7 +317,7 @@
         if may_come_late {
             self.stop(key, *task, *attempt);
         } else {
-            self.lapse_run(key, *task, *attempt, now);
+            self.lapse_start(key, *task, *attempt, GivenUpReason::StartWithdrawn, now);
         }
         false
     }
@@ -345,7 +393,7 @@
             Answer::Ticket => {
                 log::info!(task:%, attempt, worker = key.0; "ticket_refused");
                 self.drop_ticket(task.step, key);
-                self.lapse_run(key, task, attempt, now);
+                self.lapse_start(key, task, attempt, GivenUpReason::TicketRefused, now);
             }
             Answer::Late | Answer::NoRoom | Answer::Unhealthy => {
                 if let Some(worker) = self.workers.get_mut(&key) {
@@ -354,7 +402,7 @@
                         task:%, attempt, worker = worker.report.id, answer:?; "start_refused"
                     );
                 }
-                self.lapse_run(key, task, attempt, now);
+                self.lapse_start(key, task, attempt, GivenUpReason::StartRefused, now);
             }
         }
     }
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -6,6 +6,10 @@
 };
 
 use crate::{
+    given_up::{
+        Evidence,
+        GivenUpReason, //
+    },
     granted::MAX_ORDER_DELAY,
     worker::Worker,
     JobId,
@@ -193,7 +197,17 @@
                     is_listed; "lease_lapsed"
                 );
             }
-            self.end_worker_runs(key, now);
+            let evidence = match worker.life.ended_at() {
+                Some(at) => Evidence {
+                    reason: GivenUpReason::LifeEnded,
+                    at,
+                },
+                None => Evidence {
+                    reason: GivenUpReason::LeaseLapsed,
+                    at: worker.life.clock_read_at().unwrap_or(worker.answered_at),
+                },
+            };
+            self.end_worker_runs(key, evidence, now);
             if !is_listed {
                 self.remove_worker(key);
                 removed.push(key);
@@ -219,20 +233,24 @@
             return;
         }
         log::info!(worker = worker.report.id; "worker_replaced");
-        self.on_worker_ended(key, now);
+        let evidence = Evidence {
+            reason: GivenUpReason::OtherWorker,
+            at: sent_at,
+        };
+        self.on_worker_ended(key, evidence, now);
     }
 
     /// Handles the certain end of a worker incarnation and all of its runs.
-    pub(crate) fn on_worker_ended(&mut self, key: WorkerKey, now: Duration) {
+    pub(crate) fn on_worker_ended(&mut self, key: WorkerKey, evidence: Evidence, now: Duration) {
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.is_listed = false;
             worker.life.end(now);
-            self.end_worker_runs(key, now);
+            self.end_worker_runs(key, evidence, now);
         }
     }
 
     /// Ends all runs of a worker that certainly runs nothing any more.
-    fn end_worker_runs(&mut self, key: WorkerKey, now: Duration) {
+    fn end_worker_runs(&mut self, key: WorkerKey, evidence: Evidence, now: Duration) {
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
@@ -249,7 +267,7 @@
             .map(|(task, booked)| (*task, booked.attempt))
             .collect();
         for (task, attempt) in runs {
-            self.lapse_run(key, task, attempt, now);
+            self.lapse_run(key, task, attempt, evidence, now);
         }
     }
 
--- a/crates/dotterelsill_jobs/src/instance_orders.rs
+++ b/crates/dotterelsill_jobs/src/instance_orders.rs
@@ -10,6 +10,10 @@
 };
 
 use crate::{
+    given_up::{
+        Evidence,
+        GivenUpReason, //
+    },
     granted::MAX_ORDER_DELAY,
     life::LIST_LAG,
     Instance,
@@ -107,7 +111,11 @@
             let goes_on = entry.state == InstanceState::Up && entry.worker == worker.report.id;
             if !goes_on {
                 known.may_have_ended = None;
-                self.on_worker_ended(key, now);
+                let evidence = Evidence {
+                    reason: GivenUpReason::EndedByList,
+                    at: requested_at,
+                };
+                self.on_worker_ended(key, evidence, now);
             } else if requested_at > done_at + LIST_LAG {
                 log::info!(instance = entry.name, worker = worker.report.id; "worker_goes_on");
                 known.may_have_ended = None;
@@ -154,7 +162,11 @@
                     worker = worker.report.id, runs = worker.booked.len() as u64;
                     "worker_has_no_instance"
                 );
-                self.on_worker_ended(key, now);
+                let evidence = Evidence {
+                    reason: GivenUpReason::EndedByList,
+                    at: requested_at,
+                };
+                self.on_worker_ended(key, evidence, now);
             }
         }
     }
@@ -305,7 +317,11 @@
             (InstanceAnswer::Done, InstanceAction::Maintain { .. }) => {}
             (InstanceAnswer::Done, InstanceAction::Move { .. }) => {
                 if let Some(key) = key {
-                    self.on_worker_ended(key, now);
+                    let evidence = Evidence {
+                        reason: GivenUpReason::InstanceMoved,
+                        at: now,
+                    };
+                    self.on_worker_ended(key, evidence, now);
                 }
             }
             _ => {
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -18,9 +18,11 @@
 
 use crate::{
     done_occurrences::DoneOccurrences,
+    given_up::GivenUpReason,
     spec::FORMAT,
     JobId,
     JobSpec,
+    RunOutcome,
     Step,
     StepId,
     WorkerKey, //
@@ -64,6 +66,18 @@
     pub advanced_at: Duration,
 }
 
+/// The last known end of a run of a task.
+#[derive(Clone, Debug)]
+pub(crate) struct LastEnd {
+    pub(crate) attempt: u32,
+    /// Identifier of the worker, which may be gone.
+    pub(crate) worker: String,
+    pub(crate) outcome: RunOutcome,
+    /// Why the run was given up, if no end of its own was listed.
+    pub(crate) given_up: Option<GivenUpReason>,
+    pub(crate) at: Duration,
+}
+
 /// State of one task of a step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
@@ -76,6 +90,8 @@
     /// preferred.
     pub(crate) avoid: Option<WorkerKey>,
     pub(crate) not_before: Duration,
+    /// Last known end of a run, for the logs.
+    pub(crate) last_end: Option<Box<LastEnd>>,
 }
 
 impl Task {
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -17,6 +17,7 @@
 mod ends;
 mod explain;
 mod fleet;
+mod given_up;
 mod granted;
 mod health;
 mod held_back;
@@ -69,6 +70,10 @@
     Dispatchers,
     Route, //
 };
+pub use given_up::{
+    EndCounts,
+    GivenUpReason, //
+};
 pub use held_back::{
     HeldBack,
     HoldReason, //
--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -33,6 +33,26 @@
     read_at: Duration,
 }
 
+impl ClockReading {
+    /// Returns the least time that the worker's clock may show now.
+    fn min_worker_time(&self, now: Duration) -> Duration {
+        let passed = now.saturating_sub(self.read_at);
+        let min_passed = passed - passed / SLOW_CLOCK_DIVISOR;
+        Duration::from_millis(self.worker_ms) + min_passed
+    }
+}
+
+/// What decides whether a worker's lease has lapsed, for the logs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeaseReading {
+    /// Lower bound of the worker's clock; `None` if it was never read.
+    pub(crate) worker_ms: Option<u64>,
+    /// End of the latest lease granted by this scheduler, on the worker's clock.
+    pub(crate) granted_until_ms: u64,
+    /// Latest end of a lease that another scheduler may have granted.
+    pub(crate) foreign_until_ms: u64,
+}
+
 /// A reported end that is acknowledged once its effect on the job is stored.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PendingEnd {
@@ -118,6 +138,27 @@
         self.ended_at = Some(now);
     }
 
+    /// Returns the time at which the life was found to have ended.
+    pub(crate) fn ended_at(&self) -> Option<Duration> {
+        self.ended_at
+    }
+
+    /// Returns the time at which the worker's clock was last read.
+    pub(crate) fn clock_read_at(&self) -> Option<Duration> {
+        self.clock.map(|clock| clock.read_at)
+    }
+
+    /// Returns what decides whether the lease has lapsed.
+    pub(crate) fn lease_reading(&self, now: Duration) -> LeaseReading {
+        LeaseReading {
+            worker_ms: self
+                .clock
+                .map(|clock| clock.min_worker_time(now).as_millis() as u64),
+            granted_until_ms: self.granted_until_ms,
+            foreign_until_ms: self.foreign_until_ms,
+        }
+    }
+
     pub(crate) fn has_ended(&self) -> bool {
         self.ended_at.is_some()
     }
@@ -188,9 +229,7 @@
         let Some(clock) = self.clock else {
             return now >= unknown_until.max(self.unread_until);
         };
-        let passed = now.saturating_sub(clock.read_at);
-        let min_passed = passed - passed / SLOW_CLOCK_DIVISOR;
-        let lower = Duration::from_millis(clock.worker_ms) + min_passed;
+        let lower = clock.min_worker_time(now);
         let until_ms = self.granted_until_ms.max(self.foreign_until_ms);
         let is_over = lower > Duration::from_millis(until_ms) + LAPSE_MARGIN;
         is_over && now >= unknown_until
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    given_up::GivenUpReason,
     job::{
         Job,
         Run, //
@@ -425,6 +426,8 @@
             return;
         };
         state.next_attempt = attempt + 1;
+        let last_end = state.last_end.clone();
+        let active_runs = state.runs.len() as u64;
         state.runs.push(Run {
             worker: key,
             attempt,
@@ -433,6 +436,7 @@
             percent: 0,
             advanced_at: now,
         });
+        let is_restored = job.is_restored;
         let checkpoint = job.checkpoint(id, index);
         let resources = step.counted_resources();
         if let Some(worker) = self.workers.get_mut(&key) {
@@ -454,6 +458,23 @@
         self.add_usage(spec.workspace.clone(), &resources);
         self.overload.on_decided();
         log::debug!(task:%, attempt, worker = key.0; "task_placed");
+        let worker = self.workers.get(&key).map(|worker| &worker.report.id);
+        if last_end.is_some() || active_runs > 0 {
+            let last_end = last_end.as_deref();
+            log::info!(
+                task:%, attempt, worker, active_runs,
+                last_attempt = last_end.map(|last| last.attempt),
+                last_worker = last_end.map(|last| last.worker.as_str()),
+                last_outcome:? = last_end.map(|last| last.outcome),
+                last_given_up = last_end.and_then(|last| last.given_up).map(GivenUpReason::name),
+                last_age_ms =
+                    last_end.map(|last| now.saturating_sub(last.at).as_millis() as u64);
+                "task_started_again"
+            );
+        } else if is_restored {
+            // An earlier scheduler may have started the task.
+            log::info!(task:%, attempt, worker, token = self.token; "restored_task_started");
+        }
         self.orders.push(WorkerOrder {
             worker: key,
             order: Order::Start {
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -17,6 +17,7 @@
     advice::Tickets,
     arrivals::Arrivals,
     changes::DirtyJobs,
+    given_up::GivenUpRuns,
     home::FreeCpu,
     instance_orders::KnownInstance,
     job::Job,
@@ -122,6 +123,8 @@
     pub(crate) free_cpu: BTreeMap<String, FreeCpu>,
     /// Admission control for new jobs.
     pub(crate) overload: Overload,
+    /// Runs that were given up without an end of their own, for the logs.
+    pub(crate) given_up: GivenUpRuns,
 }
 
 impl Scheduler {
@@ -163,6 +166,7 @@
             arrivals: BTreeMap::new(),
             free_cpu: BTreeMap::new(),
             overload: Overload::default(),
+            given_up: GivenUpRuns::default(),
         }
     }
 
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -4,6 +4,10 @@
 
 use crate::{
     ends::RunEnd,
+    given_up::{
+        Evidence,
+        GivenUpReason, //
+    },
     job::{
         Job,
         Run, //
@@ -50,8 +54,12 @@
         for end in &status.ended {
             self.note_listed_end(key, end, now);
         }
+        let mut adopted = 0_u64;
         for run in &status.running {
-            self.note_listed_run(key, run, now);
+            adopted += u64::from(self.note_listed_run(key, run, now));
+        }
+        if !was_known {
+            self.log_first_status(key, status, adopted);
         }
         if status.ended.len() < MAX_LISTED_ENDS {
             self.end_unlisted_runs(key, status, now);
@@ -60,6 +68,20 @@
         self.pace_fillers(key);
     }
 
+    /// Logs the first status of a life that is read under this scheduler's token, or the
+    /// first one after its lease has lapsed.
+    fn log_first_status(&self, key: WorkerKey, status: &WorkerStatus, adopted: u64) {
+        if let Some(worker) = self.workers.get(&key) {
+            log::info!(
+                worker = worker.report.id, born = worker.life.started_unix_ms,
+                token = self.token, ends = status.ended.len() as u64,
+                processed = worker.life.processed_end, runs = status.running.len() as u64,
+                adopted, is_expected = worker.is_expected;
+                "first_status_read"
+            );
+        }
+    }
+
     fn note_listed_end(&mut self, key: WorkerKey, end: &ListedEnd, now: Duration) {
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
@@ -68,6 +90,7 @@
             return;
         }
         worker.life.processed_end = end.number;
+        self.record_listed_end(key, end, now);
         if let Some(job) = self.jobs.get_mut(&end.task.step.job) {
             job.has_begun = true;
         }
@@ -78,6 +101,7 @@
                 attempt: end.attempt,
                 outcome: end.outcome,
                 checkpoint: &end.checkpoint,
+                given_up: None,
             },
             now,
         );
@@ -90,7 +114,8 @@
         }
     }
 
-    fn note_listed_run(&mut self, key: WorkerKey, listed: &ListedRun, now: Duration) {
+    /// Handles an active run; returns whether this scheduler has adopted it.
+    fn note_listed_run(&mut self, key: WorkerKey, listed: &ListedRun, now: Duration) -> bool {
         let task = listed.task;
         let booked = self
             .workers
@@ -98,8 +123,7 @@
             .and_then(|worker| worker.booked.get_mut(&task))
             .filter(|booked| booked.attempt == listed.attempt);
         let Some(booked) = booked else {
-            self.adopt_run(key, listed, now);
-            return;
+            return self.adopt_run(key, listed, now);
         };
         if booked.target.is_some() {
             booked.tail_latency = Duration::from_millis(listed.measure);
@@ -118,11 +142,12 @@
                 run.advanced_at = now;
             }
         }
+        false
     }
 
     /// Takes over a run that this scheduler did not order, or stops it if it is not
-    /// needed.
-    fn adopt_run(&mut self, key: WorkerKey, listed: &ListedRun, now: Duration) {
+    /// needed. Returns whether it is needed.
+    fn adopt_run(&mut self, key: WorkerKey, listed: &ListedRun, now: Duration) -> bool {
         let task = listed.task;
         if self.is_valid_task(task) {
             self.reopen_occurrence(task.step.job, task.step.occurrence);
@@ -140,17 +165,20 @@
         };
         let workspace = self.workspace_of(task.step.job);
         let Some(worker) = self.workers.get_mut(&key) else {
-            return;
+            return false;
         };
         if worker.booked.contains_key(&task) {
             // Another attempt of the task is booked here; the listed one is older
             // or late.
             log::warn!(task:%, attempt = listed.attempt, worker = worker.report.id; "stray_run_stopped");
             self.stop(key, task, listed.attempt);
-            return;
+            return false;
         }
+        let given_up = self.given_up.reason(task, listed.attempt);
         log::info!(
-            task:%, attempt = listed.attempt, worker = worker.report.id, is_wanted;
+            task:%, attempt = listed.attempt, worker = worker.report.id,
+            born = worker.life.started_unix_ms, is_wanted,
+            given_up = given_up.map(GivenUpReason::name);
             "run_adopted"
         );
         let resources = booked.resources;
@@ -159,7 +187,7 @@
         self.add_usage(workspace, &resources);
         if !is_wanted {
             self.stop(key, task, listed.attempt);
-            return;
+            return false;
         }
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             job.has_begun = true;
@@ -176,6 +204,7 @@
                 });
             }
         }
+        true
     }
 
     /// Returns whether a task is one of an open job that is known.
@@ -231,7 +260,11 @@
             .collect();
         for (task, attempt) in gone {
             log::warn!(task:%, attempt, worker = self.workers[&key].report.id; "run_gone");
-            self.lapse_run(key, task, attempt, now);
+            let evidence = Evidence {
+                reason: GivenUpReason::NotListed,
+                at: status.sent_at,
+            };
+            self.lapse_run(key, task, attempt, evidence, now);
         }
     }
 }
