Log for which life an acknowledgement is sent, and which one answered it

A worker numbers its ends from 1 in each life, so an acknowledgement that a later life receives makes it discard ends that nobody has read.

acknowledgement_raised is written when the number sent to a worker rises, and acknowledgement_reached_other_life when the response carries another start time than that of the life whose ends were counted. worker_born_again names both lives and the number last sent, as a request without an answer may also have reached the later one. The number that is sent is the same as before.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -12,6 +12,7 @@
     },
     granted::MAX_ORDER_DELAY,
     worker::Worker,
+    Acknowledgement,
     JobId,
     ProcessedEnds,
     Resources,
@@ -106,6 +107,44 @@
             .map_or(0, |worker| worker.life.acknowledged_end)
     }
 
+    /// Returns the acknowledgement to send with a status request, which is logged when
+    /// its number rises.
+    pub fn acknowledgement(&mut self, key: WorkerKey) -> Acknowledgement {
+        let number = self.acknowledged(key);
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return Acknowledgement::default();
+        };
+        let started_unix_ms = worker.life.started_unix_ms;
+        let sent = worker.life.sent_acknowledgement;
+        if number > sent {
+            log::info!(
+                worker = worker.report.id, born = started_unix_ms, sent, number;
+                "acknowledgement_raised"
+            );
+            worker.life.sent_acknowledgement = number;
+        }
+        Acknowledgement {
+            started_unix_ms,
+            number,
+        }
+    }
+
+    /// Logs an acknowledgement that reached another life than the one whose ends it
+    /// counts. `answered_by` is the start time that the response carries.
+    pub fn check_acknowledgement(&self, key: WorkerKey, sent: &Acknowledgement, answered_by: u64) {
+        let is_other = answered_by != 0 && answered_by != sent.started_unix_ms;
+        if sent.number == 0 || !is_other {
+            return;
+        }
+        if let Some(worker) = self.workers.get(&key) {
+            log::warn!(
+                worker = worker.report.id, number = sent.number,
+                born = sent.started_unix_ms, answered_by;
+                "acknowledgement_reached_other_life"
+            );
+        }
+    }
+
     /// Returns the ends of a worker that need not be listed to this scheduler again.
     pub fn processed_ends(&self, key: WorkerKey) -> ProcessedEnds {
         let worker = self.workers.get(&key);
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -97,6 +97,7 @@
 };
 pub use job_life::JobState;
 pub use order::{
+    Acknowledgement,
     Answer,
     ListedEnd,
     ListedRun,
--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -78,6 +78,8 @@
     pub(crate) processed_end: u64,
     /// Highest number of an end that may be acknowledged.
     pub(crate) acknowledged_end: u64,
+    /// Highest number of an end whose acknowledgement was sent, for the logs.
+    pub(crate) sent_acknowledgement: u64,
     pub(crate) health: Health,
     /// Number of consecutive instance lists that did not contain the worker.
     pub(crate) missed_lists: u32,
@@ -102,6 +104,7 @@
             pending_ends: VecDeque::new(),
             processed_end: 0,
             acknowledged_end: 0,
+            sent_acknowledgement: 0,
             health: Health::default(),
             missed_lists: 0,
             clock: None,
--- a/crates/dotterelsill_jobs/src/order.rs
+++ b/crates/dotterelsill_jobs/src/order.rs
@@ -163,6 +163,16 @@
     pub number: u64,
 }
 
+/// An acknowledgement that is sent with a status request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Acknowledgement {
+    /// Start time of the life whose ends it counts, in milliseconds since the Unix
+    /// epoch; 0 if not known.
+    pub started_unix_ms: u64,
+    /// Number up to which the worker may discard its ends; 0 for none.
+    pub number: u64,
+}
+
 /// Maximum number of ends in one status. If the list is this long, a run may be
 /// missing from both lists.
 pub(crate) const MAX_LISTED_ENDS: usize = 500;
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -122,7 +122,12 @@
             log::info!(worker = self.report.id, started_unix_ms, known; "earlier_life_ignored");
             return false;
         }
-        log::info!(worker = self.report.id, runs = self.booked.len() as u64; "worker_born_again");
+        log::info!(
+            worker = self.report.id, runs = self.booked.len() as u64, born = started_unix_ms,
+            earlier = known, processed = self.life.processed_end,
+            acknowledged = self.life.sent_acknowledgement;
+            "worker_born_again"
+        );
         self.life = Life::successor(started_unix_ms, longest, now);
         true
     }
--- a/crates/dotterelsill_jobs/tests/run_logs.rs
+++ b/crates/dotterelsill_jobs/tests/run_logs.rs
@@ -23,6 +23,7 @@
     task, //
 };
 use dotterelsill_jobs::{
+    Acknowledgement,
     Answer,
     EndCounts,
     GivenUpReason,
@@ -164,6 +165,11 @@
     let lines = take("end_listed");
     assert!(lines[0].ends_with("is_known=false"), "{lines:?}");
     assert_eq!(scheduler.take_end_counts().of_unknown_jobs, 1);
+    assert_eq!(
+        scheduler.acknowledgement(key).number,
+        1,
+        "it is acknowledged"
+    );
 }
 
 /// Guards against a run that is given up as not listed, started again and then listed as
@@ -279,6 +285,51 @@
     );
 }
 
+/// Guards against an acknowledgement of which the log does not tell for which life it was
+/// sent, or that another life answered it and may have discarded ends that were not read.
+#[test]
+fn acknowledgement_for_another_life_is_told() {
+    let (mut scheduler, key) = recorded();
+    let orders = start_task(&mut scheduler, 1, 1100);
+    confirm(&mut scheduler, &orders, ms(1120));
+    let mut status = status_with_end(1200, 1, 1, RunOutcome::Stopped);
+    status
+        .ended
+        .push(ended(2, task(9, 0, 0), 1, RunOutcome::Done));
+    scheduler.on_worker_status(key, &status, ms(1200));
+    let sent = scheduler.acknowledgement(key);
+    assert_eq!(
+        sent,
+        Acknowledgement {
+            started_unix_ms: 1,
+            number: 2
+        }
+    );
+    scheduler.acknowledgement(key);
+    assert_eq!(
+        take("acknowledgement_raised"),
+        ["INFO acknowledgement_raised worker=w0 born=1 sent=0 number=2"]
+    );
+    scheduler.check_acknowledgement(key, &sent, 1);
+    scheduler.check_acknowledgement(key, &sent, 0);
+    scheduler.check_acknowledgement(key, &Acknowledgement::default(), 5);
+    assert_eq!(take("acknowledgement_reached_other_life"), [""; 0]);
+    scheduler.check_acknowledgement(key, &sent, 5);
+    assert_eq!(
+        take("acknowledgement_reached_other_life"),
+        ["WARN acknowledgement_reached_other_life worker=w0 number=2 born=1 answered_by=5"]
+    );
+    let restarted = WorkerStatus {
+        started_unix_ms: 5,
+        ..status_at(ms(1300))
+    };
+    scheduler.on_worker_status(key, &restarted, ms(1300));
+    assert_eq!(
+        take("worker_born_again"),
+        ["INFO worker_born_again worker=w0 runs=0 born=5 earlier=1 processed=2 acknowledged=2"]
+    );
+}
+
 /// Guards against a takeover after which the log does not tell what the first status of a
 /// worker contained, or which tasks may have run before.
 #[test]
--- a/crates/dotterelsill_node/src/worker_loops/status.rs
+++ b/crates/dotterelsill_node/src/worker_loops/status.rs
@@ -4,6 +4,7 @@
 
 use async_io::Timer;
 use dotterelsill_jobs::{
+    Acknowledgement,
     Answer,
     Route,
     WorkerStatus, //
@@ -129,7 +130,7 @@
     async fn poll_once(&self, route: Route, is_status_unknown: bool) -> PollOutcome {
         let leadership = &self.leadership;
         let may_extend = leadership.is_valid();
-        let (request, processed) = {
+        let (request, acknowledgement, processed) = {
             let mut scheduler = leadership.scheduler();
             let wait = if is_status_unknown {
                 None
@@ -138,19 +139,22 @@
             } else {
                 Some(STATUS_WAIT)
             };
+            let acknowledgement = scheduler.acknowledgement(self.key);
             let request = WorkerStatusRequest {
                 fencing_token: leadership.token,
                 lease_end_ms: scheduler.lease_end(self.key, may_extend, clock::now()),
-                acknowledged: scheduler.acknowledged(self.key),
+                acknowledged: acknowledgement.number,
                 wait,
             };
-            (request, scheduler.processed_ends(self.key))
+            (request, acknowledgement, scheduler.processed_ends(self.key))
         };
         let sent_at = clock::now();
         let result = self.call(route, Call::Status { request, processed }).await;
         leadership.load.on_worker_status(&result);
         match result {
-            Ok(CallAnswer::Status(status)) => self.on_status(route, status, sent_at),
+            Ok(CallAnswer::Status(status)) => {
+                self.on_status(route, status, &acknowledgement, sent_at)
+            }
             Ok(CallAnswer::Answer(answer)) => self.on_refusal(answer, sent_at),
             Err(failure) => {
                 self.on_call_failed("look", route, &failure, sent_at);
@@ -159,12 +163,19 @@
         }
     }
 
-    fn on_status(&self, route: Route, mut status: WorkerStatus, sent_at: Duration) -> PollOutcome {
+    fn on_status(
+        &self,
+        route: Route,
+        mut status: WorkerStatus,
+        acknowledgement: &Acknowledgement,
+        sent_at: Duration,
+    ) -> PollOutcome {
         let now = clock::now();
         status.sent_at = sent_at;
         status.read_at = now;
         let has_pending_ends = {
             let mut scheduler = self.leadership.scheduler();
+            scheduler.check_acknowledgement(self.key, acknowledgement, status.started_unix_ms);
             scheduler.on_worker_status(self.key, &status, now);
             scheduler.has_pending_ends(self.key)
         };
