node: log the store's revisions of restored jobs, and lists read over a peer

After a takeover it could not be told whether the progress that a scheduler restored was read directly or over a peer, and at which revision of the store.

jobs_restored has the number of progress records and the revisions of both lists; list_read_over_peer is written for each page of the two lists that a peer read. These lists are read only when a scheduler takes over, so the lines are few. Not covered by a test of its own.

--- a/crates/dotterelsill_node/src/relay.rs
+++ b/crates/dotterelsill_node/src/relay.rs
@@ -23,6 +23,7 @@
 use dotterelsill_proto::jobs::{
     node_client::NodeClient,
     relay_request::Call,
+    RangeCall,
     RelayRequest,
     RelayResponse, //
 };
@@ -49,6 +50,7 @@
 
 use crate::{
     clock,
+    keys,
     metrics::Metrics,
     peers::Peers,
     reach::Reachability, //
@@ -228,6 +230,9 @@
             }
             _ => self.reachability.on_store(clock::now()),
         }
+        if let (Call::Range(range), Ok(response)) = (call, &result) {
+            log_relayed_list(range, address, started_at, response);
+        }
         result
     }
 }
@@ -272,6 +277,26 @@
     log::info!(call, subject, way, took_ms, wait_ms, error:%; "store_call_failed");
 }
 
+/// Logs that a list of the jobs or of their progress was read over a peer. Without such
+/// a line, a new scheduler has read it directly.
+fn log_relayed_list(
+    range: &RangeCall,
+    peer: SocketAddr,
+    started_at: Duration,
+    response: &RelayResponse,
+) {
+    let prefix = range.prefix.as_str();
+    if range.is_stale || ![keys::JOBS, keys::PROGRESS].contains(&prefix) {
+        return;
+    }
+    let took_ms = clock::now().saturating_sub(started_at).as_millis() as u64;
+    log::info!(
+        subject = prefix, peer:%, items = response.items.len() as u64, revision = response.revision,
+        took_ms;
+        "list_read_over_peer"
+    );
+}
+
 /// Returns the requested wait of a watch; zero for other calls.
 fn watch_wait(call: &Call) -> Duration {
     match call {
--- a/crates/dotterelsill_node/src/restore.rs
+++ b/crates/dotterelsill_node/src/restore.rs
@@ -39,14 +39,14 @@
     // The transaction that stores the end of a job also removes its record. Reading
     // the records before the progress therefore cannot miss a job.
     let jobs_and_progress = async {
-        let (jobs, _) = store.list(keys::JOBS, Staleness::Current).await?;
-        let (progress, _) = store.list(keys::PROGRESS, Staleness::Current).await?;
-        Ok::<_, OperationError>((jobs, progress))
+        let (jobs, jobs_revision) = store.list(keys::JOBS, Staleness::Current).await?;
+        let (progress, progress_revision) = store.list(keys::PROGRESS, Staleness::Current).await?;
+        Ok::<_, OperationError>((jobs, jobs_revision, progress, progress_revision))
     };
     let records = future::try_zip((store.get)(keys::GRANTED), (store.get)(keys::ORDERED));
     let waves = store.list(keys::WAVES, Staleness::Current);
     let others = future::try_zip(records, waves);
-    let ((jobs, progress), ((granted, ordered), (waves, _))) =
+    let ((jobs, jobs_revision, progress, progress_revision), ((granted, ordered), (waves, _))) =
         future::try_zip(jobs_and_progress, others).await?;
     let mut progress_by_job: HashMap<JobId, (ProgressRecord, u64)> = HashMap::new();
     for item in &progress {
@@ -111,7 +111,8 @@
     }
     log::info!(
         token = scheduler.token(), open, ended = progress_by_job.len() as u64,
-        workers = workers.len() as u64,
+        workers = workers.len() as u64, progress = progress.len() as u64,
+        jobs_revision, progress_revision,
         took_ms = now().saturating_sub(begin).as_millis() as u64; "jobs_restored"
     );
     Ok(())
