jobs: log whether a run given up was being stopped, and empty lists at debug

In a run of the daemon tests 20 runs of a cancelled job were given up as not listed although their worker had not restarted: a stop had reached it before the start. run_given_up now shows that a stop was ordered. In a burst test with hundreds of new workers first_status_read exceeded 200 lines a second, all for workers that had nothing to list, which could suppress the ones that matter. It is a debug line if the list is empty and no runs of an earlier scheduler are expected on the worker.

The tests of the crate pass.

--- a/crates/dotterelsill_jobs/src/given_up.rs
+++ b/crates/dotterelsill_jobs/src/given_up.rs
@@ -147,7 +147,8 @@
         let lease = worker.life.lease_reading(now);
         log::info!(
             task:%, attempt, worker = worker.report.id, born = worker.life.started_unix_ms,
-            reason = evidence.reason.name(), evidence_age_ms = age_ms(evidence.at),
+            reason = evidence.reason.name(), is_stopping = booked.is_stopping,
+            evidence_age_ms = age_ms(evidence.at),
             ordered_age_ms = ordered_at.map(age_ms),
             confirmed_age_ms = booked.confirmed_at.map(age_ms),
             answered_age_ms = age_ms(worker.answered_at),
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use log::Level;
+
 use crate::{
     ends::RunEnd,
     given_up::{
@@ -72,8 +74,15 @@
     /// first one after its lease has lapsed.
     fn log_first_status(&self, key: WorkerKey, status: &WorkerStatus, adopted: u64) {
         if let Some(worker) = self.workers.get(&key) {
-            log::info!(
-                worker = worker.report.id, born = worker.life.started_unix_ms,
+            // New workers, of which there may be hundreds, have nothing to list.
+            let is_empty = status.ended.is_empty() && status.running.is_empty();
+            let level = if is_empty && !worker.is_expected {
+                Level::Debug
+            } else {
+                Level::Info
+            };
+            log::log!(
+                level, worker = worker.report.id, born = worker.life.started_unix_ms,
                 token = self.token, ends = status.ended.len() as u64,
                 processed = worker.life.processed_end, runs = status.running.len() as u64,
                 adopted, is_expected = worker.is_expected;
--- a/crates/dotterelsill_jobs/tests/run_logs.rs
+++ b/crates/dotterelsill_jobs/tests/run_logs.rs
@@ -185,7 +185,7 @@
         lines,
         [
             "INFO run_given_up task=0000000000000001.0.0.0 attempt=1 worker=w0 born=1 \
-          reason=not_listed evidence_age_ms=1 ordered_age_ms=90 confirmed_age_ms=80 \
+          reason=not_listed is_stopping=false evidence_age_ms=1 ordered_age_ms=90 confirmed_age_ms=80 \
           answered_age_ms=0 worker_ms=1200 granted_until_ms=6117 foreign_until_ms=0"
         ]
     );
@@ -244,7 +244,9 @@
     scheduler.on_answer(key, &orders[0].order, Answer::NoRoom, false, ms(1150));
     let lines = take("run_given_up");
     assert!(
-        lines[0].contains("reason=start_refused evidence_age_ms=0 ordered_age_ms=40 "),
+        lines[0].contains(
+            "reason=start_refused is_stopping=false evidence_age_ms=0 ordered_age_ms=40 "
+        ),
         "{lines:?}"
     );
 
@@ -255,7 +257,7 @@
     let lines = take("run_given_up");
     assert!(
         lines[0].contains(
-            "reason=lease_lapsed evidence_age_ms=29000 ordered_age_ms=28890 \
+            "reason=lease_lapsed is_stopping=false evidence_age_ms=29000 ordered_age_ms=28890 \
              confirmed_age_ms=28880 answered_age_ms=28880 worker_ms=29420 \
              granted_until_ms=6117 "
         ),
@@ -268,7 +270,7 @@
     scheduler.on_other_worker(key, "127.0.0.1:2000", ms(1140), ms(1150));
     let lines = take("run_given_up");
     assert!(
-        lines[0].contains("reason=other_worker evidence_age_ms=10 "),
+        lines[0].contains("reason=other_worker is_stopping=false evidence_age_ms=10 "),
         "{lines:?}"
     );
 
@@ -280,7 +282,7 @@
     }
     let lines = take("run_given_up");
     assert!(
-        lines[0].contains("reason=ended_by_list evidence_age_ms=20 "),
+        lines[0].contains("reason=ended_by_list is_stopping=false evidence_age_ms=20 "),
         "{lines:?}"
     );
 }
@@ -335,7 +337,7 @@
 #[test]
 fn takeover_tells_the_first_status_and_starts() {
     let (mut scheduler, _) = recorded();
-    take("first_status_read");
+    assert_eq!(take("first_status_read"), [""; 0], "it lists nothing");
     for id in [1, 2] {
         let record = record("urgent", 6, vec![step(1, 1000)]);
         scheduler
