Count runs given up, ends of unknown jobs, and done ends of given-up runs

Lines are limited to 200 a second for each event, so they cannot be counted, and none of the three had a metric. The scheduler's counts are added to dotterelsill_runs_given_up_total (by reason), dotterelsill_unknown_job_ends_total and dotterelsill_done_after_given_up_total each second and when a term ends.

--- a/crates/dotterelsill_node/src/load.rs
+++ b/crates/dotterelsill_node/src/load.rs
@@ -23,7 +23,8 @@
         CallAnswer,
         CallFailure, //
     },
-    leadership::Leadership, //
+    leadership::Leadership,
+    metrics::Metrics, //
 };
 
 /// Period that one log line covers.
@@ -109,18 +110,20 @@
     }
 }
 
-/// Logs the activity and the backlog each second, until the task group stops.
-pub(crate) async fn report(leadership: Arc<Leadership>) {
+/// Logs the activity and the backlog each second, and counts unusual ends, until the task group stops.
+pub(crate) async fn report(leadership: Arc<Leadership>, metrics: Arc<Metrics>) {
     let mut period_start = clock::now();
     let mut processor_time_at_start = clock::processor_time();
     loop {
         Timer::after(REPORT_INTERVAL).await;
         let now = clock::now();
         let processor_time_used = clock::processor_time();
-        let (backlog, held_back) = {
-            let scheduler = leadership.scheduler();
-            (scheduler.backlog(now), scheduler.held_back(now))
+        let (backlog, held_back, end_counts) = {
+            let mut scheduler = leadership.scheduler();
+            let end_counts = scheduler.take_end_counts();
+            (scheduler.backlog(now), scheduler.held_back(now), end_counts)
         };
+        metrics.on_ends(&end_counts);
         let orders_queued: usize = leadership.handles().values().map(|h| h.orders.len()).sum();
         let submissions = leadership.submissions.lock().len();
         let (dispatchers, workers_dispatched) = leadership.dispatch.dispatchers().in_use();
--- a/crates/dotterelsill_node/src/metrics.rs
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dotterelsill_jobs::EndCounts;
 use http::{
     Method,
     StatusCode, //
@@ -12,6 +13,7 @@
     Histogram,
     HistogramOpts,
     HistogramVec,
+    IntCounter,
     IntCounterVec,
     IntGauge,
     Opts,
@@ -31,6 +33,9 @@
     store_calls: IntCounterVec,
     store_durations: HistogramVec,
     dispatched_calls: IntCounterVec,
+    runs_given_up: IntCounterVec,
+    unknown_job_ends: IntCounter,
+    done_after_given_up: IntCounter,
     loop_lateness: Histogram,
     loop_lateness_worst: Gauge,
     /// Whether this instance schedules.
@@ -71,6 +76,21 @@
                 ),
                 &["result"],
             )?,
+            runs_given_up: IntCounterVec::new(
+                Opts::new(
+                    "dotterelsill_runs_given_up_total",
+                    "Runs that the scheduler gave up without an end of their own",
+                ),
+                &["reason"],
+            )?,
+            unknown_job_ends: IntCounter::new(
+                "dotterelsill_unknown_job_ends_total",
+                "Ends listed by workers of runs whose job the scheduler does not know",
+            )?,
+            done_after_given_up: IntCounter::new(
+                "dotterelsill_done_after_given_up_total",
+                "Ends `done` listed by workers of runs that the scheduler had given up",
+            )?,
             loop_lateness: Histogram::with_opts(
                 HistogramOpts::new(
                     "dotterelsill_loop_late_seconds",
@@ -93,6 +113,9 @@
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.store_durations.clone()))?;
         registry.register(Box::new(metrics.dispatched_calls.clone()))?;
+        registry.register(Box::new(metrics.runs_given_up.clone()))?;
+        registry.register(Box::new(metrics.unknown_job_ends.clone()))?;
+        registry.register(Box::new(metrics.done_after_given_up.clone()))?;
         registry.register(Box::new(metrics.loop_lateness.clone()))?;
         registry.register(Box::new(metrics.loop_lateness_worst.clone()))?;
         registry.register(Box::new(metrics.is_scheduling.clone()))?;
@@ -138,6 +161,17 @@
         self.dispatched_calls.with_label_values(&[result]).inc();
     }
 
+    /// Adds the unusual ends that the scheduler has counted.
+    pub(crate) fn on_ends(&self, counts: &EndCounts) {
+        for (reason, count) in &counts.given_up {
+            self.runs_given_up
+                .with_label_values(&[reason.name()])
+                .inc_by(*count);
+        }
+        self.unknown_job_ends.inc_by(counts.of_unknown_jobs);
+        self.done_after_given_up.inc_by(counts.done_after_given_up);
+    }
+
     /// Records by how much a sample of the event loop was late.
     pub(crate) fn on_loop_wake(&self, late: Duration) {
         self.loop_lateness.observe(late.as_secs_f64());
--- a/crates/dotterelsill_node/src/scheduling.rs
+++ b/crates/dotterelsill_node/src/scheduling.rs
@@ -154,7 +154,7 @@
     group.spawn_until_stop(async move { planning.plan().await });
     group.spawn_until_stop(async move { ticking.tick().await });
     group.spawn_until_stop(writer::run(leadership.clone()));
-    group.spawn_until_stop(load::report(leadership.clone()));
+    group.spawn_until_stop(load::report(leadership.clone(), node.metrics.clone()));
     group.spawn_until_stop(worker_registry::track(leadership.clone()));
     group.spawn_until_stop(dispatch::manage(leadership.clone(), node.peers.clone()));
     group.spawn_until_stop(intake::import_all(leadership.clone()));
@@ -179,6 +179,8 @@
             })
             .await;
     }
+    node.metrics
+        .on_ends(&leadership.scheduler().take_end_counts());
     node.leadership.store(None);
     node.metrics.is_scheduling.set(0);
     node.leader.store(None);
