End a worker's silence only by a status that was requested later

What callers saw: a task that had ended `done` was started again on another worker, although the end had been acknowledged.

Cause: a worker that restarts under its identifier numbers its ends from 1, has a new clock and knows no fencing token. After a call without an answer the scheduler therefore acknowledges nothing, extends no lease and sends no start until a status tells which life answers. The answer to any order ended that silence, although it does not carry a start time. A stop that is repeated each 100 ms reaches a restarted worker before the status request, whose pause doubles up to 0.8 s. Then starts went to a life that nobody had read, and the next status request told it to forget ends by the numbers of the life before. The runs were in neither of its lists (run_gone), and their tasks were started elsewhere.

Now only a status that was requested after the last call without an answer ends the silence: an earlier request may have been answered by the life before.

--- a/crates/dotterelsill_jobs/src/backlog.rs
+++ b/crates/dotterelsill_jobs/src/backlog.rs
@@ -43,7 +43,7 @@
         for worker in self.workers.values() {
             backlog.runs += worker.booked.len();
             backlog.workers_known += usize::from(worker.life.is_known);
-            backlog.workers_silent += usize::from(worker.is_silent);
+            backlog.workers_silent += usize::from(worker.is_silent());
             backlog.workers_unread += usize::from(self.may_run_unseen(worker, now));
         }
         if let Some(&since) = self.unstored_since.values().min() {
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -75,7 +75,7 @@
         may_extend: bool,
         now: Duration,
     ) -> Option<u64> {
-        let is_silent = self.workers.get(&key).is_none_or(|worker| worker.is_silent);
+        let is_silent = self.workers.get(&key).is_none_or(Worker::is_silent);
         if is_silent {
             return None;
         }
@@ -90,7 +90,7 @@
         let worker = self.workers.get_mut(&key)?;
         // A request to a silent worker may still be executed. Extending the lease
         // with it would mean that the lease never certainly ends.
-        if may_extend && worker.may_grant && !worker.is_silent {
+        if may_extend && worker.may_grant && !worker.is_silent() {
             worker.life.grant(lease, now)
         } else {
             worker.life.granted()
@@ -103,7 +103,7 @@
         // 1 again.
         self.workers
             .get(&key)
-            .filter(|worker| !worker.is_silent)
+            .filter(|worker| !worker.is_silent())
             .map_or(0, |worker| worker.life.acknowledged_end)
     }
 
@@ -197,17 +197,16 @@
 
     /// Returns whether the last call to a worker was not answered.
     pub fn is_silent(&self, key: WorkerKey) -> bool {
-        self.workers
-            .get(&key)
-            .is_some_and(|worker| worker.is_silent)
+        self.workers.get(&key).is_some_and(Worker::is_silent)
     }
 
     /// Handles a call to a worker that was not answered; the worker gets no new
     /// tasks until it answers.
     pub fn on_silence(&mut self, key: WorkerKey, now: Duration) {
         if let Some(worker) = self.workers.get_mut(&key) {
-            if !worker.is_silent {
-                worker.is_silent = true;
+            let was_silent = worker.is_silent();
+            worker.on_silence(now);
+            if !was_silent {
                 let age_ms = now.saturating_sub(worker.answered_at).as_millis() as u64;
                 log::warn!(worker = worker.report.id, age_ms; "worker_silent");
             }
--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -106,7 +106,7 @@
     let takes_tasks = may_be_sent_starts(worker, operator_requests, now)
         && worker.life.is_known
         && worker.may_grant
-        && !worker.is_silent
+        && !worker.is_silent()
         && !worker.life.health.is_quarantined(now);
     if !takes_tasks {
         return None;
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -68,8 +68,9 @@
     /// Time at which all leases granted by earlier schedulers have certainly ended.
     pub(crate) unknown_until: Duration,
     pub(crate) answered_at: Duration,
-    /// Whether the last call was not answered.
-    pub(crate) is_silent: bool,
+    /// Time of the last call that was not answered, until a status that was requested
+    /// later is read. Another life may answer next.
+    silent_since: Option<Duration>,
     /// Whether the worker gets no new tasks because its instance is due for
     /// maintenance or a move.
     pub(crate) is_cordoned: bool,
@@ -93,7 +94,7 @@
             booked: BTreeMap::new(),
             unknown_until,
             answered_at: now,
-            is_silent: false,
+            silent_since: None,
             is_cordoned: false,
             is_terminating: false,
             may_grant: false,
@@ -134,13 +135,31 @@
 
     /// Returns whether the worker's status must be read before it gets tasks.
     pub(crate) fn needs_status(&self) -> bool {
-        !self.life.is_known || self.is_silent
+        !self.life.is_known || self.is_silent()
     }
 
-    /// Records that the worker responded.
+    /// Returns whether a call was not answered and no status was read since.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.silent_since.is_some()
+    }
+
+    /// Records that a call was not answered.
+    pub(crate) fn on_silence(&mut self, now: Duration) {
+        self.silent_since = Some(now);
+    }
+
+    /// Records that the worker responded to an order. The response does not tell which
+    /// life gave it, so it does not end a silence.
     pub(crate) fn on_answer(&mut self, now: Duration) {
         self.answered_at = now;
-        self.is_silent = false;
+    }
+
+    /// Records that a status was read for which the worker was asked at `sent_at`.
+    pub(crate) fn on_status(&mut self, sent_at: Duration, read_at: Duration) {
+        self.answered_at = read_at;
+        if self.silent_since.is_some_and(|since| sent_at >= since) {
+            self.silent_since = None;
+        }
     }
 
     /// Returns whether the lease, and with it every run, has certainly ended.
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -44,7 +44,7 @@
             log::info!(worker = worker.report.id; "status_of_an_ended_life_ignored");
             return;
         }
-        worker.on_answer(status.read_at);
+        worker.on_status(status.sent_at, status.read_at);
         let life = &mut worker.life;
         life.on_clock(status.worker_ms, status.sent_at, status.read_at);
         life.on_first_status(self.limits.max_lease);
