--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -129,8 +129,10 @@
         }
     }
 
-    /// Logs an acknowledgement that reached another life than the one whose ends it
-    /// counts. `answered_by` is the start time that the response carries.
+    /// Logs that a status request with an acknowledgement was answered by another life
+    /// than the one whose ends it counts. The acknowledgement itself is sent only over a
+    /// connection on which its life has answered. `answered_by` is the start time that
+    /// the response carries.
     pub fn check_acknowledgement(&self, key: WorkerKey, sent: &Acknowledgement, answered_by: u64) {
         let is_other = answered_by != 0 && answered_by != sent.started_unix_ms;
         if sent.number == 0 || !is_other {
@@ -140,7 +142,7 @@
             log::warn!(
                 worker = worker.report.id, number = sent.number,
                 born = sent.started_unix_ms, answered_by;
-                "acknowledgement_reached_other_life"
+                "request_reached_other_life"
             );
         }
     }
--- a/crates/dotterelsill_jobs/tests/run_logs.rs
+++ b/crates/dotterelsill_jobs/tests/run_logs.rs
@@ -315,11 +315,11 @@
     scheduler.check_acknowledgement(key, &sent, 1);
     scheduler.check_acknowledgement(key, &sent, 0);
     scheduler.check_acknowledgement(key, &Acknowledgement::default(), 5);
-    assert_eq!(take("acknowledgement_reached_other_life"), [""; 0]);
+    assert_eq!(take("request_reached_other_life"), [""; 0]);
     scheduler.check_acknowledgement(key, &sent, 5);
     assert_eq!(
-        take("acknowledgement_reached_other_life"),
-        ["WARN acknowledgement_reached_other_life worker=w0 number=2 born=1 answered_by=5"]
+        take("request_reached_other_life"),
+        ["WARN request_reached_other_life worker=w0 number=2 born=1 answered_by=5"]
     );
     let restarted = WorkerStatus {
         started_unix_ms: 5,
--- a/crates/dotterelsill_node/src/dispatch/messages.rs
+++ b/crates/dotterelsill_node/src/dispatch/messages.rs
@@ -6,6 +6,7 @@
 };
 
 use dotterelsill_jobs::{
+    Acknowledgement,
     Answer,
     JobId,
     Order,
@@ -44,7 +45,7 @@
             started_unix_ms: processed.started_unix_ms,
             processed: processed.number,
             lease_end_ms: request.lease_end_ms,
-            acknowledged: request.acknowledged,
+            acknowledged: request.acknowledged.number,
             wait_ms: request.wait.map(|wait| wait.as_millis() as u32),
         }),
         Call::Order {
@@ -107,7 +108,10 @@
             request: WorkerStatusRequest {
                 fencing_token: token,
                 lease_end_ms: status.lease_end_ms,
-                acknowledged: status.acknowledged,
+                acknowledged: Acknowledgement {
+                    started_unix_ms: status.started_unix_ms,
+                    number: status.acknowledged,
+                },
                 wait: status.wait_ms.map(|ms| Duration::from_millis(ms.into())),
             },
             processed: ProcessedEnds {
--- a/crates/dotterelsill_node/src/worker_loops/status.rs
+++ b/crates/dotterelsill_node/src/worker_loops/status.rs
@@ -143,7 +143,7 @@
             let request = WorkerStatusRequest {
                 fencing_token: leadership.token,
                 lease_end_ms: scheduler.lease_end(self.key, may_extend, clock::now()),
-                acknowledged: acknowledgement.number,
+                acknowledged: acknowledgement,
                 wait,
             };
             (request, acknowledgement, scheduler.processed_ends(self.key))
