Restart tasks of runs given up without proof only with authority

What callers saw: a task that had ended `done` was started again on a worker of another data centre, although the end had been acknowledged; the second run's end was never acknowledged, and one of them lapsed.

Cause: a scheduler that has lost the store schedules on until it learns of its successor. Leases are judged to have lapsed with authority only, but a restart of a worker, the list of instances and another worker's answer ended runs without it, and their tasks were started on workers whose leases went on. A later scheduler may have read and acknowledged the ends of these runs by then; what has lost its worker cannot tell the earlier scheduler of the higher token.

Now such a task is marked, and started only while the scheduler's own lease is certain to be valid: then there has been no later scheduler. That is asked again right before the start is sent, as the process may be paused in between. What the same life shows to this scheduler is proof also without authority, since a later scheduler would have told it its token. Authority is read with each lock of the scheduler, so a pause cannot leave an old value.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -12,6 +12,7 @@
         RunState, //
     },
     placement::may_be_sent_starts,
+    worker::BookedRun,
     Answer,
     Order,
     RunOutcome,
@@ -100,6 +101,7 @@
         now: Duration,
     ) {
         self.record_given_up(key, task, attempt, evidence, now);
+        let needs_authority = self.must_restart_with_authority(key, task, evidence.reason);
         let end = RunEnd {
             task,
             attempt,
@@ -108,6 +110,34 @@
             given_up: Some(evidence.reason),
         };
         self.end_run(key, &end, now);
+        let job = self.jobs.get_mut(&task.step.job);
+        if let Some(state) = job.and_then(|job| job.task(task.step, task.index)) {
+            state.needs_authority |= needs_authority;
+        }
+    }
+
+    /// Returns whether a later scheduler may have seen the end `done` of a run that is
+    /// given up: without authority, and unless the life that had the run shows to this
+    /// scheduler that it is gone. A later one would have told that life its higher token.
+    fn must_restart_with_authority(
+        &self,
+        key: WorkerKey,
+        task: TaskId,
+        reason: GivenUpReason,
+    ) -> bool {
+        let Some(worker) = self.workers.get(&key) else {
+            return false;
+        };
+        let Some(booked) = worker.booked.get(&task) else {
+            return false;
+        };
+        match reason {
+            GivenUpReason::StartRefused | GivenUpReason::TicketRefused => false,
+            // A start that waited for authority was not sent.
+            GivenUpReason::StartWithdrawn => booked.needs_authority,
+            GivenUpReason::NotListed if booked.life_since == worker.life.since => false,
+            _ => !self.has_authority,
+        }
     }
 
     /// Gives up a run that the worker did not start.
@@ -308,7 +338,10 @@
             return true;
         };
         let worker = &self.workers[&key];
-        if may_be_sent_starts(worker, &self.operator_requests, now) {
+        // A start that may come late was sent with authority before.
+        let is_certain = |booked: &BookedRun| !booked.needs_authority || self.has_authority;
+        let is_certain = may_come_late || worker.booked.get(task).is_some_and(is_certain);
+        if is_certain && may_be_sent_starts(worker, &self.operator_requests, now) {
             return true;
         }
         log::info!(
--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -105,6 +105,11 @@
         if waiting.all(is_paused) {
             return "the pause after a failed run".to_owned();
         }
+        let mut waiting = state.tasks.iter().filter(|task| task.is_waiting());
+        if !self.has_authority && waiting.all(|task| task.needs_authority) {
+            return "the scheduler's lease, since a later scheduler may have seen them end"
+                .to_owned();
+        }
         let resources = step.counted_resources();
         if !self.is_within_cap(job.spec.workspace.as_deref(), &resources) {
             let workspace = job.spec.workspace.as_deref().unwrap_or_default();
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -90,6 +90,9 @@
     /// preferred.
     pub(crate) avoid: Option<WorkerKey>,
     pub(crate) not_before: Duration,
+    /// Whether a run was given up that a later scheduler may have seen end `done`. The
+    /// task then starts only with authority, which shows that there is no such scheduler.
+    pub(crate) needs_authority: bool,
     /// Last known end of a run, for the logs.
     pub(crate) last_end: Option<Box<LastEnd>>,
 }
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -169,6 +169,7 @@
             .iter()
             .enumerate()
             .filter(|(_, task)| task.is_waiting() && task.not_before <= now)
+            .filter(|(_, task)| self.has_authority || !task.needs_authority)
             .map(|(index, _)| index as u32)
             .collect();
         if waiting.is_empty() {
@@ -426,6 +427,7 @@
             return;
         };
         state.next_attempt = attempt + 1;
+        let needs_authority = std::mem::take(&mut state.needs_authority);
         let last_end = state.last_end.clone();
         let active_runs = state.runs.len() as u64;
         state.runs.push(Run {
@@ -452,6 +454,8 @@
                     tail_latency: Duration::ZERO,
                     confirmed_at: None,
                     is_stopping: false,
+                    life_since: Duration::ZERO,
+                    needs_authority,
                 },
             );
         }
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -94,7 +94,7 @@
     pub(crate) started_at: Duration,
     /// Whether this scheduler's own lease is valid, so that no later scheduler can
     /// exist.
-    has_authority: bool,
+    pub(crate) has_authority: bool,
     pub(crate) needs_plan: bool,
     pub(crate) instances: BTreeMap<String, KnownInstance>,
     /// Whether the list of instances was read.
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -51,6 +51,10 @@
     pub(crate) confirmed_at: Option<Duration>,
     /// Whether a stop was ordered and the end is not reported yet.
     pub(crate) is_stopping: bool,
+    /// Time at which the scheduler learned of the life that the run was booked for.
+    pub(crate) life_since: Duration,
+    /// Whether the start may be sent only with authority.
+    pub(crate) needs_authority: bool,
 }
 
 /// A worker that the scheduler knows.
@@ -196,7 +200,14 @@
     /// Reserves the resources of a run.
     pub(crate) fn book(&mut self, task: TaskId, booked: BookedRun) {
         self.used.add(&booked.resources);
-        self.booked.insert(task, booked);
+        let life_since = self.life.since;
+        self.booked.insert(
+            task,
+            BookedRun {
+                life_since,
+                ..booked
+            },
+        );
     }
 
     /// Releases the resources of a run and returns it, unless another attempt of
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -245,6 +245,8 @@
             tail_latency: Duration::ZERO,
             confirmed_at: None,
             is_stopping: false,
+            life_since: Duration::ZERO,
+            needs_authority: false,
         }
     }
 
@@ -296,5 +298,7 @@
         tail_latency: Duration::ZERO,
         confirmed_at: Some(Duration::ZERO),
         is_stopping: false,
+        life_since: Duration::ZERO,
+        needs_authority: false,
     })
 }
--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -158,11 +158,15 @@
         }
     }
 
-    /// Locks the scheduler. The guard must not be held across an `await`.
+    /// Locks the scheduler, and tells it whether it has authority now: this process may
+    /// have been paused since. The guard must not be held across an `await`.
     pub(crate) fn scheduler(&self) -> MutexGuard<'_, Scheduler> {
-        self.scheduler
+        let mut scheduler = self
+            .scheduler
             .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+            .unwrap_or_else(PoisonError::into_inner);
+        scheduler.set_authority(self.is_valid());
+        scheduler
     }
 
     pub(crate) fn handles(&self) -> MutexGuard<'_, HashMap<WorkerKey, WorkerHandle>> {
@@ -212,7 +216,6 @@
             let started_at = clock::now();
             let (orders, has_change) = {
                 let mut scheduler = self.scheduler();
-                scheduler.set_authority(self.is_valid());
                 let orders = scheduler.plan(clock::now());
                 (orders, scheduler.has_change())
             };
