Ignore lists from before the first status of a restored worker

What callers saw: runs of a worker that was up were given up all at once. One ended `done` there, its task started on another worker, and the scheduler then read the end and acknowledged it; others ran twice at one time.

Cause: a list of instances tells about a life only if it was requested 1.5 s after the scheduler learned of that life. For a worker restored from the record of granted workers this was the time of the restore, although the life whose status is read may have begun after that. A list that still showed what was so while the worker was down ended it. The same held for a worker that was found to have ended and then answers: its lists without it went on counting.

Now both count as learned of when the status is read, and lists that missed them start from none.

--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -166,12 +166,20 @@
         self.ended_at.is_some()
     }
 
+    /// Leaves lists of instances that were requested until now out of account, as the
+    /// life may just have begun.
+    pub(crate) fn drop_earlier_evidence(&mut self, now: Duration) {
+        self.since = now;
+        self.missed_lists = 0;
+    }
+
     /// Handles a status for which the worker was asked at `sent_at`. One that was asked
     /// for after the life was found to have ended proves that it goes on; an earlier one
     /// no longer counts. Returns whether the life goes on.
-    pub(crate) fn on_status_answered(&mut self, sent_at: Duration) -> bool {
+    pub(crate) fn on_status_answered(&mut self, sent_at: Duration, now: Duration) -> bool {
         if self.ended_at.is_some_and(|ended_at| sent_at > ended_at) {
             self.ended_at = None;
+            self.drop_earlier_evidence(now);
         }
         !self.has_ended()
     }
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -120,7 +120,9 @@
             return true;
         }
         if known == 0 {
+            // The life may be a later one than that of the stored record.
             self.life.started_unix_ms = started_unix_ms;
+            self.life.drop_earlier_evidence(now);
             return true;
         }
         if started_unix_ms < known {
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -40,7 +40,7 @@
         if !worker.on_started(status.started_unix_ms, self.limits.max_lease, now) {
             return;
         }
-        if !worker.life.on_status_answered(status.sent_at) {
+        if !worker.life.on_status_answered(status.sent_at, now) {
             log::info!(worker = worker.report.id; "status_of_an_ended_life_ignored");
             return;
         }
--- a/crates/dotterelsill_jobs/tests/ends_of_lives.rs
+++ b/crates/dotterelsill_jobs/tests/ends_of_lives.rs
@@ -214,3 +214,32 @@
     scheduler.on_instances(others(), ms(4000), ms(4010));
     assert_eq!(starts(&scheduler.plan(ms(4020))), [], "the task runs twice");
 }
+
+/// Guards against the same for a worker that was found to have ended and answers after
+/// that: the list that is still late does not end it again.
+#[test]
+fn late_list_does_not_end_a_worker_that_answers_again() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    let others = || {
+        vec![common::instance(
+            1,
+            "work",
+            dotterelsill_jobs::InstanceState::Up,
+        )]
+    };
+    for at in [3000, 4000] {
+        scheduler.on_instances(others(), ms(at), ms(at + 10));
+    }
+    scheduler.on_report(common::report(0, "dc"), ms(4100));
+    scheduler.on_worker_status(key, &status_at(ms(4200)), ms(4200));
+    submit(&mut scheduler, 1, &record_of(1), ms(4210));
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    let orders = scheduler.plan(ms(4220));
+    assert_eq!(starts(&orders), [(task(1, 0, 0), key)]);
+    confirm(&mut scheduler, &orders, ms(4230));
+    add_worker(&mut scheduler, 1, ms(4240));
+    scheduler.on_instances(others(), ms(4300), ms(4310));
+    assert_eq!(starts(&scheduler.plan(ms(4320))), [], "the task runs twice");
+}
