See the restart of a worker that sends no start time by its clock

What callers saw: tasks that had ended `done` were started again, all those of one worker that had restarted under its identifier.

Cause: a life is told from the next by its start time alone. Without one, the ends of the new life, numbered from 1, count as handled, are acknowledged by the number of the life before, and their runs are in neither list. The platform's pages say that the start time is always sent, but an entry or a status without it was taken for the present life.

Evidence: restart_without_start_time_is_seen_by_the_clock fails on the code before (job 2 is started again).

A worker's clock does not go back within a life, and each life starts it anew. So a status that was requested after an earlier reading and shows a lower clock is that of a new life.

--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -184,6 +184,13 @@
         !self.has_ended()
     }
 
+    /// Returns whether a reading of the worker's clock is that of another life: the clock of
+    /// one life does not go back, and each life starts it anew.
+    pub(crate) fn is_clock_of_another(&self, worker_ms: u64, sent_at: Duration) -> bool {
+        let is_back = |clock: ClockReading| sent_at >= clock.read_at && worker_ms < clock.worker_ms;
+        self.clock.is_some_and(is_back)
+    }
+
     /// Records the worker's clock as carried by a response.
     pub(crate) fn on_clock(&mut self, worker_ms: u64, sent_at: Duration, read_at: Duration) {
         let is_newer = |clock: ClockReading| sent_at >= clock.sent_at;
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -129,14 +129,32 @@
             log::info!(worker = self.report.id, started_unix_ms, known; "earlier_life_ignored");
             return false;
         }
+        self.begin_life(started_unix_ms, longest, now);
+        true
+    }
+
+    /// Handles the worker's clock as read for a status that carries no start time: a clock
+    /// that has gone back is that of a new life.
+    pub(crate) fn on_clock_without_start(
+        &mut self,
+        worker_ms: u64,
+        sent_at: Duration,
+        longest: Duration,
+        now: Duration,
+    ) {
+        if self.life.is_clock_of_another(worker_ms, sent_at) {
+            self.begin_life(0, longest, now);
+        }
+    }
+
+    fn begin_life(&mut self, started_unix_ms: u64, longest: Duration, now: Duration) {
         log::info!(
             worker = self.report.id, runs = self.booked.len() as u64, born = started_unix_ms,
-            earlier = known, processed = self.life.processed_end,
+            earlier = self.life.started_unix_ms, processed = self.life.processed_end,
             acknowledged = self.life.sent_acknowledgement;
             "worker_born_again"
         );
         self.life = Life::successor(started_unix_ms, longest, now);
-        true
     }
 
     /// Returns whether the worker's status must be read before it gets tasks.
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -37,9 +37,13 @@
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
-        if !worker.on_started(status.started_unix_ms, self.limits.max_lease, now) {
+        let longest = self.limits.max_lease;
+        if !worker.on_started(status.started_unix_ms, longest, now) {
             return;
         }
+        if status.started_unix_ms == 0 {
+            worker.on_clock_without_start(status.worker_ms, status.sent_at, longest, now);
+        }
         if !worker.life.on_status_answered(status.sent_at, now) {
             log::info!(worker = worker.report.id; "status_of_an_ended_life_ignored");
             return;
@@ -47,7 +51,7 @@
         worker.on_status(status.sent_at, status.read_at);
         let life = &mut worker.life;
         life.on_clock(status.worker_ms, status.sent_at, status.read_at);
-        life.on_first_status(self.limits.max_lease);
+        life.on_first_status(longest);
         let was_known = worker.life.is_known;
         worker.life.is_known = true;
         if !was_known {
--- a/crates/dotterelsill_jobs/tests/lives.rs
+++ b/crates/dotterelsill_jobs/tests/lives.rs
@@ -7,6 +7,7 @@
 use common::{
     add_worker,
     confirm,
+    ended,
     instance,
     ms,
     record,
@@ -22,6 +23,7 @@
 use dotterelsill_jobs::{
     Instance,
     InstanceState,
+    RunOutcome,
     Scheduler,
     WorkerKey,
     WorkerStatus, //
@@ -186,3 +188,33 @@
     assert_eq!(scheduler.unread_workers().collect::<Vec<_>>(), [key]);
     assert_runs_are_kept(&mut scheduler, key, &status_at(ms(4050)));
 }
+
+/// Guards against ends of a new life that are skipped as handled, because the worker sends
+/// no start time and numbers its ends from 1 again: the task is started once more.
+#[test]
+fn restart_without_start_time_is_seen_by_the_clock() {
+    let without_start = |now: Duration| WorkerStatus {
+        started_unix_ms: 0,
+        ..status_at(now)
+    };
+    let mut scheduler = scheduler(7, ms(1000));
+    let mut report = report(0, "dc");
+    report.started_unix_ms = 0;
+    let (key, _) = scheduler.on_report(report, ms(1000));
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    scheduler.on_worker_status(key, &without_start(ms(1000)), ms(1000));
+    let job = record("urgent", 7, vec![step(1, 1000)]);
+    for (id, at) in [(1, 1010), (2, 2010)] {
+        submit(&mut scheduler, id, &job, ms(at));
+        let orders = scheduler.plan(ms(at + 10));
+        assert_eq!(starts(&orders), [(task(id, 0, 0), key)]);
+        confirm(&mut scheduler, &orders, ms(at + 20));
+        // The worker has restarted before the second job, and its clock with it.
+        let mut status = without_start(ms(at + 500));
+        status.worker_ms = if id == 1 { 1500 } else { 400 };
+        status.ended = vec![ended(1, task(id, 0, 0), 1, RunOutcome::Done)];
+        scheduler.on_worker_status(key, &status, ms(at + 500));
+        assert_eq!(starts(&scheduler.plan(ms(at + 510))), []);
+    }
+}
