Grant leases from the time at which the authority was checked

Cause: the validity of the scheduler's own lease was read first and the clock, from which a worker's lease counts, later, with a wait for the scheduler's lock between them. A process that is paused in between grants a lease from its waking on the authority of before. That lease outlasts the time after which the next scheduler takes a worker that it cannot reach for empty.

Evidence: by reading only. No test pauses the process between the two lines.

Now the clock is read first, and the validity is that at this time.

--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -231,8 +231,8 @@
     /// Sends the starts for workers that are called over dispatchers, and hands the
     /// other orders to the loops of their workers.
     fn hand_out(&self, orders: Vec<WorkerOrder>) {
-        let may_extend = self.is_valid();
         let now = clock::now();
+        let may_extend = self.authority.is_valid(now);
         let mut scheduler = self.scheduler();
         let dispatchers = self.dispatch.dispatchers();
         let handles = self.handles();
--- a/crates/dotterelsill_node/src/worker_loops/orders.rs
+++ b/crates/dotterelsill_node/src/worker_loops/orders.rs
@@ -78,8 +78,8 @@
         let leadership = &self.leadership;
         let mut pause = UNSENT_ORDER_PAUSE;
         loop {
-            let may_extend = leadership.is_valid();
             let now = clock::now();
+            let may_extend = leadership.authority.is_valid(now);
             let lease_end_ms = {
                 let mut scheduler = leadership.scheduler();
                 if leadership.authority.is_lost()
--- a/crates/dotterelsill_node/src/worker_loops/status.rs
+++ b/crates/dotterelsill_node/src/worker_loops/status.rs
@@ -129,7 +129,10 @@
 
     async fn poll_once(&self, route: Route, is_status_unknown: bool) -> PollOutcome {
         let leadership = &self.leadership;
-        let may_extend = leadership.is_valid();
+        // The lease counts from a time at which the authority is valid, however long this
+        // process is paused from here on.
+        let granted_at = clock::now();
+        let may_extend = leadership.authority.is_valid(granted_at);
         let (request, acknowledgement, processed) = {
             let mut scheduler = leadership.scheduler();
             let wait = if is_status_unknown {
@@ -142,7 +145,7 @@
             let acknowledgement = scheduler.acknowledgement(self.key);
             let request = WorkerStatusRequest {
                 fencing_token: leadership.token,
-                lease_end_ms: scheduler.lease_end(self.key, may_extend, clock::now()),
+                lease_end_ms: scheduler.lease_end(self.key, may_extend, granted_at),
                 acknowledged: acknowledgement,
                 wait,
             };
