Read a later life whose clock was set back

What callers saw: nothing yet; found in the review of the incident.

Cause: of two start times the larger one was taken for the later life. A worker that restarts while its instance's clock is set back has a smaller one, so its statuses and registrations were ignored for as long as it lived, with the ends that they list. Its lease lapses, and its tasks start again.

A status that was requested after the present life was known is about that life or a later one, whatever its start time. A registration does not tell when it was written; an older start time in one is still that of an earlier life.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -31,7 +31,7 @@
             let longest = self.limits.max_lease;
             let worker = self.workers.get_mut(&key).expect("by_id names workers");
             let is_moved = worker.report.address != report.address;
-            if !worker.on_started(report.started_unix_ms, longest, now) {
+            if !worker.on_started(report.started_unix_ms, None, longest, now) {
                 return (key, false);
             }
             worker.report = report;
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -108,10 +108,12 @@
 
     /// Handles the start time that a status or registration carries: a later one is
     /// that of a new life. Nothing is known about it, and its first status shows which
-    /// runs it has. Returns whether the fact is about the present life.
+    /// runs it has. Returns whether the fact is about the present life. `requested_at` is
+    /// the time at which a status was requested, `None` for a registration.
     pub(crate) fn on_started(
         &mut self,
         started_unix_ms: u64,
+        requested_at: Option<Duration>,
         longest: Duration,
         now: Duration,
     ) -> bool {
@@ -125,7 +127,10 @@
             self.life.drop_earlier_evidence(now);
             return true;
         }
-        if started_unix_ms < known {
+        // What was requested after the present life was known is about it or a later one,
+        // whose clock may have been set back.
+        let is_later = requested_at.is_some_and(|at| at > self.life.since);
+        if started_unix_ms < known && !is_later {
             log::info!(worker = self.report.id, started_unix_ms, known; "earlier_life_ignored");
             return false;
         }
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -38,7 +38,7 @@
             return;
         };
         let longest = self.limits.max_lease;
-        if !worker.on_started(status.started_unix_ms, longest, now) {
+        if !worker.on_started(status.started_unix_ms, Some(status.sent_at), longest, now) {
             return;
         }
         if status.started_unix_ms == 0 {
