Believe a list of instances only beyond its delay after the last answer

Cause: a list shows a change up to 1.5 s late. It was compared with the time at which the scheduler learned of the worker's life only, and for a worker that was not read yet without that delay. An idle worker that restarts under its identifier takes a start before its registration is read, without a failed call; a list from before the restart then ends the run that was just confirmed. After a takeover, the same list ends a restored worker on which the earlier scheduler has started a task since.

Evidence: two tests, late_list_does_not_end_*, in tests/facts_of_other_lives.rs fail on the code before.

Now a list counts from 1.5 s after the scheduler learned of the life, read or not, and from 1.5 s after its last answer unless a call has gone unanswered since: then no start reaches the worker before its status is read. A worker that crashes with a status call open is silent at once, so its end is believed as soon as before.

--- a/crates/dotterelsill_jobs/src/instance_orders.rs
+++ b/crates/dotterelsill_jobs/src/instance_orders.rs
@@ -154,7 +154,7 @@
                 .get(&key)
                 .filter(|worker| !worker.life.has_ended());
             if let Some(worker) = worker {
-                if !worker.life.is_shown_by_list(requested_at) {
+                if !worker.is_shown_by_list(requested_at) {
                     log::info!(worker = worker.report.id; "outdated_list_ignored");
                     continue;
                 }
--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -126,14 +126,7 @@
     /// Returns whether a list of instances tells about this life. One that was
     /// requested earlier may show what was so before the life began.
     pub(crate) fn is_shown_by_list(&self, requested_at: Duration) -> bool {
-        // Nothing was started on a worker whose status was not read. Its end is
-        // believed sooner, as restored jobs wait for it after a takeover.
-        let lag = if self.is_known {
-            LIST_LAG
-        } else {
-            Duration::ZERO
-        };
-        requested_at > self.since + lag
+        requested_at > self.since + LIST_LAG
     }
 
     /// Records that the life, and with it every run, has ended.
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -8,7 +8,10 @@
 use dotterelsill_proto::jobs::GrantedWorker;
 
 use crate::{
-    life::Life,
+    life::{
+        Life,
+        LIST_LAG, //
+    },
     Resources,
     TaskId, //
 };
@@ -191,6 +194,14 @@
         }
     }
 
+    /// Returns whether a list of instances tells about the present life. The worker may
+    /// have restarted within the delay of the list, and a later life have answered the last
+    /// order, unless a call went unanswered since.
+    pub(crate) fn is_shown_by_list(&self, requested_at: Duration) -> bool {
+        let is_after_answer = requested_at > self.answered_at + LIST_LAG;
+        self.life.is_shown_by_list(requested_at) && (is_after_answer || self.is_silent())
+    }
+
     /// Returns whether the lease, and with it every run, has certainly ended.
     pub(crate) fn has_lapsed(&self, now: Duration) -> bool {
         self.life.has_lapsed(self.unknown_until, now)
--- a/crates/dotterelsill_jobs/tests/facts_of_other_lives.rs
+++ b/crates/dotterelsill_jobs/tests/facts_of_other_lives.rs
@@ -7,6 +7,7 @@
     add_worker,
     confirm,
     ended,
+    instance,
     limits,
     ms,
     record,
@@ -19,15 +20,73 @@
     task, //
 };
 use dotterelsill_jobs::{
+    InstanceState,
+    JobId,
     RunOutcome,
     WorkerStatus, //
 };
-use dotterelsill_proto::jobs::JobRecord;
+use dotterelsill_proto::jobs::{
+    GrantedWorker,
+    JobRecord, //
+};
 
 fn small_job() -> JobRecord {
     record("urgent", 7, vec![step(1, 1000)])
 }
 
+/// Guards against a list of instances that ends runs which the next life has confirmed. An
+/// idle worker restarts under its identifier, and answers a start before its registration
+/// is read. A list that was requested right after shows what was so before the restart:
+/// it tells about the life before, and not about a run that was confirmed within the
+/// list's delay.
+#[test]
+fn late_list_does_not_end_a_run_that_was_just_confirmed() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let first = add_worker(&mut scheduler, 0, ms(1000));
+    let up = |index| instance(index, "work", InstanceState::Up);
+    scheduler.on_instances(vec![up(0), up(1)], ms(1100), ms(1110));
+    // The worker restarts at 10,000 ms. The start reaches the new life.
+    submit(&mut scheduler, 1, &small_job(), ms(10_100));
+    let orders = scheduler.plan(ms(10_110));
+    assert_eq!(starts(&orders), [(task(1, 0, 0), first)]);
+    confirm(&mut scheduler, &orders, ms(10_120));
+    add_worker(&mut scheduler, 1, ms(10_130));
+    let down = instance(0, "work", InstanceState::Down);
+    scheduler.on_instances(vec![down, up(1)], ms(10_200), ms(10_210));
+    assert_eq!(
+        starts(&scheduler.plan(ms(10_220))),
+        [],
+        "the task runs twice"
+    );
+}
+
+/// Guards against a list of instances that ends a worker which a new scheduler has not
+/// read yet: it may show a restart from before the takeover, after which the earlier
+/// scheduler started the task there.
+#[test]
+fn late_list_does_not_end_a_restored_worker_that_was_not_read() {
+    let mut scheduler = scheduler(8, ms(1000));
+    let granted = GrantedWorker {
+        id: "w0".to_owned(),
+        address: report(0, "dc").address,
+        pool: "work".to_owned(),
+        data_centre: "dc".to_owned(),
+    };
+    scheduler
+        .restore(JobId(1), &small_job(), None, ms(1000))
+        .expect("the job is usable");
+    scheduler.restore_granted_worker(&granted, ms(1000));
+    scheduler.open_due_jobs(ms(1000));
+    add_worker(&mut scheduler, 1, ms(1050));
+    let up = |index| instance(index, "work", InstanceState::Up);
+    let down = instance(0, "work", InstanceState::Down);
+    // Both lists show what was so before the takeover; their delay is up to 1.5 s.
+    scheduler.on_instances(vec![up(0), up(1)], ms(1100), ms(1110));
+    scheduler.on_instances(vec![down, up(1)], ms(1400), ms(1410));
+    scheduler.expire_leases(ms(1420));
+    assert_eq!(starts(&scheduler.plan(ms(1430))), [], "the task runs twice");
+}
+
 /// Guards against ends of a life that nobody reads because it began, by its own clock,
 /// before the life known so far: its status was requested after that of the other life
 /// was read, so it is a later life on an instance whose clock was set back.
