Add a randomized simulation of ends and acknowledgements

Cause: the existing simulation executes each call at once, over connections that show each restart, and so never lets an acknowledgement reach another life of a worker.

The instances make their calls as the loops of the daemon do.

--- /dev/null
+++ b/crates/dotterelsill_jobs/tests/ends_search/calls.rs
@@ -0,0 +1,139 @@
+//! Calls of schedulers to workers, and the connections that carry them.
+
+use std::collections::BTreeMap;
+
+use dotterelsill_jobs::{
+    Answer,
+    Order,
+    ProcessedEnds,
+    Route,
+    WorkerKey,
+    WorkerStatus, //
+};
+
+/// Time limit of an order.
+pub(crate) const ORDER_TIMEOUT_MS: u64 = 700;
+
+/// Added to the wait of a status request for its time limit.
+pub(crate) const STATUS_MARGIN_MS: u64 = 700;
+
+/// Added to the time limit of a call over a dispatcher.
+pub(crate) const DISPATCH_MARGIN_MS: u64 = 1000;
+
+/// Age beyond which a dispatcher makes no call.
+pub(crate) const MAX_HEARTBEAT_AGE_MS: u64 = 2000;
+
+/// Maximum number of idle connections of a client.
+const MAX_IDLE: usize = 4;
+
+#[derive(Clone, Debug)]
+pub(crate) struct StatusRequest {
+    pub(crate) token: u64,
+    pub(crate) lease_end_ms: Option<u64>,
+    pub(crate) acknowledged: u64,
+    pub(crate) wait_ms: u64,
+    pub(crate) processed: ProcessedEnds,
+}
+
+/// Which part of a scheduler instance waits for the answer to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OrderSender {
+    /// The order loop of the worker, at its first try.
+    Loop,
+    /// A repetition, by its number.
+    Repeat(u64),
+    /// Nobody: it was handed to a dispatcher.
+    Dispatched,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum CallBody {
+    Status(StatusRequest),
+    Order {
+        order: Order,
+        lease_end_ms: u64,
+        sender: OrderSender,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum CallResult {
+    Status(WorkerStatus),
+    Answer(Answer),
+    Failed { was_sent: bool },
+}
+
+/// Identifies a client of a worker: the scheduler, the route with the number of the
+/// link, and the worker.
+pub(crate) type ClientId = (u64, Route, u64, WorkerKey);
+
+/// A call under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) token: u64,
+    pub(crate) key: WorkerKey,
+    pub(crate) worker: usize,
+    pub(crate) route: Route,
+    /// Number of the link to the dispatcher.
+    pub(crate) link: u64,
+    pub(crate) sent_at_ms: u64,
+    pub(crate) body: CallBody,
+    /// Life to which the connection leads.
+    pub(crate) life: u64,
+    /// Whether the client still waits for the response.
+    pub(crate) is_open: bool,
+}
+
+impl Call {
+    pub(crate) fn client(&self) -> ClientId {
+        (self.token, self.route, self.link, self.key)
+    }
+
+    pub(crate) fn is_status(&self) -> bool {
+        matches!(self.body, CallBody::Status(_))
+    }
+
+    pub(crate) fn time_limit_ms(&self) -> u64 {
+        match &self.body {
+            CallBody::Status(request) => request.wait_ms + STATUS_MARGIN_MS,
+            CallBody::Order { .. } => ORDER_TIMEOUT_MS,
+        }
+    }
+}
+
+/// Idle connections of a client, by the life to which they lead.
+#[derive(Debug, Default)]
+struct Client {
+    status: Vec<u64>,
+    orders: Vec<u64>,
+}
+
+/// Idle connections of all clients.
+#[derive(Debug, Default)]
+pub(crate) struct Clients(BTreeMap<ClientId, Client>);
+
+impl Clients {
+    pub(crate) fn take(&mut self, call: &Call) -> Option<u64> {
+        self.pool(call).pop()
+    }
+
+    pub(crate) fn put_back(&mut self, call: &Call) {
+        let pool = self.pool(call);
+        if pool.len() < MAX_IDLE {
+            pool.push(call.life);
+        }
+    }
+
+    pub(crate) fn close_idle(&mut self, call: &Call) {
+        self.0.remove(&call.client());
+    }
+
+    fn pool(&mut self, call: &Call) -> &mut Vec<u64> {
+        let client = self.0.entry(call.client()).or_default();
+        if call.is_status() {
+            &mut client.status
+        } else {
+            &mut client.orders
+        }
+    }
+}
