Let the simulation send acknowledgements as the client does

The simulated client now sends lease and acknowledgement only over a connection on which their life has answered, unless the bug is injected that the simulation must find.

--- a/crates/dotterelsill_jobs/tests/ends_search/world.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/world.rs
@@ -735,6 +735,15 @@
         let idle = self.clients.take(&call);
         let is_broken = idle.is_some_and(|life| life != born_ms) || !is_up;
         call.life = idle.unwrap_or(born_ms);
+        if let CallBody::Status(request) = &mut call.body {
+            // Lease and acknowledgement are sent only over a connection on which their life
+            // has answered.
+            let is_known = idle == Some(request.processed.started_unix_ms);
+            if !is_known && !self.bugs.acknowledges_to_another_life {
+                request.lease_end_ms = None;
+                request.acknowledged = 0;
+            }
+        }
         let (can_reach, is_reused) = (self.can_reach(&call), idle.is_some());
         self.calls.insert(number, call);
         if !can_reach {
