Start tasks without authority only where the fencing token is known

Cause: a scheduler that was paused with a start under way wakes without authority. Meanwhile later ones have done the task, and the worker has restarted: its new life knows no fencing token. The start opens a new connection, and the new life carries it out, with the lease end that the life before was granted by its own clock.

Without authority, a start is now sent only over a connection on which the worker has answered an order of this scheduler. That process has seen the token, so it refuses the start once a later scheduler has reached it; a later scheduler waits for workers that it has not reached. Such a start waits for a connection without counting as unanswered. Starts over dispatchers carry the condition (needs_connection), and are not batched without authority.

--- a/crates/dotterelsill_node/src/dispatch.rs
+++ b/crates/dotterelsill_node/src/dispatch.rs
@@ -58,11 +58,13 @@
         request: WorkerStatusRequest,
         processed: ProcessedEnds,
     },
-    /// Send an order under a fencing token. `lease_end_ms` is on the worker's clock.
+    /// Send an order under a fencing token. `lease_end_ms` is on the worker's clock. With
+    /// `needs_connection` it goes only to a process that has answered an order before.
     Order {
         order: Order,
         token: u64,
         lease_end_ms: u64,
+        needs_connection: bool,
     },
 }
 
@@ -79,6 +81,8 @@
 pub(crate) struct CallFailure {
     /// Whether the call may have been carried out.
     pub(crate) was_sent: bool,
+    /// Whether the call was not made since it needs a connection and none was open.
+    pub(crate) is_unconnected: bool,
     /// Time limit that was exceeded, if the call failed for that.
     pub(crate) time_limit: Option<Duration>,
     pub(crate) reason: String,
@@ -87,7 +91,11 @@
 impl From<&CallError> for CallFailure {
     fn from(error: &CallError) -> Self {
         Self {
-            was_sent: !matches!(error, CallError::NotSent { .. }),
+            was_sent: !matches!(
+                error,
+                CallError::NotSent { .. } | CallError::NotConnected { .. }
+            ),
+            is_unconnected: matches!(error, CallError::NotConnected { .. }),
             time_limit: error.time_limit(),
             reason: error.to_string(),
         }
@@ -109,8 +117,9 @@
             order,
             token,
             lease_end_ms,
+            needs_connection,
         } => client
-            .send_order(order, *token, *lease_end_ms)
+            .send_order(order, *token, *lease_end_ms, *needs_connection)
             .await
             .map(CallAnswer::Answer),
     };
@@ -122,7 +131,9 @@
         (answer, _) => answer,
     });
     result.map_err(|error| {
-        client.close_idle();
+        if !matches!(error, CallError::NotConnected { .. }) {
+            client.close_idle();
+        }
         CallFailure::from(&error)
     })
 }
--- a/crates/dotterelsill_node/src/dispatch/link.rs
+++ b/crates/dotterelsill_node/src/dispatch/link.rs
@@ -182,6 +182,7 @@
                 order: sent.order.clone(),
                 token: self.token,
                 lease_end_ms,
+                needs_connection: false,
             },
             give_up_at,
         };
@@ -219,6 +220,7 @@
             Ok(Err(_)) => Err(closed(true)),
             Err(elapsed) => Err(CallFailure {
                 was_sent: true,
+                is_unconnected: false,
                 time_limit: Some(limit),
                 reason: format!("dispatcher: {elapsed}"),
             }),
--- a/crates/dotterelsill_node/src/dispatch/messages.rs
+++ b/crates/dotterelsill_node/src/dispatch/messages.rs
@@ -51,14 +51,16 @@
         Call::Order {
             order,
             lease_end_ms,
+            needs_connection,
             ..
-        } => encode_order(order, *lease_end_ms, payloads),
+        } => encode_order(order, *lease_end_ms, *needs_connection, payloads),
     }
 }
 
 fn encode_order(
     order: &Order,
     lease_end_ms: u64,
+    needs_connection: bool,
     payloads: &mut PayloadCache,
 ) -> worker_call::Body {
     match order {
@@ -72,6 +74,7 @@
             task: Some(encode_task(*task)),
             attempt: *attempt,
             lease_end_ms,
+            needs_connection,
             checkpoint: checkpoint.clone(),
             ticket: ticket.to_string(),
             payload: payloads.add(task.step.job, text).then(|| text.to_string()),
@@ -98,10 +101,11 @@
     token: u64,
     payloads: &mut PayloadCache,
 ) -> Result<Call, String> {
-    let order = |order, lease_end_ms| Call::Order {
+    let order = |order, lease_end_ms, needs_connection| Call::Order {
         order,
         token,
         lease_end_ms,
+        needs_connection,
     };
     match body.ok_or("the call is of an unknown kind")? {
         worker_call::Body::Status(status) => Ok(Call::Status {
@@ -132,14 +136,18 @@
                 checkpoint: start.checkpoint,
                 ticket: start.ticket.into(),
             };
-            Ok(order(start_order, start.lease_end_ms))
+            Ok(order(
+                start_order,
+                start.lease_end_ms,
+                start.needs_connection,
+            ))
         }
         worker_call::Body::Stop(stop) => {
             let stop_order = Order::Stop {
                 task: decode_task(stop.task)?,
                 attempt: stop.attempt,
             };
-            Ok(order(stop_order, 0))
+            Ok(order(stop_order, 0, false))
         }
         worker_call::Body::Pace(pace) => {
             let pace_order = Order::Pace {
@@ -147,7 +155,7 @@
                 attempt: pace.attempt,
                 percent: pace.percent,
             };
-            Ok(order(pace_order, 0))
+            Ok(order(pace_order, 0, false))
         }
     }
 }
@@ -183,12 +191,14 @@
         }
         Some(worker_answer::Result::Unanswered(unanswered)) => Err(CallFailure {
             was_sent: unanswered.was_sent,
+            is_unconnected: false,
             time_limit: (unanswered.time_limit_ms > 0)
                 .then(|| Duration::from_millis(unanswered.time_limit_ms.into())),
             reason: unanswered.reason,
         }),
         None => Err(CallFailure {
             was_sent: true,
+            is_unconnected: false,
             time_limit: None,
             reason: "the dispatcher's answer is of an unknown kind".to_owned(),
         }),
--- a/crates/dotterelsill_node/src/dispatch/service.rs
+++ b/crates/dotterelsill_node/src/dispatch/service.rs
@@ -236,6 +236,7 @@
 fn not_made(reason: String) -> CallFailure {
     CallFailure {
         was_sent: false,
+        is_unconnected: false,
         time_limit: None,
         reason,
     }
--- a/crates/dotterelsill_node/src/dispatch/waiting.rs
+++ b/crates/dotterelsill_node/src/dispatch/waiting.rs
@@ -137,6 +137,7 @@
 pub(super) fn timed_out(sent: SentOrder, limit: Duration) -> (SentOrder, CallResult) {
     let failure = CallFailure {
         was_sent: true,
+        is_unconnected: false,
         time_limit: Some(limit),
         reason: format!("dispatcher: no result within {} ms", limit.as_millis()),
     };
@@ -147,6 +148,7 @@
 pub(super) fn closed(was_sent: bool) -> CallFailure {
     CallFailure {
         was_sent,
+        is_unconnected: false,
         time_limit: None,
         reason: "the link to the dispatcher is closed".to_owned(),
     }
--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -241,8 +241,9 @@
                 continue;
             };
             let mut is_sent = false;
-            if let (Order::Start { .. }, Route::Over(address)) =
-                (&order, dispatchers.order_route(worker))
+            // Without authority, starts go through the loops, which ask for an open connection.
+            if let (true, Order::Start { .. }, Route::Over(address)) =
+                (may_extend, &order, dispatchers.order_route(worker))
             {
                 if !scheduler.may_send(worker, &order, false, now) {
                     continue;
--- a/crates/dotterelsill_node/src/worker_loops/orders.rs
+++ b/crates/dotterelsill_node/src/worker_loops/orders.rs
@@ -101,10 +101,14 @@
             };
             let route = leadership.dispatch.dispatchers().order_route(self.key);
             let sent_at = clock::now();
+            // Without authority a start goes only to a process that has seen the token: a
+            // later life that knows none would carry it out beside a later scheduler's.
+            let needs_connection = !may_extend && matches!(order, Order::Start { .. });
             let call = Call::Order {
                 order: order.clone(),
                 token: leadership.token,
                 lease_end_ms,
+                needs_connection,
             };
             let result = self.call(route, call).await;
             leadership.load.on_order(&result);
@@ -114,6 +118,9 @@
                 }
                 // No worker answers an order with a status.
                 Ok(CallAnswer::Status(_)) => return OrderOutcome::Unsettled,
+                Err(failure) if failure.is_unconnected => {
+                    Timer::after(UNSENT_ORDER_PAUSE).await;
+                }
                 Err(failure) => {
                     self.on_call_failed("order", route, &failure, sent_at);
                     if failure.was_sent {
