Let further failed calls not prolong a worker's silence

Cause: "End a worker's silence only by a status that was requested later" counted from the last call without an answer. A worker whose orders fail more often than a status takes to be answered stayed silent, its lease was not extended, and its runs lapsed.

The silence counts from the first such call. What a status that was requested between two failed calls cannot show, the connection does: lease, acknowledgement and starts without authority are bound to the process that answered on it.

--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -75,7 +75,7 @@
     /// Time at which all leases granted by earlier schedulers have certainly ended.
     pub(crate) unknown_until: Duration,
     pub(crate) answered_at: Duration,
-    /// Time of the last call that was not answered, until a status that was requested
+    /// Time of the first call that was not answered, until a status that was requested
     /// later is read. Another life may answer next.
     silent_since: Option<Duration>,
     /// Whether the worker gets no new tasks because its instance is due for
@@ -177,7 +177,7 @@
 
     /// Records that a call was not answered.
     pub(crate) fn on_silence(&mut self, now: Duration) {
-        self.silent_since = Some(now);
+        self.silent_since.get_or_insert(now);
     }
 
     /// Records that the worker responded to an order. The response does not tell which
--- a/crates/dotterelsill_jobs/tests/ends_of_lives.rs
+++ b/crates/dotterelsill_jobs/tests/ends_of_lives.rs
@@ -243,3 +243,19 @@
     scheduler.on_instances(others(), ms(4300), ms(4310));
     assert_eq!(starts(&scheduler.plan(ms(4320))), [], "the task runs twice");
 }
+
+/// Guards against a worker that stays silent for ever, and whose lease lapses, because
+/// orders to it fail more often than a status takes to be answered.
+#[test]
+fn failing_orders_do_not_prolong_a_silence() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    scheduler.on_silence(key, ms(1100));
+    scheduler.on_silence(key, ms(1130));
+    let status = WorkerStatus {
+        sent_at: ms(1120),
+        ..status_at(ms(1160))
+    };
+    scheduler.on_worker_status(key, &status, ms(1160));
+    assert!(!scheduler.needs_status(key));
+}
