Let the simulation start without authority as the daemon does

The simulated instances tell the scheduler of their authority at each access, send starts without it only over an open connection, and batch none for dispatchers.

--- a/crates/dotterelsill_jobs/tests/ends_search/calls.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/calls.rs
@@ -52,6 +52,8 @@
     Order {
         order: Order,
         lease_end_ms: u64,
+        /// Whether it is made only over a connection that is open.
+        needs_connection: bool,
         sender: OrderSender,
     },
 }
@@ -60,7 +62,11 @@
 pub(crate) enum CallResult {
     Status(WorkerStatus),
     Answer(Answer),
-    Failed { was_sent: bool },
+    Failed {
+        was_sent: bool,
+    },
+    /// The call was not made, since it needs a connection and none was open.
+    Unconnected,
 }
 
 /// Identifies a client of a worker: the scheduler, the route with the number of the
--- a/crates/dotterelsill_jobs/tests/ends_search/loops.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/loops.rs
@@ -165,6 +165,7 @@
         if !self.environment.lists || self.now_ms < self.drivers[index].next_list_ms {
             return;
         }
+        self.refresh_authority(index);
         let list = self.instances();
         let (requested_at, now) = (at(self.now_ms - 5), self.now());
         let driver = &mut self.drivers[index];
@@ -260,12 +261,19 @@
         }
     }
 
-    fn plan(&mut self, index: usize) {
-        let (now_ms, now) = (self.now_ms, self.now());
+    /// Tells the scheduler whether it has authority now, as each access to it does.
+    fn refresh_authority(&mut self, index: usize) -> bool {
         let driver = &mut self.drivers[index];
-        let is_valid = driver.is_valid(now_ms);
+        let is_valid = driver.is_valid(self.now_ms);
         let has_authority = is_valid || self.bugs.judges_without_authority;
         driver.scheduler.set_authority(has_authority);
+        is_valid
+    }
+
+    fn plan(&mut self, index: usize) {
+        let now = self.now();
+        let is_valid = self.refresh_authority(index);
+        let driver = &mut self.drivers[index];
         for WorkerOrder { worker, order } in driver.scheduler.plan(now) {
             self.hand_out(index, worker, order, is_valid);
         }
@@ -279,7 +287,7 @@
         };
         loops.is_woken = true;
         let route = driver.dispatchers.order_route(key);
-        if let (Order::Start { .. }, Route::Over(_)) = (&order, route) {
+        if let (true, Order::Start { .. }, Route::Over(_)) = (is_valid, &order, route) {
             if !driver.scheduler.may_send(key, &order, false, now) {
                 return;
             }
@@ -302,9 +310,12 @@
         lease_end_ms: u64,
         sender: OrderSender,
     ) {
+        let is_valid = self.drivers[index].is_valid(self.now_ms);
+        let needs_connection = !is_valid && matches!(order, Order::Start { .. });
         let body = CallBody::Order {
             order,
             lease_end_ms,
+            needs_connection,
             sender,
         };
         self.make_call(index, key, route, body);
@@ -501,7 +512,7 @@
 
     fn prepare(&mut self, index: usize, key: WorkerKey, sending: &Sending) -> Prepared {
         let now = self.now();
-        let may_extend = self.drivers[index].is_valid(self.now_ms);
+        let may_extend = self.refresh_authority(index);
         let scheduler = &mut self.drivers[index].scheduler;
         if !scheduler.may_send(key, &sending.order, sending.may_come_late, now) {
             return Prepared::Unwanted;
@@ -518,6 +529,7 @@
     /// Handles the result of a call.
     pub(crate) fn on_result(&mut self, index: usize, number: u64, result: CallResult) {
         let call = self.calls[&number].clone();
+        self.refresh_authority(index);
         if let CallResult::Answer(Answer::Fenced) = result {
             log::debug!("{} is fenced", call.token);
             self.drivers[index].is_lost = true;
@@ -565,7 +577,7 @@
                     return;
                 }
             }
-            CallResult::Answer(_) => {
+            CallResult::Answer(_) | CallResult::Unconnected => {
                 loops.unanswered += 1;
                 next_ms += IDLE_RETRY_PAUSE_MS;
             }
@@ -611,6 +623,11 @@
             CallResult::Failed { was_sent } => {
                 self.repeat_or_queue(index, key, sender, order, was_sent);
             }
+            CallResult::Unconnected => {
+                if let Some(sending) = self.sending(index, key, sender) {
+                    sending.at_ms = Some(now_ms + UNSENT_ORDER_PAUSE_MS);
+                }
+            }
             CallResult::Status(_) => unreachable!("orders are not answered with a status"),
         }
     }
--- a/crates/dotterelsill_jobs/tests/ends_search/world.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/world.rs
@@ -744,8 +744,19 @@
                 request.acknowledged = 0;
             }
         }
+        let needs_connection = matches!(
+            call.body,
+            CallBody::Order {
+                needs_connection: true,
+                ..
+            }
+        );
         let (can_reach, is_reused) = (self.can_reach(&call), idle.is_some());
         self.calls.insert(number, call);
+        if needs_connection && !is_reused {
+            self.schedule_in(1..2, Event::ArriveAtClient(number, CallResult::Unconnected));
+            return;
+        }
         if !can_reach {
             return;
         }
@@ -862,6 +873,7 @@
         let mut result = result;
         match (&mut result, &call.body) {
             (CallResult::Failed { .. }, _) => self.clients.close_idle(&call),
+            (CallResult::Unconnected, _) => {}
             (CallResult::Status(status), CallBody::Status(request)) => {
                 status.drop_processed(&request.processed);
                 self.clients.put_back(&call);
