Believe no list of instances that was requested before the last answer

What callers saw: with the real daemon, two tasks that had ended `done` on a worker were started on another one, and their ends were acknowledged after that.

Cause: a list counted at once for a worker that is silent. An idle worker restarts and takes a start as its first order, over a new connection; then its status call fails. A list that was requested before that start and arrives after it shows that the worker was down, and its runs are given up.

A list tells nothing that is older than an answer of the worker: also for a silent one it must have been requested after that.

--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -194,12 +194,16 @@
         }
     }
 
-    /// Returns whether a list of instances tells about the present life. The worker may
-    /// have restarted within the delay of the list, and a later life have answered the last
-    /// order, unless a call went unanswered since.
+    /// Returns whether a list of instances tells about the life that answered last. That
+    /// may be a later one than the present life, and have begun within the delay of the
+    /// list, unless a call has gone unanswered.
     pub(crate) fn is_shown_by_list(&self, requested_at: Duration) -> bool {
-        let is_after_answer = requested_at > self.answered_at + LIST_LAG;
-        self.life.is_shown_by_list(requested_at) && (is_after_answer || self.is_silent())
+        let lag = if self.is_silent() {
+            Duration::ZERO
+        } else {
+            LIST_LAG
+        };
+        requested_at > self.answered_at + lag && self.life.is_shown_by_list(requested_at)
     }
 
     /// Returns whether the lease, and with it every run, has certainly ended.
