--- a/crates/dotterelsill_e2e/tests/partition.rs
+++ b/crates/dotterelsill_e2e/tests/partition.rs
@@ -156,7 +156,7 @@
             fleet.entries[1].process.resume();
         })
         .await;
-        assert_eq!(answer.outcome, "not_run");
+        assert_eq!(answer.outcome, "not_run", "{answer:?}");
         fleet.await_revision(change.revision).await;
         tasks.stop();
     });
