--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -130,8 +130,15 @@
 
     /// Returns whether a list of instances tells about this life. One that was
     /// requested earlier may show what was so before the life began.
-    pub(crate) fn is_shown_by_list(&self, requested_at: Duration) -> bool {
-        requested_at > self.since + LIST_LAG
+    pub(crate) fn is_shown_by_list(&self, requested_at: Duration, is_silent: bool) -> bool {
+        // Restored jobs wait for a worker that was not read since a takeover. Its end is
+        // believed sooner if it does not answer either.
+        let lag = if is_silent && !self.is_known {
+            Duration::ZERO
+        } else {
+            LIST_LAG
+        };
+        requested_at > self.since + lag
     }
 
     /// Records that the life, and with it every run, has ended.
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -203,7 +203,8 @@
         } else {
             LIST_LAG
         };
-        requested_at > self.answered_at + lag && self.life.is_shown_by_list(requested_at)
+        requested_at > self.answered_at + lag
+            && self.life.is_shown_by_list(requested_at, self.is_silent())
     }
 
     /// Returns whether the lease, and with it every run, has certainly ended.
