Return idle workers to dispatchers

Cause shown here: after a call over a dispatcher that was not answered, the scheduler calls the worker itself for 4 to 64 s. The status loop of a worker without runs then waited until it was woken, and nothing woke it at the end of that time: an idle worker stayed without a dispatcher until it got work or a link was opened or closed. If the first calls over a new dispatcher all fail, as they do when its process is stalled for 2 s, the data centre has no dispatcher while its workers are idle, and the first burst is carried by the scheduler alone.

Change: the loop of an idle worker also ends its wait when the direct time is over. The new gauge `dotterelsill_dispatched_workers` tells how many workers are called over dispatchers.

--- a/crates/dotterelsill_jobs/src/dispatchers.rs
+++ b/crates/dotterelsill_jobs/src/dispatchers.rs
@@ -239,6 +239,14 @@
         routes.status
     }
 
+    /// Returns the time for which the scheduler itself still calls a worker since a call
+    /// over a dispatcher was not answered, or `None` if it does not.
+    pub fn direct_time_left(&self, key: WorkerKey, now: Duration) -> Option<Duration> {
+        let routes = self.routes.get(&key)?;
+        let left = routes.direct_until.checked_sub(now)?;
+        (routes.status == Route::Direct && !left.is_zero()).then_some(left)
+    }
+
     /// Handles a status that was answered over a route.
     pub fn on_answered(&mut self, key: WorkerKey, route: Route) {
         if let Some(routes) = self.routes.get_mut(&key) {
--- a/crates/dotterelsill_jobs/tests/dispatchers.rs
+++ b/crates/dotterelsill_jobs/tests/dispatchers.rs
@@ -205,7 +205,10 @@
         assert_eq!(dispatchers.order_route(key), Route::Direct);
         now += Duration::from_secs(direct_s) - Duration::from_millis(1);
         assert_eq!(dispatchers.status_route(key, "a", now), Route::Direct);
+        let left = dispatchers.direct_time_left(key, now);
+        assert_eq!(left, Some(Duration::from_millis(1)));
         now += Duration::from_millis(1);
+        assert_eq!(dispatchers.direct_time_left(key, now), None);
         assert_eq!(dispatchers.status_route(key, "a", now), over);
     }
 }
--- a/crates/dotterelsill_node/src/load.rs
+++ b/crates/dotterelsill_node/src/load.rs
@@ -110,7 +110,8 @@
     }
 }
 
-/// Logs the activity and the backlog each second, and counts unusual ends, until the task group stops.
+/// Logs the activity and the backlog each second, and counts unusual ends, until the
+/// task group stops.
 pub(crate) async fn report(leadership: Arc<Leadership>, metrics: Arc<Metrics>) {
     let mut period_start = clock::now();
     let mut processor_time_at_start = clock::processor_time();
@@ -127,6 +128,7 @@
         let orders_queued: usize = leadership.handles().values().map(|h| h.orders.len()).sum();
         let submissions = leadership.submissions.lock().len();
         let (dispatchers, workers_dispatched) = leadership.dispatch.dispatchers().in_use();
+        metrics.dispatched_workers.set(workers_dispatched as i64);
         let load = &leadership.load;
         log::info!(
             passed_ms = now.saturating_sub(period_start).as_millis() as u64,
--- a/crates/dotterelsill_node/src/metrics.rs
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -40,6 +40,8 @@
     loop_lateness_worst: Gauge,
     /// Whether this instance schedules.
     pub(crate) is_scheduling: IntGauge,
+    /// Number of workers that this instance, as the scheduler, calls over dispatchers.
+    pub(crate) dispatched_workers: IntGauge,
 }
 
 impl Metrics {
@@ -106,6 +108,10 @@
                 "dotterelsill_is_scheduling",
                 "Whether this instance schedules",
             )?,
+            dispatched_workers: IntGauge::new(
+                "dotterelsill_dispatched_workers",
+                "Workers that this instance, as the scheduler, calls over dispatchers",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -119,6 +125,7 @@
         registry.register(Box::new(metrics.loop_lateness.clone()))?;
         registry.register(Box::new(metrics.loop_lateness_worst.clone()))?;
         registry.register(Box::new(metrics.is_scheduling.clone()))?;
+        registry.register(Box::new(metrics.dispatched_workers.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/dotterelsill_node/src/scheduling.rs
+++ b/crates/dotterelsill_node/src/scheduling.rs
@@ -183,6 +183,7 @@
         .on_ends(&leadership.scheduler().take_end_counts());
     node.leadership.store(None);
     node.metrics.is_scheduling.set(0);
+    node.metrics.dispatched_workers.set(0);
     node.leader.store(None);
     authority.mark_lost("this instance has stopped scheduling");
     end_scheduling(node, lease, group).await;
--- a/crates/dotterelsill_node/src/worker_loops/status.rs
+++ b/crates/dotterelsill_node/src/worker_loops/status.rs
@@ -77,7 +77,7 @@
             if !is_first && !self.leadership.scheduler().is_busy(self.key) {
                 let needs_status = self.leadership.scheduler().needs_status(self.key);
                 if !needs_status && !is_route_new {
-                    wake.wait().await;
+                    self.wait_while_idle(wake).await;
                     continue;
                 }
                 if unanswered > 0 {
@@ -107,6 +107,21 @@
         }
     }
 
+    /// Waits until the worker is to be called, or a dispatcher may be used for it again.
+    async fn wait_while_idle(&self, wake: &Signal) {
+        let direct_time_left = {
+            let dispatchers = self.leadership.dispatch.dispatchers();
+            dispatchers.direct_time_left(self.key, clock::now())
+        };
+        let Some(left) = direct_time_left else {
+            return wake.wait().await;
+        };
+        let over = async {
+            Timer::after(left).await;
+        };
+        wake.wait().or(over).await;
+    }
+
     /// Returns the route for the next status call, and whether orders do not use it
     /// yet.
     fn choose_route(&self) -> (Route, bool) {
