Call hundreds of workers in turn when the scheduler calls them itself

The logs show schedulers one after the other that lose their lease (`authority_lost`, the lease has ended) within a second or two of their first status calls: 200 to 300 timeouts in that second, no dispatcher linked.

Cause: if the links to dispatchers are not open 300 ms after the list of workers, the scheduler requests the status of all workers itself, at once. Opening hundreds of connections together keeps the event loop busy for longer than the scheduler's lease when it has little processor time, so that the renewal has no turn. The next scheduler does the same. Workers whose dispatcher's link closes are called in the same way.

Change: at most 32 direct status requests without a wait are under way at once. A turn ends after 50 ms, so that workers that do not answer hold up few: 790 silent workers take 1.3 s. A worker whose route leads over a dispatcher by the time of its turn takes none.

No regression test: the fault depends on the processor time of the machine.

--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -13,6 +13,7 @@
 
 use async_channel::Sender;
 use async_io::Timer;
+use async_lock::Semaphore;
 use dotterelsill_jobs::{
     Limits,
     Order,
@@ -72,6 +73,10 @@
 /// takes at most a fifth of the time, and the rest is left for orders.
 const PLAN_PAUSE_FACTOR: u32 = 4;
 
+/// Maximum number of workers whose status the scheduler itself requests at once without
+/// a wait.
+const MAX_DIRECT_POLLS: usize = 32;
+
 /// Channels into the loops of one worker.
 pub(crate) struct WorkerHandle {
     pub(crate) target: Arc<WorkerTarget>,
@@ -100,6 +105,8 @@
     pub(crate) lateness: Arc<Lateness>,
     pub(crate) load: Load,
     pub(crate) dispatch: DispatchLinks,
+    /// Turns of status calls that the scheduler makes itself.
+    pub(crate) direct_polls: Semaphore,
     /// Stored record of the workers that may run tasks.
     pub(crate) granted: async_lock::Mutex<GuardedRecord>,
     pub(crate) tasks: Tasks,
@@ -149,6 +156,7 @@
             lateness,
             load: Load::default(),
             dispatch: DispatchLinks::new(settings.processor_milli()),
+            direct_polls: Semaphore::new(MAX_DIRECT_POLLS),
             granted: async_lock::Mutex::new(GuardedRecord::new(keys::GRANTED)),
             tasks,
             plan_wanted: Signal::default(),
--- a/crates/dotterelsill_node/src/worker_loops/status.rs
+++ b/crates/dotterelsill_node/src/worker_loops/status.rs
@@ -10,7 +10,10 @@
     WorkerStatus, //
 };
 use dotterelsill_platform::WorkerStatusRequest;
-use futures_lite::FutureExt as _;
+use futures_lite::{
+    future,
+    FutureExt as _, //
+};
 
 use super::{
     on_other_worker,
@@ -46,6 +49,10 @@
 /// last status call was not answered.
 const IDLE_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Longest time for which a direct status call keeps others waiting, so that workers
+/// that do not answer hold up few.
+const DIRECT_POLL_TURN: Duration = Duration::from_millis(50);
+
 /// Maximum number of doublings of the pause after status calls without an answer:
 /// it is at most 0.8 s, much less than a lease.
 const MAX_DOUBLINGS: u32 = 3;
@@ -86,7 +93,12 @@
             }
             let is_status_unknown =
                 is_first || is_route_new || self.leadership.scheduler().needs_status(self.key);
-            match self.poll_once(route, is_status_unknown).await {
+            let outcome = if is_status_unknown && route == Route::Direct {
+                self.poll_in_turn().await
+            } else {
+                self.poll_once(route, is_status_unknown).await
+            };
+            match outcome {
                 PollOutcome::Answered { has_ended_runs } => {
                     is_first = false;
                     unanswered = 0;
@@ -142,6 +154,26 @@
         address.is_none_or(|(_, address)| address != self.target.address)
     }
 
+    /// Requests the status of a worker that the scheduler calls itself, in turn with
+    /// others. After a takeover or a fault of a dispatcher, hundreds of workers are to
+    /// be called at once: opening their connections together takes so long with little
+    /// processor time that the scheduler's own lease ends before its renewal has its
+    /// turn.
+    async fn poll_in_turn(&self) -> PollOutcome {
+        let turn = self.leadership.direct_polls.acquire().await;
+        let (route, _) = self.choose_route();
+        if route != Route::Direct {
+            drop(turn);
+            return self.poll_once(route, true).await;
+        }
+        let end_of_turn = async {
+            Timer::after(DIRECT_POLL_TURN).await;
+            drop(turn);
+            future::pending().await
+        };
+        self.poll_once(route, true).or(end_of_turn).await
+    }
+
     async fn poll_once(&self, route: Route, is_status_unknown: bool) -> PollOutcome {
         let leadership = &self.leadership;
         // The lease counts from a time at which the authority is valid, however long this
