Settle starts by a stop whose response workers do not send

Cause: each response to an order but 200, 421 and a conflict with a known reason counted as the worker's refusal, which has done nothing. A start that was carried out, and that a program on the way answered with 500, 502 or 504, was given up and started elsewhere: the task ran twice. A conflict without a readable reason may be "old", and counted as a refusal too.

Such a start is stopped, as one is that was refused after an earlier try without an answer; the answer to the stop and the next status settle whether it ran. The worker gets no starts for a while, as after a refusal. A stop with such an answer is sent again.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -377,9 +377,12 @@
         match order {
             Order::Start { .. } => {
                 let refuses = matches!(answer, Answer::NoRoom | Answer::Unhealthy | Answer::Ticket);
-                if refuses && may_come_late {
-                    // The earlier attempt may still start the run; the response to
-                    // the stop settles that it never will.
+                if answer == Answer::Unclear {
+                    self.note_refusal(key, task, attempt, answer, now);
+                }
+                if answer == Answer::Unclear || refuses && may_come_late {
+                    // This or the earlier attempt may still start the run; the response
+                    // to the stop settles that it never will.
                     self.stop(key, task, attempt);
                 } else {
                     self.on_start_answer(key, task, attempt, answer, now);
@@ -422,24 +425,34 @@
             }
             // The run may have ended already; the next status shows it.
             Answer::Old => self.confirm(key, task, attempt, Some(now)),
-            Answer::Fenced | Answer::OtherWorker => {}
+            Answer::Fenced | Answer::OtherWorker | Answer::Unclear => {}
             Answer::Ticket => {
                 log::info!(task:%, attempt, worker = key.0; "ticket_refused");
                 self.drop_ticket(task.step, key);
                 self.lapse_start(key, task, attempt, GivenUpReason::TicketRefused, now);
             }
             Answer::Late | Answer::NoRoom | Answer::Unhealthy => {
-                if let Some(worker) = self.workers.get_mut(&key) {
-                    worker.life.health.on_refused(now);
-                    log::warn!(
-                        task:%, attempt, worker = worker.report.id, answer:?; "start_refused"
-                    );
-                }
+                self.note_refusal(key, task, attempt, answer, now);
                 self.lapse_start(key, task, attempt, GivenUpReason::StartRefused, now);
             }
         }
     }
 
+    /// Keeps starts away from a worker for a while that has not accepted one.
+    fn note_refusal(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        attempt: u32,
+        answer: Answer,
+        now: Duration,
+    ) {
+        if let Some(worker) = self.workers.get_mut(&key) {
+            worker.life.health.on_refused(now);
+            log::warn!(task:%, attempt, worker = worker.report.id, answer:?; "start_refused");
+        }
+    }
+
     fn confirm(&mut self, key: WorkerKey, task: TaskId, attempt: u32, at: Option<Duration>) {
         let worker = self.workers.get_mut(&key);
         let booked = worker.and_then(|worker| worker.booked.get_mut(&task));
--- a/crates/dotterelsill_jobs/src/order.rs
+++ b/crates/dotterelsill_jobs/src/order.rs
@@ -81,6 +81,9 @@
     Ticket,
     /// The worker refuses because it is unhealthy, or it could not parse the order.
     Unhealthy,
+    /// The response does not tell whether the order takes effect: it is none of the
+    /// worker's own, such as the error of a proxy.
+    Unclear,
     /// Another worker is listening at the address.
     OtherWorker,
 }
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -192,6 +192,37 @@
     assert_eq!(starts(&scheduler.plan(ms(3000))).len(), 1);
 }
 
+/// Guards against a second run after a response that does not tell whether the start
+/// takes effect, and against a task that waits on that worker for ever.
+#[test]
+fn start_with_an_unclear_answer_is_settled_by_a_stop() {
+    let mut scheduler = scheduler(7, ms(1000));
+    (0..2).for_each(|index| {
+        add_worker(&mut scheduler, index, ms(1000));
+    });
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1000),
+    );
+    let order = scheduler.plan(ms(1010)).remove(0);
+    let chosen = order.worker;
+    scheduler.on_answer(chosen, &order.order, Answer::Unclear, false, ms(1100));
+    let orders = scheduler.plan(ms(1110));
+    assert_eq!(starts(&orders), []);
+    let stop = orders.first().expect("the run is stopped").order.clone();
+    assert!(matches!(stop, Order::Stop { .. }));
+    // A stop without a clear answer settles nothing either.
+    assert!(scheduler.on_answer(chosen, &stop, Answer::Unclear, false, ms(1200)));
+    assert!(!scheduler.on_answer(chosen, &stop, Answer::Done, true, ms(1300)));
+    scheduler.on_worker_status(chosen, &status_at(ms(1400)), ms(1400));
+    scheduler.replan();
+    let again = starts(&scheduler.plan(ms(1410)));
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].1, chosen, "the worker is left out for a while");
+}
+
 /// Guards against a cancelled task that keeps running because its worker refused
 /// the stop as unhealthy.
 #[test]
--- a/crates/dotterelsill_node/src/dispatch/messages.rs
+++ b/crates/dotterelsill_node/src/dispatch/messages.rs
@@ -186,7 +186,7 @@
             Ok(CallAnswer::Status(decode_status(status)))
         }
         Some(worker_answer::Result::Answer(answer)) => {
-            let answer = OrderAnswer::try_from(answer).unwrap_or_default();
+            let answer = OrderAnswer::try_from(answer).unwrap_or(OrderAnswer::Unclear);
             Ok(CallAnswer::Answer(decode_answer(answer)))
         }
         Some(worker_answer::Result::Unanswered(unanswered)) => Err(CallFailure {
@@ -215,6 +215,7 @@
         Answer::Ticket => OrderAnswer::Ticket,
         Answer::Unhealthy => OrderAnswer::Unhealthy,
         Answer::OtherWorker => OrderAnswer::OtherWorker,
+        Answer::Unclear => OrderAnswer::Unclear,
     }
 }
 
@@ -228,6 +229,7 @@
         OrderAnswer::Ticket => Answer::Ticket,
         OrderAnswer::Unhealthy => Answer::Unhealthy,
         OrderAnswer::OtherWorker => Answer::OtherWorker,
+        OrderAnswer::Unclear => Answer::Unclear,
     }
 }
 
