Give up no run whose row in a status cannot be read

Cause: rows of a worker's status that cannot be read were left out. An active run whose row was left out counted as gone, and its task was started again. The end of a run whose row was left out was discarded by the worker once a later end was acknowledged, so that a task that had ended `done` was started again, too.

Change: a status tells whether a row could not be read, and the lowest number of an end among those; a status from a dispatcher carries both. No run is given up by such a status. No end is acknowledged from the unreadable one on; the ends after it are processed once, and are acknowledged in the order of their numbers when that one was read. As long as a row cannot be read, the worker keeps listing its ends, and a task whose end is in that row waits until the worker's life ends.

--- a/crates/dotterelsill_jobs/examples/scheduler_cost.rs
+++ b/crates/dotterelsill_jobs/examples/scheduler_cost.rs
@@ -445,6 +445,7 @@
                 })
                 .collect(),
             ended: worker.ended.clone(),
+            ..WorkerStatus::default()
         };
         let scheduler = &mut self.scheduler;
         self.costs.time("lease_end", || {
--- a/crates/dotterelsill_jobs/src/changes.rs
+++ b/crates/dotterelsill_jobs/src/changes.rs
@@ -187,6 +187,9 @@
                 self.unacknowledged.entry(end.job).or_default().insert(key);
                 break;
             }
+            if !worker.life.may_acknowledge(end.number) {
+                break;
+            }
             worker.life.acknowledged_end = end.number;
             worker.life.pending_ends.pop_front();
         }
--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -4,7 +4,10 @@
 //! that is known of the earlier one is applied to the later one.
 
 use std::{
-    collections::VecDeque,
+    collections::{
+        BTreeSet,
+        VecDeque, //
+    },
     time::Duration, //
 };
 
@@ -74,9 +77,14 @@
     ended_at: Option<Duration>,
     /// Whether a status was read under this scheduler's fencing token.
     pub(crate) is_known: bool,
+    /// Processed ends that may not be acknowledged yet, by their numbers.
     pub(crate) pending_ends: VecDeque<PendingEnd>,
-    /// Highest number of an end that was processed.
+    /// Highest number up to which all ends were processed.
     pub(crate) processed_end: u64,
+    /// Processed ends above that number: those after an end that could not be read.
+    processed_later: BTreeSet<u64>,
+    /// Lowest number of an end in the last status that could not be read.
+    unreadable_end: Option<u64>,
     /// Highest number of an end that may be acknowledged.
     pub(crate) acknowledged_end: u64,
     /// Highest number of an end whose acknowledgement was sent, for the logs.
@@ -106,6 +114,8 @@
             is_known: false,
             pending_ends: VecDeque::new(),
             processed_end: 0,
+            processed_later: BTreeSet::new(),
+            unreadable_end: None,
             acknowledged_end: 0,
             sent_acknowledgement: 0,
             health: Health::default(),
@@ -189,6 +199,45 @@
         !self.has_ended()
     }
 
+    /// Returns whether an end with a number was processed.
+    pub(crate) fn is_processed(&self, number: u64) -> bool {
+        number <= self.processed_end || self.processed_later.contains(&number)
+    }
+
+    /// Records that an end is processed. Ends are listed in the order of their numbers.
+    pub(crate) fn on_end_processed(&mut self, end: PendingEnd) {
+        if self.unreadable_end.is_some_and(|first| end.number >= first) {
+            self.processed_later.insert(end.number);
+        } else {
+            self.processed_end = end.number;
+        }
+        let position = self
+            .pending_ends
+            .partition_point(|pending| pending.number < end.number);
+        self.pending_ends.insert(position, end);
+    }
+
+    /// Sets the lowest number of an end that could not be read in the status that is
+    /// processed next.
+    pub(crate) fn set_unreadable_end(&mut self, number: Option<u64>) {
+        self.unreadable_end = number;
+    }
+
+    /// Handles that all ends of a status were processed.
+    pub(crate) fn on_ends_processed(&mut self) {
+        if self.unreadable_end.is_none() {
+            let last = self.processed_later.pop_last();
+            self.processed_later.clear();
+            self.processed_end = self.processed_end.max(last.unwrap_or_default());
+        }
+    }
+
+    /// Returns whether an end that is stored may be acknowledged. With it the worker
+    /// discards all ends before, of which one could not be read.
+    pub(crate) fn may_acknowledge(&self, number: u64) -> bool {
+        self.unreadable_end.is_none_or(|first| number < first)
+    }
+
     /// Returns whether a reading of the worker's clock is that of another life: the clock of
     /// one life does not go back, and each life starts it anew.
     pub(crate) fn is_clock_of_another(&self, worker_ms: u64, sent_at: Duration) -> bool {
--- a/crates/dotterelsill_jobs/src/order.rs
+++ b/crates/dotterelsill_jobs/src/order.rs
@@ -153,6 +153,11 @@
     pub running: Vec<ListedRun>,
     /// Ended runs that were not acknowledged yet.
     pub ended: Vec<ListedEnd>,
+    /// Whether a row of either list could not be read, so that a run may be missing from
+    /// both.
+    pub has_unreadable_rows: bool,
+    /// Lowest number of an end whose row could not be read.
+    pub unreadable_end: Option<u64>,
 }
 
 /// Ends of an incarnation of a worker that the scheduler has processed. They are
@@ -181,6 +186,13 @@
 pub(crate) const MAX_LISTED_ENDS: usize = 500;
 
 impl WorkerStatus {
+    /// Records that the row of an end could not be read.
+    pub fn on_unreadable_end(&mut self, number: u64) {
+        self.has_unreadable_rows = true;
+        let lowest = self.unreadable_end.unwrap_or(number);
+        self.unreadable_end = Some(lowest.min(number));
+    }
+
     /// Leaves out the ends that are processed. A status of another incarnation, which
     /// numbers its ends anew, and one whose list may be incomplete stay as they are.
     pub fn drop_processed(&mut self, processed: &ProcessedEnds) {
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -57,9 +57,13 @@
         if !was_known {
             self.needs_plan = true;
         }
+        worker.life.set_unreadable_end(status.unreadable_end);
         for end in &status.ended {
             self.note_listed_end(key, end, now);
         }
+        if let Some(worker) = self.workers.get_mut(&key) {
+            worker.life.on_ends_processed();
+        }
         let mut adopted = 0_u64;
         for run in &status.running {
             adopted += u64::from(self.note_listed_run(key, run, now));
@@ -67,7 +71,7 @@
         if !was_known {
             self.log_first_status(key, status, adopted);
         }
-        if status.ended.len() < MAX_LISTED_ENDS {
+        if status.ended.len() < MAX_LISTED_ENDS && !status.has_unreadable_rows {
             self.end_unlisted_runs(key, status, now);
         }
         self.acknowledge_stored(key);
@@ -99,10 +103,9 @@
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
-        if end.number <= worker.life.processed_end {
+        if worker.life.is_processed(end.number) {
             return;
         }
-        worker.life.processed_end = end.number;
         self.record_listed_end(key, end, now);
         if let Some(job) = self.jobs.get_mut(&end.task.step.job) {
             job.has_begun = true;
@@ -119,7 +122,7 @@
             now,
         );
         if let Some(worker) = self.workers.get_mut(&key) {
-            worker.life.pending_ends.push_back(PendingEnd {
+            worker.life.on_end_processed(PendingEnd {
                 number: end.number,
                 job: end.task.step.job,
                 change,
--- a/crates/dotterelsill_node/src/dispatch/status_messages.rs
+++ b/crates/dotterelsill_node/src/dispatch/status_messages.rs
@@ -24,17 +24,33 @@
         started_unix_ms: status.started_unix_ms,
         running: status.running.iter().map(encode_run).collect(),
         ended: status.ended.iter().map(encode_end).collect(),
+        has_unreadable_rows: status.has_unreadable_rows,
+        unreadable_end: status.unreadable_end,
     }
 }
 
 pub(super) fn decode_status(status: DispatchedStatus) -> WorkerStatus {
-    WorkerStatus {
+    let mut decoded = WorkerStatus {
         worker_ms: status.worker_ms,
         started_unix_ms: status.started_unix_ms,
-        running: status.running.into_iter().filter_map(decode_run).collect(),
-        ended: status.ended.into_iter().filter_map(decode_end).collect(),
+        has_unreadable_rows: status.has_unreadable_rows,
+        unreadable_end: status.unreadable_end,
         ..WorkerStatus::default()
+    };
+    for run in status.running {
+        match decode_run(run) {
+            Some(run) => decoded.running.push(run),
+            None => decoded.has_unreadable_rows = true,
+        }
+    }
+    for end in status.ended {
+        let number = end.number;
+        match decode_end(end) {
+            Some(end) => decoded.ended.push(end),
+            None => decoded.on_unreadable_end(number),
+        }
     }
+    decoded
 }
 
 fn encode_run(run: &ListedRun) -> DispatchedRun {
