Apply an advisor's answer only to the life of a worker that it is about

Cause: the advisor's refusal of a worker for a step was kept under the worker's identifier. A worker that restarts under it, which may be of another kind, was never asked for again, so that a step waited although that life may run it. An answer that came after a restart also counted for the new life, although the query was about the one before.

Change: a refusal holds for the start time of the life that was refused, as tickets do, and an answer counts only for workers whose life was known when the advisor was asked.

Evidence: refused_worker_is_asked_for_again_after_a_restart had no query after the restart, and in answer_about_an_earlier_life_is_ignored two tasks were started with a ticket of the earlier life. Both pass now; a start with such a ticket was refused by the worker, so the second part cost a refused start only.

--- a/crates/dotterelsill_jobs/src/advice.rs
+++ b/crates/dotterelsill_jobs/src/advice.rs
@@ -17,6 +17,7 @@
 use crate::{
     job::Task,
     placement::candidate,
+    worker::Worker,
     Resources,
     Scheduler,
     StepId,
@@ -70,10 +71,19 @@
 #[derive(Debug, Default)]
 pub(crate) struct Tickets {
     by_worker: BTreeMap<String, Ticket>,
-    refused: BTreeSet<String>,
+    /// Refused workers, with the start time of the incarnation that was refused. The next
+    /// one may be of another kind.
+    refused: BTreeMap<String, u64>,
     not_before: Duration,
 }
 
+impl Tickets {
+    fn has_refused(&self, worker: &Worker) -> bool {
+        let refused = self.refused.get(&worker.report.id);
+        refused == Some(&worker.life.started_unix_ms)
+    }
+}
+
 impl Scheduler {
     /// Returns the next query to send: for the first step of a queue with an
     /// advisor whose waiting tasks do not fit on the workers with a valid ticket.
@@ -131,7 +141,7 @@
             let name = &worker.report.id;
             if valid.contains_key(&key) {
                 places += candidate.free.cpu_milli / resources.cpu_milli.max(1);
-            } else if known.is_none_or(|known| !known.refused.contains(name)) {
+            } else if known.is_none_or(|known| !known.has_refused(worker)) {
                 unasked.push((candidate.free.cpu_milli, name.clone()));
             }
         }
@@ -175,6 +185,8 @@
         for name in &query.workers {
             let text = approved.iter().find(|(worker, _)| worker == name);
             let worker = self.by_id.get(name).and_then(|key| self.workers.get(key));
+            // The answer may be about an earlier incarnation.
+            let worker = worker.filter(|worker| worker.life.since <= requested_at);
             match (text, worker) {
                 (Some((_, text)), Some(worker)) => {
                     let ticket = Ticket {
@@ -184,10 +196,11 @@
                     };
                     tickets.by_worker.insert(name.clone(), ticket);
                 }
-                (Some(_), None) => {}
-                (None, _) => {
-                    tickets.refused.insert(name.clone());
+                (None, Some(worker)) => {
+                    let started_unix_ms = worker.life.started_unix_ms;
+                    tickets.refused.insert(name.clone(), started_unix_ms);
                 }
+                (_, None) => {}
             }
         }
         self.needs_plan = true;
--- a/crates/dotterelsill_jobs/tests/advice.rs
+++ b/crates/dotterelsill_jobs/tests/advice.rs
@@ -12,7 +12,8 @@
     Order,
     Scheduler,
     WorkerKey,
-    WorkerOrder, //
+    WorkerOrder,
+    WorkerStatus, //
 };
 
 mod common;
@@ -119,6 +120,52 @@
     );
 }
 
+/// Guards against a step that never runs, because a refusal of one life of a worker
+/// counts for the next, which may be of another kind.
+#[test]
+fn refused_worker_is_asked_for_again_after_a_restart() {
+    let (mut scheduler, _) = advised();
+    let job = record("urgent", 7, vec![step(2, 1000)]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    scheduler.plan(ms(1010));
+    let query = next_query(&mut scheduler, ms(1010));
+    scheduler.on_advice(&query, Some(&[]), ms(1010), ms(1020));
+    assert_eq!(scheduler.next_advisor_query(ms(1030)), None);
+    restart(&mut scheduler, 1, ms(1040));
+    assert_eq!(next_query(&mut scheduler, ms(1060)).workers, ["w1"]);
+}
+
+/// Guards against an answer about one life of a worker that counts for the next, which
+/// began while the advisor was asked.
+#[test]
+fn answer_about_an_earlier_life_is_ignored() {
+    for is_approved in [true, false] {
+        let (mut scheduler, _) = advised();
+        let job = record("urgent", 7, vec![step(2, 1000)]);
+        submit(&mut scheduler, 1, &job, ms(1000));
+        scheduler.plan(ms(1010));
+        let query = next_query(&mut scheduler, ms(1010));
+        restart(&mut scheduler, 1, ms(1040));
+        let rows = [("w1".to_owned(), "ticket-w1".to_owned())];
+        let approved = &rows[..usize::from(is_approved)];
+        scheduler.on_advice(&query, Some(approved), ms(1010), ms(1100));
+        assert_eq!(starts(&scheduler.plan(ms(1110))), []);
+        assert_eq!(next_query(&mut scheduler, ms(1120)).workers, ["w1"]);
+    }
+}
+
+/// Lets a worker restart under its identifier, and reads its status.
+fn restart(scheduler: &mut Scheduler, index: usize, now: Duration) {
+    let mut restarted = report(index, "dc");
+    restarted.started_unix_ms = 2;
+    let (key, _) = scheduler.on_report(restarted, now);
+    let status = WorkerStatus {
+        started_unix_ms: 2,
+        ..status_at(now + ms(10))
+    };
+    scheduler.on_worker_status(key, &status, now + ms(10));
+}
+
 /// Guards against queries that are repeated in a tight loop while the advisor does
 /// not answer.
 #[test]
