tests: Answer some orders of the simulation by a program in between

Cause: the simulation of ends had no responses that do not tell whether an order was carried out, so nothing but one test with the daemon guarded their handling.

Change: one of 160 orders gets such an answer without being carried out, and one after it.

--- a/crates/dotterelsill_jobs/tests/ends_search/world.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/world.rs
@@ -807,10 +807,19 @@
                 lease_end_ms,
                 ..
             } => {
-                if self.random.random_ratio(1, 80) {
-                    dotterelsill_jobs::Answer::Unhealthy
-                } else {
-                    worker.execute(order, call.token, *lease_end_ms, order_run, now_ms, rules)
+                let case = self.random.random_range(0..160);
+                let mut execute =
+                    || worker.execute(order, call.token, *lease_end_ms, order_run, now_ms, rules);
+                match case {
+                    0..2 => dotterelsill_jobs::Answer::Unhealthy,
+                    // A program in between answers, whether the order reaches the worker
+                    // or not.
+                    2 => dotterelsill_jobs::Answer::Unclear,
+                    3 => {
+                        execute();
+                        dotterelsill_jobs::Answer::Unclear
+                    }
+                    _ => execute(),
                 }
             }
         };
