Keep no state for tasks that wait

What callers see: a few dozen requests of 100 bytes, each a job of 10,000 tasks, end each instance that schedules for its memory. The jobs are stored, so the next scheduler ends as well, and the jobs of other workspaces wait meanwhile.

Cause: each task of an opened occurrence had a state of its own of about 110 bytes, whether it had ever run or not. The limit on tasks holds for one job, not for many.

Change: a step keeps states only up to its last task that was changed, and one that the others share. Tasks are started in their order, so this is what has run. Loops that only count waiting tasks no longer go over all of them.

--- a/crates/dotterelsill_jobs/src/advice.rs
+++ b/crates/dotterelsill_jobs/src/advice.rs
@@ -15,7 +15,6 @@
 };
 
 use crate::{
-    job::Task,
     placement::candidate,
     Resources,
     Scheduler,
@@ -113,7 +112,7 @@
             return None;
         }
         let tasks = &job.occurrences.get(&id.occurrence)?.steps[id.step as usize].tasks;
-        let waiting = tasks.iter().filter(|task| Task::is_waiting(task)).count();
+        let waiting = tasks.waiting();
         let resources = job.spec.steps[id.step as usize].counted_resources();
         let valid = self.valid_tickets(id, now).unwrap_or_default();
         let mut places = 0;
--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -205,7 +205,8 @@
         };
         let mut others = Vec::new();
         if let Some(step) = job.step(task.step) {
-            for (index, state) in step.tasks.iter().enumerate().filter(|(_, t)| t.is_done) {
+            let changed = step.tasks.changed().iter().enumerate();
+            for (index, state) in changed.filter(|(_, task)| task.is_done) {
                 for run in &state.runs {
                     others.push((run.worker, task.step.task(index as u32), run.attempt));
                 }
--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -49,9 +49,10 @@
         state: &StepState,
         now: Duration,
     ) {
-        let waiting = state.tasks.iter().filter(|task| task.is_waiting()).count();
-        let running = state.tasks.iter().filter(|task| !task.runs.is_empty());
-        let failed: usize = state.tasks.iter().map(|t| t.failed_attempts.len()).sum();
+        let waiting = state.tasks.waiting();
+        let changed = state.tasks.changed();
+        let running = changed.iter().filter(|task| !task.runs.is_empty());
+        let failed: usize = changed.iter().map(|t| t.failed_attempts.len()).sum();
         // Writing to a `String` cannot fail.
         let _ = write!(
             text,
@@ -67,7 +68,7 @@
             Some(reason) => writeln!(text, "; waits for {reason}"),
             None => writeln!(text),
         };
-        for (index, task) in state.tasks.iter().enumerate() {
+        for (index, task) in changed.iter().enumerate() {
             for run in &task.runs {
                 let worker = self.workers.get(&run.worker);
                 let worker = worker.map_or("a worker that is gone", |w| w.report.id.as_str());
--- a/crates/dotterelsill_jobs/src/held_back.rs
+++ b/crates/dotterelsill_jobs/src/held_back.rs
@@ -66,8 +66,7 @@
             let Some(state) = job.occurrences.get(&id.occurrence) else {
                 continue;
             };
-            let mut tasks = state.steps[id.step as usize].tasks.iter();
-            if !tasks.any(crate::job::Task::is_waiting) {
+            if !state.steps[id.step as usize].tasks.has_waiting() {
                 continue;
             }
             let resources = job.spec.steps[id.step as usize].counted_resources();
--- a/crates/dotterelsill_jobs/src/home.rs
+++ b/crates/dotterelsill_jobs/src/home.rs
@@ -71,8 +71,7 @@
                 .and_then(|home| free_by_data_centre.get_mut(home));
             let state = job.occurrences.get(&id.occurrence);
             if let (Some(free), Some(state)) = (free, state) {
-                let tasks = state.steps[id.step as usize].tasks.iter();
-                let waiting = tasks.filter(|task| task.is_waiting()).count() as i64;
+                let waiting = state.steps[id.step as usize].tasks.waiting() as i64;
                 let step = &job.spec.steps[id.step as usize];
                 *free -= waiting * step.counted_resources().cpu_milli as i64;
             }
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -20,6 +20,7 @@
     done_occurrences::DoneOccurrences,
     given_up::GivenUpReason,
     spec::FORMAT,
+    tasks::Tasks,
     JobId,
     JobSpec,
     RunOutcome,
@@ -107,7 +108,7 @@
 /// State of one step in one occurrence.
 #[derive(Debug)]
 pub(crate) struct StepState {
-    pub(crate) tasks: Vec<Task>,
+    pub(crate) tasks: Tasks,
     pub(crate) done: u32,
     /// Latest checkpoint of any member of a gang, which all members resume from.
     gang_checkpoint: String,
@@ -147,7 +148,8 @@
     done_occurrences: DoneOccurrences,
     /// Number of the next occurrence to open once it is due.
     next_occurrence: u32,
-    first_attempt: u32,
+    /// State of a task that had no run and no end.
+    unchanged_task: Arc<Task>,
     /// Number of changes of the progress so far, and number of the last stored one.
     pub(crate) changes: u64,
     pub(crate) stored_changes: u64,
@@ -177,7 +179,10 @@
             occurrences: BTreeMap::new(),
             done_occurrences: DoneOccurrences::default(),
             next_occurrence: 0,
-            first_attempt: u32::try_from(first).unwrap_or(u32::MAX / 2),
+            unchanged_task: Arc::new(Task {
+                next_attempt: u32::try_from(first).unwrap_or(u32::MAX / 2),
+                ..Task::default()
+            }),
             changes: 0,
             stored_changes: 0,
             progress_revision: 0,
@@ -227,8 +232,7 @@
 
     fn waiting_tasks(&self) -> usize {
         let steps = self.occurrences.values().flat_map(|state| &state.steps);
-        let tasks = steps.flat_map(|step| &step.tasks);
-        tasks.filter(|task| task.is_waiting()).count()
+        steps.map(|step| step.tasks.waiting()).sum()
     }
 
     /// Creates an occurrence unless it exists or is completed; returns whether it
@@ -237,16 +241,10 @@
         if self.occurrences.contains_key(&number) || self.done_occurrences.contains(number) {
             return false;
         }
-        let first_attempt = self.first_attempt;
         let step = |step: &Step| StepState {
             done: 0,
             gang_checkpoint: String::new(),
-            tasks: (0..step.count)
-                .map(|_| Task {
-                    next_attempt: first_attempt,
-                    ..Task::default()
-                })
-                .collect(),
+            tasks: Tasks::new(step.count as usize, &self.unchanged_task),
         };
         let steps = self.spec.steps.iter().map(step).collect();
         self.occurrences.insert(number, Occurrence { steps });
@@ -321,7 +319,7 @@
         }
         if is_gang {
             // The worker reports one end for the whole gang.
-            state.tasks.iter_mut().for_each(|task| task.is_done = true);
+            state.tasks.set_all_done();
             state.done = state.tasks.len() as u32;
         } else {
             task.is_done = true;
@@ -349,8 +347,8 @@
             return;
         }
         let is_over = |state: &Occurrence| {
-            let tasks = state.steps.iter().flat_map(|step| &step.tasks);
-            tasks.into_iter().all(|task| task.runs.is_empty())
+            let mut tasks = state.steps.iter().flat_map(|step| step.tasks.changed());
+            tasks.all(|task| task.runs.is_empty())
         };
         if self.occurrences.get(&number).is_some_and(is_over) {
             self.occurrences.remove(&number);
@@ -389,7 +387,7 @@
         let is_exhausted =
             |task: &Task| task.is_waiting() && task.failed_attempts.len() >= max_attempts as usize;
         let state = self.step(step);
-        let is_over = state.is_some_and(|state| state.tasks.iter().any(is_exhausted));
+        let is_over = state.is_some_and(|state| state.tasks.changed().iter().any(is_exhausted));
         if is_over && self.is_open() {
             self.phase = Phase::Failed;
             self.changes += 1;
@@ -495,7 +493,8 @@
                     task.failed_attempts.insert(failed.attempt);
                 }
             }
-            state.done = state.tasks.iter().filter(|task| task.is_done).count() as u32;
+            let changed = state.tasks.changed().iter();
+            state.done = changed.filter(|task| task.is_done).count() as u32;
         }
         if !record.steps.is_empty() || self.done_occurrences.count() > 0 {
             self.has_begun = true;
@@ -510,7 +509,7 @@
         step,
         ..StepProgress::default()
     };
-    for (index, task) in state.tasks.iter().enumerate() {
+    for (index, task) in state.tasks.changed().iter().enumerate() {
         let index = index as u32;
         if task.is_done {
             progress.done.push(index);
--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -180,7 +180,7 @@
                 ready.remove(&step);
             }
             let state = &job.occurrences[&step.occurrence].steps[step.step as usize];
-            for (index, task) in state.tasks.iter().enumerate() {
+            for (index, task) in state.tasks.changed().iter().enumerate() {
                 for run in &task.runs {
                     running.push((run.worker, step.task(index as u32), run.attempt));
                 }
@@ -212,8 +212,9 @@
                 .ended_at
                 .is_none_or(|ended| now < ended + self.limits.ended_job_retention);
             let has_runs = job.occurrences.values().any(|occurrence| {
-                let tasks = occurrence.steps.iter().flat_map(|step| &step.tasks);
-                tasks.into_iter().any(|task| !task.runs.is_empty())
+                let steps = occurrence.steps.iter();
+                let mut tasks = steps.flat_map(|step| step.tasks.changed());
+                tasks.any(|task| !task.runs.is_empty())
             });
             if is_kept || has_runs || !self.is_stored(id) {
                 break;
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -39,6 +39,7 @@
 mod scheduler;
 mod spec;
 mod submissions;
+mod tasks;
 mod validity;
 mod waves;
 mod worker;
--- a/crates/dotterelsill_jobs/src/moves.rs
+++ b/crates/dotterelsill_jobs/src/moves.rs
@@ -12,7 +12,6 @@
 };
 
 use crate::{
-    job::Task,
     InstanceAction,
     InstanceOrder,
     InstanceState,
@@ -297,7 +296,7 @@
                     continue;
                 };
                 let tasks = &occurrence.steps[id.step as usize].tasks;
-                let waiting = tasks.iter().filter(|task| Task::is_waiting(task)).count() as u64;
+                let waiting = tasks.waiting() as u64;
                 balance.waiting_milli += waiting * step.resources.cpu_milli;
             }
         }
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -111,7 +111,7 @@
                 return false;
             };
             let state = &occurrence.steps[step.step as usize];
-            if !state.tasks.iter().any(crate::job::Task::is_waiting) {
+            if !state.tasks.has_waiting() {
                 return false;
             }
             match configuration.queue(&job.spec.queue) {
@@ -200,9 +200,9 @@
                 log_started(started, count - started as usize);
                 return;
             }
-            let avoid = self.jobs[&id.job].occurrences[&id.occurrence].steps[id.step as usize]
-                .tasks[index as usize]
-                .avoid;
+            let tasks =
+                &self.jobs[&id.job].occurrences[&id.occurrence].steps[id.step as usize].tasks;
+            let avoid = tasks.get(index as usize).and_then(|task| task.avoid);
             let request = PlacementRequest {
                 id,
                 step,
@@ -355,7 +355,8 @@
             .occurrences
             .get(&id.occurrence)?
             .steps[id.step as usize];
-        let run = state.tasks.iter().find_map(|task| task.runs.first())?;
+        let mut changed = state.tasks.changed().iter();
+        let run = changed.find_map(|task| task.runs.first())?;
         Some(self.workers.get(&run.worker)?.rack()?.to_owned())
     }
 
@@ -374,9 +375,8 @@
             };
             for occurrence in job.occurrences.values() {
                 for (step, state) in job.spec.steps.iter().zip(&occurrence.steps) {
-                    let tasks = state.tasks.iter().filter(|task| task.is_waiting());
                     let resources = unseen.entry(workspace.clone()).or_default();
-                    tasks.for_each(|_| resources.add(&step.counted_resources()));
+                    resources.add(&step.counted_resources().times(state.tasks.waiting()));
                 }
             }
         }
--- a/crates/dotterelsill_jobs/src/resources.rs
+++ b/crates/dotterelsill_jobs/src/resources.rs
@@ -43,6 +43,17 @@
         self.accelerators += other.accelerators;
     }
 
+    /// Returns the amounts of a number of tasks.
+    #[must_use]
+    pub(crate) fn times(self, count: usize) -> Self {
+        let count = count as u64;
+        Self {
+            cpu_milli: self.cpu_milli * count,
+            memory_mb: self.memory_mb * count,
+            accelerators: self.accelerators * count,
+        }
+    }
+
     /// Subtracts other amounts; the results do not fall below zero.
     pub fn subtract(&mut self, other: &Resources) {
         self.cpu_milli = self.cpu_milli.saturating_sub(other.cpu_milli);
