Refuse jobs with a payload above the platform's limit

A payload had no limit but that of the body, 256 KiB. It is kept in memory for each job, stored, and sent with each start of a task, of which a job may have 10,000. The platform's documentation allows 4,000 bytes.

A longer one is now answered with 400 and the limit, at each instance and at the scheduler. Stored jobs are read without the limit, as they may have been accepted by an earlier version.

--- a/crates/dotterelsill_jobs/src/spec.rs
+++ b/crates/dotterelsill_jobs/src/spec.rs
@@ -16,6 +16,10 @@
 /// Maximum number of steps per job.
 const MAX_STEPS: usize = 256;
 
+/// Maximum size of a job's payload, in bytes, as the platform's documentation states it.
+/// The payload is sent with each order to start a task.
+const MAX_PAYLOAD_BYTES: usize = 4000;
+
 /// Version of the stored format of job and progress records.
 pub const FORMAT: u32 = 1;
 
@@ -42,6 +46,12 @@
         /// Index of the step that it depends on.
         after: u32,
     },
+    /// The payload is too long.
+    #[snafu(display("a payload has at most {MAX_PAYLOAD_BYTES} bytes, this one has {bytes}"))]
+    Payload {
+        /// Size of the payload.
+        bytes: usize,
+    },
     /// The record was stored in a format that this version does not read.
     #[snafu(display("format {format} of a stored job is not known; this version reads {FORMAT}"))]
     Format {
@@ -144,6 +154,20 @@
 }
 
 impl JobSpec {
+    /// Decodes the record of a job that a caller submits. The limits that it checks on top
+    /// do not hold for a stored record, which may have been accepted without them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is invalid or its payload is too long.
+    pub fn from_submission(record: &jobs::JobRecord) -> Result<Self, SpecError> {
+        let bytes = record.spec.len();
+        if bytes > MAX_PAYLOAD_BYTES {
+            return PayloadSnafu { bytes }.fail();
+        }
+        Self::try_from(record)
+    }
+
     /// Returns the number of occurrences, 1 for a job without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.count)
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -217,7 +217,7 @@
     };
     authorized.queue.name.clone_into(&mut record.queue);
     record.workspace = authorized.workspace.unwrap_or_default().to_owned();
-    if let Err(error) = JobSpec::try_from(&record) {
+    if let Err(error) = JobSpec::from_submission(&record) {
         return text_response(StatusCode::BAD_REQUEST, error.to_string());
     }
     if !service.link.admit_job() {
--- a/crates/dotterelsill_node/src/peer_service.rs
+++ b/crates/dotterelsill_node/src/peer_service.rs
@@ -71,7 +71,7 @@
         request: Request<SubmitRequest>,
     ) -> Result<Response<SubmitResponse>, Status> {
         let SubmitRequest { job, record } = request.into_inner();
-        if let Some(Err(error)) = record.as_ref().map(JobSpec::try_from) {
+        if let Some(Err(error)) = record.as_ref().map(JobSpec::from_submission) {
             return Err(Status::invalid_argument(error.to_string()));
         }
         let mut response = SubmitResponse::default();
