Count runs that outlive their job towards the cap after a takeover

Cause: the transaction that stores the end of a job removes its record, and the final progress held the phase alone. The next scheduler knew neither the workspace nor the size of runs that were not known to have ended: count_unseen counts open jobs only, and runs that were adopted later counted for no workspace.

Change: the final progress names, by worker, the resources of the runs that may go on, also of those that a scheduler has not read since its takeover. The next scheduler counts them until the worker was read and has no run of the job, or until the leases of the earlier one have certainly ended; on one worker at most its capacity.

Cost: no further call.

--- a/crates/dotterelsill_jobs/src/changes.rs
+++ b/crates/dotterelsill_jobs/src/changes.rs
@@ -110,15 +110,21 @@
             let Some(id) = self.dirty.pop(is_others_turn) else {
                 break;
             };
+            let unended = self.unended_runs(id);
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
             job.is_writing = true;
+            let workspace = job.spec.workspace.clone().filter(|_| !unended.is_empty());
             taken.push(JobChange {
                 job: id,
                 number: job.changes,
                 expected_revision: job.progress_revision,
-                record: job.progress(),
+                record: ProgressRecord {
+                    unended,
+                    workspace: workspace.unwrap_or_default(),
+                    ..job.progress()
+                },
                 is_final: job.phase != Phase::Open,
             });
         }
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -22,6 +22,7 @@
     spec::FORMAT,
     JobId,
     JobSpec,
+    Resources,
     RunOutcome,
     Step,
     StepId,
@@ -406,6 +407,13 @@
         }
     }
 
+    /// Returns whether an earlier scheduler may have started tasks in a data centre; an
+    /// empty name stands for an unknown one.
+    pub(crate) fn may_run_on(&self, data_centre: &str) -> bool {
+        let is_home = |home| data_centre.is_empty() || home == data_centre;
+        self.bound_to().is_none_or(is_home)
+    }
+
     /// Returns whether a run started by an earlier scheduler may still be active on
     /// a worker whose status was not read yet. Such workers are in
     /// `unread_data_centres`; an empty name stands for a worker in an unknown data
@@ -437,6 +445,19 @@
             .is_some_and(|change| change > self.stored_changes)
     }
 
+    /// Returns the resources of all waiting tasks of the opened occurrences, which an
+    /// earlier scheduler may have started.
+    pub(crate) fn waiting_resources(&self) -> Resources {
+        let mut resources = Resources::default();
+        for occurrence in self.occurrences.values() {
+            for (step, state) in self.spec.steps.iter().zip(&occurrence.steps) {
+                let waiting = state.tasks.iter().filter(|task| task.is_waiting());
+                waiting.for_each(|_| resources.add(&step.counted_resources()));
+            }
+        }
+        resources
+    }
+
     /// Cancels the job if it is still open.
     pub(crate) fn cancel(&mut self) {
         if self.is_open() {
@@ -466,6 +487,9 @@
             done_occurrences,
             done_below,
             is_spread: self.spread_change.is_some(),
+            // The job does not know its workers by their identifiers.
+            unended: Vec::new(),
+            workspace: String::new(),
         }
     }
 
--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -47,6 +47,7 @@
         let mut job = Job::new(id, spec, self.token, now);
         if let Some((progress, revision)) = progress {
             job.restore(progress, revision);
+            self.restore_unended(id, progress);
         }
         self.add(job, now);
         Ok(())
@@ -72,6 +73,7 @@
         };
         let mut job = Job::new(id, Arc::new(spec), self.token, now);
         job.restore(progress, revision);
+        self.restore_unended(id, progress);
         self.add(job, now);
     }
 
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -39,6 +39,7 @@
 mod scheduler;
 mod spec;
 mod submissions;
+mod unended;
 mod validity;
 mod waves;
 mod worker;
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -43,6 +43,10 @@
             self.needs_plan = false;
             self.requeue_unknown_queues();
             self.unseen_usage = self.count_unseen(now);
+            for (workspace, resources) in self.count_unended(now) {
+                let unseen = self.unseen_usage.entry(workspace).or_default();
+                unseen.add(&resources);
+            }
             for pool in self.waiting_pools() {
                 let candidates = self.candidates_of(&pool, now);
                 if !candidates.list().is_empty() {
@@ -372,13 +376,8 @@
             let Some(workspace) = &job.spec.workspace else {
                 continue;
             };
-            for occurrence in job.occurrences.values() {
-                for (step, state) in job.spec.steps.iter().zip(&occurrence.steps) {
-                    let tasks = state.tasks.iter().filter(|task| task.is_waiting());
-                    let resources = unseen.entry(workspace.clone()).or_default();
-                    tasks.for_each(|_| resources.add(&step.counted_resources()));
-                }
-            }
+            let resources = unseen.entry(workspace.clone()).or_default();
+            resources.add(&job.waiting_resources());
         }
         unseen
     }
--- a/crates/dotterelsill_jobs/src/resources.rs
+++ b/crates/dotterelsill_jobs/src/resources.rs
@@ -43,6 +43,16 @@
         self.accelerators += other.accelerators;
     }
 
+    /// Returns the smaller of each two amounts.
+    #[must_use]
+    pub fn min(self, other: &Resources) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Subtracts other amounts; the results do not fall below zero.
     pub fn subtract(&mut self, other: &Resources) {
         self.cpu_milli = self.cpu_milli.saturating_sub(other.cpu_milli);
@@ -61,3 +71,13 @@
         .bounded()
     }
 }
+
+impl From<&Resources> for jobs::Room {
+    fn from(resources: &Resources) -> Self {
+        Self {
+            cpu_milli: resources.cpu_milli,
+            memory_mb: resources.memory_mb,
+            accelerators: resources.accelerators,
+        }
+    }
+}
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -22,6 +22,7 @@
     instance_orders::KnownInstance,
     job::Job,
     overload::Overload,
+    unended::Unended,
     waves::WaveState,
     worker::{
         Worker,
@@ -78,6 +79,8 @@
     pub(crate) usage: HashMap<String, Resources>,
     /// Resources that unseen runs of an earlier scheduler may use, by workspace.
     pub(crate) unseen_usage: HashMap<String, Resources>,
+    /// Runs of jobs that ended under earlier schedulers, which may go on.
+    pub(crate) unended: Vec<Unended>,
     pub(crate) orders: Vec<WorkerOrder>,
     /// Jobs whose progress must be stored.
     pub(crate) dirty: DirtyJobs,
@@ -143,6 +146,7 @@
             ready: BTreeMap::new(),
             usage: HashMap::new(),
             unseen_usage: HashMap::new(),
+            unended: Vec::new(),
             orders: Vec::new(),
             dirty: DirtyJobs::default(),
             unstored_since: HashMap::new(),
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -12,7 +12,9 @@
         Life,
         LIST_LAG, //
     },
+    JobId,
     Resources,
+    StepId,
     TaskId, //
 };
 
@@ -262,8 +264,19 @@
         Some(booked)
     }
 
+    /// Returns the booked runs of a job.
+    pub(crate) fn booked_of_job(&self, job: JobId) -> impl Iterator<Item = &BookedRun> {
+        let step = |number| StepId {
+            job,
+            occurrence: number,
+            step: number,
+        };
+        let tasks = step(0).task(0)..=step(u32::MAX).task(u32::MAX);
+        self.booked.range(tasks).map(|(_, booked)| booked)
+    }
+
     /// Returns the number of booked tasks of a step.
-    pub(crate) fn count_of_step(&self, step: crate::StepId) -> usize {
+    pub(crate) fn count_of_step(&self, step: StepId) -> usize {
         self.booked
             .range(step.task(0)..=step.task(u32::MAX))
             .count()
