Give attempts 64 bits, so that no two schedulers use the same numbers

Cause: 1,024 attempt numbers of a task are reserved for each fencing token, which is a revision of the store. From 4,194,304 tokens after the acceptance of a job on, the first number did not fit into 32 bits, and each scheduler began at 2,147,483,647: below the numbers used before, and the same as the next scheduler. 300 workers that report each 1.5 s pass that bound in 5.8 hours, and lasting jobs are open for longer.

Change: attempt numbers are u64 in memory and uint64 in the messages and records, which both versions read.

Tests that hold attempts follow the type.

Not known: whether a worker takes numbers above 32 bits, as the platform gives no bound.

--- a/crates/dotterelsill_jobs/examples/scheduler_cost.rs
+++ b/crates/dotterelsill_jobs/examples/scheduler_cost.rs
@@ -73,7 +73,7 @@
     Submit(u64),
     Plan,
     Answered(usize),
-    End(usize, TaskId, u32),
+    End(usize, TaskId, u64),
     Status(usize),
     Stored(usize),
     Write,
@@ -84,7 +84,7 @@
 
 #[derive(Default)]
 struct Worker {
-    running: BTreeMap<TaskId, u32>,
+    running: BTreeMap<TaskId, u64>,
     ended: Vec<ListedEnd>,
     next_end: u64,
     /// Time of the next status request, and whether the current one waits for an
--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -36,7 +36,7 @@
 /// The end of a run.
 pub(crate) struct RunEnd<'a> {
     pub(crate) task: TaskId,
-    pub(crate) attempt: u32,
+    pub(crate) attempt: u64,
     pub(crate) outcome: RunOutcome,
     pub(crate) checkpoint: &'a str,
     /// Why the run is given up if the worker reported no end.
@@ -96,7 +96,7 @@
         &mut self,
         key: WorkerKey,
         task: TaskId,
-        attempt: u32,
+        attempt: u64,
         evidence: Evidence,
         now: Duration,
     ) {
@@ -145,7 +145,7 @@
         &mut self,
         key: WorkerKey,
         task: TaskId,
-        attempt: u32,
+        attempt: u64,
         reason: GivenUpReason,
         now: Duration,
     ) {
@@ -401,7 +401,7 @@
         &mut self,
         key: WorkerKey,
         task: TaskId,
-        attempt: u32,
+        attempt: u64,
         answer: Answer,
         now: Duration,
     ) {
@@ -440,7 +440,7 @@
         }
     }
 
-    fn confirm(&mut self, key: WorkerKey, task: TaskId, attempt: u32, at: Option<Duration>) {
+    fn confirm(&mut self, key: WorkerKey, task: TaskId, attempt: u64, at: Option<Duration>) {
         let worker = self.workers.get_mut(&key);
         let booked = worker.and_then(|worker| worker.booked.get_mut(&task));
         if let Some(booked) = booked.filter(|booked| booked.attempt == attempt) {
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -301,7 +301,7 @@
             let late = (worker.granted_record(), now + MAX_ORDER_DELAY);
             self.late_orders.insert(worker.report.id.clone(), late);
         }
-        let runs: Vec<(TaskId, u32)> = worker
+        let runs: Vec<(TaskId, u64)> = worker
             .booked
             .iter()
             .map(|(task, booked)| (*task, booked.attempt))
--- a/crates/dotterelsill_jobs/src/given_up.rs
+++ b/crates/dotterelsill_jobs/src/given_up.rs
@@ -93,14 +93,14 @@
 /// Record of the runs that were given up.
 #[derive(Debug, Default)]
 pub(crate) struct GivenUpRuns {
-    runs: BTreeMap<(TaskId, u32), GivenUpRun>,
+    runs: BTreeMap<(TaskId, u64), GivenUpRun>,
     /// Keys of `runs`, the oldest first.
-    order: VecDeque<(TaskId, u32)>,
+    order: VecDeque<(TaskId, u64)>,
     counts: EndCounts,
 }
 
 impl GivenUpRuns {
-    fn add(&mut self, task: TaskId, attempt: u32, run: GivenUpRun) {
+    fn add(&mut self, task: TaskId, attempt: u64, run: GivenUpRun) {
         *self.counts.given_up.entry(run.reason).or_default() += 1;
         if self.runs.insert((task, attempt), run).is_some() {
             return;
@@ -114,7 +114,7 @@
     }
 
     /// Returns why a run was given up, if it was.
-    pub(crate) fn reason(&self, task: TaskId, attempt: u32) -> Option<GivenUpReason> {
+    pub(crate) fn reason(&self, task: TaskId, attempt: u64) -> Option<GivenUpReason> {
         self.runs.get(&(task, attempt)).map(|run| run.reason)
     }
 }
@@ -130,7 +130,7 @@
         &mut self,
         key: WorkerKey,
         task: TaskId,
-        attempt: u32,
+        attempt: u64,
         evidence: Evidence,
         now: Duration,
     ) {
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -30,8 +30,10 @@
 };
 
 /// Number of attempts of each task that are reserved per fencing token, so that
-/// two schedulers never assign the same attempt number to two runs of a task. One
-/// scheduler never starts a task that often.
+/// two schedulers never assign the same attempt number to two runs of a task. Tokens
+/// are revisions of the store, of which each worker's reports make one about each second;
+/// no task is started 1024 times between two of them. Attempts reach 2^53, the largest
+/// number that JSON carries exactly, after 2^43 revisions.
 const ATTEMPTS_PER_TOKEN: u64 = 1024;
 
 /// Number of waiting tasks of a job from which on no further occurrences are opened.
@@ -56,7 +58,7 @@
     /// Worker that executes the run.
     pub worker: WorkerKey,
     /// Attempt number, unique among all runs of the task.
-    pub attempt: u32,
+    pub attempt: u64,
     /// Lifecycle state.
     pub state: RunState,
     /// Time at which the start was ordered.
@@ -70,7 +72,7 @@
 /// The last known end of a run of a task.
 #[derive(Clone, Debug)]
 pub(crate) struct LastEnd {
-    pub(crate) attempt: u32,
+    pub(crate) attempt: u64,
     /// Identifier of the worker, which may be gone.
     pub(crate) worker: String,
     pub(crate) outcome: RunOutcome,
@@ -84,8 +86,8 @@
 pub(crate) struct Task {
     pub(crate) is_done: bool,
     pub(crate) runs: Vec<Run>,
-    pub(crate) next_attempt: u32,
-    pub(crate) failed_attempts: BTreeSet<u32>,
+    pub(crate) next_attempt: u64,
+    pub(crate) failed_attempts: BTreeSet<u64>,
     checkpoint: String,
     /// Worker on which the last run failed or made no progress; others are
     /// preferred.
@@ -148,7 +150,7 @@
     done_occurrences: DoneOccurrences,
     /// Number of the next occurrence to open once it is due.
     next_occurrence: u32,
-    first_attempt: u32,
+    first_attempt: u64,
     /// Number of changes of the progress so far, and number of the last stored one.
     pub(crate) changes: u64,
     pub(crate) stored_changes: u64,
@@ -165,7 +167,9 @@
     /// Creates a job without runs. `token` is the fencing token of this scheduler.
     pub(crate) fn new(id: JobId, spec: Arc<JobSpec>, token: u64, now: Duration) -> Self {
         let schedulers = token.saturating_sub(spec.accepted_token);
-        let first = schedulers.saturating_mul(ATTEMPTS_PER_TOKEN) + 1;
+        let first = schedulers
+            .saturating_mul(ATTEMPTS_PER_TOKEN)
+            .saturating_add(1);
         let critical_paths = spec.critical_paths();
         Self {
             id,
@@ -178,7 +182,7 @@
             occurrences: BTreeMap::new(),
             done_occurrences: DoneOccurrences::default(),
             next_occurrence: 0,
-            first_attempt: u32::try_from(first).unwrap_or(u32::MAX / 2),
+            first_attempt: first,
             changes: 0,
             stored_changes: 0,
             progress_revision: 0,
@@ -364,7 +368,7 @@
         &mut self,
         step: StepId,
         index: u32,
-        attempt: u32,
+        attempt: u64,
         max_attempts: u32,
     ) -> bool {
         if self.spec.steps[step.step as usize].is_lasting {
@@ -539,7 +543,7 @@
         if task.is_done {
             progress.done.push(index);
         }
-        let failed = |&attempt: &u32| FailedRun { index, attempt };
+        let failed = |&attempt: &u64| FailedRun { index, attempt };
         progress
             .failed
             .extend(task.failed_attempts.iter().map(failed));
--- a/crates/dotterelsill_jobs/src/order.rs
+++ b/crates/dotterelsill_jobs/src/order.rs
@@ -18,7 +18,7 @@
         /// Task to run.
         task: TaskId,
         /// Attempt number of the run.
-        attempt: u32,
+        attempt: u64,
         /// Description of the work, passed on unchanged.
         text: Arc<str>,
         /// Checkpoint to resume from; empty for none.
@@ -31,14 +31,14 @@
         /// Task of the run.
         task: TaskId,
         /// Attempt number of the run.
-        attempt: u32,
+        attempt: u64,
     },
     /// Limit the share of its work that a filler task may do.
     Pace {
         /// Task of the run.
         task: TaskId,
         /// Attempt number of the run.
-        attempt: u32,
+        attempt: u64,
         /// Share in percent; 0 pauses the task.
         percent: u32,
     },
@@ -46,7 +46,7 @@
 
 impl Order {
     /// Returns the task and the attempt number of the run.
-    pub fn run(&self) -> (TaskId, u32) {
+    pub fn run(&self) -> (TaskId, u64) {
         match self {
             Self::Start { task, attempt, .. }
             | Self::Stop { task, attempt }
@@ -91,7 +91,7 @@
     /// Task of the run.
     pub task: TaskId,
     /// Attempt number of the run.
-    pub attempt: u32,
+    pub attempt: u64,
     /// Latest checkpoint; empty for none.
     pub checkpoint: String,
     /// Progress in percent; for a long-running task, how far it is ready, with 100
@@ -127,7 +127,7 @@
     /// Task of the run.
     pub task: TaskId,
     /// Attempt number of the run.
-    pub attempt: u32,
+    pub attempt: u64,
     /// How the run ended.
     pub outcome: RunOutcome,
     /// Latest checkpoint; empty for none.
--- a/crates/dotterelsill_jobs/src/pace.rs
+++ b/crates/dotterelsill_jobs/src/pace.rs
@@ -53,7 +53,7 @@
             Some(u32::try_from(percent).unwrap_or(u32::MAX))
         };
         let worst_percent = worker.booked.values().filter_map(part).max().unwrap_or(0);
-        let mut paced: Vec<(TaskId, u32, u32)> = Vec::new();
+        let mut paced: Vec<(TaskId, u64, u32)> = Vec::new();
         for (task, booked) in &mut worker.booked {
             if !booked.is_filler || booked.confirmed_at.is_none() || booked.is_stopping {
                 continue;
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -401,7 +401,7 @@
             && is_within(cap.accelerators, used.accelerators, resources.accelerators)
     }
 
-    fn next_attempt(&mut self, id: StepId, index: u32) -> u32 {
+    fn next_attempt(&mut self, id: StepId, index: u32) -> u64 {
         let job = self.jobs.get_mut(&id.job);
         job.and_then(|job| job.task(id, index))
             .map_or(1, |task| task.next_attempt)
@@ -412,7 +412,7 @@
         &mut self,
         key: WorkerKey,
         task: TaskId,
-        attempt: u32,
+        attempt: u64,
         ticket: Arc<str>,
         now: Duration,
     ) {
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -244,7 +244,7 @@
     }
 
     /// Orders a run to stop. Its resources stay reserved until the end is reported.
-    pub(crate) fn stop(&mut self, key: WorkerKey, task: TaskId, attempt: u32) {
+    pub(crate) fn stop(&mut self, key: WorkerKey, task: TaskId, attempt: u64) {
         if let Some(run) = self.run_mut(key, task, attempt) {
             if run.state == RunState::Stopping {
                 return;
@@ -267,7 +267,7 @@
         &mut self,
         key: WorkerKey,
         task: TaskId,
-        attempt: u32,
+        attempt: u64,
     ) -> Option<&mut crate::Run> {
         let job = self.jobs.get_mut(&task.step.job)?;
         let state = job.task(task.step, task.index)?;
--- a/crates/dotterelsill_jobs/src/waves.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -347,8 +347,8 @@
     /// Returns the long-running tasks on a worker by step, except those being
     /// stopped. Tasks count even if they were not available in the last status,
     /// since they may be by now.
-    fn lasting_on(&self, key: WorkerKey) -> BTreeMap<StepId, Vec<(TaskId, u32)>> {
-        let mut here: BTreeMap<StepId, Vec<(TaskId, u32)>> = BTreeMap::new();
+    fn lasting_on(&self, key: WorkerKey) -> BTreeMap<StepId, Vec<(TaskId, u64)>> {
+        let mut here: BTreeMap<StepId, Vec<(TaskId, u64)>> = BTreeMap::new();
         for (task, booked) in &self.workers[&key].booked {
             if booked.is_lasting && !booked.is_stopping {
                 let tasks = here.entry(task.step).or_default();
@@ -373,7 +373,7 @@
 
     /// Returns whether the disruption budget of a step allows some of its tasks to
     /// end, given all others that are not known to be available.
-    fn has_disruption_budget(&self, id: StepId, ending: &[(TaskId, u32)]) -> bool {
+    fn has_disruption_budget(&self, id: StepId, ending: &[(TaskId, u64)]) -> bool {
         let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
             return true;
         };
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -43,7 +43,7 @@
 /// A run that occupies resources on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct BookedRun {
-    pub(crate) attempt: u32,
+    pub(crate) attempt: u64,
     pub(crate) resources: Resources,
     pub(crate) is_lasting: bool,
     pub(crate) is_filler: bool,
@@ -255,7 +255,7 @@
 
     /// Releases the resources of a run and returns it, unless another attempt of
     /// the task is booked.
-    pub(crate) fn release(&mut self, task: TaskId, attempt: u32) -> Option<BookedRun> {
+    pub(crate) fn release(&mut self, task: TaskId, attempt: u64) -> Option<BookedRun> {
         if self.booked.get(&task)?.attempt != attempt {
             return None;
         }
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -260,13 +260,13 @@
         let Some(worker) = self.workers.get(&key) else {
             return;
         };
-        let is_listed = |task: &TaskId, attempt: u32| {
+        let is_listed = |task: &TaskId, attempt: u64| {
             status
                 .running
                 .iter()
                 .any(|run| run.task == *task && run.attempt == attempt)
         };
-        let gone: Vec<(TaskId, u32)> = worker
+        let gone: Vec<(TaskId, u64)> = worker
             .booked
             .iter()
             .filter(|(_, booked)| booked.confirmed_at.is_some_and(|at| at < status.sent_at))
--- a/crates/dotterelsill_jobs/tests/common/mod.rs
+++ b/crates/dotterelsill_jobs/tests/common/mod.rs
@@ -168,7 +168,7 @@
     .task(index)
 }
 
-pub(crate) fn running(task: TaskId, attempt: u32, percent: u32) -> ListedRun {
+pub(crate) fn running(task: TaskId, attempt: u64, percent: u32) -> ListedRun {
     ListedRun {
         task,
         attempt,
@@ -178,7 +178,7 @@
     }
 }
 
-pub(crate) fn ended(number: u64, task: TaskId, attempt: u32, outcome: RunOutcome) -> ListedEnd {
+pub(crate) fn ended(number: u64, task: TaskId, attempt: u64, outcome: RunOutcome) -> ListedEnd {
     ListedEnd {
         number,
         task,
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -522,8 +522,7 @@
             scheduler.configure(Arc::default(), Arc::default());
         }
         let mut status = status_at(ms(now + 100));
-        let attempt = u32::try_from(number).expect("the number is small");
-        status.ended = vec![ended(number, task(1, 0, 0), attempt, RunOutcome::Failed)];
+        status.ended = vec![ended(number, task(1, 0, 0), number, RunOutcome::Failed)];
         scheduler.on_worker_status(key, &status, ms(now + 100));
     }
     scheduler.configure(configuration(), Arc::default());
--- a/crates/dotterelsill_jobs/tests/ends_search/rules.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/rules.rs
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 struct Started {
     worker: String,
-    attempt: u32,
+    attempt: u64,
     moment: u64,
 }
 
@@ -20,7 +20,7 @@
     moment: u64,
     starts: BTreeMap<TaskId, Vec<Started>>,
     /// Runs that ended `done` and whose ends were acknowledged.
-    noted: BTreeMap<TaskId, (String, u32)>,
+    noted: BTreeMap<TaskId, (String, u64)>,
     pub(crate) violation: Option<String>,
 }
 
@@ -52,7 +52,7 @@
         self.violation.get_or_insert(text);
     }
 
-    pub(crate) fn on_start(&mut self, worker: &str, task: TaskId, attempt: u32) {
+    pub(crate) fn on_start(&mut self, worker: &str, task: TaskId, attempt: u64) {
         let moment = self.next_moment();
         if let Some((done_on, done)) = self.noted.get(&task) {
             let text = format!(
@@ -68,7 +68,7 @@
     }
 
     /// Records that the end `done` of a run was acknowledged.
-    pub(crate) fn on_done_noted(&mut self, worker: &str, task: TaskId, attempt: u32, done_at: u64) {
+    pub(crate) fn on_done_noted(&mut self, worker: &str, task: TaskId, attempt: u64, done_at: u64) {
         let starts = self.starts.get(&task).map_or(&[][..], Vec::as_slice);
         if let Some(later) = starts.iter().find(|start| start.moment > done_at) {
             let text = format!(
--- a/crates/dotterelsill_jobs/tests/ends_search/worker.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/worker.rs
@@ -23,7 +23,7 @@
 /// An active run.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ActiveRun {
-    pub(crate) attempt: u32,
+    pub(crate) attempt: u64,
     pub(crate) ends_at_ms: u64,
     pub(crate) fails: bool,
     /// Time until which an ordered stop takes.
@@ -55,7 +55,7 @@
     ended: Vec<KeptEnd>,
     next_end: u64,
     /// Highest attempt of each task that was stopped or has ended.
-    highest_ended: BTreeMap<TaskId, u32>,
+    highest_ended: BTreeMap<TaskId, u64>,
     /// Number of the last end before the lease lapsed.
     lapsed_end: u64,
 }
--- a/crates/dotterelsill_jobs/tests/search/fleet.rs
+++ b/crates/dotterelsill_jobs/tests/search/fleet.rs
@@ -19,7 +19,7 @@
 /// An active run on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct ActiveRun {
-    pub(crate) attempt: u32,
+    pub(crate) attempt: u64,
     pub(crate) ends_at_ms: u64,
     pub(crate) fails: bool,
     pub(crate) resources: Resources,
@@ -41,14 +41,14 @@
     pub(crate) ended: Vec<ListedEnd>,
     pub(crate) next_end: u64,
     /// Highest attempt of each task that was stopped or has ended.
-    pub(crate) highest_ended: BTreeMap<TaskId, u32>,
+    pub(crate) highest_ended: BTreeMap<TaskId, u64>,
     /// Number of the last end before the lease lapsed. Ends up to this number are
     /// void, since the tasks may have been started elsewhere.
     pub(crate) lapsed_end: u64,
     /// Tasks that were completed on the worker in any of its incarnations.
     pub(crate) ever_done: BTreeSet<TaskId>,
     /// Ends that were acknowledged before the lease lapsed.
-    pub(crate) acknowledged: Vec<(TaskId, u32, RunOutcome)>,
+    pub(crate) acknowledged: Vec<(TaskId, u64, RunOutcome)>,
 }
 
 impl Worker {
--- a/crates/dotterelsill_jobs/tests/search/world.rs
+++ b/crates/dotterelsill_jobs/tests/search/world.rs
@@ -112,7 +112,7 @@
     next_job: u64,
     specs: BTreeMap<JobId, JobSpec>,
     /// Tasks whose end `done` was acknowledged.
-    done: BTreeMap<TaskId, u32>,
+    done: BTreeMap<TaskId, u64>,
     failed: BTreeMap<TaskId, u32>,
 }
 
