--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -23,6 +23,7 @@
     tasks::Tasks,
     JobId,
     JobSpec,
+    Resources,
     RunOutcome,
     Step,
     StepId,
@@ -30,8 +31,10 @@
 };
 
 /// Number of attempts of each task that are reserved per fencing token, so that
-/// two schedulers never assign the same attempt number to two runs of a task. One
-/// scheduler never starts a task that often.
+/// two schedulers never assign the same attempt number to two runs of a task. Tokens
+/// are revisions of the store, of which each worker's reports make one about each second;
+/// no task is started 1024 times between two of them. Attempts reach 2^53, the largest
+/// number that JSON carries exactly, after 2^43 revisions.
 const ATTEMPTS_PER_TOKEN: u64 = 1024;
 
 /// Number of waiting tasks of a job from which on no further occurrences are opened.
@@ -56,7 +59,7 @@
     /// Worker that executes the run.
     pub worker: WorkerKey,
     /// Attempt number, unique among all runs of the task.
-    pub attempt: u32,
+    pub attempt: u64,
     /// Lifecycle state.
     pub state: RunState,
     /// Time at which the start was ordered.
@@ -70,7 +73,7 @@
 /// The last known end of a run of a task.
 #[derive(Clone, Debug)]
 pub(crate) struct LastEnd {
-    pub(crate) attempt: u32,
+    pub(crate) attempt: u64,
     /// Identifier of the worker, which may be gone.
     pub(crate) worker: String,
     pub(crate) outcome: RunOutcome,
@@ -84,8 +87,8 @@
 pub(crate) struct Task {
     pub(crate) is_done: bool,
     pub(crate) runs: Vec<Run>,
-    pub(crate) next_attempt: u32,
-    pub(crate) failed_attempts: BTreeSet<u32>,
+    pub(crate) next_attempt: u64,
+    pub(crate) failed_attempts: BTreeSet<u64>,
     checkpoint: String,
     /// Worker on which the last run failed or made no progress; others are
     /// preferred.
@@ -166,7 +169,9 @@
     /// Creates a job without runs. `token` is the fencing token of this scheduler.
     pub(crate) fn new(id: JobId, spec: Arc<JobSpec>, token: u64, now: Duration) -> Self {
         let schedulers = token.saturating_sub(spec.accepted_token);
-        let first = schedulers.saturating_mul(ATTEMPTS_PER_TOKEN) + 1;
+        let first = schedulers
+            .saturating_mul(ATTEMPTS_PER_TOKEN)
+            .saturating_add(1);
         let critical_paths = spec.critical_paths();
         Self {
             id,
@@ -180,7 +185,7 @@
             done_occurrences: DoneOccurrences::default(),
             next_occurrence: 0,
             unchanged_task: Arc::new(Task {
-                next_attempt: u32::try_from(first).unwrap_or(u32::MAX / 2),
+                next_attempt: first,
                 ..Task::default()
             }),
             changes: 0,
@@ -377,7 +382,7 @@
         &mut self,
         step: StepId,
         index: u32,
-        attempt: u32,
+        attempt: u64,
         max_attempts: u32,
     ) -> bool {
         if self.spec.steps[step.step as usize].is_lasting {
@@ -420,6 +425,13 @@
         }
     }
 
+    /// Returns whether an earlier scheduler may have started tasks in a data centre; an
+    /// empty name stands for an unknown one.
+    pub(crate) fn may_run_on(&self, data_centre: &str) -> bool {
+        let is_home = |home| data_centre.is_empty() || home == data_centre;
+        self.bound_to().is_none_or(is_home)
+    }
+
     /// Returns whether a run started by an earlier scheduler may still be active on
     /// a worker whose status was not read yet. Such workers are in
     /// `unread_data_centres`; an empty name stands for a worker in an unknown data
@@ -451,6 +463,18 @@
             .is_some_and(|change| change > self.stored_changes)
     }
 
+    /// Returns the resources of all waiting tasks of the opened occurrences, which an
+    /// earlier scheduler may have started.
+    pub(crate) fn waiting_resources(&self) -> Resources {
+        let mut resources = Resources::default();
+        for occurrence in self.occurrences.values() {
+            for (step, state) in self.spec.steps.iter().zip(&occurrence.steps) {
+                resources.add(&step.counted_resources().times(state.tasks.waiting()));
+            }
+        }
+        resources
+    }
+
     /// Cancels the job if it is still open.
     pub(crate) fn cancel(&mut self) {
         if self.is_open() {
@@ -480,6 +504,9 @@
             done_occurrences,
             done_below,
             is_spread: self.spread_change.is_some(),
+            // The job does not know its workers by their identifiers.
+            unended: Vec::new(),
+            workspace: String::new(),
         }
     }
 
@@ -530,7 +557,7 @@
         if task.is_done {
             progress.done.push(index);
         }
-        let failed = |&attempt: &u32| FailedRun { index, attempt };
+        let failed = |&attempt: &u64| FailedRun { index, attempt };
         progress
             .failed
             .extend(task.failed_attempts.iter().map(failed));
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -41,6 +41,7 @@
 mod spec;
 mod submissions;
 mod tasks;
+mod unended;
 mod validity;
 mod waves;
 mod worker;
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -43,6 +43,10 @@
             self.needs_plan = false;
             self.requeue_unknown_queues();
             self.unseen_usage = self.count_unseen(now);
+            for (workspace, resources) in self.count_unended(now) {
+                let unseen = self.unseen_usage.entry(workspace).or_default();
+                unseen.add(&resources);
+            }
             for pool in self.waiting_pools() {
                 let candidates = self.candidates_of(&pool, now);
                 if !candidates.list().is_empty() {
@@ -373,12 +377,8 @@
             let Some(workspace) = &job.spec.workspace else {
                 continue;
             };
-            for occurrence in job.occurrences.values() {
-                for (step, state) in job.spec.steps.iter().zip(&occurrence.steps) {
-                    let resources = unseen.entry(workspace.clone()).or_default();
-                    resources.add(&step.counted_resources().times(state.tasks.waiting()));
-                }
-            }
+            let resources = unseen.entry(workspace.clone()).or_default();
+            resources.add(&job.waiting_resources());
         }
         unseen
     }
@@ -402,7 +402,7 @@
             && is_within(cap.accelerators, used.accelerators, resources.accelerators)
     }
 
-    fn next_attempt(&mut self, id: StepId, index: u32) -> u32 {
+    fn next_attempt(&mut self, id: StepId, index: u32) -> u64 {
         let job = self.jobs.get_mut(&id.job);
         job.and_then(|job| job.task(id, index))
             .map_or(1, |task| task.next_attempt)
@@ -413,7 +413,7 @@
         &mut self,
         key: WorkerKey,
         task: TaskId,
-        attempt: u32,
+        attempt: u64,
         ticket: Arc<str>,
         now: Duration,
     ) {
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -23,6 +23,7 @@
     job::Job,
     job_memory::JobMemory,
     overload::Overload,
+    unended::Unended,
     waves::WaveState,
     worker::{
         Worker,
@@ -83,6 +84,8 @@
     pub(crate) usage: HashMap<String, Resources>,
     /// Resources that unseen runs of an earlier scheduler may use, by workspace.
     pub(crate) unseen_usage: HashMap<String, Resources>,
+    /// Runs of jobs that ended under earlier schedulers, which may go on.
+    pub(crate) unended: Vec<Unended>,
     pub(crate) orders: Vec<WorkerOrder>,
     /// Jobs whose progress must be stored.
     pub(crate) dirty: DirtyJobs,
@@ -149,6 +152,7 @@
             ready: BTreeMap::new(),
             usage: HashMap::new(),
             unseen_usage: HashMap::new(),
+            unended: Vec::new(),
             orders: Vec::new(),
             dirty: DirtyJobs::default(),
             unstored_since: HashMap::new(),
@@ -246,7 +250,7 @@
     }
 
     /// Orders a run to stop. Its resources stay reserved until the end is reported.
-    pub(crate) fn stop(&mut self, key: WorkerKey, task: TaskId, attempt: u32) {
+    pub(crate) fn stop(&mut self, key: WorkerKey, task: TaskId, attempt: u64) {
         if let Some(run) = self.run_mut(key, task, attempt) {
             if run.state == RunState::Stopping {
                 return;
@@ -269,7 +273,7 @@
         &mut self,
         key: WorkerKey,
         task: TaskId,
-        attempt: u32,
+        attempt: u64,
     ) -> Option<&mut crate::Run> {
         let job = self.jobs.get_mut(&task.step.job)?;
         let state = job.task(task.step, task.index)?;
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -12,7 +12,9 @@
         Life,
         LIST_LAG, //
     },
+    JobId,
     Resources,
+    StepId,
     TaskId, //
 };
 
@@ -41,7 +43,7 @@
 /// A run that occupies resources on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct BookedRun {
-    pub(crate) attempt: u32,
+    pub(crate) attempt: u64,
     pub(crate) resources: Resources,
     pub(crate) is_lasting: bool,
     pub(crate) is_filler: bool,
@@ -253,7 +255,7 @@
 
     /// Releases the resources of a run and returns it, unless another attempt of
     /// the task is booked.
-    pub(crate) fn release(&mut self, task: TaskId, attempt: u32) -> Option<BookedRun> {
+    pub(crate) fn release(&mut self, task: TaskId, attempt: u64) -> Option<BookedRun> {
         if self.booked.get(&task)?.attempt != attempt {
             return None;
         }
@@ -262,8 +264,19 @@
         Some(booked)
     }
 
+    /// Returns the booked runs of a job.
+    pub(crate) fn booked_of_job(&self, job: JobId) -> impl Iterator<Item = &BookedRun> {
+        let step = |number| StepId {
+            job,
+            occurrence: number,
+            step: number,
+        };
+        let tasks = step(0).task(0)..=step(u32::MAX).task(u32::MAX);
+        self.booked.range(tasks).map(|(_, booked)| booked)
+    }
+
     /// Returns the number of booked tasks of a step.
-    pub(crate) fn count_of_step(&self, step: crate::StepId) -> usize {
+    pub(crate) fn count_of_step(&self, step: StepId) -> usize {
         self.booked
             .range(step.task(0)..=step.task(u32::MAX))
             .count()
