Withdraw starts that what is in force no longer allows

Cause: a start may wait for a worker that does not answer. Right before each try, may_send asked only what empties the worker, and whether the run is still wanted. A start was so sent after the operator had led the queue to another pool or removed it, lowered the tenant's limit, or lowered the number of attempts to that of the runs that had failed. A start of a cancelled job that was never sent kept its share of the tenant's limit until a stop and a status had settled it, or the lease had lapsed.

Change: may_send, in a file of its own, asks again what the plan has asked: emptied worker, queue and pool, limit, task done, attempts, authority. Every sender asks it: hand_out, the loops, repetitions. A start that was never sent is withdrawn at once, also if it is to be stopped; one that was sent without an answer is stopped, as before. Possible runs on unread workers do not count against one that was sent. The line start_withdrawn has the reason. A withdrawal in hand_out asks for the next plan.

--- a/crates/dotterelsill_jobs/examples/scheduler_cost.rs
+++ b/crates/dotterelsill_jobs/examples/scheduler_cost.rs
@@ -402,8 +402,8 @@
         let key = worker_order.worker;
         let index = self.index_of[&key];
         let scheduler = &mut self.scheduler;
-        self.costs.time("is_wanted", || {
-            scheduler.is_wanted(key, &worker_order.order)
+        self.costs.time("may_send", || {
+            scheduler.may_send(key, &worker_order.order, false, now)
         });
         self.costs.time("start_lease_end", || {
             scheduler.start_lease_end(key, true, now);
--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -11,8 +11,6 @@
         LastEnd,
         RunState, //
     },
-    placement::may_be_sent_starts,
-    worker::BookedRun,
     Answer,
     Order,
     RunOutcome,
@@ -141,7 +139,7 @@
     }
 
     /// Gives up a run that the worker did not start.
-    fn lapse_start(
+    pub(crate) fn lapse_start(
         &mut self,
         key: WorkerKey,
         task: TaskId,
@@ -301,60 +299,6 @@
         }
     }
 
-    /// Returns whether an order still has to be sent.
-    pub fn is_wanted(&self, key: WorkerKey, order: &Order) -> bool {
-        let (task, attempt) = order.run();
-        let Some(worker) = self.workers.get(&key) else {
-            return false;
-        };
-        let booked = worker
-            .booked
-            .get(&task)
-            .filter(|booked| booked.attempt == attempt);
-        match order {
-            Order::Start { .. } => booked.is_some_and(|booked| !booked.is_stopping),
-            Order::Stop { .. } => booked.is_some() || worker.booked.contains_key(&task),
-            Order::Pace { percent, .. } => {
-                booked.is_some_and(|booked| booked.pace_percent == *percent)
-            }
-        }
-    }
-
-    /// Returns whether an order may be sent now. A start that may not is withdrawn, so
-    /// that its task waits again: at once if the start was never sent, and otherwise once
-    /// a stop has settled that the worker does not run it. Each sender asks this right
-    /// before each try.
-    pub fn may_send(
-        &mut self,
-        key: WorkerKey,
-        order: &Order,
-        may_come_late: bool,
-        now: Duration,
-    ) -> bool {
-        if !self.is_wanted(key, order) {
-            return false;
-        }
-        let Order::Start { task, attempt, .. } = order else {
-            return true;
-        };
-        let worker = &self.workers[&key];
-        // A start that may come late was sent with authority before.
-        let is_certain = |booked: &BookedRun| !booked.needs_authority || self.has_authority;
-        let is_certain = may_come_late || worker.booked.get(task).is_some_and(is_certain);
-        if is_certain && may_be_sent_starts(worker, &self.operator_requests, now) {
-            return true;
-        }
-        log::info!(
-            task:%, attempt, worker = worker.report.id, may_come_late; "start_withdrawn"
-        );
-        if may_come_late {
-            self.stop(key, *task, *attempt);
-        } else {
-            self.lapse_start(key, *task, *attempt, GivenUpReason::StartWithdrawn, now);
-        }
-        false
-    }
-
     /// Handles the response of the worker itself to an order; returns whether the order
     /// must be sent again. [`Self::on_other_worker`] handles that of another worker.
     /// `may_come_late` is set if an earlier attempt got no response and may still be
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -28,6 +28,7 @@
 mod job;
 mod job_life;
 mod life;
+mod may_send;
 mod moves;
 mod order;
 mod overload;
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -388,13 +388,18 @@
         let Some(name) = workspace else {
             return true;
         };
+        let mut used = self.usage.get(name).copied().unwrap_or_default();
+        used.add(&self.unseen_usage.get(name).copied().unwrap_or_default());
+        self.is_below_cap(name, &used, resources)
+    }
+
+    /// Returns whether a workspace that uses some resources may use additional ones.
+    pub(crate) fn is_below_cap(&self, name: &str, used: &Resources, resources: &Resources) -> bool {
         let Some(workspace) = self.configuration.workspaces.get(name) else {
             // The workspace was removed from the configuration; jobs that it
             // submitted before still run.
             return true;
         };
-        let mut used = self.usage.get(name).copied().unwrap_or_default();
-        used.add(&self.unseen_usage.get(name).copied().unwrap_or_default());
         let is_within = |cap: u64, used: u64, resources: u64| cap == 0 || used + resources <= cap;
         let cap = &workspace.cap;
         is_within(cap.cpu_milli, used.cpu_milli, resources.cpu_milli)
--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -246,6 +246,8 @@
                 (may_extend, &order, dispatchers.order_route(worker))
             {
                 if !scheduler.may_send(worker, &order, false, now) {
+                    // The task of a start that was withdrawn waits for the next plan.
+                    self.plan_wanted.set();
                     continue;
                 }
                 if let Some(lease_end_ms) = scheduler.start_lease_end(worker, may_extend, now) {
