Send a start only to the life of a worker that it was decided for

Cause: with authority, a start was not bound to a life. A run that the next life had listed was still taken for one of the life before, so that its end needed authority.

Change: may_send compares the life that a start was booked for with the present one. A start that was never sent is withdrawn as soon as the restart is known. One without an answer is neither repeated nor stopped until the status of the next life is read; if that lists the run, it is a run of that life from then on and goes on, otherwise a stop settles it.

Evidence: the four tests of tests/starts_of_lives.rs fail on: may_send allows the start for the next life, unsent or repeated (three), and the end of a run that the next life had listed starts no task without authority (one).

--- a/crates/dotterelsill_jobs/src/may_send.rs
+++ b/crates/dotterelsill_jobs/src/may_send.rs
@@ -102,6 +102,12 @@
         if booked.needs_authority && !self.has_authority && !may_come_late {
             return Some("no_authority");
         }
+        // One that was sent before may have reached the present life, whose status shows
+        // it. Until that is read, the start is not repeated either.
+        let is_for_other_life = booked.life_since != worker.life.since;
+        if is_for_other_life && (!may_come_late || worker.life.is_known) {
+            return Some("other_life");
+        }
         if !may_be_sent_starts(worker, &self.operator_requests, now) {
             return Some("worker_is_emptied");
         }
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -54,7 +54,8 @@
     pub(crate) confirmed_at: Option<Duration>,
     /// Whether a stop was ordered and the end is not reported yet.
     pub(crate) is_stopping: bool,
-    /// Time at which the scheduler learned of the life that the run was booked for.
+    /// Time at which the scheduler learned of the life that the run was booked for, or
+    /// that has listed it.
     pub(crate) life_since: Duration,
     /// Whether the start may be sent only with authority.
     pub(crate) needs_authority: bool,
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -130,14 +130,15 @@
     /// Handles an active run; returns whether this scheduler has adopted it.
     fn note_listed_run(&mut self, key: WorkerKey, listed: &ListedRun, now: Duration) -> bool {
         let task = listed.task;
-        let booked = self
-            .workers
-            .get_mut(&key)
-            .and_then(|worker| worker.booked.get_mut(&task))
-            .filter(|booked| booked.attempt == listed.attempt);
-        let Some(booked) = booked else {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return false;
+        };
+        let booked = worker.booked.get_mut(&task);
+        let Some(booked) = booked.filter(|booked| booked.attempt == listed.attempt) else {
             return self.adopt_run(key, listed, now);
         };
+        // A start for the life before may have reached the present one.
+        booked.life_since = worker.life.since;
         if booked.target.is_some() {
             booked.tail_latency = Duration::from_millis(listed.measure);
         }
--- /dev/null
+++ b/crates/dotterelsill_jobs/tests/starts_of_lives.rs
@@ -0,0 +1,140 @@
+//! Starts that were decided for one life of a worker, and that the next life must not
+//! carry out unseen.
+
+mod common;
+
+use common::{
+    add_worker,
+    confirm,
+    ms,
+    record,
+    report,
+    running,
+    scheduler,
+    starts,
+    status_at,
+    step,
+    submit,
+    task, //
+};
+use dotterelsill_jobs::{
+    Answer,
+    ListedRun,
+    Order,
+    Scheduler,
+    WorkerKey,
+    WorkerOrder,
+    WorkerReport,
+    WorkerStatus, //
+};
+
+/// Returns a scheduler with a start that was decided for the first life of its only
+/// worker, which is silent.
+fn with_waiting_start() -> (Scheduler, WorkerKey, Order) {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    let job = record("urgent", 7, vec![step(1, 1000)]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    let orders = scheduler.plan(ms(1010));
+    assert_eq!(starts(&orders), [(task(1, 0, 0), key)]);
+    scheduler.on_silence(key, ms(1020));
+    (scheduler, key, orders[0].order.clone())
+}
+
+fn register_second_life(scheduler: &mut Scheduler) {
+    let restarted = WorkerReport {
+        started_unix_ms: 2,
+        ..report(0, "dc")
+    };
+    scheduler.on_report(restarted, ms(1050));
+}
+
+fn read_second_life(scheduler: &mut Scheduler, key: WorkerKey, at_ms: u64, runs: Vec<ListedRun>) {
+    let status = WorkerStatus {
+        started_unix_ms: 2,
+        running: runs,
+        ..status_at(ms(at_ms))
+    };
+    scheduler.on_worker_status(key, &status, ms(at_ms));
+}
+
+/// Guards against a start that waits for a silent worker and is sent to its next life,
+/// for which it was not decided: that may be of another kind or rack, and its lease is
+/// counted by the clock of the life before.
+#[test]
+fn start_that_was_not_sent_is_decided_again_for_the_next_life() {
+    for is_registered in [true, false] {
+        let (mut scheduler, key, start) = with_waiting_start();
+        if is_registered {
+            register_second_life(&mut scheduler);
+        } else {
+            read_second_life(&mut scheduler, key, 1100, vec![]);
+        }
+        assert!(!scheduler.may_send(key, &start, false, ms(1110)));
+        if is_registered {
+            assert_eq!(starts(&scheduler.plan(ms(1120))), [], "it was not read yet");
+            read_second_life(&mut scheduler, key, 1130, vec![]);
+        }
+        let orders = scheduler.plan(ms(1140));
+        assert_eq!(starts(&orders), [(task(1, 0, 0), key)]);
+        assert!(scheduler.may_send(key, &orders[0].order, false, ms(1150)));
+        assert!(scheduler.start_lease_end(key, true, ms(1150)).is_some());
+    }
+}
+
+/// Guards against a start without an answer that is repeated to the next life, which
+/// would run it beside a call that is still under way. It waits for the status of that
+/// life, and a stop settles it if it is not listed.
+#[test]
+fn start_without_answer_is_not_repeated_to_the_next_life() {
+    let (mut scheduler, key, start) = with_waiting_start();
+    register_second_life(&mut scheduler);
+    assert!(scheduler.may_send(key, &start, true, ms(1060)));
+    assert_eq!(scheduler.start_lease_end(key, true, ms(1060)), None);
+    read_second_life(&mut scheduler, key, 1100, vec![]);
+    assert!(!scheduler.may_send(key, &start, true, ms(1110)));
+    let stops = scheduler.plan(ms(1120));
+    let (task, attempt) = start.run();
+    let expected = WorkerOrder {
+        worker: key,
+        order: Order::Stop { task, attempt },
+    };
+    assert_eq!(stops, [expected]);
+    scheduler.on_answer(key, &stops[0].order, Answer::Done, false, ms(1130));
+    read_second_life(&mut scheduler, key, 1200, vec![]);
+    assert_eq!(starts(&scheduler.plan(ms(1210))), [(task, key)]);
+}
+
+/// Guards against a run that is stopped or started again although the next life lists it:
+/// the start without an answer has reached that life.
+#[test]
+fn start_that_reached_the_next_life_goes_on() {
+    let (mut scheduler, key, start) = with_waiting_start();
+    let listed = || vec![running(task(1, 0, 0), 1, 10)];
+    read_second_life(&mut scheduler, key, 1100, listed());
+    assert!(scheduler.may_send(key, &start, true, ms(1110)));
+    assert!(scheduler.plan(ms(1120)).is_empty());
+    scheduler.on_answer(key, &start, Answer::Done, true, ms(1130));
+    read_second_life(&mut scheduler, key, 1200, listed());
+    scheduler.expire_leases(ms(1250));
+    assert!(scheduler.plan(ms(1260)).is_empty());
+    // The run is that of the second life, which shows that it has ended.
+    scheduler.set_authority(false);
+    read_second_life(&mut scheduler, key, 1300, vec![]);
+    assert_eq!(starts(&scheduler.plan(ms(1310))), [(task(1, 0, 0), key)]);
+}
+
+/// Guards against starts on the next life that are taken for those of the life before, and
+/// withdrawn.
+#[test]
+fn starts_for_the_present_life_are_sent() {
+    let (mut scheduler, key, start) = with_waiting_start();
+    read_second_life(&mut scheduler, key, 1100, vec![]);
+    assert!(!scheduler.may_send(key, &start, false, ms(1110)));
+    let orders = scheduler.plan(ms(1120));
+    assert!(scheduler.may_send(key, &orders[0].order, false, ms(1130)));
+    scheduler.on_silence(key, ms(1140));
+    read_second_life(&mut scheduler, key, 1200, vec![]);
+    assert!(scheduler.may_send(key, &orders[0].order, true, ms(1210)));
+    confirm(&mut scheduler, &orders, ms(1220));
+}
