Stop a gang when one of its members is not started

Cause: a start that is withdrawn, or refused by its worker, leaves the other members of the gang as they are. They wait for it and end `alone`, and only then does the gang start again.

Change: the other members of that attempt are stopped, or withdrawn if they were not sent yet.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -148,6 +148,30 @@
         now: Duration,
     ) {
         self.lapse_run(key, task, attempt, Evidence { reason, at: now }, now);
+        self.stop_rest_of_gang(task, attempt);
+    }
+
+    /// Stops the other members of a gang of which one is not started: they would wait for
+    /// it until the worker ends them.
+    pub(crate) fn stop_rest_of_gang(&mut self, task: TaskId, attempt: u32) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let step = job.spec.steps.get(task.step.step as usize);
+        if !step.is_some_and(|step| step.is_gang) {
+            return;
+        }
+        let mut others = Vec::new();
+        if let Some(step) = job.step(task.step) {
+            for (index, state) in step.tasks.iter().enumerate() {
+                let other = task.step.task(index as u32);
+                let members = state.runs.iter().filter(|run| run.attempt == attempt);
+                others.extend(members.map(|run| (run.worker, other)));
+            }
+        }
+        for (worker, other) in others.into_iter().filter(|(_, other)| *other != task) {
+            self.stop(worker, other, attempt);
+        }
     }
 
     /// Records the end of a run for the log line of the task's next start.
--- a/crates/dotterelsill_jobs/src/may_send.rs
+++ b/crates/dotterelsill_jobs/src/may_send.rs
@@ -82,6 +82,7 @@
         );
         if may_come_late {
             self.stop(key, *task, *attempt);
+            self.stop_rest_of_gang(*task, *attempt);
         } else {
             self.lapse_start(key, *task, *attempt, GivenUpReason::StartWithdrawn, now);
         }
--- a/crates/dotterelsill_jobs/tests/starts_in_force.rs
+++ b/crates/dotterelsill_jobs/tests/starts_in_force.rs
@@ -1,8 +1,12 @@
 //! Starts that waited since they were decided, and that what has changed since forbids.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use dotterelsill_jobs::{
+    Answer,
     Configuration,
     JobId,
     Order,
@@ -13,6 +17,7 @@
     Workspace, //
 };
 use dotterelsill_proto::jobs::{
+    self,
     JobRecord,
     Phase, //
 };
@@ -199,3 +204,85 @@
     let change = scheduler.take_changes(1).remove(0);
     assert_eq!(change.record.phase(), Phase::Failed);
 }
+
+/// Starts a gang of two on two workers, and returns the starts.
+fn with_gang() -> (Scheduler, Vec<WorkerOrder>) {
+    let mut scheduler = scheduler(7, ms(1000));
+    for index in [0, 1] {
+        add_worker(&mut scheduler, index, ms(1000));
+    }
+    let gang = jobs::Step {
+        is_gang: true,
+        max_per_worker: 1,
+        ..step(2, 1000)
+    };
+    let job = record("urgent", 7, vec![gang]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    let orders = scheduler.plan(ms(1010));
+    assert_eq!(starts(&orders).len(), 2);
+    (scheduler, orders)
+}
+
+/// Checks that the gang starts whole again, once its running member is stopped.
+fn assert_gang_starts_again(scheduler: &mut Scheduler, runs: Option<&WorkerOrder>, now: Duration) {
+    let mut orders = scheduler.plan(now);
+    if let Some(start) = runs {
+        let (task, attempt) = start.order.run();
+        let stop = Order::Stop { task, attempt };
+        let expected = WorkerOrder {
+            worker: start.worker,
+            order: stop.clone(),
+        };
+        assert_eq!(orders, [expected], "the other member is stopped");
+        scheduler.on_answer(start.worker, &stop, Answer::Done, false, now + ms(10));
+        let mut status = status_at(now + ms(100));
+        status.ended = vec![ended(1, task, attempt, RunOutcome::Stopped)];
+        scheduler.on_worker_status(start.worker, &status, now + ms(100));
+        scheduler.replan();
+        orders = scheduler.plan(now + ms(1000));
+    }
+    assert_eq!(starts(&orders).len(), 2, "{orders:?}");
+}
+
+/// Guards against a member of a gang that waits alone for one whose start was withdrawn.
+#[test]
+fn gang_is_stopped_when_the_start_of_a_member_is_withdrawn() {
+    for is_other_sent in [false, true] {
+        let (mut scheduler, orders) = with_gang();
+        let [first, second] = orders.as_slice() else {
+            panic!("the gang has two members");
+        };
+        if is_other_sent {
+            confirm(&mut scheduler, std::slice::from_ref(second), ms(1020));
+        }
+        let mut draining = report(usize::from(first.worker.0 == 1), "dc");
+        draining.is_draining = true;
+        scheduler.on_report(draining.clone(), ms(1030));
+        assert!(!scheduler.may_send(first.worker, &first.order, false, ms(1040)));
+        if !is_other_sent {
+            assert!(!scheduler.may_send(second.worker, &second.order, false, ms(1040)));
+        }
+        add_worker(&mut scheduler, 2, ms(1050));
+        let runs = is_other_sent.then_some(second);
+        assert_gang_starts_again(&mut scheduler, runs, ms(1060));
+    }
+}
+
+/// Guards against the same when the worker refuses the start of a member.
+#[test]
+fn gang_is_stopped_when_the_start_of_a_member_is_refused() {
+    let (mut scheduler, orders) = with_gang();
+    let [first, second] = orders.as_slice() else {
+        panic!("the gang has two members");
+    };
+    confirm(&mut scheduler, std::slice::from_ref(second), ms(1020));
+    scheduler.on_answer(
+        first.worker,
+        &first.order,
+        Answer::Unhealthy,
+        false,
+        ms(1030),
+    );
+    add_worker(&mut scheduler, 2, ms(1050));
+    assert_gang_starts_again(&mut scheduler, Some(second), ms(1060));
+}
