Believe no list after a maintenance that was requested before the last answer

Cause: after an order for maintenance was answered as done, the next list that was requested later ended the worker if it did not show it, whatever the worker had answered since. A list shows changes up to 1.5 s late. If the maintenance had been carried out before, the runs of a worker that goes on were started elsewhere beside it.

Change: settle_ended_workers asks what the other lists are asked (is_shown_by_list): requested more than 1.5 s after the last answer, or after it if calls go unanswered since. A worker that was maintained breaks its connections and is silent, so its end is believed as soon as before.

Evidence: late_list_after_a_maintenance_order_ends_no_worker_that_answered_since fails on: the list requested at 4400 ms, before the answer at 4500 ms, starts the task on another worker. It passes now, with the tests of the files decisions, moves, orders_search, lives, facts_of_other_lives, ends_of_lives and search of dotterelsill_jobs (67, debug).

--- a/crates/dotterelsill_jobs/src/instance_orders.rs
+++ b/crates/dotterelsill_jobs/src/instance_orders.rs
@@ -109,7 +109,9 @@
                 continue;
             }
             let goes_on = entry.state == InstanceState::Up && entry.worker == worker.report.id;
-            if !goes_on {
+            if !goes_on && !worker.is_shown_by_list(requested_at) {
+                log::info!(instance = entry.name, worker = worker.report.id; "outdated_list_ignored");
+            } else if !goes_on {
                 known.may_have_ended = None;
                 let evidence = Evidence {
                     reason: GivenUpReason::EndedByList,
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -859,3 +859,27 @@
         assert_eq!(starts(&scheduler.plan(ms(4060))).len(), 1, "{state:?}");
     }
 }
+
+/// Guards against a worker that goes on after a maintenance order, and whose runs are
+/// started elsewhere for a list of instances that was requested before its last answer, or
+/// so soon after that it may show what was so before.
+#[test]
+fn late_list_after_a_maintenance_order_ends_no_worker_that_answered_since() {
+    let (mut scheduler, index) = with_maintenance_done();
+    let (key, _) = scheduler.on_report(report(index, "dc"), ms(4020));
+    let mut status = status_at(ms(4500));
+    status.running = vec![running(task(1, 0, index as u32), 1, 100)];
+    scheduler.on_worker_status(key, &status, ms(4500));
+    let orders = scheduler.plan(ms(4510));
+    assert!(orders.is_empty(), "{orders:?}");
+    let mut list = all_up();
+    list[index].state = InstanceState::Maintenance;
+    list[index].worker.clear();
+    for requested_at in [4400, 5900] {
+        scheduler.on_instances(list.clone(), ms(requested_at), ms(requested_at + 200));
+        let orders = scheduler.plan(ms(requested_at + 210));
+        assert_eq!(starts(&orders), [], "requested at {requested_at} ms");
+    }
+    scheduler.on_instances(list, ms(6100), ms(6110));
+    assert_eq!(starts(&scheduler.plan(ms(6120))).len(), 1);
+}
