End the loops of a worker's earlier address

Cause: when a worker restarts at another address, other loops call it, but the repetitions of unanswered orders, and what was queued, stayed with the loops of the address before. They called that address until the order was no longer wanted, and the present process did not get it.

Change: each try of an order first asks whether its loops are still those of the worker, and passes the order on to the present ones if not. Loops are compared by their target, not by the address, as a worker may come back to an address. The status loop asks after its pause as well.

--- a/crates/dotterelsill_node/src/worker_loops.rs
+++ b/crates/dotterelsill_node/src/worker_loops.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Returns whether other loops call the worker: it is registered with another address.
+    fn is_replaced(&self) -> bool {
+        let handles = self.leadership.handles();
+        let handle = handles.get(&self.key);
+        handle.is_none_or(|handle| !Arc::ptr_eq(&handle.target, &self.target))
+    }
+
     fn on_call_failed(&self, name: &str, route: Route, failure: &CallFailure, sent_at: Duration) {
         on_call_failed(
             &self.leadership,
--- a/crates/dotterelsill_node/src/worker_loops/orders.rs
+++ b/crates/dotterelsill_node/src/worker_loops/orders.rs
@@ -7,7 +7,8 @@
 use dotterelsill_jobs::{
     Answer,
     Order,
-    Route, //
+    Route,
+    WorkerKey, //
 };
 
 use super::{
@@ -43,23 +44,29 @@
     Settled,
     /// The order was sent without an answer, or refused temporarily.
     Unsettled,
+    /// Other loops call the worker, and send the order.
+    Replaced,
 }
 
 impl WorkerLoops {
     /// Sends the worker its orders one after the other.
     pub(super) async fn give_orders(&self, orders: Receiver<QueuedOrder>) {
         while let Ok(queued) = orders.recv().await {
-            let is_settled = !queued.may_come_late
-                && matches!(
-                    self.give_order(&queued.order, false).await,
-                    OrderOutcome::Settled
-                );
-            if !is_settled {
-                // Retry in a separate task, so that it does not block other orders.
-                let loops = self.clone();
-                self.leadership
-                    .tasks
-                    .spawn_until_stop(async move { loops.repeat_order(queued.order).await });
+            let outcome = if queued.may_come_late {
+                OrderOutcome::Unsettled
+            } else {
+                self.give_order(&queued.order, false).await
+            };
+            match outcome {
+                OrderOutcome::Settled => {}
+                OrderOutcome::Unsettled => {
+                    // Retry in a separate task, so that it does not block other orders.
+                    let loops = self.clone();
+                    self.leadership
+                        .tasks
+                        .spawn_until_stop(async move { loops.repeat_order(queued.order).await });
+                }
+                OrderOutcome::Replaced => self.pass_on(queued.order, false),
             }
         }
     }
@@ -68,16 +75,26 @@
     async fn repeat_order(&self, order: Order) {
         loop {
             Timer::after(RETRY_PAUSE).await;
-            if !matches!(self.give_order(&order, true).await, OrderOutcome::Unsettled) {
-                return;
+            match self.give_order(&order, true).await {
+                OrderOutcome::Settled => return,
+                OrderOutcome::Unsettled => {}
+                OrderOutcome::Replaced => return self.pass_on(order, true),
             }
         }
     }
 
+    /// Passes an order on to the loops that call the worker now.
+    fn pass_on(&self, order: Order, may_come_late: bool) {
+        queue_order(&self.leadership, self.key, order, may_come_late);
+    }
+
     async fn give_order(&self, order: &Order, may_come_late: bool) -> OrderOutcome {
         let leadership = &self.leadership;
         let mut pause = UNSENT_ORDER_PAUSE;
         loop {
+            if self.is_replaced() {
+                return OrderOutcome::Replaced;
+            }
             let now = clock::now();
             let may_extend = leadership.authority.is_valid(now);
             let lease_end_ms = {
@@ -208,13 +225,18 @@
                 failure.was_sent
             }
         };
-        if let Some(handle) = leadership.handles().get(&key) {
-            // Sending fails only if the worker is gone and its loop has ended.
-            let _ = handle.orders.try_send(QueuedOrder {
-                order: sent.order,
-                may_come_late,
-            });
-        }
+        queue_order(leadership, key, sent.order, may_come_late);
     }
     leadership.on_changed();
 }
+
+/// Hands an order to the loop of its worker.
+fn queue_order(leadership: &Leadership, key: WorkerKey, order: Order, may_come_late: bool) {
+    if let Some(handle) = leadership.handles().get(&key) {
+        // Sending fails only if the worker is gone and its loop has ended.
+        let _ = handle.orders.try_send(QueuedOrder {
+            order,
+            may_come_late,
+        });
+    }
+}
--- a/crates/dotterelsill_node/src/worker_loops/status.rs
+++ b/crates/dotterelsill_node/src/worker_loops/status.rs
@@ -82,6 +82,9 @@
                 }
                 if unanswered > 0 {
                     Timer::after(IDLE_RETRY_PAUSE).await;
+                    if self.is_replaced() {
+                        return;
+                    }
                 }
             }
             let is_status_unknown =
@@ -120,13 +123,6 @@
         (route, dispatchers.order_route(self.key) != route)
     }
 
-    /// Returns whether the worker has another address, which other loops call.
-    fn is_replaced(&self) -> bool {
-        let scheduler = self.leadership.scheduler();
-        let address = scheduler.worker_address(self.key);
-        address.is_none_or(|(_, address)| address != self.target.address)
-    }
-
     async fn poll_once(&self, route: Route, is_status_unknown: bool) -> PollOutcome {
         let leadership = &self.leadership;
         // The lease counts from a time at which the authority is valid, however long this
