--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -29,6 +29,7 @@
 mod job_life;
 mod job_memory;
 mod life;
+mod may_send;
 mod moves;
 mod order;
 mod overload;
--- a/crates/dotterelsill_node/src/worker_loops/status.rs
+++ b/crates/dotterelsill_node/src/worker_loops/status.rs
@@ -89,6 +89,9 @@
                 }
                 if unanswered > 0 {
                     Timer::after(IDLE_RETRY_PAUSE).await;
+                    if self.is_replaced() {
+                        return;
+                    }
                 }
             }
             let is_status_unknown =
@@ -147,13 +150,6 @@
         (route, dispatchers.order_route(self.key) != route)
     }
 
-    /// Returns whether the worker has another address, which other loops call.
-    fn is_replaced(&self) -> bool {
-        let scheduler = self.leadership.scheduler();
-        let address = scheduler.worker_address(self.key);
-        address.is_none_or(|(_, address)| address != self.target.address)
-    }
-
     /// Requests the status of a worker that the scheduler calls itself, in turn with
     /// others. After a takeover or a fault of a dispatcher, hundreds of workers are to
     /// be called at once: opening their connections together takes so long with little
