e2e: wait for operators' calls as long as the target allows

operators_race of the matrix failed once beside load with "the entry answers: ... http2 error, KeepAliveTimedOut". The harness called the entries over the same channel as the daemons do, which closes a connection 1 s after an unanswered ping. An entry, or a harness, that gets no processor time for 1.5 s therefore failed the column, although a change may take 9 s to come into force and no requirement asks for an answer to a ping. The store call without an answer in 1 s, which was seen in the same run, fits such a stall; which process stalled then is not known.

The time to wait for a ping is now a setting of the channel; daemons and the command line keep 1 s. The harness waits 25 s for the answer to a call, the limit that the operators of the matrix had already. So that the check stays as strict, each call of the harness and each race of two operators now has this limit as a whole: a call whose connection answered pings, but that never ended, was not bounded before. A stall of 1.5 s to 25 s fails the matrix no longer by itself; what it may not do, delay a change beyond 9 s, is checked in the new test.

--- a/crates/dotterelsill_e2e/src/fleet.rs
+++ b/crates/dotterelsill_e2e/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fmt::Write as _,
+    future::Future,
     net::SocketAddr,
     sync::atomic::AtomicU64,
     time::{
@@ -18,6 +19,7 @@
     SetFaultsRequest, //
 };
 use dotterelsill_rpc::{
+    timeout,
     Channel,
     Tasks, //
 };
@@ -35,6 +37,10 @@
 /// Maximum time to wait for the fleet to reach an expected state.
 const AWAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Maximum time to wait for the answer to a call. A change may take 9 s to come into
+/// force, and the process may be frozen before it answers.
+const CALL_TIMEOUT: Duration = Duration::from_secs(25);
+
 /// An entry process and the links that connect it to the store and its peers.
 pub struct Entry {
     /// Process of the entry.
@@ -265,15 +271,12 @@
     ///
     /// Panics if the stand-in does not expect_response.
     pub async fn set_store_faults(&self, faults: SetFaultsRequest) {
-        self.store_control()
-            .set_faults(faults)
-            .await
-            .expect("the stand-in answers");
+        expect_response(self.store_control().set_faults(faults)).await;
     }
 
     /// Returns the numbers of calls that the store has received.
     pub async fn store_counts(&self) -> CountsResponse {
-        expect_response(self.store_control().counts(CountsRequest {}).await)
+        expect_response(self.store_control().counts(CountsRequest {})).await
     }
 
     fn store_control(&self) -> StandinControlClient<Channel> {
@@ -284,8 +287,10 @@
         )
     }
 
+    /// Returns a channel that only closes a connection when the call has failed anyway:
+    /// a process that is frozen, or that gets no processor time, answers late.
     pub(crate) fn channel(&self, address: SocketAddr) -> Channel {
-        Channel::new(address, Duration::from_secs(2), &self.tasks)
+        Channel::new(address, Duration::from_secs(2), &self.tasks).with_ping_timeout(CALL_TIMEOUT)
     }
 }
 
@@ -318,6 +323,15 @@
     char::from(b'a' + index as u8)
 }
 
-pub(crate) fn expect_response<T>(result: Result<tonic::Response<T>, tonic::Status>) -> T {
-    result.expect("the process answers").into_inner()
+/// Waits for the response to a call.
+///
+/// # Panics
+///
+/// Panics if the call fails or is not answered within 25 s.
+pub(crate) async fn expect_response<T>(
+    call: impl Future<Output = Result<tonic::Response<T>, tonic::Status>>,
+) -> T {
+    let result = timeout(CALL_TIMEOUT, call).await;
+    let answered = result.expect("every call is answered within 25 s");
+    answered.expect("the process answers").into_inner()
 }
--- a/crates/dotterelsill_e2e/src/operate.rs
+++ b/crates/dotterelsill_e2e/src/operate.rs
@@ -31,7 +31,7 @@
             text: text.to_owned(),
         };
         let mut operator = self.operator(index);
-        expect_response(operator.apply(request).await)
+        expect_response(operator.apply(request)).await
     }
 
     /// Gives an API key to a team through an entry, given by its index.
@@ -42,7 +42,7 @@
             sha256: Sha256::digest(key).to_vec(),
         };
         let mut operator = self.operator(index);
-        expect_response(operator.give_key(request).await)
+        expect_response(operator.give_key(request)).await
     }
 
     /// Withdraws an API key through an entry, given by its index.
@@ -52,7 +52,7 @@
             fingerprint: Sha256::digest(key)[..8].to_vec(),
         };
         let mut operator = self.operator(index);
-        expect_response(operator.withdraw_key(request).await)
+        expect_response(operator.withdraw_key(request)).await
     }
 
     /// Excludes or readmits a data centre through an entry, given by its index.
@@ -63,12 +63,12 @@
             out,
         };
         let mut operator = self.operator(index);
-        expect_response(operator.set_data_centre(request).await)
+        expect_response(operator.set_data_centre(request)).await
     }
 
     /// Returns the status of an entry, given by its index.
     pub async fn status(&self, index: usize) -> StatusResponse {
-        expect_response(self.operator(index).status(StatusRequest {}).await)
+        expect_response(self.operator(index).status(StatusRequest {})).await
     }
 
     /// Returns a client for the operators' calls of an entry, given by its index.
--- a/crates/dotterelsill_e2e/tests/matrix/harness.rs
+++ b/crates/dotterelsill_e2e/tests/matrix/harness.rs
@@ -28,7 +28,10 @@
     SetDataCentreRequest,
     StatusRequest, //
 };
-use dotterelsill_rpc::Tasks;
+use dotterelsill_rpc::{
+    timeout,
+    Tasks, //
+};
 use futures_lite::future::zip;
 use rand::{
     rngs::StdRng,
@@ -43,7 +46,10 @@
 use crate::{
     fault::Fault,
     load::Callers,
-    operators::Operators,
+    operators::{
+        Operators,
+        OPERATOR_TIMEOUT, //
+    },
     step::Step, //
 };
 
@@ -178,7 +184,10 @@
             team: "blue".to_owned(),
             sha256: Sha256::digest(number.to_le_bytes()).to_vec(),
         };
-        let (out, give) = zip(first.set_data_centre(out), second.give_key(give)).await;
+        let changes = zip(first.set_data_centre(out), second.give_key(give));
+        let (out, give) = timeout(OPERATOR_TIMEOUT, changes)
+            .await
+            .expect("both operators are answered within 25 s");
         let out = out.expect("the entry answers").into_inner();
         let give = give.expect("the entry answers").into_inner();
         assert_ne!(out.state(), ChangeState::Unknown, "{out:?}");
--- a/crates/dotterelsill_e2e/tests/matrix/operators.rs
+++ b/crates/dotterelsill_e2e/tests/matrix/operators.rs
@@ -25,7 +25,7 @@
 
 /// Maximum time that an operator waits for an answer. A change may take 9 s to come
 /// into force, and the entry may be frozen before it answers.
-const OPERATOR_TIMEOUT: Duration = Duration::from_secs(25);
+pub(crate) const OPERATOR_TIMEOUT: Duration = Duration::from_secs(25);
 
 /// Operators of one cell of the matrix.
 pub(crate) struct Operators {
--- a/crates/dotterelsill_e2e/tests/partition.rs
+++ b/crates/dotterelsill_e2e/tests/partition.rs
@@ -28,6 +28,9 @@
 /// Longer than the lease of 5 s and the freshness of 3 s.
 const EXPIRY_WAIT: Duration = Duration::from_secs(6);
 
+/// Shorter than the lease and than the freshness.
+const SHORT_PAUSE: Duration = Duration::from_millis(2500);
+
 async fn start(isolation_limit_s: u32, tasks: &Tasks) -> Fleet {
     let fleet = Fleet::start(2, 1, tasks);
     let text = fleet.configuration(isolation_limit_s);
@@ -162,6 +165,28 @@
     });
 }
 
+/// Guards against a change that fails, or whose outcome the operator does not learn,
+/// because the entry that makes it is paused for less than its lease.
+#[test]
+fn change_outlasts_a_short_pause_of_its_entry() {
+    dotterelsill_rpc::run(1, |tasks| async move {
+        let fleet = start(60, &tasks).await;
+        let before = fleet.status(0).await.revision;
+        fleet.entries[0].process.freeze();
+        let begin = Instant::now();
+        let pause = async {
+            Timer::after(SHORT_PAUSE).await;
+            fleet.entries[0].process.resume();
+        };
+        let change = fleet.set_data_centre(0, "b", true);
+        let (change, ()) = futures_lite::future::zip(change, pause).await;
+        assert_eq!(change.state(), ChangeState::InForce, "{change:?}");
+        assert_eq!(change.revision, before + 1);
+        assert!(begin.elapsed() < IN_FORCE_LIMIT, "{:?}", begin.elapsed());
+        tasks.stop();
+    });
+}
+
 /// Guards against a change that is reported as refused or made twice because
 /// the store's answer was lost after the write took effect.
 #[test]
--- a/crates/dotterelsill_rpc/src/channel.rs
+++ b/crates/dotterelsill_rpc/src/channel.rs
@@ -50,7 +50,7 @@
 /// unresponsive connection earlier than the kernel does.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time without a response to a ping after which a connection is closed.
+/// Default time without a response to a ping after which a connection is closed.
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A gRPC call failed before a response arrived.
@@ -87,6 +87,7 @@
 pub struct Channel {
     address: SocketAddr,
     connect_timeout: Duration,
+    ping_timeout: Duration,
     tasks: Tasks,
     // A mutex is fast enough: most requests need no call to a peer or to the store,
     // and it is only held while the sender is cloned or replaced.
@@ -99,11 +100,21 @@
         Self {
             address,
             connect_timeout,
+            ping_timeout: PING_TIMEOUT,
             tasks: tasks.clone(),
             current: Arc::default(),
         }
     }
 
+    /// Sets the time without a response to a ping after which a connection with
+    /// calls in flight is closed. It applies to connections opened later.
+    pub fn with_ping_timeout(self, ping_timeout: Duration) -> Self {
+        Self {
+            ping_timeout,
+            ..self
+        }
+    }
+
     /// Returns the address of the server.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -144,7 +155,7 @@
         let (sender, connection) = Builder::new(self.tasks.clone())
             .timer(SmolTimer::new())
             .keep_alive_interval(PING_INTERVAL)
-            .keep_alive_timeout(PING_TIMEOUT)
+            .keep_alive_timeout(self.ping_timeout)
             .handshake(FuturesIo::new(stream))
             .await
             .context(CallSnafu { address })?;
