e2e: fail a test whose process has panicked, and say which had ended

paused_entry_checks_its_authority_before_it_starts_work failed once with a broken connection to the entry. Whether the entry had crashed, one of its tasks had panicked or only the connection broke could not be told from the output. A panic in a task of a daemon is otherwise seen only if a check happens to depend on it.

When a process of a test is dropped, its log must hold no panic. A failing test prints the exit status of each process that had ended by itself, before its log.

--- a/crates/dotterelsill_e2e/src/process.rs
+++ b/crates/dotterelsill_e2e/src/process.rs
@@ -194,17 +194,34 @@
 }
 
 impl Drop for Process {
+    /// Kills the process. If the test is failing, prints the log of the process and its
+    /// exit status, if it had ended by itself.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has panicked: a panic in one of its tasks can remain
+    /// without an effect that the test notices.
     fn drop(&mut self) {
+        let was_killed = self.killed_at_us.is_some();
+        let ended_before = self.child.try_wait();
         self.kill();
         if let Some(reader) = self.reader.take() {
             let _ = reader.join();
         }
         let _ = fs::remove_file(&self.settings);
         if thread::panicking() {
+            // Tells a process that crashed from a connection that broke.
+            if let (Ok(Some(status)), false) = (ended_before, was_killed) {
+                eprintln!("{}: has ended: {status}", self.settings.display());
+            }
             for line in self.log() {
                 eprintln!("{}: {line}", self.settings.display());
             }
+            return;
         }
+        let log = self.log();
+        let panicked = log.iter().any(|line| line.contains("panicked at"));
+        assert!(!panicked, "a process panicked: {log:#?}");
     }
 }
 
