Log long-running tasks that wait, with what they wait for

Change: the scheduler writes lasting_tasks_wait each second for each step whose long-running tasks have waited for 2 s, with the workers that could run them without their short tasks, and those that have the room and are due for maintenance or a move. The reason is that of `explain job`, which now also tells how many of the workers with room may run the step.

Evidence: waiting_lasting_tasks_are_told_with_what_they_wait_for (the function did not exist before).

--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -12,6 +12,10 @@
         Task, //
     },
     job_life::steps_of,
+    placement::{
+        Candidate,
+        PlacementRequest, //
+    },
     Resources,
     Scheduler,
     StepId, //
@@ -86,7 +90,13 @@
 
     /// Returns what the waiting tasks of a step wait for, checked in the same order
     /// as in planning.
-    fn why_waiting(&self, job: &Job, id: StepId, state: &StepState, now: Duration) -> String {
+    pub(crate) fn why_waiting(
+        &self,
+        job: &Job,
+        id: StepId,
+        state: &StepState,
+        now: Duration,
+    ) -> String {
         let step = &job.spec.steps[id.step as usize];
         if !job.is_ready(id) {
             return format!("the steps {:?}", step.after);
@@ -124,14 +134,29 @@
         let usable = self.candidates_of(&queue.pool, now);
         let usable = usable.list();
         let fits = |free: &Resources| free.fits(&Resources::default(), &resources);
-        let fitting = usable
+        let fitting: Vec<&Candidate> = usable
             .iter()
             .filter(|candidate| fits(&candidate.free))
-            .count();
+            .collect();
+        let tickets = self.valid_tickets(id, now);
+        let request = PlacementRequest {
+            id,
+            step,
+            resources,
+            avoid: None,
+            rack: None,
+            tickets: tickets.as_ref(),
+        };
+        let may_run = |candidate: &&&Candidate| {
+            let worker = &self.workers[&candidate.key];
+            worker.is_in(job.bound_to()) && request.allows(candidate.key, worker)
+        };
         format!(
-            "room: {} workers of pool {} take tasks, {fitting} of them have the room",
+            "room: {} workers of pool {} take tasks, {} of them have the room, {} of these may run the step",
             usable.len(),
-            queue.pool
+            queue.pool,
+            fitting.len(),
+            fitting.iter().filter(may_run).count()
         )
     }
 }
--- a/crates/dotterelsill_jobs/src/held_back.rs
+++ b/crates/dotterelsill_jobs/src/held_back.rs
@@ -5,7 +5,20 @@
     time::Duration, //
 };
 
-use crate::Scheduler;
+use crate::{
+    job::{
+        Job,
+        Task, //
+    },
+    job_life::steps_of,
+    placement::{
+        Candidate,
+        PlacementRequest, //
+    },
+    Resources,
+    Scheduler,
+    StepId, //
+};
 
 /// Reason why the waiting tasks of a step are not started.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -39,7 +52,95 @@
     pub unread_workers: usize,
 }
 
+/// Long-running tasks of one step that wait for a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaitingLasting {
+    /// The step.
+    pub step: StepId,
+    /// Number of waiting tasks.
+    pub tasks: usize,
+    /// Time for which the first of them has waited: since its last run ended, or since
+    /// the scheduler learned of the job.
+    pub longest: Duration,
+    /// Resources that each task reserves.
+    pub resources: Resources,
+    /// Name of the pool; empty if the queue is not configured.
+    pub pool: String,
+    /// Number of workers of the pool that accept tasks.
+    pub usable_workers: usize,
+    /// Number of these that could run a task if they had no tasks that end by
+    /// themselves.
+    pub reservable_workers: usize,
+    /// Number of workers of the pool that have room for a task and get none, because
+    /// their instances are due for maintenance or a move.
+    pub cordoned_with_room: usize,
+    /// What the tasks wait for.
+    pub reason: String,
+}
+
 impl Scheduler {
+    /// Returns the steps with long-running tasks that have waited for at least
+    /// `min_wait`. The cost grows with the number of jobs.
+    pub fn waiting_lasting(&self, min_wait: Duration, now: Duration) -> Vec<WaitingLasting> {
+        let mut waiting = Vec::new();
+        for job in self.jobs.values().filter(|job| job.is_open()) {
+            if !job.spec.steps.iter().any(|step| step.is_lasting) {
+                continue;
+            }
+            let steps = steps_of(job).filter_map(|id| self.waiting_lasting_of(job, id, now));
+            waiting.extend(steps.filter(|step| step.longest >= min_wait));
+        }
+        waiting.sort_by_key(|step| step.step);
+        waiting
+    }
+
+    fn waiting_lasting_of(&self, job: &Job, id: StepId, now: Duration) -> Option<WaitingLasting> {
+        let step = &job.spec.steps[id.step as usize];
+        let state = &job.occurrences[&id.occurrence].steps[id.step as usize];
+        let tasks = || state.tasks.iter().filter(|task| task.is_waiting());
+        let since = |task: &Task| task.last_end.as_ref().map_or(job.known_at, |end| end.at);
+        let first = tasks().map(since).min().filter(|_| step.is_lasting)?;
+        let resources = step.counted_resources();
+        let queue = self.configuration.queue(&job.spec.queue);
+        let pool = queue.map_or("", |queue| queue.pool.as_str());
+        let usable = self.candidates_of(pool, now);
+        let tickets = self.valid_tickets(id, now);
+        let request = PlacementRequest {
+            id,
+            step,
+            resources,
+            avoid: None,
+            rack: None,
+            tickets: tickets.as_ref(),
+        };
+        let is_reservable = |candidate: &&Candidate| {
+            let worker = &self.workers[&candidate.key];
+            if !request.allows(candidate.key, worker) {
+                return false;
+            }
+            let mut free = worker.report.capacity;
+            let lasting = worker.booked.values().filter(|run| run.is_lasting);
+            lasting.for_each(|run| free.subtract(&run.resources));
+            free.fits(&Resources::default(), &resources)
+        };
+        let cordoned_with_room = self.workers.values().filter(|worker| {
+            worker.is_cordoned
+                && worker.report.pool == pool
+                && worker.report.capacity.fits(&worker.used, &resources)
+        });
+        Some(WaitingLasting {
+            step: id,
+            tasks: tasks().count(),
+            longest: now.saturating_sub(first),
+            resources,
+            pool: pool.to_owned(),
+            usable_workers: usable.list().len(),
+            reservable_workers: usable.list().iter().filter(is_reservable).count(),
+            cordoned_with_room: cordoned_with_room.count(),
+            reason: self.why_waiting(job, id, state, now),
+        })
+    }
+
     /// Returns the steps that are held back, by pool and reason. Retry delays,
     /// workspace limits and the advisor are not reported.
     pub fn held_back(&self, now: Duration) -> Vec<HeldBack> {
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -76,7 +76,8 @@
 };
 pub use held_back::{
     HeldBack,
-    HoldReason, //
+    HoldReason,
+    WaitingLasting, //
 };
 pub use ids::{
     JobId,
--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -172,7 +172,7 @@
 }
 
 impl PlacementRequest<'_> {
-    fn allows(&self, key: WorkerKey, worker: &Worker) -> bool {
+    pub(crate) fn allows(&self, key: WorkerKey, worker: &Worker) -> bool {
         let has_ticket = self
             .tickets
             .is_none_or(|tickets| tickets.contains_key(&key));
--- a/crates/dotterelsill_jobs/tests/backlog.rs
+++ b/crates/dotterelsill_jobs/tests/backlog.rs
@@ -9,8 +9,10 @@
     HeldBack,
     HoldReason,
     JobId,
+    Resources,
     RunOutcome,
     Scheduler,
+    WaitingLasting,
     WorkerKey, //
 };
 use dotterelsill_proto::jobs::GrantedWorker;
@@ -19,6 +21,7 @@
     add_worker,
     confirm,
     ended,
+    lasting,
     ms,
     record,
     report,
@@ -172,3 +175,38 @@
         [unknown, held(HoldReason::NoRoom, 1, 0)]
     );
 }
+
+/// Guards against a long-running task whose wait cannot be told from that of others: the
+/// pool has room for it if no further short tasks are started there.
+#[test]
+fn waiting_lasting_tasks_are_told_with_what_they_wait_for() {
+    let mut scheduler = scheduler(7, ms(1000));
+    add_worker(&mut scheduler, 0, ms(1000));
+    let job = record("urgent", 7, vec![step(4, 1000)]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    assert_eq!(starts(&scheduler.plan(ms(1010))).len(), 4);
+    let job = record("urgent", 7, vec![lasting(1)]);
+    submit(&mut scheduler, 2, &job, ms(2000));
+    assert!(scheduler.plan(ms(2010)).is_empty());
+    assert_eq!(scheduler.waiting_lasting(ms(2000), ms(3999)), []);
+    assert_eq!(
+        scheduler.waiting_lasting(ms(2000), ms(4000)),
+        [WaitingLasting {
+            step: task(2, 0, 0).step,
+            tasks: 1,
+            longest: ms(2000),
+            resources: Resources {
+                cpu_milli: 1000,
+                memory_mb: 100,
+                accelerators: 0,
+            },
+            pool: "work".to_owned(),
+            usable_workers: 1,
+            reservable_workers: 1,
+            cordoned_with_room: 0,
+            reason: "room: 1 workers of pool work take tasks, 0 of them have the room, \
+                     0 of these may run the step"
+                .to_owned(),
+        }]
+    );
+}
--- a/crates/dotterelsill_node/src/load.rs
+++ b/crates/dotterelsill_node/src/load.rs
@@ -30,6 +30,9 @@
 /// Period that one log line covers.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time after which long-running tasks that wait are logged.
+const LASTING_WAIT_THRESHOLD: Duration = Duration::from_secs(2);
+
 /// Count or maximum since it was last taken.
 #[derive(Debug, Default)]
 struct Counter(AtomicU64);
@@ -118,10 +121,17 @@
         Timer::after(REPORT_INTERVAL).await;
         let now = clock::now();
         let processor_time_used = clock::processor_time();
-        let (backlog, held_back, end_counts) = {
+        let (backlog, held_back, waiting_lasting, end_counts) = {
             let mut scheduler = leadership.scheduler();
             let end_counts = scheduler.take_end_counts();
-            (scheduler.backlog(now), scheduler.held_back(now), end_counts)
+            let waiting_lasting = scheduler.waiting_lasting(LASTING_WAIT_THRESHOLD, now);
+            let held_back = scheduler.held_back(now);
+            (
+                scheduler.backlog(now),
+                held_back,
+                waiting_lasting,
+                end_counts,
+            )
         };
         metrics.on_ends(&end_counts);
         let orders_queued: usize = leadership.handles().values().map(|h| h.orders.len()).sum();
@@ -157,6 +167,18 @@
                 "steps_held_back"
             );
         }
+        for waiting in waiting_lasting {
+            log::info!(
+                job:% = waiting.step.job, occurrence = waiting.step.occurrence,
+                step = waiting.step.step, tasks = waiting.tasks,
+                longest_ms = waiting.longest.as_millis() as u64,
+                cpu_milli = waiting.resources.cpu_milli, memory_mb = waiting.resources.memory_mb,
+                pool = waiting.pool, usable_workers = waiting.usable_workers,
+                reservable_workers = waiting.reservable_workers,
+                cordoned_with_room = waiting.cordoned_with_room, reason = waiting.reason;
+                "lasting_tasks_wait"
+            );
+        }
         (period_start, processor_time_at_start) = (now, processor_time_used);
     }
 }
