Return a draining instance that alone has room for a long-running task

Cause: a wave stops long-running tasks of an instance one at a time, as the disruption budget of their step allows, and keeps the instance cordoned until all of them have run elsewhere. Where long-running tasks fill the memory of all other workers of the pool, the stopped task has room only on cordoned instances, and these wait for the budget that the task uses up as long as it waits.

In between each line says: 10 to 14 workers take tasks, none could run it even without its short tasks (reservable_workers=0), and 2 to 6 cordoned ones have the room. Instances were draining for up to 18 s. An instance moved into the pool only at 22 s, since another pool's backlog left none idle.

Change: when such a task has waited for 2 s, one draining instance with room for it, the one that is furthest from being drained, gets tasks again and is not drained for 4 s.

draining_instance_returns_for_a_task_that_only_it_has_room_for fails without the call: the plan starts nothing 2.1 s after the task has ended.

--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -139,14 +139,7 @@
             .filter(|candidate| fits(&candidate.free))
             .collect();
         let tickets = self.valid_tickets(id, now);
-        let request = PlacementRequest {
-            id,
-            step,
-            resources,
-            avoid: None,
-            rack: None,
-            tickets: tickets.as_ref(),
-        };
+        let request = PlacementRequest::of(job, id, tickets.as_ref());
         let may_run = |candidate: &&&Candidate| {
             let worker = &self.workers[&candidate.key];
             worker.is_in(job.bound_to()) && request.allows(candidate.key, worker)
--- a/crates/dotterelsill_jobs/src/held_back.rs
+++ b/crates/dotterelsill_jobs/src/held_back.rs
@@ -12,12 +12,14 @@
     },
     job_life::steps_of,
     placement::{
+        would_take_tasks,
         Candidate,
         PlacementRequest, //
     },
     Resources,
     Scheduler,
-    StepId, //
+    StepId,
+    WorkerKey, //
 };
 
 /// Reason why the waiting tasks of a step are not started.
@@ -94,35 +96,94 @@
         waiting
     }
 
+    /// Returns the steps of a pool with long-running tasks that have waited for at least
+    /// `min_wait` and that no worker of the pool could run, even without its tasks that
+    /// end by themselves.
+    pub(crate) fn starved_lasting(
+        &self,
+        pool: &str,
+        min_wait: Duration,
+        now: Duration,
+    ) -> Vec<StepId> {
+        let usable = self.candidates_of(pool, now);
+        let unread_data_centres = self.unread_data_centres(pool, now);
+        let mut starved = Vec::new();
+        for &id in self.ready.get(pool).into_iter().flatten() {
+            let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
+                continue;
+            };
+            let Some(occurrence) = job.occurrences.get(&id.occurrence) else {
+                continue;
+            };
+            let step = &job.spec.steps[id.step as usize];
+            let tasks = &occurrence.steps[id.step as usize].tasks;
+            let is_long = |task: &Task| {
+                task.is_waiting() && now.saturating_sub(waits_since(job, task)) >= min_wait
+            };
+            let workspace = job.spec.workspace.as_deref();
+            if step.is_lasting
+                && tasks.iter().any(is_long)
+                && !job.waits_for_unread_workers(&unread_data_centres)
+                && self.is_within_cap(workspace, &step.counted_resources())
+                && self.reservable_workers(job, id, usable.list(), now) == 0
+            {
+                starved.push(id);
+            }
+        }
+        starved
+    }
+
+    /// Returns the number of candidates that could run a task of a step if they had no
+    /// tasks that end by themselves.
+    fn reservable_workers(
+        &self,
+        job: &Job,
+        id: StepId,
+        candidates: &[Candidate],
+        now: Duration,
+    ) -> usize {
+        let tickets = self.valid_tickets(id, now);
+        let request = PlacementRequest::of(job, id, tickets.as_ref());
+        let is_reservable = |candidate: &&Candidate| {
+            let worker = &self.workers[&candidate.key];
+            worker.is_in(job.bound_to())
+                && request.allows(candidate.key, worker)
+                && worker
+                    .lasting_room()
+                    .fits(&Resources::default(), &request.resources)
+        };
+        candidates.iter().filter(is_reservable).count()
+    }
+
+    /// Returns whether a worker has room for a task of a step and would get it if it were
+    /// not cordoned.
+    pub(crate) fn could_run(&self, key: WorkerKey, id: StepId, now: Duration) -> bool {
+        let (Some(job), Some(worker)) = (self.jobs.get(&id.job), self.workers.get(&key)) else {
+            return false;
+        };
+        let tickets = self.valid_tickets(id, now);
+        let request = PlacementRequest::of(job, id, tickets.as_ref());
+        would_take_tasks(worker, &self.operator_requests, now)
+            && worker.is_in(job.bound_to())
+            && request.allows(key, worker)
+            && worker
+                .report
+                .capacity
+                .fits(&worker.used, &request.resources)
+    }
+
     fn waiting_lasting_of(&self, job: &Job, id: StepId, now: Duration) -> Option<WaitingLasting> {
         let step = &job.spec.steps[id.step as usize];
         let state = &job.occurrences[&id.occurrence].steps[id.step as usize];
         let tasks = || state.tasks.iter().filter(|task| task.is_waiting());
-        let since = |task: &Task| task.last_end.as_ref().map_or(job.known_at, |end| end.at);
-        let first = tasks().map(since).min().filter(|_| step.is_lasting)?;
+        let first = tasks()
+            .map(|task| waits_since(job, task))
+            .min()
+            .filter(|_| step.is_lasting)?;
         let resources = step.counted_resources();
         let queue = self.configuration.queue(&job.spec.queue);
         let pool = queue.map_or("", |queue| queue.pool.as_str());
         let usable = self.candidates_of(pool, now);
-        let tickets = self.valid_tickets(id, now);
-        let request = PlacementRequest {
-            id,
-            step,
-            resources,
-            avoid: None,
-            rack: None,
-            tickets: tickets.as_ref(),
-        };
-        let is_reservable = |candidate: &&Candidate| {
-            let worker = &self.workers[&candidate.key];
-            if !request.allows(candidate.key, worker) {
-                return false;
-            }
-            let mut free = worker.report.capacity;
-            let lasting = worker.booked.values().filter(|run| run.is_lasting);
-            lasting.for_each(|run| free.subtract(&run.resources));
-            free.fits(&Resources::default(), &resources)
-        };
         let cordoned_with_room = self.workers.values().filter(|worker| {
             worker.is_cordoned
                 && worker.report.pool == pool
@@ -135,7 +196,7 @@
             resources,
             pool: pool.to_owned(),
             usable_workers: usable.list().len(),
-            reservable_workers: usable.list().iter().filter(is_reservable).count(),
+            reservable_workers: self.reservable_workers(job, id, usable.list(), now),
             cordoned_with_room: cordoned_with_room.count(),
             reason: self.why_waiting(job, id, state, now),
         })
@@ -197,3 +258,9 @@
         held.into_values().collect()
     }
 }
+
+/// Returns the time since which a task waits: that of the end of its last run, or that at
+/// which the scheduler learned of the job.
+fn waits_since(job: &Job, task: &Task) -> Duration {
+    task.last_end.as_ref().map_or(job.known_at, |end| end.at)
+}
--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::{
+    job::Job,
     worker::Worker,
     OperatorRequests,
     Resources,
@@ -87,12 +88,28 @@
     operator_requests: &OperatorRequests,
     now: Duration,
 ) -> bool {
+    !worker.is_cordoned && is_staying(worker, operator_requests, now)
+}
+
+/// Returns whether a worker would get tasks that fit if it were not cordoned.
+pub(crate) fn would_take_tasks(
+    worker: &Worker,
+    operator_requests: &OperatorRequests,
+    now: Duration,
+) -> bool {
+    is_staying(worker, operator_requests, now)
+        && worker.life.is_known
+        && worker.may_grant
+        && !worker.is_silent()
+        && !worker.life.health.is_quarantined(now)
+}
+
+fn is_staying(worker: &Worker, operator_requests: &OperatorRequests, now: Duration) -> bool {
     let is_excluded = operator_requests
         .excluded_data_centres
         .contains(&worker.report.data_centre);
     !is_excluded
         && (worker.is_listed || now < worker.unlisted_at + UNLISTED_GRACE)
-        && !worker.is_cordoned
         && !worker.report.is_draining
 }
 
@@ -103,12 +120,7 @@
     operator_requests: &OperatorRequests,
     now: Duration,
 ) -> Option<Candidate> {
-    let takes_tasks = may_be_sent_starts(worker, operator_requests, now)
-        && worker.life.is_known
-        && worker.may_grant
-        && !worker.is_silent()
-        && !worker.life.health.is_quarantined(now);
-    if !takes_tasks {
+    if worker.is_cordoned || !would_take_tasks(worker, operator_requests, now) {
         return None;
     }
     let mut free = worker.report.capacity;
@@ -171,7 +183,24 @@
     pub(crate) tickets: Option<&'a BTreeMap<WorkerKey, Arc<str>>>,
 }
 
-impl PlacementRequest<'_> {
+impl<'a> PlacementRequest<'a> {
+    /// Creates a request for any task of a step, without preferences.
+    pub(crate) fn of(
+        job: &'a Job,
+        id: StepId,
+        tickets: Option<&'a BTreeMap<WorkerKey, Arc<str>>>,
+    ) -> Self {
+        let step = &job.spec.steps[id.step as usize];
+        Self {
+            id,
+            step,
+            resources: step.counted_resources(),
+            avoid: None,
+            rack: None,
+            tickets,
+        }
+    }
+
     pub(crate) fn allows(&self, key: WorkerKey, worker: &Worker) -> bool {
         let has_ticket = self
             .tickets
--- a/crates/dotterelsill_jobs/src/waves.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -45,6 +45,13 @@
 /// Time added to the duration of the maintenance before an instance counts as back.
 const RETURN_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time for which a long-running task may wait for room that only a draining instance
+/// has. An instance that is back from maintenance has room for it sooner.
+const MAX_LASTING_WAIT: Duration = Duration::from_secs(2);
+
+/// Time for which an instance that has returned to service is not drained again.
+const RETURNED_TIME: Duration = Duration::from_secs(4);
+
 /// Stage of one instance within a wave.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
@@ -174,6 +181,7 @@
                 self.evict(&name);
             }
         }
+        self.return_for_lasting(&mut state, now);
         let has_open = |(name, stage): (&String, &Stage)| {
             let stays = self.instances.contains_key(name);
             !matches!(stage, Stage::Done | Stage::InMaintenance { .. })
@@ -344,6 +352,43 @@
         }
     }
 
+    /// Returns a draining instance to service if a long-running task waits for room that
+    /// no other worker of the pool can have. As long as the task waits, it counts towards
+    /// its step's disruption budget, so that instances that wait for that budget would
+    /// never be drained, and the task would never get their room.
+    fn return_for_lasting(&mut self, state: &mut WaveState, now: Duration) {
+        let mut draining: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for (name, stage) in &state.stages {
+            if let (Stage::Draining { .. }, Some(known)) = (stage, self.instances.get(name)) {
+                let of_pool = draining.entry(known.instance.pool.clone()).or_default();
+                of_pool.push(name.clone());
+            }
+        }
+        for (pool, names) in draining {
+            let starved = self.starved_lasting(&pool, MAX_LASTING_WAIT, now);
+            let returned = starved.into_iter().find_map(|step| {
+                let has_room = |name: &&String| {
+                    let key = self.worker_of(name);
+                    key.is_some_and(|key| self.could_run(key, step, now))
+                };
+                // The one that is furthest from being drained.
+                let names = names.iter().filter(has_room);
+                let name = names.max_by_key(|name| self.eviction_cost(name))?;
+                Some((step, name.clone()))
+            });
+            if let Some((step, name)) = returned {
+                log::info!(
+                    instance = name, wave = state.wave.number, job:% = step.job,
+                    occurrence = step.occurrence, step = step.step; "draining_ended"
+                );
+                self.set_cordoned(&name, false);
+                let not_before = now + RETURNED_TIME;
+                state.stages.insert(name, Stage::Waiting { not_before });
+                self.needs_plan = true;
+            }
+        }
+    }
+
     /// Returns the long-running tasks on a worker by step, except those being
     /// stopped. Tasks count even if they were not available in the last status,
     /// since they may be by now.
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -262,6 +262,14 @@
         Some(booked)
     }
 
+    /// Returns the resources beyond those of the long-running tasks.
+    pub(crate) fn lasting_room(&self) -> Resources {
+        let mut room = self.report.capacity;
+        let lasting = self.booked.values().filter(|booked| booked.is_lasting);
+        lasting.for_each(|booked| room.subtract(&booked.resources));
+        room
+    }
+
     /// Returns the number of booked tasks of a step.
     pub(crate) fn count_of_step(&self, step: crate::StepId) -> usize {
         self.booked
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -370,6 +370,69 @@
     assert_eq!(scheduler.plan_instances(ms(4000), ms(4000)), []);
 }
 
+/// Guards against a long-running task that never runs again: the wave stopped it on an
+/// instance that waits for the step's disruption budget to stop the next one, no other
+/// worker has the room, and the instance gets no tasks.
+#[test]
+fn draining_instance_returns_for_a_task_that_only_it_has_room_for() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let keys = [0, 1].map(|index| add_worker(&mut scheduler, index, ms(1000)));
+    let two_each = jobs::Step {
+        max_per_worker: 2,
+        may_miss: 1,
+        is_lasting: true,
+        ..step(4, 2000)
+    };
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![two_each]),
+        ms(1000),
+    );
+    let orders = scheduler.plan(ms(1010));
+    assert_eq!(starts(&orders).len(), 4);
+    confirm(&mut scheduler, &orders, ms(1020));
+    let of = |key| {
+        starts(&orders)
+            .into_iter()
+            .filter(move |start| start.1 == key)
+    };
+    let mut status = status_at(ms(2000));
+    for key in keys {
+        status.running = of(key).map(|(task, _)| running(task, 1, 100)).collect();
+        scheduler.on_worker_status(key, &status, ms(2000));
+    }
+    let list = [0, 1].map(|index| instance(index, "work", InstanceState::Up));
+    scheduler.on_instances(list.to_vec(), ms(2000), ms(2000));
+    request_wave(&mut scheduler, 1, 1);
+    assert_eq!(scheduler.plan_instances(ms(2100), ms(2100)), []);
+    let stops = scheduler.plan(ms(2110));
+    let (stopped, attempt) = stops[0].order.run();
+    assert_eq!((stops.len(), stops[0].worker), (1, keys[0]));
+    assert!(matches!(stops[0].order, Order::Stop { .. }), "{stops:?}");
+    confirm(&mut scheduler, &stops, ms(2150));
+    let mut status = status_at(ms(2200));
+    status.running = of(keys[0])
+        .filter(|(task, _)| *task != stopped)
+        .map(|(task, _)| running(task, 1, 100))
+        .collect();
+    status.ended = vec![ended(1, stopped, attempt, RunOutcome::Stopped)];
+    scheduler.on_worker_status(keys[0], &status, ms(2200));
+    // The other instance is full, and this one is still to be maintained.
+    for now in [2300, 3300, 4100] {
+        assert_eq!(scheduler.plan_instances(ms(now), ms(now)), []);
+        assert_eq!(scheduler.plan(ms(now)), []);
+    }
+    assert_eq!(scheduler.plan_instances(ms(4300), ms(4300)), []);
+    assert_eq!(
+        starts(&scheduler.plan(ms(4310))),
+        [(stopped, keys[0])],
+        "the task runs again within 3 s of its end"
+    );
+    // The wave goes on later.
+    assert!(!scheduler.wave_changes()[0].is_completed);
+}
+
 /// Guards against a wave that is reported as completed before the maintenance of
 /// all of its instances has begun.
 #[test]
