Hold back room for long-running tasks that fit on no worker

Cause: long-running tasks are planned first, but one that needs more than a single short task leaves free found no room while short tasks waited: each plan gave the freed room to them. All the while its lines say that a worker could run it without its short tasks (reservable_workers=1) and that none has the room.

Change: for each such task the plan holds back room on the worker that lacks the least of it, counting only workers whose other long-running tasks leave enough. Nothing else is started there until the task fits.

room_is_held_back_for_a_waiting_long_running_task fails without it: the task has not started after 3 s in which twelve short tasks ended.

--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -25,6 +25,8 @@
 pub(crate) struct Candidate {
     pub(crate) key: WorkerKey,
     pub(crate) free: Resources,
+    /// Resources that are held back on the worker.
+    held: Resources,
 }
 
 /// The workers of a pool that may get tasks.
@@ -68,6 +70,41 @@
         }
         key
     }
+
+    /// Holds back room for up to `count` long-running tasks of a step that fit on no
+    /// worker, so that what becomes free there is not given to tasks that are planned
+    /// later. It is held on the workers that lack the least; as nothing is started on
+    /// these, they lack less in each further plan.
+    pub(crate) fn hold_back<'a>(
+        &mut self,
+        worker: impl Fn(WorkerKey) -> Option<&'a Worker>,
+        request: &PlacementRequest<'_>,
+        count: usize,
+    ) {
+        let mut held_on: BTreeMap<usize, usize> = BTreeMap::new();
+        for _ in 0..count {
+            let lacking = |(index, candidate): (usize, &Candidate)| {
+                let worker = worker(candidate.key)?;
+                let others = held_on.get(&index).copied().unwrap_or(0);
+                let mut wanted = candidate.held;
+                wanted.add(&request.resources);
+                let could_run = request.allows_beside(candidate.key, worker, others)
+                    && worker.lasting_room().fits(&Resources::default(), &wanted);
+                could_run.then(|| (worker.lacking_permille(&wanted), index))
+            };
+            let candidates = self.list.iter().enumerate();
+            let Some((_, index)) = candidates.filter_map(lacking).min() else {
+                break;
+            };
+            *held_on.entry(index).or_default() += 1;
+            let candidate = &mut self.list[index];
+            candidate.held.add(&request.resources);
+            candidate.free.subtract(&request.resources);
+        }
+        if !held_on.is_empty() {
+            self.max_free = largest_free(&self.list);
+        }
+    }
 }
 
 fn largest_free(candidates: &[Candidate]) -> Resources {
@@ -125,7 +162,11 @@
     }
     let mut free = worker.report.capacity;
     free.subtract(&worker.used);
-    Some(Candidate { key, free })
+    Some(Candidate {
+        key,
+        free,
+        held: Resources::default(),
+    })
 }
 
 /// Penalties of a worker, most important first; the lowest score wins.
@@ -202,6 +243,12 @@
     }
 
     pub(crate) fn allows(&self, key: WorkerKey, worker: &Worker) -> bool {
+        self.allows_beside(key, worker, 0)
+    }
+
+    /// Returns whether a worker may run a task beside `others` of the step that are not
+    /// booked there.
+    fn allows_beside(&self, key: WorkerKey, worker: &Worker, others: usize) -> bool {
         let has_ticket = self
             .tickets
             .is_none_or(|tickets| tickets.contains_key(&key));
@@ -214,7 +261,7 @@
             .step
             .max_per_worker
             .map_or(usize::MAX, |limit| limit as usize);
-        has_ticket && has_label && worker.count_of_step(self.id) < limit
+        has_ticket && has_label && worker.count_of_step(self.id) + others < limit
     }
 
     /// Returns whether the worker already runs half of the tasks of a long-running
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -116,7 +116,9 @@
             }
             match configuration.queue(&job.spec.queue) {
                 Some(queue) if queue.pool == pool => {
-                    if may_fit(&job.spec.steps[step.step as usize].counted_resources()) {
+                    let spec = &job.spec.steps[step.step as usize];
+                    // Room is held back for long-running tasks that do not fit.
+                    if spec.is_lasting || may_fit(&spec.counted_resources()) {
                         ranks.push(Rank::new(*step, job, queue, now));
                     }
                     true
@@ -145,8 +147,9 @@
         let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
             return;
         };
-        let resources = job.spec.steps[id.step as usize].counted_resources();
-        if !candidates.may_fit(&resources) {
+        let step = &job.spec.steps[id.step as usize];
+        let resources = step.counted_resources();
+        if !step.is_lasting && !candidates.may_fit(&resources) {
             return;
         }
         let bound_to = job.bound_to().map(str::to_owned);
@@ -215,8 +218,12 @@
             let bound_to = bound_to.as_deref();
             let worker = |key| workers.get(&key).filter(|worker| worker.is_in(bound_to));
             let Some(chosen) = choose_worker(candidates.list(), worker, &request) else {
+                let left = count - started as usize;
+                if step.is_lasting {
+                    candidates.hold_back(worker, &request, left);
+                }
                 self.spread_if_useful(id, candidates.list(), &request);
-                log_started(started, count - started as usize);
+                log_started(started, left);
                 return;
             };
             let key = candidates.take(chosen, &resources);
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -270,6 +270,22 @@
         room
     }
 
+    /// Returns what must become free for the given resources, as the largest part of one
+    /// of the worker's capacities, in permille.
+    pub(crate) fn lacking_permille(&self, wanted: &Resources) -> u64 {
+        let (used, capacity) = (&self.used, &self.report.capacity);
+        let part = |used: u64, wanted: u64, capacity: u64| {
+            (used + wanted).saturating_sub(capacity) * 1000 / capacity.max(1)
+        };
+        part(used.cpu_milli, wanted.cpu_milli, capacity.cpu_milli)
+            .max(part(used.memory_mb, wanted.memory_mb, capacity.memory_mb))
+            .max(part(
+                used.accelerators,
+                wanted.accelerators,
+                capacity.accelerators,
+            ))
+    }
+
     /// Returns the number of booked tasks of a step.
     pub(crate) fn count_of_step(&self, step: crate::StepId) -> usize {
         self.booked
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -15,6 +15,7 @@
     Order,
     RunOutcome,
     Scheduler,
+    TaskId,
     Wave,
     WorkerKey,
     WorkerReport,
@@ -922,3 +923,52 @@
         assert_eq!(starts(&scheduler.plan(ms(4060))).len(), 1, "{state:?}");
     }
 }
+
+/// Guards against a long-running task that never starts while its pool is full: what
+/// short tasks leave free is smaller than what it needs, and goes to further short tasks
+/// each time.
+#[test]
+fn room_is_held_back_for_a_waiting_long_running_task() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let keys = [0, 1].map(|index| add_worker(&mut scheduler, index, ms(1000)));
+    let job = record("urgent", 7, vec![step(100, 1000)]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    let mut running_now = starts(&scheduler.plan(ms(1010)));
+    assert_eq!(running_now.len(), 8);
+    let large = jobs::Step {
+        is_lasting: true,
+        ..step(1, 3000)
+    };
+    submit(
+        &mut scheduler,
+        2,
+        &record("patient", 7, vec![large]),
+        ms(1020),
+    );
+    // One short task ends every 250 ms, on each of the two workers in turn.
+    let mut number = [0, 0];
+    for round in 1..=12_u64 {
+        let now = ms(1100 + 250 * round);
+        let worker = round as usize % 2;
+        let ends_on = |start: &(TaskId, WorkerKey)| start.1 == keys[worker];
+        if let Some(position) = running_now.iter().position(ends_on) {
+            let (task, _) = running_now.remove(position);
+            number[worker] += 1;
+            let mut status = status_at(now);
+            status.ended = vec![ended(number[worker], task, 1, RunOutcome::Done)];
+            let of_worker = running_now.iter().filter(|start| ends_on(start));
+            status.running = of_worker.map(|start| running(start.0, 1, 50)).collect();
+            scheduler.on_worker_status(keys[worker], &status, now);
+        }
+        let orders = scheduler.plan(now);
+        confirm(&mut scheduler, &orders, now);
+        let started = starts(&orders);
+        if started.iter().any(|start| start.0 == task(2, 0, 0)) {
+            // The other worker was in use all the while.
+            assert!(running_now.iter().any(|start| start.1 != keys[worker]));
+            return;
+        }
+        running_now.extend(started);
+    }
+    panic!("the task has not started within 3 s: {running_now:?}");
+}
