Give other orders while a start waits for a connection

Cause: without authority a start is sent only over an open connection to its worker. With none it was tried again each 20 ms, at the head of the worker's orders, until the scheduler's lease was valid again. Stops and paces behind it were not sent in an outage of the store, although they need no connection. A failed status call before the outage is enough, since the connections are closed after it.

Change: such a start waits beside the other orders, and is tried again after 20 ms at first and at most each 320 ms. The simulation of ends does the same; in it, whether an order may come late follows from the order and not from who sends it.

--- a/crates/dotterelsill_jobs/tests/ends_search/loops.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/loops.rs
@@ -484,6 +484,25 @@
         }
     }
 
+    /// Sends a start later that needs a connection, beside the other orders.
+    fn wait_for_connection(&mut self, index: usize, key: WorkerKey, sender: OrderSender) {
+        let (now_ms, number) = (self.now_ms, self.number());
+        let Some(sending) = self.sending(index, key, sender) else {
+            return;
+        };
+        sending.at_ms = Some(now_ms + sending.pause_ms);
+        sending.pause_ms = (sending.pause_ms * 2).min(MAX_UNSENT_ORDER_PAUSE_MS);
+        let Some(loops) = self.drivers[index].loops.get_mut(&key) else {
+            return;
+        };
+        if sender == OrderSender::Loop {
+            let waiting = loops.current.take();
+            loops
+                .repeats
+                .extend(waiting.map(|sending| (number, sending)));
+        }
+    }
+
     fn try_order(&mut self, index: usize, key: WorkerKey, sender: OrderSender) {
         let now_ms = self.now_ms;
         let Some(sending) = self.sending(index, key, sender) else {
@@ -603,7 +622,8 @@
         result: CallResult,
     ) {
         let (now_ms, now, key) = (self.now_ms, self.now(), call.key);
-        let may_come_late = matches!(sender, OrderSender::Repeat(_));
+        let sending = self.sending(index, key, sender);
+        let may_come_late = sending.is_some_and(|sending| sending.may_come_late);
         match result {
             CallResult::Answer(answer) => {
                 let scheduler = &mut self.drivers[index].scheduler;
@@ -623,11 +643,7 @@
             CallResult::Failed { was_sent } => {
                 self.repeat_or_queue(index, key, sender, order, was_sent);
             }
-            CallResult::Unconnected => {
-                if let Some(sending) = self.sending(index, key, sender) {
-                    sending.at_ms = Some(now_ms + UNSENT_ORDER_PAUSE_MS);
-                }
-            }
+            CallResult::Unconnected => self.wait_for_connection(index, key, sender),
             CallResult::Status(_) => unreachable!("orders are not answered with a status"),
         }
     }
--- a/crates/dotterelsill_node/src/worker_loops/orders.rs
+++ b/crates/dotterelsill_node/src/worker_loops/orders.rs
@@ -43,23 +43,44 @@
     Settled,
     /// The order was sent without an answer, or refused temporarily.
     Unsettled,
+    /// The start was not sent: it needs a connection, and none is open.
+    Unconnected,
 }
 
 impl WorkerLoops {
     /// Sends the worker its orders one after the other.
     pub(super) async fn give_orders(&self, orders: Receiver<QueuedOrder>) {
         while let Ok(queued) = orders.recv().await {
-            let is_settled = !queued.may_come_late
-                && matches!(
-                    self.give_order(&queued.order, false).await,
-                    OrderOutcome::Settled
-                );
-            if !is_settled {
-                // Retry in a separate task, so that it does not block other orders.
-                let loops = self.clone();
-                self.leadership
-                    .tasks
-                    .spawn_until_stop(async move { loops.repeat_order(queued.order).await });
+            let outcome = if queued.may_come_late {
+                OrderOutcome::Unsettled
+            } else {
+                self.give_order(&queued.order, false).await
+            };
+            // Retry in a separate task, so that it does not block other orders.
+            let (loops, order) = (self.clone(), queued.order);
+            let tasks = &self.leadership.tasks;
+            match outcome {
+                OrderOutcome::Settled => {}
+                OrderOutcome::Unsettled => {
+                    tasks.spawn_until_stop(async move { loops.repeat_order(order).await });
+                }
+                OrderOutcome::Unconnected => {
+                    tasks.spawn_until_stop(async move { loops.give_once_connected(order).await });
+                }
+            }
+        }
+    }
+
+    /// Gives a start once a connection is open or this scheduler has authority again.
+    async fn give_once_connected(&self, order: Order) {
+        let mut pause = UNSENT_ORDER_PAUSE;
+        loop {
+            Timer::after(pause).await;
+            pause = (pause * 2).min(MAX_UNSENT_ORDER_PAUSE);
+            match self.give_order(&order, false).await {
+                OrderOutcome::Settled => return,
+                OrderOutcome::Unsettled => return self.repeat_order(order).await,
+                OrderOutcome::Unconnected => {}
             }
         }
     }
@@ -68,7 +89,7 @@
     async fn repeat_order(&self, order: Order) {
         loop {
             Timer::after(RETRY_PAUSE).await;
-            if !matches!(self.give_order(&order, true).await, OrderOutcome::Unsettled) {
+            if matches!(self.give_order(&order, true).await, OrderOutcome::Settled) {
                 return;
             }
         }
@@ -118,9 +139,7 @@
                 }
                 // No worker answers an order with a status.
                 Ok(CallAnswer::Status(_)) => return OrderOutcome::Unsettled,
-                Err(failure) if failure.is_unconnected => {
-                    Timer::after(UNSENT_ORDER_PAUSE).await;
-                }
+                Err(failure) if failure.is_unconnected => return OrderOutcome::Unconnected,
                 Err(failure) => {
                     self.on_call_failed("order", route, &failure, sent_at);
                     if failure.was_sent {
