--- a/crates/dotterelsill_node/src/worker_loops/orders.rs
+++ b/crates/dotterelsill_node/src/worker_loops/orders.rs
@@ -46,6 +46,8 @@
     Unsettled,
     /// Other loops call the worker, and send the order.
     Replaced,
+    /// The start was not sent: it needs a connection, and none is open.
+    Unconnected,
 }
 
 impl WorkerLoops {
@@ -57,16 +59,33 @@
             } else {
                 self.give_order(&queued.order, false).await
             };
+            // Retry in a separate task, so that it does not block other orders.
+            let (loops, order) = (self.clone(), queued.order);
+            let tasks = &self.leadership.tasks;
             match outcome {
                 OrderOutcome::Settled => {}
+                OrderOutcome::Replaced => self.pass_on(order, false),
                 OrderOutcome::Unsettled => {
-                    // Retry in a separate task, so that it does not block other orders.
-                    let loops = self.clone();
-                    self.leadership
-                        .tasks
-                        .spawn_until_stop(async move { loops.repeat_order(queued.order).await });
+                    tasks.spawn_until_stop(async move { loops.repeat_order(order).await });
+                }
+                OrderOutcome::Unconnected => {
+                    tasks.spawn_until_stop(async move { loops.give_once_connected(order).await });
                 }
-                OrderOutcome::Replaced => self.pass_on(queued.order, false),
+            }
+        }
+    }
+
+    /// Gives a start once a connection is open or this scheduler has authority again.
+    async fn give_once_connected(&self, order: Order) {
+        let mut pause = UNSENT_ORDER_PAUSE;
+        loop {
+            Timer::after(pause).await;
+            pause = (pause * 2).min(MAX_UNSENT_ORDER_PAUSE);
+            match self.give_order(&order, false).await {
+                OrderOutcome::Settled => return,
+                OrderOutcome::Replaced => return self.pass_on(order, false),
+                OrderOutcome::Unsettled => return self.repeat_order(order).await,
+                OrderOutcome::Unconnected => {}
             }
         }
     }
@@ -77,8 +96,8 @@
             Timer::after(RETRY_PAUSE).await;
             match self.give_order(&order, true).await {
                 OrderOutcome::Settled => return,
-                OrderOutcome::Unsettled => {}
                 OrderOutcome::Replaced => return self.pass_on(order, true),
+                OrderOutcome::Unsettled | OrderOutcome::Unconnected => {}
             }
         }
     }
@@ -135,9 +154,7 @@
                 }
                 // No worker answers an order with a status.
                 Ok(CallAnswer::Status(_)) => return OrderOutcome::Unsettled,
-                Err(failure) if failure.is_unconnected => {
-                    Timer::after(UNSENT_ORDER_PAUSE).await;
-                }
+                Err(failure) if failure.is_unconnected => return OrderOutcome::Unconnected,
                 Err(failure) => {
                     self.on_call_failed("order", route, &failure, sent_at);
                     if failure.was_sent {
