Hand pending orders over when a worker comes back at another address

Cause: an order that got no answer is repeated by the loops of the address at which it was sent. When the worker came back under its identifier at another address, new loops called it there and the earlier ones went on at the old address. Nothing settled the start: its task counted as running, under a lease that was extended over the new address, and each failed call made the worker silent again.

Change: before each try, the order loop hands the order to the loops of the worker's present address if that has changed.

--- a/crates/dotterelsill_node/src/worker_loops/orders.rs
+++ b/crates/dotterelsill_node/src/worker_loops/orders.rs
@@ -78,6 +78,9 @@
         let leadership = &self.leadership;
         let mut pause = UNSENT_ORDER_PAUSE;
         loop {
+            if self.hand_to_replacement(order, may_come_late) {
+                return OrderOutcome::Settled;
+            }
             let now = clock::now();
             let may_extend = leadership.authority.is_valid(now);
             let lease_end_ms = {
@@ -133,6 +136,25 @@
         }
     }
 
+    /// Hands an order to the loops that call the worker's present address, if it has
+    /// changed; returns whether it did. At the earlier address nothing settles the order.
+    fn hand_to_replacement(&self, order: &Order, may_come_late: bool) -> bool {
+        let handles = self.leadership.handles();
+        let Some(handle) = handles.get(&self.key) else {
+            return false;
+        };
+        if handle.target == self.target {
+            return false;
+        }
+        let queued = QueuedOrder {
+            order: order.clone(),
+            may_come_late,
+        };
+        // Sending fails only if the worker is gone and its loop has ended.
+        let _ = handle.orders.try_send(queued);
+        true
+    }
+
     fn on_order_answer(
         &self,
         order: &Order,
