Count jobs as pending while they are taken over from the intake

Cause: pending counted accepted jobs that wait in the scheduler's queue only if they had been read from the intake, and only until their transaction was sent. Left out were jobs of transactions under way (up to 120, for as long as the store takes, and again after each that fails), and jobs that the scheduler was handed directly and that an instance then stored in the intake, as the scheduler had not answered in time. Callers have a 200 for both.

Change: the queue keeps for each job that is being stored its queue and whether it is in the intake, and the reader of the intake marks jobs that wait already. A job that is found in the intake while it waits is also removed from there with its own transaction, and is no longer refused if that is not carried out.

job_from_the_intake_is_pending_while_it_is_stored and job_that_waits_in_the_queue_and_the_intake_is_pending fail without it (0 in place of 1 pending jobs). Daemon tests intake, dispatch and store_faults pass.

--- a/crates/dotterelsill_jobs/src/submissions.rs
+++ b/crates/dotterelsill_jobs/src/submissions.rs
@@ -1,7 +1,7 @@
 //! Queue of submitted jobs that are waiting to be stored.
 
 use std::collections::{
-    BTreeSet,
+    BTreeMap,
     VecDeque, //
 };
 
@@ -38,14 +38,22 @@
 pub struct Submissions<W> {
     waiting: VecDeque<Submission<W>>,
     /// Jobs that are being stored.
-    taken: BTreeSet<JobId>,
+    taken: BTreeMap<JobId, Taken>,
+}
+
+/// A job that is being stored.
+#[derive(Debug)]
+struct Taken {
+    queue: String,
+    /// Whether the job is in the store's intake.
+    is_in_intake: bool,
 }
 
 impl<W> Default for Submissions<W> {
     fn default() -> Self {
         Self {
             waiting: VecDeque::new(),
-            taken: BTreeSet::new(),
+            taken: BTreeMap::new(),
         }
     }
 }
@@ -54,6 +62,9 @@
     /// Adds a job. If it is already waiting, the callers are merged and the first
     /// record is kept.
     pub fn add(&mut self, submission: Submission<W>) {
+        if let Some(taken) = self.taken.get_mut(&submission.id) {
+            taken.is_in_intake |= submission.is_from_intake;
+        }
         let mut waiting = self.waiting.iter_mut();
         match waiting.find(|other| other.id == submission.id) {
             Some(other) => merge(other, submission),
@@ -66,8 +77,13 @@
     pub fn take(&mut self, limit: usize) -> Vec<Submission<W>> {
         let count = self.waiting.len().min(limit);
         let taken: Vec<Submission<W>> = self.waiting.drain(..count).collect();
-        self.taken
-            .extend(taken.iter().map(|submission| submission.id));
+        for submission in &taken {
+            let job = Taken {
+                queue: submission.record.queue.clone(),
+                is_in_intake: submission.is_from_intake,
+            };
+            self.taken.insert(submission.id, job);
+        }
         taken
     }
 
@@ -80,7 +96,8 @@
     /// submitted again in the meantime, the two are merged; the record of this one
     /// is kept, since it may be stored.
     pub fn put_back(&mut self, mut submission: Submission<W>) {
-        self.settle(submission.id);
+        let taken = self.taken.remove(&submission.id);
+        submission.is_from_intake |= taken.is_some_and(|taken| taken.is_in_intake);
         let mut waiting = self.waiting.iter();
         let position = waiting.position(|other| other.id == submission.id);
         if let Some(again) = position.and_then(|position| self.waiting.remove(position)) {
@@ -92,16 +109,38 @@
     /// Returns whether a job is waiting or being stored.
     pub fn contains(&self, id: JobId) -> bool {
         let mut waiting = self.waiting.iter();
-        self.taken.contains(&id) || waiting.any(|submission| submission.id == id)
+        self.taken.contains_key(&id) || waiting.any(|submission| submission.id == id)
+    }
+
+    /// Records that a job is in the store's intake, too: an instance stored it there
+    /// while it was waiting here. Returns whether it is waiting or being stored.
+    pub fn note_in_intake(&mut self, id: JobId) -> bool {
+        let mut waiting = self.waiting.iter_mut();
+        if let Some(submission) = waiting.find(|submission| submission.id == id) {
+            submission.is_from_intake = true;
+            return true;
+        }
+        match self.taken.get_mut(&id) {
+            Some(taken) => {
+                taken.is_in_intake = true;
+                true
+            }
+            None => false,
+        }
     }
 
-    /// Returns the number of waiting jobs of a queue that were already accepted,
-    /// because an instance stored them in the intake.
+    /// Returns the number of jobs of a queue that are waiting or being stored and were
+    /// already accepted, because an instance stored them in the intake.
     pub fn accepted_on(&self, queue: &str) -> usize {
-        let is_accepted = |submission: &&Submission<W>| {
-            submission.is_from_intake && submission.record.queue == queue
-        };
-        self.waiting.iter().filter(is_accepted).count()
+        let waiting = self.waiting.iter().filter(|submission| {
+            // A job that was handed in again while it is being stored counts once.
+            !self.taken.contains_key(&submission.id)
+                && submission.is_from_intake
+                && submission.record.queue == queue
+        });
+        let taken = self.taken.values();
+        let taken = taken.filter(|taken| taken.is_in_intake && taken.queue == queue);
+        waiting.count() + taken.count()
     }
 
     /// Returns the number of waiting jobs.
--- a/crates/dotterelsill_jobs/tests/acceptance.rs
+++ b/crates/dotterelsill_jobs/tests/acceptance.rs
@@ -87,3 +87,55 @@
     queue.add(submission(3, "other", true));
     assert_eq!(queue.accepted_on("urgent"), 1);
 }
+
+/// Guards against accepted jobs that are not counted as pending while a transaction
+/// takes them over from the intake, which may last for seconds on a slow store.
+#[test]
+fn job_from_the_intake_is_pending_while_it_is_stored() {
+    let mut queue = Submissions::default();
+    queue.add(Submission {
+        id: JobId(1),
+        record: record("urgent", 7, vec![step(1, 1000)]),
+        is_from_intake: true,
+        may_be_stored: true,
+        waiting: vec![()],
+    });
+    let mut taken = queue.take(10);
+    assert_eq!(queue.accepted_on("urgent"), 1);
+    assert_eq!(queue.accepted_on("patient"), 0);
+    queue.put_back(taken.remove(0));
+    assert_eq!(queue.accepted_on("urgent"), 1);
+    queue.take(10);
+    queue.settle(JobId(1));
+    assert_eq!(queue.accepted_on("urgent"), 0);
+}
+
+/// Guards against an accepted job that is not counted as pending: an instance stored it
+/// in the intake after the scheduler, which was asked first, had not answered in time.
+#[test]
+fn job_that_waits_in_the_queue_and_the_intake_is_pending() {
+    let submission = || Submission {
+        id: JobId(1),
+        record: record("urgent", 7, vec![step(1, 1000)]),
+        is_from_intake: false,
+        may_be_stored: false,
+        waiting: vec![()],
+    };
+    let mut queue = Submissions::default();
+    queue.add(submission());
+    assert!(queue.note_in_intake(JobId(1)));
+    assert_eq!(queue.accepted_on("urgent"), 1);
+    // Its transaction removes the entry.
+    assert!(queue.take(10)[0].is_from_intake);
+    queue.settle(JobId(1));
+    assert!(!queue.note_in_intake(JobId(1)));
+
+    // The entry is found while the transaction is in flight, and that one fails.
+    queue.add(submission());
+    let mut taken = queue.take(10);
+    assert!(queue.note_in_intake(JobId(1)));
+    assert_eq!(queue.accepted_on("urgent"), 1);
+    queue.put_back(taken.remove(0));
+    assert_eq!(queue.accepted_on("urgent"), 1);
+    assert!(queue.take(10)[0].is_from_intake);
+}
--- a/crates/dotterelsill_node/src/intake.rs
+++ b/crates/dotterelsill_node/src/intake.rs
@@ -128,7 +128,7 @@
                         Some(id) if leadership.scheduler().has_job(id) => {
                             accepted_keys.push(item.key)
                         }
-                        Some(id) if leadership.submissions.lock().contains(id) => {}
+                        Some(id) if leadership.submissions.lock().note_in_intake(id) => {}
                         _ => {
                             import_item(&leadership, &item);
                         }
