Bound the occurrences that all recurring jobs have open

The bound of 1,000 waiting tasks holds for one recurring job. Two hundred schedules that began long ago, requests of 150 bytes each, opened 200,000 occurrences, and more schedules open more.

Change: from 20,000 steps in opened occurrences of all recurring jobs on, a job opens another one only while it has fewer than four. Four are within the memory that counts for an open job, so the sum is bounded by that and 20,000 steps. Jobs whose occurrences are all open count as well. A form in which each job may have an equal share was tried: as the shares shrink with each further job, 65,520 steps were open with 200 jobs.

--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -196,9 +196,9 @@
         self.phase == Phase::Open
     }
 
-    /// Opens due occurrences, in their order, until enough tasks wait; returns those
-    /// that it has opened.
-    pub(crate) fn open_due(&mut self, unix: Duration) -> Vec<u32> {
+    /// Opens due occurrences, in their order, until enough tasks wait or the job has
+    /// `max_open_steps` steps in opened occurrences; returns those that it has opened.
+    pub(crate) fn open_due(&mut self, unix: Duration, max_open_steps: usize) -> Vec<u32> {
         let mut opened = Vec::new();
         let tasks_each: usize = self.spec.steps.iter().map(|step| step.count as usize).sum();
         let mut waiting = None;
@@ -210,7 +210,9 @@
                 break;
             }
             let waiting = waiting.get_or_insert_with(|| self.waiting_tasks());
-            let has_room = self.occurrences.is_empty() || *waiting < MAX_WAITING_TASKS;
+            let has_room = self.occurrences.is_empty()
+                || *waiting < MAX_WAITING_TASKS
+                    && self.open_steps() + self.spec.steps.len() <= max_open_steps;
             // Stored progress or an adopted run may have opened it before.
             let is_new = !self.occurrences.contains_key(&number);
             if is_new && !has_room {
@@ -230,6 +232,11 @@
         self.next_occurrence < self.spec.occurrences()
     }
 
+    /// Returns the number of steps in opened occurrences.
+    pub(crate) fn open_steps(&self) -> usize {
+        self.occurrences.len() * self.spec.steps.len()
+    }
+
     fn waiting_tasks(&self) -> usize {
         let steps = self.occurrences.values().flat_map(|state| &state.steps);
         steps.map(|step| step.tasks.waiting()).sum()
--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -22,6 +22,14 @@
     StepId, //
 };
 
+/// Number of steps in opened occurrences of all recurring jobs from which on each job has
+/// at most [`MIN_OCCURRENCES`] open at a time.
+const MAX_OPEN_STEPS: usize = 20_000;
+
+/// Number of occurrences that a job may always have open. Their memory is within the
+/// estimate for a step of an open job.
+const MIN_OCCURRENCES: usize = 4;
+
 /// State of a job as reported to callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct JobState {
@@ -85,7 +93,8 @@
             }
             let job = Job::new(id, Arc::new(spec), self.token, now);
             self.add(job, now);
-            self.open_due(id, unix);
+            let mut open_steps = self.open_recurring_steps();
+            self.open_due(id, unix, &mut open_steps);
         }
     }
 
@@ -95,6 +104,9 @@
             let workspace = job.spec.workspace.as_deref().unwrap_or_default();
             self.memory.set(id, workspace, memory_of_open(&job.spec));
             self.scheduled.insert(id);
+            if job.spec.schedule.is_some() {
+                self.recurring.insert(id);
+            }
             let steps: Vec<StepId> = steps_of(&job).collect();
             self.jobs.insert(id, job);
             for step in steps {
@@ -110,12 +122,19 @@
     /// Opens due occurrences of all jobs, of each as many as it may have waiting.
     pub fn open_due_jobs(&mut self, unix: Duration) {
         let ids: Vec<JobId> = self.scheduled.iter().copied().collect();
+        let mut open_steps = self.open_recurring_steps();
         for id in ids {
-            self.open_due(id, unix);
+            self.open_due(id, unix, &mut open_steps);
         }
     }
 
-    fn open_due(&mut self, id: JobId, unix: Duration) {
+    /// Returns the number of steps in opened occurrences of recurring jobs.
+    fn open_recurring_steps(&self) -> usize {
+        let jobs = self.recurring.iter().filter_map(|id| self.jobs.get(id));
+        jobs.map(Job::open_steps).sum()
+    }
+
+    fn open_due(&mut self, id: JobId, unix: Duration, open_steps: &mut usize) {
         let Some(job) = self.jobs.get_mut(&id) else {
             self.scheduled.remove(&id);
             return;
@@ -124,7 +143,11 @@
             self.scheduled.remove(&id);
             return;
         }
-        let opened = job.open_due(unix);
+        let before = job.open_steps();
+        let left = MAX_OPEN_STEPS.saturating_sub(*open_steps);
+        let least = MIN_OCCURRENCES * job.spec.steps.len();
+        let opened = job.open_due(unix, least.max(before + left));
+        *open_steps += job.open_steps() - before;
         if !job.has_unopened() {
             self.scheduled.remove(&id);
         }
@@ -192,6 +215,7 @@
         for (worker, task, attempt) in running {
             self.stop(worker, task, attempt);
         }
+        self.recurring.remove(&id);
         self.mark_dirty(id);
         self.note_ended(id, now);
     }
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -95,6 +95,8 @@
     pub(crate) unacknowledged: HashMap<JobId, BTreeSet<WorkerKey>>,
     /// Open jobs with occurrences that are not due yet.
     pub(crate) scheduled: BTreeSet<JobId>,
+    /// Open jobs with a schedule.
+    pub(crate) recurring: BTreeSet<JobId>,
     pub(crate) ended: VecDeque<JobId>,
     pub(crate) started_at: Duration,
     /// Whether this scheduler's own lease is valid, so that no later scheduler can
@@ -155,6 +157,7 @@
             planned_at: now,
             unacknowledged: HashMap::new(),
             scheduled: BTreeSet::new(),
+            recurring: BTreeSet::new(),
             ended: VecDeque::new(),
             started_at: now,
             has_authority: true,
