Believe no late list of instances before the life that answered an order is read

Cause: for a worker with an unanswered call, a list of instances counts once it was requested after the last answer. The last answer may be that to an order, which does not tell which life gave it. An idle worker restarts unseen, a start over a new connection is confirmed by the new life, the status request over the old connection fails, and a list that was requested in between and still shows the earlier life's end was believed: the task was started on a second worker while it ran.

Change: until a status that was requested after the answer to an order is read, a list counts from 1.5 s after that answer only, the longest delay of the list.

Evidence: `late_list_does_not_end_a_run_of_a_life_that_is_not_read_yet` fails without the change ("the task runs twice") and passes with it. On the scheduler's decisions alone; no run with the daemon. The window is about 0.1 s.

Cost, by estimate: the end of a crashed worker whose last answer was that to an order is believed 0.5 to 1 s later from a list. A connection that has answered a status tells the life of its answers to orders as well; carrying that along would take this cost away.

--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -78,6 +78,9 @@
     /// Time at which all leases granted by earlier schedulers have certainly ended.
     pub(crate) unknown_until: Duration,
     pub(crate) answered_at: Duration,
+    /// Time of the last answer to an order, until a status that was requested later is
+    /// read. It does not tell which life gave it.
+    order_answered_at: Option<Duration>,
     /// Time of the first call that was not answered, until a status that was requested
     /// later is read. Another life may answer next.
     silent_since: Option<Duration>,
@@ -104,6 +107,7 @@
             booked: BTreeMap::new(),
             unknown_until,
             answered_at: now,
+            order_answered_at: None,
             silent_since: None,
             is_cordoned: false,
             is_terminating: false,
@@ -187,11 +191,13 @@
     /// life gave it, so it does not end a silence.
     pub(crate) fn on_answer(&mut self, now: Duration) {
         self.answered_at = now;
+        self.order_answered_at = Some(now);
     }
 
     /// Records that a status was read for which the worker was asked at `sent_at`.
     pub(crate) fn on_status(&mut self, sent_at: Duration, read_at: Duration) {
         self.answered_at = read_at;
+        self.order_answered_at = self.order_answered_at.filter(|at| sent_at < *at);
         if self.silent_since.is_some_and(|since| sent_at >= since) {
             self.silent_since = None;
         }
@@ -199,9 +205,9 @@
 
     /// Returns whether a list of instances tells about the life that answered last. That
     /// may be a later one than the present life, and have begun within the delay of the
-    /// list, unless a call has gone unanswered.
+    /// list, unless the last answer was a status and a call has gone unanswered since.
     pub(crate) fn is_shown_by_list(&self, requested_at: Duration) -> bool {
-        let lag = if self.is_silent() {
+        let lag = if self.is_silent() && self.order_answered_at.is_none() {
             Duration::ZERO
         } else {
             LIST_LAG
--- a/crates/dotterelsill_jobs/tests/facts_of_other_lives.rs
+++ b/crates/dotterelsill_jobs/tests/facts_of_other_lives.rs
@@ -60,6 +60,31 @@
     );
 }
 
+/// Guards against the same when the status request that follows the start fails, because
+/// its connection led to the life before: until the next one is answered, which life has
+/// confirmed the start is not known.
+#[test]
+fn late_list_does_not_end_a_run_of_a_life_that_is_not_read_yet() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let first = add_worker(&mut scheduler, 0, ms(1000));
+    let up = |index| instance(index, "work", InstanceState::Up);
+    scheduler.on_instances(vec![up(0), up(1)], ms(1100), ms(1110));
+    // The worker restarts at 10,000 ms. The start reaches the new life.
+    submit(&mut scheduler, 1, &small_job(), ms(10_100));
+    let orders = scheduler.plan(ms(10_110));
+    assert_eq!(starts(&orders), [(task(1, 0, 0), first)]);
+    confirm(&mut scheduler, &orders, ms(10_120));
+    scheduler.on_silence(first, ms(10_130));
+    add_worker(&mut scheduler, 1, ms(10_140));
+    let down = instance(0, "work", InstanceState::Down);
+    scheduler.on_instances(vec![down, up(1)], ms(10_200), ms(10_210));
+    assert_eq!(
+        starts(&scheduler.plan(ms(10_220))),
+        [],
+        "the task runs twice"
+    );
+}
+
 /// Guards against a list of instances that ends a worker which a new scheduler has not
 /// read yet: it may show a restart from before the takeover, after which the earlier
 /// scheduler started the task there.
