Extend the simulation of ends by moves, gangs, paces and hand-overs

What it lacked: workers that restart at another address, also at one that another worker had, which then answers 421; gangs, whose members end together (done, broken or alone); fillers that are paced beside tasks with a tail latency; schedulers that store their changes and hand over in order. Four environments add them, one all of them together. The draws of the five environments from before are unchanged.

What the search is worth for single checks remains open.

--- a/crates/dotterelsill_jobs/tests/ends_search/calls.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/calls.rs
@@ -70,8 +70,8 @@
 }
 
 /// Identifies a client of a worker: the scheduler, the route with the number of the
-/// link, and the worker.
-pub(crate) type ClientId = (u64, Route, u64, WorkerKey);
+/// link, the worker and its address.
+pub(crate) type ClientId = (u64, Route, u64, WorkerKey, u16);
 
 /// A call under way.
 #[derive(Clone, Debug)]
@@ -79,6 +79,10 @@
     pub(crate) token: u64,
     pub(crate) key: WorkerKey,
     pub(crate) worker: usize,
+    /// Port that is called.
+    pub(crate) port: u16,
+    /// Number of the loops that make the call.
+    pub(crate) loops: u64,
     pub(crate) route: Route,
     /// Number of the link to the dispatcher.
     pub(crate) link: u64,
@@ -92,7 +96,7 @@
 
 impl Call {
     pub(crate) fn client(&self) -> ClientId {
-        (self.token, self.route, self.link, self.key)
+        (self.token, self.route, self.link, self.key, self.port)
     }
 
     pub(crate) fn is_status(&self) -> bool {
--- a/crates/dotterelsill_jobs/tests/ends_search/driver.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/driver.rs
@@ -86,6 +86,10 @@
 #[derive(Debug)]
 pub(crate) struct Loops {
     pub(crate) worker: usize,
+    /// Port that they call.
+    pub(crate) port: u16,
+    /// Number that no other loops have.
+    pub(crate) number: u64,
     pub(crate) status: StatusPhase,
     pub(crate) is_first: bool,
     pub(crate) unanswered: u32,
@@ -98,9 +102,11 @@
 }
 
 impl Loops {
-    pub(crate) fn new(worker: usize, begins_at_ms: u64) -> Self {
+    pub(crate) fn new(worker: usize, port: u16, number: u64, begins_at_ms: u64) -> Self {
         Self {
             worker,
+            port,
+            number,
             status: StatusPhase::Round {
                 at_ms: begins_at_ms,
             },
@@ -123,6 +129,8 @@
     pub(crate) links: BTreeMap<SocketAddr, u64>,
     pub(crate) valid_until_ms: u64,
     pub(crate) is_lost: bool,
+    /// Time until which changes are stored at most before scheduling is handed over.
+    pub(crate) hands_over_until_ms: Option<u64>,
     pub(crate) frozen_until_ms: u64,
     pub(crate) is_cut_from_store: bool,
     /// Data centre whose workers and dispatchers this instance cannot reach.
@@ -197,6 +205,7 @@
             links: BTreeMap::new(),
             valid_until_ms: elected_at_ms + TTL_MS - TTL_MS / 50,
             is_lost: false,
+            hands_over_until_ms: None,
             frozen_until_ms: 0,
             is_cut_from_store: false,
             cut_data_centre: None,
@@ -213,6 +222,21 @@
         }
     }
 
+    /// Replaces the loops of a worker by those for another port. The orders that they have
+    /// not settled are passed on; the result of one that is under way is handled when it
+    /// arrives.
+    pub(crate) fn move_loops(&mut self, key: WorkerKey, mut loops: Loops) {
+        if let Some(old) = self.loops.remove(&key) {
+            let current = old.current.filter(|sending| sending.at_ms.is_some());
+            let repeats = old.repeats.into_values();
+            let unsettled = current.into_iter().chain(repeats);
+            let unsettled = unsettled.filter(|sending| sending.at_ms.is_some());
+            let unsettled = unsettled.map(|sending| (sending.order, sending.may_come_late));
+            loops.queue.extend(unsettled.chain(old.queue));
+        }
+        self.loops.insert(key, loops);
+    }
+
     pub(crate) fn is_valid(&self, now_ms: u64) -> bool {
         !self.is_lost && now_ms < self.valid_until_ms
     }
--- a/crates/dotterelsill_jobs/tests/ends_search/loops.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/loops.rs
@@ -35,6 +35,7 @@
         UNSENT_ORDER_PAUSE_MS, //
     },
     world::{
+        address_of,
         World,
         WORKERS, //
     }, //
@@ -47,6 +48,7 @@
 const LIST_INTERVAL_MS: u64 = 1000;
 const LINKS_INTERVAL_MS: u64 = 250;
 const STATUS_WAIT_MS: u64 = 1500;
+const MIXED_STATUS_WAIT_MS: u64 = 700;
 const STATUS_PAUSE_MS: u64 = 60;
 const STORE_WAIT_MS: u64 = 250;
 const IDLE_RETRY_PAUSE_MS: u64 = 500;
@@ -81,6 +83,10 @@
         if self.drivers[index].is_lost {
             return;
         }
+        self.hand_over(index);
+        if self.drivers[index].is_lost {
+            return;
+        }
         self.accept_jobs(index);
         self.read_registrations(index);
         self.read_instances(index);
@@ -117,6 +123,24 @@
         }
     }
 
+    /// Ends scheduling in order once all changes are stored, or the time for that is over.
+    fn hand_over(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let driver = &mut self.drivers[index];
+        let Some(until_ms) = driver.hands_over_until_ms else {
+            return;
+        };
+        if now_ms < until_ms && (driver.writes > 0 || driver.scheduler.has_change()) {
+            return;
+        }
+        driver.is_lost = true;
+        let is_current = driver.token == self.store.token && !driver.is_cut_from_store;
+        if is_current && self.store.is_up(now_ms) {
+            self.store.lease_ends_ms = self.store.lease_ends_ms.min(now_ms);
+            self.counts.hand_overs += 1;
+        }
+    }
+
     fn accept_jobs(&mut self, index: usize) {
         let now = self.now();
         let driver = &mut self.drivers[index];
@@ -140,17 +164,19 @@
         }
         self.drivers[index].next_registrations_ms = now_ms + REGISTRATIONS_INTERVAL_MS;
         for worker in 0..WORKERS {
-            let Some(born_ms) = self.store.registered[worker] else {
+            let Some((born_ms, port)) = self.store.registered[worker] else {
                 let id = &self.workers[worker].id;
                 self.drivers[index].scheduler.on_unlisted(id, now);
                 continue;
             };
-            let report = self.report(worker, born_ms);
+            let report = self.report(worker, born_ms, port);
             let begins_at_ms = now_ms + self.random.random_range(1..100);
+            let number = self.number();
             let driver = &mut self.drivers[index];
             let (key, is_new) = driver.scheduler.on_report(report, now);
             if is_new || !driver.loops.contains_key(&key) {
-                driver.loops.insert(key, Loops::new(worker, begins_at_ms));
+                let loops = Loops::new(worker, port, number, begins_at_ms);
+                driver.move_loops(key, loops);
             }
         }
         let driver = &mut self.drivers[index];
@@ -331,6 +357,8 @@
             token: driver.token,
             key,
             worker: driver.loops[&key].worker,
+            port: driver.loops[&key].port,
+            loops: driver.loops[&key].number,
             route,
             link,
             sent_at_ms: self.now_ms,
@@ -410,7 +438,13 @@
             token: driver.token,
             lease_end_ms: scheduler.lease_end(key, may_extend, now),
             acknowledged,
-            wait_ms: if is_unknown { 0 } else { STATUS_WAIT_MS },
+            wait_ms: if is_unknown {
+                0
+            } else if scheduler.has_serving_and_filler(key) {
+                MIXED_STATUS_WAIT_MS
+            } else {
+                STATUS_WAIT_MS
+            },
             processed,
         };
         self.make_call(index, key, route, CallBody::Status(request));
@@ -535,8 +569,13 @@
             self.drivers[index].is_lost = true;
             return;
         }
+        let now = self.now();
+        if let CallResult::Answer(Answer::OtherWorker) = result {
+            let scheduler = &mut self.drivers[index].scheduler;
+            let sent_at = at(call.sent_at_ms);
+            scheduler.on_other_worker(call.key, &address_of(call.port), sent_at, now);
+        }
         if let CallResult::Failed { .. } = result {
-            let now = self.now();
             let driver = &mut self.drivers[index];
             driver.dispatchers.on_unanswered(call.key, call.route, now);
             driver.scheduler.on_silence(call.key, now);
@@ -552,6 +591,7 @@
     fn on_status_result(&mut self, index: usize, call: &Call, result: CallResult) {
         let (now_ms, now) = (self.now_ms, self.now());
         let is_given_up = self.bugs.gives_up_without_proof;
+        let is_replaced = self.is_replaced(index, call);
         let driver: &mut Driver = &mut self.drivers[index];
         let Some(loops) = driver.loops.get_mut(&call.key) else {
             return;
@@ -566,6 +606,9 @@
                 };
                 driver.scheduler.on_worker_status(call.key, &status, now);
                 driver.dispatchers.on_answered(call.key, call.route);
+                if is_replaced {
+                    return;
+                }
                 loops.is_first = false;
                 loops.unanswered = 0;
                 let is_pending = driver.scheduler.has_pending_ends(call.key);
@@ -577,6 +620,7 @@
                     return;
                 }
             }
+            _ if is_replaced => return,
             CallResult::Answer(_) | CallResult::Unconnected => {
                 loops.unanswered += 1;
                 next_ms += IDLE_RETRY_PAUSE_MS;
@@ -585,7 +629,7 @@
                 next_ms += RETRY_PAUSE_MS * 2_u64.pow(loops.unanswered.min(MAX_DOUBLINGS));
                 loops.unanswered += 1;
                 if is_given_up && loops.unanswered > 2 && GIVE_UP_MS < now_ms {
-                    let address = self.workers[call.worker].address.clone();
+                    let address = address_of(call.port);
                     let scheduler = &mut driver.scheduler;
                     scheduler.on_other_worker(call.key, &address, now, now);
                 }
@@ -604,24 +648,35 @@
     ) {
         let (now_ms, now, key) = (self.now_ms, self.now(), call.key);
         let may_come_late = matches!(sender, OrderSender::Repeat(_));
+        let is_replaced = self.is_replaced(index, call);
         match result {
+            CallResult::Answer(Answer::OtherWorker) => {
+                let is_of_loop = sender != OrderSender::Dispatched;
+                self.repeat_or_queue(index, call, sender, order, is_of_loop);
+            }
             CallResult::Answer(answer) => {
                 let scheduler = &mut self.drivers[index].scheduler;
                 let is_open = scheduler.on_answer(key, order, answer, may_come_late, now);
                 if is_open {
-                    self.repeat_or_queue(index, key, sender, order, true);
-                } else {
+                    self.repeat_or_queue(index, call, sender, order, true);
+                } else if !is_replaced {
                     self.settle(index, key, sender);
                 }
             }
-            CallResult::Failed { was_sent: false } if sender != OrderSender::Dispatched => {
+            CallResult::Unconnected if is_replaced => {
+                self.repeat_or_queue(index, call, sender, order, may_come_late);
+            }
+            CallResult::Failed { was_sent: false }
+                if sender != OrderSender::Dispatched && !is_replaced =>
+            {
                 if let Some(sending) = self.sending(index, key, sender) {
                     sending.at_ms = Some(now_ms + sending.pause_ms);
                     sending.pause_ms = (sending.pause_ms * 2).min(MAX_UNSENT_ORDER_PAUSE_MS);
                 }
             }
             CallResult::Failed { was_sent } => {
-                self.repeat_or_queue(index, key, sender, order, was_sent);
+                let may_come_late = may_come_late || was_sent;
+                self.repeat_or_queue(index, call, sender, order, may_come_late);
             }
             CallResult::Unconnected => {
                 if let Some(sending) = self.sending(index, key, sender) {
@@ -635,15 +690,21 @@
     fn repeat_or_queue(
         &mut self,
         index: usize,
-        key: WorkerKey,
+        call: &Call,
         sender: OrderSender,
         order: &Order,
         may_come_late: bool,
     ) {
-        if sender != OrderSender::Dispatched {
-            self.repeat(index, key, sender, order.clone());
-        } else if let Some(loops) = self.drivers[index].loops.get_mut(&key) {
+        if sender != OrderSender::Dispatched && !self.is_replaced(index, call) {
+            self.repeat(index, call.key, sender, order.clone());
+        } else if let Some(loops) = self.drivers[index].loops.get_mut(&call.key) {
             loops.queue.push_back((order.clone(), may_come_late));
         }
     }
+
+    /// Returns whether other loops call the worker now than those that made a call.
+    fn is_replaced(&self, index: usize, call: &Call) -> bool {
+        let loops = self.drivers[index].loops.get(&call.key);
+        loops.is_none_or(|loops| loops.number != call.loops)
+    }
 }
--- a/crates/dotterelsill_jobs/tests/ends_search/main.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/main.rs
@@ -36,6 +36,9 @@
     takeovers: false,
     dispatchers: true,
     cancels: true,
+    moves: false,
+    gangs_and_fillers: false,
+    hand_overs: false,
 };
 
 const TAKEOVERS: Environment = Environment {
@@ -61,6 +64,29 @@
     ..STEADY
 };
 
+/// Restarted workers have other addresses, also those of other workers.
+const MOVES: Environment = Environment {
+    moves: true,
+    ..LISTS
+};
+
+const GANGS_AND_FILLERS: Environment = Environment {
+    gangs_and_fillers: true,
+    ..STEADY
+};
+
+const HAND_OVERS: Environment = Environment {
+    hand_overs: true,
+    ..RESTARTS_AND_TAKEOVERS
+};
+
+const EVERYTHING: Environment = Environment {
+    moves: true,
+    gangs_and_fillers: true,
+    hand_overs: true,
+    ..LISTS
+};
+
 fn seeds() -> u64 {
     std::env::var("SEARCH_SEEDS")
         .ok()
@@ -111,6 +137,26 @@
     }
 }
 
+/// Guards against a simulation in which workers do not move, gangs do not get together,
+/// fillers are not paced, or schedulers do not hand over in order.
+#[test]
+fn moves_gangs_paces_and_hand_overs_happen() {
+    let mut totals = world::WorldCounts::default();
+    for seed in 0..10 {
+        let mut world = World::new(seed, EVERYTHING, Bugs::default());
+        let _ = world.run();
+        totals.gangs += world.counts.gangs;
+        totals.paces += world.counts.paces;
+        totals.other_workers += world.counts.other_workers;
+        totals.hand_overs += world.counts.hand_overs;
+    }
+    println!("{totals:?}");
+    assert!(totals.gangs > 20, "{totals:?}");
+    assert!(totals.paces > 20, "{totals:?}");
+    assert!(totals.other_workers > 5, "{totals:?}");
+    assert!(totals.hand_overs > 10, "{totals:?}");
+}
+
 /// Guards against a task that starts again after its noted end, or that runs twice at a
 /// time, when calls and answers are lost, late or overtake each other.
 #[test]
@@ -143,6 +189,32 @@
     check(LISTS);
 }
 
+/// Guards against the same when workers restart at other addresses, some of which belonged
+/// to other workers, which answer that a call is not meant for them.
+#[test]
+fn ends_are_kept_while_workers_change_their_addresses() {
+    check(MOVES);
+}
+
+/// Guards against the same for gangs, whose members end together, and while fillers are
+/// paced beside tasks with a tail latency.
+#[test]
+fn ends_of_gangs_are_kept() {
+    check(GANGS_AND_FILLERS);
+}
+
+/// Guards against the same when schedulers store their changes and hand over in order.
+#[test]
+fn ends_are_kept_over_hand_overs() {
+    check(HAND_OVERS);
+}
+
+/// Guards against the same when all of this happens.
+#[test]
+fn ends_are_kept_through_everything() {
+    check(EVERYTHING);
+}
+
 /// Checks that the simulation detects ends that are acknowledged before they are stored.
 #[test]
 fn search_finds_ends_acknowledged_early() {
--- a/crates/dotterelsill_jobs/tests/ends_search/rules.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/rules.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use dotterelsill_jobs::TaskId;
+use dotterelsill_jobs::{
+    StepId,
+    TaskId, //
+};
 
 use crate::worker::Worker;
 
@@ -21,6 +24,8 @@
     starts: BTreeMap<TaskId, Vec<Started>>,
     /// Runs that ended `done` and whose ends were acknowledged.
     noted: BTreeMap<TaskId, (String, u32)>,
+    /// Numbers of tasks of the steps whose tasks form a gang.
+    pub(crate) gangs: BTreeMap<StepId, u32>,
     pub(crate) violation: Option<String>,
 }
 
@@ -67,8 +72,20 @@
         });
     }
 
-    /// Records that the end `done` of a run was acknowledged.
+    /// Records that the end `done` of a run was acknowledged. That of a member of a gang
+    /// stands for the whole gang.
     pub(crate) fn on_done_noted(&mut self, worker: &str, task: TaskId, attempt: u32, done_at: u64) {
+        match self.gangs.get(&task.step) {
+            Some(&count) => {
+                for index in 0..count {
+                    self.on_task_noted(worker, task.step.task(index), attempt, done_at);
+                }
+            }
+            None => self.on_task_noted(worker, task, attempt, done_at),
+        }
+    }
+
+    fn on_task_noted(&mut self, worker: &str, task: TaskId, attempt: u32, done_at: u64) {
         let starts = self.starts.get(&task).map_or(&[][..], Vec::as_slice);
         if let Some(later) = starts.iter().find(|start| start.moment > done_at) {
             let text = format!(
--- a/crates/dotterelsill_jobs/tests/ends_search/store.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/store.rs
@@ -23,8 +23,8 @@
     pub(crate) jobs: BTreeMap<JobId, JobRecord>,
     pub(crate) progress: BTreeMap<JobId, (ProgressRecord, u64)>,
     pub(crate) granted: Vec<GrantedWorker>,
-    /// Registered workers, by their start time.
-    pub(crate) registered: Vec<Option<u64>>,
+    /// Registered workers, by their start time and port.
+    pub(crate) registered: Vec<Option<(u64, u16)>>,
 }
 
 /// Result of a write of progress.
--- a/crates/dotterelsill_jobs/tests/ends_search/worker.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/worker.rs
@@ -26,10 +26,21 @@
     pub(crate) attempt: u32,
     pub(crate) ends_at_ms: u64,
     pub(crate) fails: bool,
+    /// Time from the moment at which a gang is complete until it is done; `None` for a
+    /// run that works by itself.
+    pub(crate) gang_takes_ms: Option<u64>,
+    /// Whether the run is part of a complete gang.
+    pub(crate) is_in_gang: bool,
     /// Time until which an ordered stop takes.
     pub(crate) stops_at_ms: Option<u64>,
 }
 
+impl ActiveRun {
+    fn waits_for_gang(&self) -> bool {
+        self.gang_takes_ms.is_some() && !self.is_in_gang
+    }
+}
+
 /// An end that is listed, and the moment at which it happened.
 #[derive(Debug)]
 struct KeptEnd {
@@ -42,7 +53,7 @@
 pub(crate) struct Worker {
     pub(crate) id: String,
     pub(crate) data_centre: String,
-    pub(crate) address: String,
+    pub(crate) port: u16,
     pub(crate) is_up: bool,
     pub(crate) born_ms: u64,
     /// Time at which a worker that is down starts again.
@@ -65,7 +76,7 @@
         Self {
             id: format!("w{index}"),
             data_centre: format!("dc{}", index % 2),
-            address: format!("127.0.0.1:{}", 1000 + index),
+            port: 1000 + index as u16,
             is_up: true,
             born_ms: 1,
             starts_at_ms: 0,
@@ -98,7 +109,7 @@
         *self = Self {
             id: std::mem::take(&mut self.id),
             data_centre: std::mem::take(&mut self.data_centre),
-            address: std::mem::take(&mut self.address),
+            port: self.port,
             born_ms: now_ms,
             ..Self::new(0, self.slow_permille)
         };
@@ -112,6 +123,8 @@
                 Some(RunOutcome::Lapsed)
             } else if run.ends_at_ms <= now_ms && run.fails {
                 Some(RunOutcome::Failed)
+            } else if run.ends_at_ms <= now_ms && run.waits_for_gang() {
+                Some(RunOutcome::Alone)
             } else if run.ends_at_ms <= now_ms {
                 Some(RunOutcome::Done)
             } else {
@@ -132,7 +145,7 @@
         }
     }
 
-    fn end(&mut self, task: TaskId, outcome: RunOutcome, rules: &mut Rules) {
+    pub(crate) fn end(&mut self, task: TaskId, outcome: RunOutcome, rules: &mut Rules) {
         let Some(run) = self.runs.remove(&task) else {
             return;
         };
@@ -204,7 +217,8 @@
             attempt: run.attempt,
             checkpoint: String::new(),
             percent: 100,
-            measure: 0,
+            // A tail latency, of which only that of serving tasks counts.
+            measure: (now_ms + u64::from(task.index) * 700) % 200,
         });
         WorkerStatus {
             worker_ms: self.clock_ms(now_ms),
--- a/crates/dotterelsill_jobs/tests/ends_search/world.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/world.rs
@@ -18,10 +18,14 @@
     JobChange,
     JobId,
     JobSpec,
+    Order,
     Pool,
     Queue,
     Resources,
     Route,
+    RunOutcome,
+    StepId,
+    TaskId,
     WorkerReport,
     FORMAT, //
 };
@@ -76,6 +80,16 @@
 /// Maximum delay until the list of instances shows a change.
 const LIST_LAG_MS: u64 = 1500;
 
+/// Time after which a run ends that waits for the rest of its gang.
+const GANG_TIMEOUT_MS: u64 = 3000;
+
+/// First port of the workers, and the number of ports that they use in turn.
+const FIRST_PORT: u16 = 1000;
+const PORTS: u16 = WORKERS as u16 + 2;
+
+/// Maximum time for which changes are stored before scheduling is handed over.
+const FLUSH_MS: u64 = 1000;
+
 /// Total resources of each worker.
 const CAPACITY: Resources = Resources {
     cpu_milli: 4000,
@@ -96,6 +110,12 @@
     pub(crate) dispatchers: bool,
     /// Jobs are cancelled, so that runs are stopped.
     pub(crate) cancels: bool,
+    /// Workers that restart may have another address, and that of another worker.
+    pub(crate) moves: bool,
+    /// Tasks form gangs, and tasks with a tail latency run beside fillers, which are paced.
+    pub(crate) gangs_and_fillers: bool,
+    /// Schedulers hand over in order.
+    pub(crate) hand_overs: bool,
 }
 
 /// Bugs that are injected into the loops of the schedulers.
@@ -181,6 +201,20 @@
     snapshots: Vec<Vec<bool>>,
     next_job: u64,
     specs: BTreeMap<JobId, JobSpec>,
+    pub(crate) counts: WorldCounts,
+}
+
+/// Numbers of what happened besides starts and ends.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WorldCounts {
+    /// Gangs that were complete.
+    pub(crate) gangs: usize,
+    /// Pace orders that arrived.
+    pub(crate) paces: usize,
+    /// Calls that were answered by another worker.
+    pub(crate) other_workers: usize,
+    /// Schedulers that handed over in order.
+    pub(crate) hand_overs: usize,
 }
 
 fn configuration() -> Configuration {
@@ -207,6 +241,10 @@
     configuration
 }
 
+pub(crate) fn address_of(port: u16) -> String {
+    format!("127.0.0.1:{port}")
+}
+
 fn dispatcher_index(route: Route) -> Option<usize> {
     let Route::Over(std::net::SocketAddr::V4(address)) = route else {
         return None;
@@ -226,7 +264,9 @@
             bugs,
             now_ms: 1000,
             store: Store {
-                registered: vec![Some(1); WORKERS],
+                registered: (0..WORKERS as u16)
+                    .map(|index| Some((1, FIRST_PORT + index)))
+                    .collect(),
                 ..Store::default()
             },
             workers,
@@ -249,6 +289,7 @@
             snapshots: vec![vec![true; WORKERS]],
             next_job: 1,
             specs: BTreeMap::new(),
+            counts: WorldCounts::default(),
         }
     }
 
@@ -274,6 +315,7 @@
                     worker.advance(until_ms, &mut self.rules);
                 }
             }
+            self.advance_gangs();
             self.answer_waiting();
             self.drive_all();
             self.rules.check_runs(&self.workers);
@@ -348,10 +390,18 @@
                 if self.workers[index].is_up {
                     self.workers[index].crash(now_ms + down_ms);
                 }
+                // Workers that are down together may get each other's addresses.
+                if self.environment.moves && self.chance(2) {
+                    let other = (index + self.random.random_range(1..WORKERS)) % WORKERS;
+                    if self.workers[other].is_up {
+                        self.workers[other].crash(now_ms + down_ms + 50);
+                    }
+                }
             }
-            for worker in &mut self.workers {
-                if !worker.is_up && worker.starts_at_ms <= now_ms {
-                    worker.restart(now_ms);
+            for index in 0..WORKERS {
+                if !self.workers[index].is_up && self.workers[index].starts_at_ms <= now_ms {
+                    self.choose_port(index);
+                    self.workers[index].restart(now_ms);
                 }
             }
         }
@@ -381,8 +431,77 @@
         }
     }
 
+    /// Gives a worker that starts again a port that no other one listens on.
+    fn choose_port(&mut self, index: usize) {
+        if !self.environment.moves {
+            return;
+        }
+        let is_free = |port: &u16| self.holder_of(*port).is_none();
+        let free: Vec<u16> = (FIRST_PORT..FIRST_PORT + PORTS).filter(is_free).collect();
+        let own = self.workers[index].port;
+        let is_left = |port: &u16| {
+            let mut workers = self.workers.iter();
+            *port != own && workers.any(|worker| !worker.is_up && worker.port == *port)
+        };
+        let left: Vec<u16> = free.iter().copied().filter(is_left).collect();
+        if !left.is_empty() && self.chance(2) {
+            self.workers[index].port = left[self.random.random_range(0..left.len())];
+        } else if !free.contains(&own) || self.chance(2) {
+            self.workers[index].port = free[self.random.random_range(0..free.len())];
+        }
+    }
+
+    /// Returns the worker that listens on a port.
+    fn holder_of(&self, port: u16) -> Option<usize> {
+        self.workers
+            .iter()
+            .position(|worker| worker.is_up && worker.port == port)
+    }
+
+    /// Completes gangs whose members are all there, and breaks those that have lost one.
+    fn advance_gangs(&mut self) {
+        let mut gangs: BTreeMap<(StepId, u32), Vec<(usize, TaskId)>> = BTreeMap::new();
+        for (index, worker) in self.workers.iter().enumerate() {
+            for (task, run) in &worker.runs {
+                if worker.is_up && run.gang_takes_ms.is_some() {
+                    let members = gangs.entry((task.step, run.attempt)).or_default();
+                    members.push((index, *task));
+                }
+            }
+        }
+        for ((step, _), members) in gangs {
+            let is_complete = members.len() == self.rules.gangs[&step] as usize;
+            let runs = |world: &Self| -> Vec<ActiveRun> {
+                let run = |(index, task): &(usize, TaskId)| world.workers[*index].runs[task];
+                members.iter().map(run).collect()
+            };
+            let runs = runs(self);
+            let has_begun = runs.iter().any(|run| run.is_in_gang);
+            let takes_ms = runs.iter().filter_map(|run| run.gang_takes_ms).max();
+            let ends_at_ms = self.now_ms + takes_ms.unwrap_or_default();
+            for (index, task) in &members {
+                let worker = &mut self.workers[*index];
+                if has_begun && !is_complete {
+                    worker.end(*task, RunOutcome::Broken, &mut self.rules);
+                } else if let Some(run) = worker.runs.get_mut(task) {
+                    if is_complete && !has_begun {
+                        run.is_in_gang = true;
+                        run.ends_at_ms = ends_at_ms;
+                    }
+                }
+            }
+            self.counts.gangs += usize::from(is_complete && !has_begun);
+        }
+    }
+
     fn inject_takeovers(&mut self) {
         let now_ms = self.now_ms;
+        if self.environment.hand_overs && self.chance(300) {
+            if let Some(driver) = self.drivers.last_mut() {
+                log::debug!("{now_ms}: {} hands over", driver.token);
+                driver.hands_over_until_ms.get_or_insert(now_ms + FLUSH_MS);
+            }
+        }
         if self.chance(500) {
             self.store.down_until_ms = now_ms + self.random.random_range(300..6000);
             log::debug!(
@@ -429,7 +548,7 @@
         let is_beat = self.now_ms.is_multiple_of(HEARTBEAT_MS);
         for (entry, worker) in self.store.registered.iter_mut().zip(&self.workers) {
             if worker.is_up && is_beat && self.store.down_until_ms <= self.now_ms {
-                *entry = Some(worker.born_ms);
+                *entry = Some((worker.born_ms, worker.port));
             }
             let silent_ms = worker.starts_at_ms.saturating_sub(self.now_ms);
             if !worker.is_up && self.now_ms.is_multiple_of(EXPIRY_MS) && silent_ms > 0 {
@@ -506,7 +625,25 @@
             after,
             ..jobs::Step::default()
         };
-        let steps = vec![step(vec![]), step(vec![0])];
+        let mut steps = vec![step(vec![]), step(vec![0])];
+        if self.environment.gangs_and_fillers {
+            for step in &mut steps {
+                match self.random.random_range(0..6) {
+                    0 | 1 => step.is_gang = step.count > 1,
+                    2 => step.is_filler = true,
+                    3 => step.target_ms = 100,
+                    _ => {}
+                }
+            }
+            for (number, step) in (0..).zip(&steps).filter(|(_, step)| step.is_gang) {
+                let id = StepId {
+                    job: id,
+                    occurrence: 0,
+                    step: number,
+                };
+                self.rules.gangs.insert(id, step.count);
+            }
+        }
         let home = match self.random.random_range(0..3) {
             2 => String::new(),
             index => format!("dc{index}"),
@@ -553,12 +690,12 @@
         self.workers.iter().enumerate().map(entry).collect()
     }
 
-    pub(crate) fn report(&self, index: usize, started_unix_ms: u64) -> WorkerReport {
+    pub(crate) fn report(&self, index: usize, started_unix_ms: u64, port: u16) -> WorkerReport {
         let worker = &self.workers[index];
         WorkerReport {
             id: worker.id.clone(),
             started_unix_ms,
-            address: worker.address.clone(),
+            address: address_of(port),
             pool: "pool".to_owned(),
             data_centre: worker.data_centre.clone(),
             labels: vec!["a".to_owned(), "r1".to_owned()],
@@ -730,11 +867,11 @@
             self.now_ms + call.time_limit_ms(),
             Event::TimeOutAtClient(number),
         );
-        let worker = &self.workers[call.worker];
-        let (is_up, born_ms) = (worker.is_up, worker.born_ms);
+        let holder = self.holder_of(call.port);
+        let born_ms = holder.map(|holder| self.workers[holder].born_ms);
         let idle = self.clients.take(&call);
-        let is_broken = idle.is_some_and(|life| life != born_ms) || !is_up;
-        call.life = idle.unwrap_or(born_ms);
+        let is_broken = born_ms.is_none() || idle.is_some_and(|life| Some(life) != born_ms);
+        call.life = idle.or(born_ms).unwrap_or_default();
         if let CallBody::Status(request) = &mut call.body {
             // Lease and acknowledgement are sent only over a connection on which their life
             // has answered.
@@ -782,14 +919,31 @@
     fn execute(&mut self, number: u64) {
         let call = self.calls[&number].clone();
         let now_ms = self.now_ms;
-        let order_run = self.order_run();
-        let worker = &mut self.workers[call.worker];
+        let mut order_run = self.order_run();
+        if let CallBody::Order { order, .. } = &call.body {
+            self.counts.paces += usize::from(matches!(order, Order::Pace { .. }));
+            if self.rules.gangs.contains_key(&order.run().0.step) {
+                let takes_ms = order_run.ends_at_ms - now_ms;
+                order_run.gang_takes_ms = Some(takes_ms);
+                order_run.ends_at_ms = now_ms + GANG_TIMEOUT_MS;
+                order_run.fails = false;
+            }
+        }
         // The connection of a call ends with the life to which it leads.
-        if !worker.is_up || worker.born_ms != call.life {
+        let holder = self.holder_of(call.port);
+        let holder = holder.filter(|holder| self.workers[*holder].born_ms == call.life);
+        let Some(holder) = holder else {
             let failed = CallResult::Failed { was_sent: true };
             self.schedule_in(1..4, Event::ArriveAtClient(number, failed));
             return;
+        };
+        if holder != call.worker {
+            self.counts.other_workers += 1;
+            let answer = dotterelsill_jobs::Answer::OtherWorker;
+            self.respond(number, CallResult::Answer(answer));
+            return;
         }
+        let worker = &mut self.workers[call.worker];
         if !call.is_open {
             log::debug!("{now_ms}: late at {}: {:?}", worker.id, call.body);
         }
@@ -829,6 +983,8 @@
             attempt: 0,
             ends_at_ms: self.now_ms + takes_ms,
             fails: self.chance(20),
+            gang_takes_ms: None,
+            is_in_gang: false,
             stops_at_ms: Some(self.now_ms + self.random.random_range(0..400)),
         }
     }
