Bound the memory of requests that are being received

What callers see: 600 connections, half with a request head of 300 KB that does not end and half with an unfinished body of 250 KB, take 347 MB of the instance that they are opened to, above the memory of the smallest instances. The heads need no key.

Cause: heads had the limit of the library, about 400 KB a connection, and `maxHeaderBytes` of the configuration was read without being used. Bodies had a limit each, but none over all connections and none in time, and connections had none but the file descriptors, which calls to workers and the store need as well.

Change: heads are limited by `maxHeaderBytes`, asked for at each new connection. Bodies that are being received take at most an eighth of the instance's memory, each for at most 5 s; the answers beyond are 503 and 408. Callers have at most half of the file descriptors (`limits.fileDescriptors`, 1,024 if not given) and as many connections as fit into half of the memory; further ones are answered 503 and closed. A body that is not kept is read on for up to a second, as a caller that is still sending might not read the answer; a first form without this broke `number_too_large_in_a_request_ends_the_daemon`, whose last body is above the limit.

The 503 above the limit of connections and the 408 have no test that reads the answer. Request times with the smaller buffers were not measured.

--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -31,11 +31,7 @@
     Method,
     StatusCode, //
 };
-use http_body_util::{
-    BodyExt as _,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::{
     body::Incoming,
     Request,
@@ -43,6 +39,10 @@
 };
 
 use crate::{
+    bodies::{
+        self,
+        BodyRoom, //
+    },
     clock,
     intake,
     leader_link::LeaderLink,
@@ -75,6 +75,7 @@
     pub(crate) reachability: Arc<Reachability>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) bounds: ApplyBounds,
+    pub(crate) body_room: Arc<BodyRoom>,
 }
 
 /// Queue and workspace of a request that passed authorization.
@@ -169,10 +170,11 @@
     };
     match parts.method {
         Method::POST => {
-            let limited = Limited::new(body, view.configuration.limits.body_bytes);
-            match limited.collect().await {
-                Ok(body) => submit(service, &authorized, id, &body.to_bytes(), limit).await,
-                Err(error) => text_response(StatusCode::PAYLOAD_TOO_LARGE, error.to_string()),
+            let max_bytes = view.configuration.limits.body_bytes;
+            match bodies::receive(&service.body_room, body, max_bytes).await {
+                Ok((body, _reserved)) => submit(service, &authorized, id, &body, limit).await,
+                Err((StatusCode::SERVICE_UNAVAILABLE, reason)) => unavailable(&reason),
+                Err((status, reason)) => text_response(status, reason),
             }
         }
         Method::GET => state(service, id, limit).await,
--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -23,7 +23,9 @@
     on_reload_signal,
     serve_grpc,
     serve_http1,
+    serve_http1_within,
     termination_signal,
+    ConnectionLimits,
     Lateness,
     ListenError,
     Listener,
@@ -44,6 +46,7 @@
 
 use crate::{
     admission::Admission,
+    bodies::BodyRoom,
     callers::{
         self,
         CallerService, //
@@ -81,6 +84,13 @@
 /// Longest wait for responses in flight after the listeners are closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Memory of a connection of a caller with a request head of the usual maximum size.
+const CONNECTION_BYTES: u64 = 32 * 1024;
+
+/// Part of the memory of an instance that the bodies of requests may take while they
+/// are received.
+const BODY_MEMORY_DIVISOR: u64 = 8;
+
 /// Reason why the daemon cannot start.
 #[derive(Debug, Snafu)]
 pub(crate) enum StartError {
@@ -167,10 +177,23 @@
         reachability: node.reachability.clone(),
         metrics: node.metrics.clone(),
         bounds: settings.bounds.configuration,
+        body_room: Arc::new(BodyRoom::new(settings.memory_bytes / BODY_MEMORY_DIVISOR)),
     });
-    serving.spawn(serve_http1(
+    let max_connections = max_connections(&settings);
+    let limits_node = node.clone();
+    let connection_limits = move || ConnectionLimits {
+        connections: max_connections,
+        head_bytes: limits_node
+            .operators
+            .view()
+            .configuration
+            .limits
+            .header_bytes,
+    };
+    serving.spawn(serve_http1_within(
         callers_listener,
         serving.clone(),
+        connection_limits,
         move |request| callers::serve(callers.clone(), request),
     ));
     let readiness_node = node.clone();
@@ -254,6 +277,14 @@
     Ok(())
 }
 
+/// Returns the maximum number of connections of callers: half of the file descriptors,
+/// as the rest is for workers, peers and the platform, and as many as fit into half of
+/// the memory.
+fn max_connections(settings: &Settings) -> usize {
+    let by_memory = settings.memory_bytes / 2 / CONNECTION_BYTES;
+    (settings.file_descriptors / 2).min(by_memory) as usize
+}
+
 /// Reloads the settings on each SIGHUP. Listeners stay bound to their addresses,
 /// so a changed address takes effect only after a restart.
 async fn reload() {
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod advice;
 mod authority;
+mod bodies;
 mod call_times;
 mod callers;
 mod clock;
--- a/crates/dotterelsill_rpc/src/lib.rs
+++ b/crates/dotterelsill_rpc/src/lib.rs
@@ -32,6 +32,8 @@
 pub use listener::{
     serve_grpc,
     serve_http1,
+    serve_http1_within,
+    ConnectionLimits,
     ListenError,
     Listener, //
 };
--- a/crates/dotterelsill_rpc/src/listener.rs
+++ b/crates/dotterelsill_rpc/src/listener.rs
@@ -10,12 +10,16 @@
         TcpStream, //
     },
     pin::Pin,
+    sync::Arc,
     time::Duration, //
 };
 
 use async_io::Async;
 use bytes::Bytes;
-use futures_lite::FutureExt as _;
+use futures_lite::{
+    AsyncWriteExt as _,
+    FutureExt as _, //
+};
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
@@ -43,10 +47,34 @@
 /// Time within which a caller must send the head of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum size of the head of a request where no other is set, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 408 * 1024;
+
 /// Delay before a failed accept is retried, for example when no file descriptor is
 /// free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Smallest buffer of a connection, which `hyper` requires, in bytes.
+const MIN_BUFFER_BYTES: usize = 8192;
+
+/// Time within which a peer must take the answer that its connection is refused.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Answer on a connection above the limit.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Limits of a server's connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Maximum number of connections at a time. Further ones are answered with status
+    /// 503 and closed.
+    pub connections: usize,
+    /// Maximum size of the head of a request, in bytes. A longer one is answered with
+    /// status 431, and the connection is closed.
+    pub head_bytes: usize,
+}
+
 /// A listener cannot be created.
 #[derive(Debug, Snafu)]
 pub enum ListenError {
@@ -112,17 +140,43 @@
     }
 }
 
-/// Serves HTTP/1 until the task group stops. Requests in flight finish in tasks of the
-/// group.
+/// Serves HTTP/1 until the task group stops, with any number of connections. Requests in
+/// flight finish in tasks of the group.
 pub async fn serve_http1<H, F>(listener: Listener, tasks: Tasks, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
+    let limits = || ConnectionLimits {
+        connections: usize::MAX,
+        head_bytes: DEFAULT_HEAD_BYTES,
+    };
+    serve_http1_within(listener, tasks, limits, handler).await;
+}
+
+/// Serves HTTP/1 until the task group stops. Requests in flight finish in tasks of the
+/// group. The limits are asked for at each new connection.
+pub async fn serve_http1_within<H, F>(
+    listener: Listener,
+    tasks: Tasks,
+    limits: impl Fn() -> ConnectionLimits,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let open = Arc::new(());
     accept_until_stop(&listener, &tasks, |stream| {
         let handler = handler.clone();
         let group = tasks.clone();
+        let limits = limits();
+        let has_room = Arc::strong_count(&open) <= limits.connections;
+        let opened = has_room.then(|| open.clone());
         async move {
+            let Some(_opened) = opened else {
+                refuse(stream).await;
+                return;
+            };
             let service = service_fn(move |request| {
                 let response = handler(request);
                 async move { Ok::<_, Infallible>(response.await) }
@@ -130,6 +184,7 @@
             let connection = std::pin::pin!(http1::Builder::new()
                 .timer(SmolTimer::new())
                 .header_read_timeout(HEADER_READ_TIMEOUT)
+                .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
                 .serve_connection(FuturesIo::new(stream), service));
             until_stop(connection, &group, |connection| {
                 connection.graceful_shutdown();
@@ -140,6 +195,19 @@
     .await;
 }
 
+/// Tells a peer that its connection is refused.
+async fn refuse(mut stream: Async<TcpStream>) {
+    let answered = async {
+        // A peer that does not read the answer sees the connection closed.
+        let _ = stream.write_all(REFUSAL).await;
+        let _ = stream.close().await;
+    };
+    let timed_out = async {
+        async_io::Timer::after(REFUSAL_TIMEOUT).await;
+    };
+    answered.or(timed_out).await;
+}
+
 /// Serves gRPC until the task group stops. Calls in flight finish in tasks of the
 /// group.
 pub async fn serve_grpc<S>(listener: Listener, tasks: Tasks, service: S)
