--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -252,8 +252,9 @@
 }
 
 /// Answers a submission that the scheduler must not take, with `refusal` if the job is
-/// not known. An earlier submission of the same job may have been accepted or may still be on its way to the store, so the
-/// job is refused only if it is known to neither the scheduler nor the store.
+/// not known. An earlier submission of the same job may have been accepted or may still
+/// be on its way to the store, so the job is refused only if it is known to neither the
+/// scheduler nor the store.
 async fn refuse_unless_stored(
     service: &CallerService,
     id: JobId,
