Hold back room for few long-running tasks at a time

Cause: room was held back for each waiting long-running task of a step. One job of a thousand of them kept the room that became free on all workers of its pool from the tasks of others, also beyond its workspace's limit, and each plan looked at all workers once for each task.

Change: a plan holds back room for at most four tasks in a pool. What is held becomes free for the next ones once these have started.

Evidence: `room_is_held_back_for_few_long_running_tasks_at_a_time` fails without the bound: of eight workers on which a short task ends, none gets another (4 with it). The tests of decisions and moves pass (36 and 7), among them that of the single task for which room is held back.

--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -20,6 +20,10 @@
 /// outage of the store, registrations are complete only after this time.
 const UNLISTED_GRACE: Duration = Duration::from_secs(2);
 
+/// Maximum number of long-running tasks for which a plan holds back room in a pool. One
+/// job may have thousands, which would keep all workers from the tasks of others.
+const MAX_HELD_TASKS: usize = 4;
+
 /// A worker that may get tasks, with its free resources in the current plan.
 #[derive(Clone, Debug)]
 pub(crate) struct Candidate {
@@ -39,12 +43,18 @@
     list: Vec<Candidate>,
     /// Maximum free amount of each resource on any worker.
     max_free: Resources,
+    /// Number of tasks for which room is held back.
+    held_tasks: usize,
 }
 
 impl Candidates {
     pub(crate) fn new(list: Vec<Candidate>) -> Self {
         let max_free = largest_free(&list);
-        Self { list, max_free }
+        Self {
+            list,
+            max_free,
+            held_tasks: 0,
+        }
     }
 
     pub(crate) fn list(&self) -> &[Candidate] {
@@ -82,6 +92,7 @@
         count: usize,
     ) {
         let mut held_on: BTreeMap<usize, usize> = BTreeMap::new();
+        let count = count.min(MAX_HELD_TASKS - self.held_tasks);
         for _ in 0..count {
             let lacking = |(index, candidate): (usize, &Candidate)| {
                 let worker = worker(candidate.key)?;
@@ -97,6 +108,7 @@
                 break;
             };
             *held_on.entry(index).or_default() += 1;
+            self.held_tasks += 1;
             let candidate = &mut self.list[index];
             candidate.held.add(&request.resources);
             candidate.free.subtract(&request.resources);
--- a/crates/dotterelsill_jobs/tests/decisions.rs
+++ b/crates/dotterelsill_jobs/tests/decisions.rs
@@ -1026,3 +1026,33 @@
     }
     panic!("the task has not started within 3 s: {running_now:?}");
 }
+
+/// Guards against a job of many long-running tasks that keeps the room of all workers
+/// from the tasks of others, and against the time that a plan takes for that.
+#[test]
+fn room_is_held_back_for_few_long_running_tasks_at_a_time() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let keys: Vec<WorkerKey> = (0..8)
+        .map(|index| add_worker(&mut scheduler, index, ms(1000)))
+        .collect();
+    let job = record("urgent", 7, vec![step(200, 1000)]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    let running_now = starts(&scheduler.plan(ms(1010)));
+    assert_eq!(running_now.len(), 32);
+    let large = jobs::Step {
+        is_lasting: true,
+        ..step(1000, 3000)
+    };
+    let job = record("patient", 7, vec![large]);
+    submit(&mut scheduler, 2, &job, ms(1020));
+    for key in keys {
+        let mut here = running_now.iter().filter(|start| start.1 == key);
+        let first = here.next().expect("the worker runs tasks").0;
+        let mut status = status_at(ms(1300));
+        status.ended = vec![ended(1, first, 1, RunOutcome::Done)];
+        status.running = here.map(|start| running(start.0, 1, 50)).collect();
+        scheduler.on_worker_status(key, &status, ms(1300));
+    }
+    let started = starts(&scheduler.plan(ms(1310)));
+    assert_eq!(started.len(), 4, "{started:?}");
+}
