Shows starts on a restarted worker of another kind

Cause: a life that is known by its status is placed on by the labels that the earlier life reported.

Change: review/10 restarts a worker under its identifier as one of another kind.

--- a/review/rig-2/src/cases.rs
+++ b/review/rig-2/src/cases.rs
@@ -158,7 +158,7 @@
         sleep_ms(300);
         runner.crash();
         sleep_ms(2500);
-        runner.restart(None);
+        runner.restart(None, Duration::ZERO);
         sleep_ms(1200);
         record.add("the start is delivered");
         holder.deliver();
@@ -169,6 +169,9 @@
     Ok(twice(&runs))
 }
 
+/// Time from the start of a runner to its first report, within `heartbeatMs` (1,500).
+const FIRST_REPORT: Duration = Duration::from_millis(1000);
+
 /// A runner crashes and starts again under its id as one of another kind.
 pub fn other_kind(record: &Record, has_trouble: bool) -> Verdict {
     let mut fleet = Fleet::start(record);
@@ -178,34 +181,18 @@
         .map(|(number, kind)| fleet.add_runner(number, &[kind, "r-1"]))
         .collect();
     start_nodes(&mut fleet, 2)?;
-    for round in 0..12_u64 {
-        // Jobs for kind b come all the time.
-        for index in 0..4 {
-            let path = format!("{QUEUE}{:016x}", 0x1000 + round * 16 + index);
-            let body = job(400, 2, 500, r#","requirements":"b""#);
-            fleet.call(0, "POST", &path, KEY, &body);
-            sleep_ms(150);
-        }
-        if has_trouble {
-            let runner = &runners[2];
-            let (old, new) = if round % 2 == 0 {
-                ("b", "a")
-            } else {
-                ("a", "b")
-            };
-            record.add(format!("runner {} changes from {old} to {new}", runner.id));
-            runner.crash();
+    let body = job(400, 2, 7000, r#","requirements":"b""#);
+    for number in 0..60_u64 {
+        if number == 20 && has_trouble {
+            runners[2].crash();
             sleep_ms(400);
-            runner.restart(Some(&[new, "r-1"]));
-        }
-        for index in 4..12 {
-            let path = format!("{QUEUE}{:016x}", 0x1000 + round * 16 + index);
-            let body = job(400, 2, 500, r#","requirements":"b""#);
-            fleet.call(0, "POST", &path, KEY, &body);
-            sleep_ms(60);
+            runners[2].restart(Some(&["a", "r-1"]), FIRST_REPORT);
         }
+        let path = format!("{QUEUE}{:016x}", 0x1000 + number);
+        fleet.call(0, "POST", &path, KEY, &body);
+        sleep_ms(100);
     }
-    sleep_ms(1000);
+    sleep_ms(5000);
     let runs = fleet.runs.lock().expect("lock").clone();
     let is_wrong = |run: &&Run| {
         let is_required = run.task.starts_with("0000000000001");
@@ -488,7 +475,7 @@
             match kind {
                 'c' => {
                     let runner = fleet.runners.lock().expect("lock")[which].clone();
-                    runner.restart(None);
+                    runner.restart(None, Duration::ZERO);
                 }
                 'k' => fleet.start_node(which),
                 'f' => fleet.thaw_node(which),
--- a/review/rig-2/src/runner.rs
+++ b/review/rig-2/src/runner.rs
@@ -89,6 +89,8 @@
     /// Address at which it listens, and address that it registers.
     pub address: SocketAddr,
     registered: SocketAddr,
+    /// Time from a start again to the first report.
+    report_delay: Mutex<Duration>,
     life: Mutex<Life>,
     changed: Condvar,
     server: Mutex<Option<Server>>,
@@ -150,6 +152,7 @@
             cpu: 16_000,
             address,
             registered,
+            report_delay: Mutex::default(),
             life: Mutex::new(Life::new()),
             changed: Condvar::new(),
             server: Mutex::new(None),
@@ -192,8 +195,10 @@
         self.changed.notify_all();
     }
 
-    /// Starts the runner again under its id, knowing nothing of before.
-    pub fn restart(self: &Arc<Self>, labels: Option<&[&str]>) {
+    /// Starts the runner again under its id, knowing nothing of before. Its first report
+    /// follows after a delay.
+    pub fn restart(self: &Arc<Self>, labels: Option<&[&str]>, report_delay: Duration) {
+        *self.report_delay.lock().expect("lock") = report_delay;
         if let Some(labels) = labels {
             *self.labels.lock().expect("lock") =
                 labels.iter().map(|label| (*label).to_owned()).collect();
@@ -226,6 +231,10 @@
                 born_ms = life_born_ms;
             }
             if life_born_ms != 0 {
+                if sequence == 0 {
+                    let delay = *self.report_delay.lock().expect("lock");
+                    thread::sleep(delay);
+                }
                 sequence += 1;
                 self.register(sequence, life_born_ms);
             }
