Shows a second start after a job is completed, with one disruption

Cause: as before, a run whose start got no answer is given up when the list of instances shows its worker as down. Here the start was sent after the crash, to the process that came next and was starting up.

--- a/review/rig-2/src/fleet.rs
+++ b/review/rig-2/src/fleet.rs
@@ -11,6 +11,10 @@
         Stdio, //
     },
     sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
         Arc,
         Mutex, //
     },
@@ -47,8 +51,6 @@
 
 const SIGHUP: i32 = 1;
 const SIGKILL: i32 = 9;
-const SIGCONT: i32 = 18;
-const SIGSTOP: i32 = 19;
 
 /// Processes that were started and have not ended.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
@@ -80,6 +82,8 @@
     pub nodes: Vec<Node>,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub record: Record,
+    /// Number of lists of machines that were asked for.
+    pub lists: Arc<AtomicU64>,
     folder: PathBuf,
     cloud: Server,
     program: String,
@@ -115,7 +119,7 @@
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"pool","healthPath":"/healthz","maxConnections":64,"protocol":"h1","tls":false,"enforcesLimits":false,"standby":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"red","apiKeys":[{}],"priority":1,"weight":54,"cap":{{"cpu":60000,"memMb":0,"gpu":0}}}}]}}"#,
+        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"pool","healthPath":"/healthz","maxConnections":64,"protocol":"h1","tls":false,"enforcesLimits":false,"standby":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"red","apiKeys":[{}],"priority":1,"weight":54,"cap":{{"cpu":100000,"memMb":0,"gpu":0}}}}]}}"#,
         route("r-work", QUEUE, false),
         route("r-open", OPEN_QUEUE, true),
         keys.join(",")
@@ -130,6 +134,8 @@
         let store_server = store.serve(any("127.0.0.1"));
         let runners: Arc<Mutex<Vec<Arc<Runner>>>> = Arc::default();
         let listed = runners.clone();
+        let lists: Arc<AtomicU64> = Arc::default();
+        let asked = lists.clone();
         let cloud = Server::start(any("127.0.0.1"), move |request| {
             if !request.path.starts_with("/machines") {
                 // No machine may be moved: each pool is one of other machines.
@@ -138,6 +144,7 @@
             let runners = listed.lock().expect("lock");
             let machines: Vec<String> = runners.iter().map(|r| r.machine_json()).collect();
             let machines = machines.join(",");
+            asked.fetch_add(1, Ordering::SeqCst);
             (
                 200,
                 format!(r#"{{"machines":[{machines}],"nextToken":null}}"#),
@@ -152,6 +159,7 @@
             nodes: Vec::new(),
             runs: Arc::default(),
             record: record.clone(),
+            lists,
             folder,
             cloud,
             program: format!("{root}/target/release/dotterelsill-node"),
@@ -356,20 +364,6 @@
         self.signal(number, SIGHUP);
     }
 
-    /// Freezes a program.
-    pub fn freeze_node(&self, number: usize) {
-        self.signal(number, SIGSTOP);
-        self.record
-            .add(format!("{} is frozen", self.nodes[number].name));
-    }
-
-    /// Lets a program go on.
-    pub fn thaw_node(&self, number: usize) {
-        self.signal(number, SIGCONT);
-        self.record
-            .add(format!("{} goes on", self.nodes[number].name));
-    }
-
     /// Kills a program.
     pub fn kill_node(&mut self, number: usize) {
         let node = &mut self.nodes[number];
@@ -384,13 +378,6 @@
         self.record.add(format!("{} is killed", node.name));
     }
 
-    /// Returns the status of a program that has ended by itself.
-    pub fn ended(&mut self, number: usize) -> Option<String> {
-        let child = self.nodes[number].child.as_mut()?;
-        let status = child.try_wait().ok()??;
-        Some(status.to_string())
-    }
-
     /// Returns the number of the node that schedules, by its name in the store.
     pub fn leader(&self) -> Option<usize> {
         let items = self.store.items("");
--- a/review/rig-2/src/http.rs
+++ b/review/rig-2/src/http.rs
@@ -61,7 +61,14 @@
         address: SocketAddr,
         handler: impl Fn(&Request) -> Answer + Send + Sync + 'static,
     ) -> Self {
-        let listener = bind(address);
+        Self::start_on(bind(address), handler)
+    }
+
+    /// Serves on a socket that listens already.
+    pub fn start_on(
+        listener: TcpListener,
+        handler: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+    ) -> Self {
         let address = listener.local_addr().expect("bound");
         let handler = Arc::new(handler);
         let is_stopped = Arc::new(AtomicBool::new(false));
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -40,16 +40,12 @@
     });
     let result = match case.as_str() {
         "late-start" => cases::late_start(&record, has_trouble),
+        "waiting-jobs" => cases::waiting_jobs(&record, has_trouble),
+        "slow-restart" => cases::slow_restart(&record, has_trouble),
         "other-kind" => cases::other_kind(&record, has_trouble),
         "withdrawn-key" => cases::withdrawn_key(&record, has_trouble),
         "moved-store" => cases::moved_store(&record, has_trouble),
         "old-jobs" => cases::old_jobs(&record, has_trouble),
-        "soak" => {
-            let seed = std::env::var("SEED")
-                .ok()
-                .and_then(|seed| seed.parse().ok());
-            cases::soak(&record, seed.unwrap_or(1))
-        }
         _ => Err("no such case".to_owned()),
     };
     match result {
--- a/review/rig-2/src/runner.rs
+++ b/review/rig-2/src/runner.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     http::{
+        self,
         Answer,
         Request,
         Server, //
@@ -198,14 +199,30 @@
     /// Starts the runner again under its id, knowing nothing of before. Its first report
     /// follows after a delay.
     pub fn restart(self: &Arc<Self>, labels: Option<&[&str]>, report_delay: Duration) {
+        self.restart_slowly(labels, report_delay, Duration::ZERO);
+    }
+
+    /// Does the same with a runner that serves some time after it has begun to listen.
+    pub fn restart_slowly(
+        self: &Arc<Self>,
+        labels: Option<&[&str]>,
+        report_delay: Duration,
+        start_time: Duration,
+    ) {
         *self.report_delay.lock().expect("lock") = report_delay;
+        let listener = http::bind(self.address);
+        if !start_time.is_zero() {
+            self.record
+                .add(format!("runner {} listens again and starts up", self.id));
+            thread::sleep(start_time);
+        }
         if let Some(labels) = labels {
             *self.labels.lock().expect("lock") =
                 labels.iter().map(|label| (*label).to_owned()).collect();
         }
         *self.lock() = Life::new();
         let serving = self.clone();
-        let server = Server::start(self.address, move |request| serving.answer(request));
+        let server = Server::start_on(listener, move |request| serving.answer(request));
         *self.server.lock().expect("lock") = Some(server);
         let labels = self.labels.lock().expect("lock").clone();
         self.record.add(format!(
