--- a/review/rig-2/src/runner.rs
+++ b/review/rig-2/src/runner.rs
@@ -439,13 +439,15 @@
 
     fn hold(&self, mut life: MutexGuard<'_, Life>, body: &Json) -> Answer {
         let born_ms = life.born_ms;
+        let has_lapsed = life.clock_ms() > life.lease_ms;
         if body.get("deadlineMs") != &Json::Null {
             life.extend(body.get("deadlineMs").number());
         }
         let seen = body.get("lastSeen").number();
         let mut runs = self.runs.lock().expect("lock");
         for ended in life.ended.iter().filter(|ended| ended.number <= seen) {
-            runs[ended.run].is_noted = true;
+            // An end is not noted if the lease has lapsed since.
+            runs[ended.run].is_noted = !has_lapsed;
         }
         drop(runs);
         life.ended.retain(|ended| ended.number > seen);
