Send a start only over a connection on which its life has answered

A worker crashed, accepted connections again after 0.1 s and served after 3 s. A start that was sent meanwhile got no answer, its task was done elsewhere, and the worker began it once it served.

Cause: a start is decided for one life of a worker, and was sent to an address, over an idle connection or a new one. A new one may lead to the next life, which knows no fencing token and by whose clock the lease of the start has not ended. The scheduler learns of the crash up to 2 s later, so it cannot prevent this by a check.

Change: status requests and orders share the connections of a worker. A connection is kept with the start time that its process has told over it, and a start names the life that it was decided for, also over a dispatcher. It goes over a connection of that life, or over a new one after a status request there has shown the life; otherwise it is not sent. A connection ends with its process, so no other life carries the start out, however late it arrives, and nothing has to wait.

Workers that close each connection after an answer cannot be told apart so. Their starts go over any connection, and the task of one without an answer waits, once the life has ended, for the next life's answer to a stop, or for 13 s.

--- a/crates/dotterelsill_jobs/examples/scheduler_cost.rs
+++ b/crates/dotterelsill_jobs/examples/scheduler_cost.rs
@@ -406,8 +406,8 @@
         self.costs.time("may_send", || {
             scheduler.may_send(key, &worker_order.order, false, now)
         });
-        self.costs.time("start_lease_end", || {
-            scheduler.start_lease_end(key, true, now);
+        self.costs.time("start_terms", || {
+            scheduler.start_terms(key, worker_order.order.run().0, true, now);
         });
         if let Order::Start { task, attempt, .. } = &worker_order.order {
             self.starts += 1;
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -15,8 +15,10 @@
     Acknowledgement,
     JobId,
     ProcessedEnds,
+    Recipient,
     Resources,
     Scheduler,
+    StartTerms,
     TaskId,
     WorkerKey,
     WorkerReport, //
@@ -65,21 +67,48 @@
         self.workers.contains_key(&key)
     }
 
-    /// Returns the end of the lease to send with a start, on the worker's clock.
-    /// Returns `None` while the worker does not answer: a new incarnation may
-    /// answer next, which knows no fencing token yet, so its status must be read
-    /// first.
-    pub fn start_lease_end(
+    /// Returns what to send with the start of a booked run. Returns `None` while the
+    /// worker does not answer: a new incarnation may answer next, which knows no fencing
+    /// token yet, so its status must be read first.
+    pub fn start_terms(
         &mut self,
         key: WorkerKey,
+        task: TaskId,
         may_extend: bool,
         now: Duration,
-    ) -> Option<u64> {
+    ) -> Option<StartTerms> {
         let is_silent = self.workers.get(&key).is_none_or(Worker::is_silent);
         if is_silent {
             return None;
         }
-        self.lease_end(key, may_extend, now)
+        let lease_end_ms = self.lease_end(key, may_extend, now)?;
+        let worker = self.workers.get_mut(&key)?;
+        let recipient = if worker.life.keeps_connections {
+            Recipient::Life {
+                started_unix_ms: worker.life.started_unix_ms,
+            }
+        } else {
+            if let Some(booked) = worker.booked.get_mut(&task) {
+                booked.unbound_until = Some(now + MAX_ORDER_DELAY);
+            }
+            Recipient::AnyLife
+        };
+        Some(StartTerms {
+            lease_end_ms,
+            recipient,
+        })
+    }
+
+    /// Handles that a start was not sent because the life that was to get it closes its
+    /// connections after each answer. Further starts go to it over any connection.
+    pub fn on_connection_not_kept(&mut self, key: WorkerKey, started_unix_ms: u64) {
+        if let Some(worker) = self.workers.get_mut(&key) {
+            let is_present = worker.life.started_unix_ms == started_unix_ms;
+            if is_present && worker.life.keeps_connections {
+                log::warn!(worker = worker.report.id, born = started_unix_ms; "connections_not_kept");
+                worker.life.keeps_connections = false;
+            }
+        }
     }
 
     /// Returns the end of the lease to send with a status request, on the worker's
@@ -222,7 +251,7 @@
         let lapsed: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| !worker.booked.is_empty() || !worker.is_listed)
+            .filter(|(_, worker)| worker.has_run_to_end(now) || worker.is_gone())
             .filter(|(_, worker)| worker.has_lapsed(now))
             .map(|(&key, _)| key)
             .collect();
@@ -248,7 +277,7 @@
                 },
             };
             self.end_worker_runs(key, evidence, now);
-            if !is_listed {
+            if self.workers[&key].is_gone() {
                 self.remove_worker(key);
                 removed.push(key);
             }
@@ -289,7 +318,9 @@
         }
     }
 
-    /// Ends all runs of a worker that certainly runs nothing any more.
+    /// Ends the runs of a worker that certainly runs nothing any more, except for those
+    /// that a later life may begin by a start that was sent before. Such a run ends once
+    /// that life has answered a stop, or the start can no longer be carried out.
     fn end_worker_runs(&mut self, key: WorkerKey, evidence: Evidence, now: Duration) {
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
@@ -297,13 +328,14 @@
         worker.life.is_known = false;
         self.needs_plan = true;
         let mut booked = worker.booked.values();
-        if booked.any(|booked| booked.confirmed_at.is_none()) {
+        if booked.any(|booked| booked.may_reach_later_life(now)) {
             let late = (worker.granted_record(), now + MAX_ORDER_DELAY);
             self.late_orders.insert(worker.report.id.clone(), late);
         }
         let runs: Vec<(TaskId, u64)> = worker
             .booked
             .iter()
+            .filter(|(_, booked)| !booked.may_reach_later_life(now))
             .map(|(task, booked)| (*task, booked.attempt))
             .collect();
         for (task, attempt) in runs {
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -108,7 +108,9 @@
     ListedRun,
     Order,
     ProcessedEnds,
+    Recipient,
     RunOutcome,
+    StartTerms,
     WorkerOrder,
     WorkerStatus, //
 };
--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -90,6 +90,8 @@
     /// Highest number of an end whose acknowledgement was sent, for the logs.
     pub(crate) sent_acknowledgement: u64,
     pub(crate) health: Health,
+    /// Whether the life leaves connections open after its answers.
+    pub(crate) keeps_connections: bool,
     /// Number of consecutive instance lists that did not contain the worker.
     pub(crate) missed_lists: u32,
     clock: Option<ClockReading>,
@@ -119,6 +121,7 @@
             acknowledged_end: 0,
             sent_acknowledgement: 0,
             health: Health::default(),
+            keeps_connections: true,
             missed_lists: 0,
             clock: None,
             granted_until_ms: 0,
--- a/crates/dotterelsill_jobs/src/order.rs
+++ b/crates/dotterelsill_jobs/src/order.rs
@@ -64,6 +64,27 @@
     pub order: Order,
 }
 
+/// Which process of a worker may get an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Recipient {
+    /// Whichever process answers at the worker's address.
+    AnyLife,
+    /// One life of the worker alone.
+    Life {
+        /// Start time, in milliseconds since the Unix epoch.
+        started_unix_ms: u64,
+    },
+}
+
+/// What goes with the order to start a run, besides what the order says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StartTerms {
+    /// End of the worker's lease, on the worker's clock, in milliseconds.
+    pub lease_end_ms: u64,
+    /// Which process may get the order.
+    pub recipient: Recipient,
+}
+
 /// A worker's response to an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Answer {
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -468,6 +468,7 @@
                     is_stopping: false,
                     life_since: Duration::ZERO,
                     needs_authority,
+                    unbound_until: None,
                 },
             );
         }
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -61,6 +61,16 @@
     pub(crate) life_since: Duration,
     /// Whether the start may be sent only with authority.
     pub(crate) needs_authority: bool,
+    /// Time until which a later life may carry out the start, if it was sent over a
+    /// connection that is not known to lead to the present one.
+    pub(crate) unbound_until: Option<Duration>,
+}
+
+impl BookedRun {
+    /// Returns whether a later life of the worker may still carry out the start.
+    pub(crate) fn may_reach_later_life(&self, now: Duration) -> bool {
+        self.confirmed_at.is_none() && self.unbound_until.is_some_and(|until| now < until)
+    }
 }
 
 /// A worker that the scheduler knows.
@@ -221,6 +231,17 @@
         self.life.has_lapsed(self.unknown_until, now)
     }
 
+    /// Returns whether the worker has a run that ends with its lease.
+    pub(crate) fn has_run_to_end(&self, now: Duration) -> bool {
+        let mut booked = self.booked.values();
+        booked.any(|booked| !booked.may_reach_later_life(now))
+    }
+
+    /// Returns whether the worker is not registered and has no runs.
+    pub(crate) fn is_gone(&self) -> bool {
+        !self.is_listed && self.booked.is_empty()
+    }
+
     /// Resumes use of the worker after an order that would have ended it was not
     /// executed.
     pub(crate) fn return_to_service(&mut self) {
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -255,6 +255,7 @@
             is_stopping: false,
             life_since: Duration::ZERO,
             needs_authority: false,
+            unbound_until: None,
         }
     }
 
@@ -308,5 +309,6 @@
         is_stopping: false,
         life_since: Duration::ZERO,
         needs_authority: false,
+        unbound_until: None,
     })
 }
--- a/crates/dotterelsill_jobs/tests/ends_of_lives.rs
+++ b/crates/dotterelsill_jobs/tests/ends_of_lives.rs
@@ -97,7 +97,10 @@
         return;
     }
     assert_eq!(starts(&orders), [(task(3, 0, 0), key)]);
-    if scheduler.start_lease_end(key, true, ms(1430)).is_none() {
+    if scheduler
+        .start_terms(key, task(3, 0, 0), true, ms(1430))
+        .is_none()
+    {
         return;
     }
     scheduler.on_answer(key, &orders[0].order, Answer::Done, false, ms(1440));
@@ -148,7 +151,7 @@
     let sent: Vec<_> = starts(&orders)
         .into_iter()
         .filter(|(started, _)| *started == task(1, 0, 0))
-        .filter(|(_, key)| scheduler.start_lease_end(*key, false, now).is_some())
+        .filter(|(task, key)| scheduler.start_terms(*key, *task, false, now).is_some())
         .collect();
     assert_eq!(sent, [], "a later scheduler may have acknowledged the end");
 }
--- a/crates/dotterelsill_jobs/tests/ends_search/calls.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/calls.rs
@@ -6,7 +6,9 @@
     Answer,
     Order,
     ProcessedEnds,
+    Recipient,
     Route,
+    StartTerms,
     WorkerKey,
     WorkerStatus, //
 };
@@ -51,7 +53,7 @@
     Status(StatusRequest),
     Order {
         order: Order,
-        lease_end_ms: u64,
+        terms: StartTerms,
         /// Whether it is made only over a connection that is open.
         needs_connection: bool,
         sender: OrderSender,
@@ -67,6 +69,8 @@
     },
     /// The call was not made, since it needs a connection and none was open.
     Unconnected,
+    /// The call was not made, since the worker closes each connection after its answer.
+    NotKept,
 }
 
 /// Identifies a client of a worker: the scheduler, the route with the number of the
@@ -90,6 +94,8 @@
     pub(crate) body: CallBody,
     /// Life to which the connection leads.
     pub(crate) life: u64,
+    /// Whether that life has answered a status request over the connection.
+    pub(crate) has_told: bool,
     /// Whether the client still waits for the response.
     pub(crate) is_open: bool,
 }
@@ -103,6 +109,14 @@
         matches!(self.body, CallBody::Status(_))
     }
 
+    /// Returns which life may get the call.
+    pub(crate) fn recipient(&self) -> Recipient {
+        match &self.body {
+            CallBody::Status(_) => Recipient::AnyLife,
+            CallBody::Order { terms, .. } => terms.recipient,
+        }
+    }
+
     pub(crate) fn time_limit_ms(&self) -> u64 {
         match &self.body {
             CallBody::Status(request) => request.wait_ms + STATUS_MARGIN_MS,
@@ -111,39 +125,50 @@
     }
 }
 
-/// Idle connections of a client, by the life to which they lead.
-#[derive(Debug, Default)]
-struct Client {
-    status: Vec<u64>,
-    orders: Vec<u64>,
+/// An idle connection.
+#[derive(Debug)]
+struct Idle {
+    /// Life to which it leads.
+    life: u64,
+    /// Whether that life has answered a status request over it.
+    has_told: bool,
 }
 
 /// Idle connections of all clients.
 #[derive(Debug, Default)]
-pub(crate) struct Clients(BTreeMap<ClientId, Client>);
+pub(crate) struct Clients(BTreeMap<ClientId, Vec<Idle>>);
 
 impl Clients {
-    pub(crate) fn take(&mut self, call: &Call) -> Option<u64> {
-        self.pool(call).pop()
+    /// Takes a connection for a call: for an order to one life one over which that life
+    /// has told its start, and otherwise such a one if possible. Returns the life to which
+    /// it leads, and whether that has told its start.
+    pub(crate) fn take(&mut self, call: &Call) -> Option<(u64, bool)> {
+        let pool = self.0.entry(call.client()).or_default();
+        let position = match call.recipient() {
+            Recipient::Life { started_unix_ms } => {
+                let is_it = |idle: &Idle| idle.has_told && idle.life == started_unix_ms;
+                pool.iter().rposition(is_it)?
+            }
+            Recipient::AnyLife => {
+                let told = pool.iter().rposition(|idle| idle.has_told);
+                told.or(pool.len().checked_sub(1))?
+            }
+        };
+        let idle = pool.remove(position);
+        Some((idle.life, idle.has_told))
     }
 
     pub(crate) fn put_back(&mut self, call: &Call) {
-        let pool = self.pool(call);
+        let pool = self.0.entry(call.client()).or_default();
         if pool.len() < MAX_IDLE {
-            pool.push(call.life);
+            pool.push(Idle {
+                life: call.life,
+                has_told: call.has_told,
+            });
         }
     }
 
     pub(crate) fn close_idle(&mut self, call: &Call) {
         self.0.remove(&call.client());
     }
-
-    fn pool(&mut self, call: &Call) -> &mut Vec<u64> {
-        let client = self.0.entry(call.client()).or_default();
-        if call.is_status() {
-            &mut client.status
-        } else {
-            &mut client.orders
-        }
-    }
 }
--- a/crates/dotterelsill_jobs/tests/ends_search/loops.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/loops.rs
@@ -6,7 +6,9 @@
 use dotterelsill_jobs::{
     Answer,
     Order,
+    Recipient,
     Route,
+    StartTerms,
     WorkerKey,
     WorkerOrder,
     WorkerStatus, //
@@ -62,7 +64,7 @@
 enum Prepared {
     Unwanted,
     Waits,
-    Send { lease_end_ms: u64 },
+    Send { terms: StartTerms },
 }
 
 impl World {
@@ -317,10 +319,10 @@
             if !driver.scheduler.may_send(key, &order, false, now) {
                 return;
             }
-            let lease_end_ms = driver.scheduler.start_lease_end(key, is_valid, now);
-            if let Some(lease_end_ms) = lease_end_ms {
+            let task = order.run().0;
+            if let Some(terms) = driver.scheduler.start_terms(key, task, is_valid, now) {
                 let sender = OrderSender::Dispatched;
-                self.send_order(index, key, route, order, lease_end_ms, sender);
+                self.send_order(index, key, route, order, terms, sender);
                 return;
             }
         }
@@ -333,14 +335,18 @@
         key: WorkerKey,
         route: Route,
         order: Order,
-        lease_end_ms: u64,
+        terms: StartTerms,
         sender: OrderSender,
     ) {
         let is_valid = self.drivers[index].is_valid(self.now_ms);
         let needs_connection = !is_valid && matches!(order, Order::Start { .. });
+        let mut terms = terms;
+        if self.bugs.starts_on_any_connection {
+            terms.recipient = Recipient::AnyLife;
+        }
         let body = CallBody::Order {
             order,
-            lease_end_ms,
+            terms,
             needs_connection,
             sender,
         };
@@ -364,6 +370,7 @@
             sent_at_ms: self.now_ms,
             body,
             life: 0,
+            has_told: false,
             is_open: false,
         };
         self.send(call);
@@ -553,12 +560,12 @@
                     sending.at_ms = Some(now_ms + UNSENT_ORDER_PAUSE_MS);
                 }
             }
-            Prepared::Send { lease_end_ms } => {
+            Prepared::Send { terms } => {
                 if let Some(sending) = self.sending(index, key, sender) {
                     sending.at_ms = None;
                 }
                 let route = self.drivers[index].dispatchers.order_route(key);
-                self.send_order(index, key, route, sending.order, lease_end_ms, sender);
+                self.send_order(index, key, route, sending.order, terms, sender);
             }
         }
     }
@@ -570,13 +577,14 @@
         if !scheduler.may_send(key, &sending.order, sending.may_come_late, now) {
             return Prepared::Unwanted;
         }
-        let lease_end_ms = match &sending.order {
-            Order::Start { .. } => scheduler.start_lease_end(key, may_extend, now),
-            Order::Stop { .. } | Order::Pace { .. } => Some(0),
+        let terms = match &sending.order {
+            Order::Start { task, .. } => scheduler.start_terms(key, *task, may_extend, now),
+            Order::Stop { .. } | Order::Pace { .. } => Some(StartTerms {
+                lease_end_ms: 0,
+                recipient: Recipient::AnyLife,
+            }),
         };
-        lease_end_ms.map_or(Prepared::Waits, |lease_end_ms| Prepared::Send {
-            lease_end_ms,
-        })
+        terms.map_or(Prepared::Waits, |terms| Prepared::Send { terms })
     }
 
     /// Handles the result of a call.
@@ -589,6 +597,15 @@
             return;
         }
         let now = self.now();
+        let result = if let (CallResult::NotKept, Recipient::Life { started_unix_ms }) =
+            (&result, call.recipient())
+        {
+            let scheduler = &mut self.drivers[index].scheduler;
+            scheduler.on_connection_not_kept(call.key, started_unix_ms);
+            CallResult::Failed { was_sent: false }
+        } else {
+            result
+        };
         if let CallResult::Answer(Answer::OtherWorker) = result {
             let scheduler = &mut self.drivers[index].scheduler;
             let sent_at = at(call.sent_at_ms);
@@ -640,7 +657,7 @@
                 }
             }
             _ if is_replaced => return,
-            CallResult::Answer(_) | CallResult::Unconnected => {
+            CallResult::Answer(_) | CallResult::Unconnected | CallResult::NotKept => {
                 loops.unanswered += 1;
                 next_ms += IDLE_RETRY_PAUSE_MS;
             }
@@ -699,7 +716,9 @@
                 self.repeat_or_queue(index, call, sender, order, may_come_late);
             }
             CallResult::Unconnected => self.wait_for_connection(index, key, sender),
-            CallResult::Status(_) => unreachable!("orders are not answered with a status"),
+            CallResult::Status(_) | CallResult::NotKept => {
+                unreachable!("orders are not answered with a status")
+            }
         }
     }
 
--- a/crates/dotterelsill_jobs/tests/ends_search/main.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/main.rs
@@ -39,6 +39,8 @@
     moves: false,
     gangs_and_fillers: false,
     hand_overs: false,
+    early_listening: false,
+    closed_connections: false,
 };
 
 const TAKEOVERS: Environment = Environment {
@@ -64,6 +66,18 @@
     ..STEADY
 };
 
+/// Workers accept connections before they serve.
+const EARLY_LISTENING: Environment = Environment {
+    early_listening: true,
+    ..LISTS
+};
+
+/// Some workers also close each connection after their answer.
+const CLOSED_CONNECTIONS: Environment = Environment {
+    closed_connections: true,
+    ..EARLY_LISTENING
+};
+
 /// Restarted workers have other addresses, also those of other workers.
 const MOVES: Environment = Environment {
     moves: true,
@@ -189,6 +203,20 @@
     check(LISTS);
 }
 
+/// Guards against the same when restarted workers accept connections before they serve, and
+/// carry out what was sent until then.
+#[test]
+fn ends_are_kept_while_workers_listen_before_they_serve() {
+    check(EARLY_LISTENING);
+}
+
+/// Guards against the same for workers to which no connection is known to lead, as they
+/// close each one.
+#[test]
+fn ends_are_kept_on_workers_that_close_connections() {
+    check(CLOSED_CONNECTIONS);
+}
+
 /// Guards against the same when workers restart at other addresses, some of which belonged
 /// to other workers, which answer that a call is not meant for them.
 #[test]
@@ -257,3 +285,14 @@
     };
     check_detected(TAKEOVERS, bugs);
 }
+
+/// Checks that the simulation detects a start that is carried out by the life after the one
+/// that it was decided for.
+#[test]
+fn search_finds_starts_that_reach_another_life() {
+    let bugs = Bugs {
+        starts_on_any_connection: true,
+        ..Bugs::default()
+    };
+    check_detected(EARLY_LISTENING, bugs);
+}
--- a/crates/dotterelsill_jobs/tests/ends_search/world.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/world.rs
@@ -21,6 +21,7 @@
     Order,
     Pool,
     Queue,
+    Recipient,
     Resources,
     Route,
     RunOutcome,
@@ -48,7 +49,8 @@
         ClientId,
         Clients,
         DISPATCH_MARGIN_MS,
-        MAX_HEARTBEAT_AGE_MS, //
+        MAX_HEARTBEAT_AGE_MS,
+        ORDER_TIMEOUT_MS, //
     },
     driver::{
         at,
@@ -116,6 +118,10 @@
     pub(crate) gangs_and_fillers: bool,
     /// Schedulers hand over in order.
     pub(crate) hand_overs: bool,
+    /// Workers accept connections before they serve.
+    pub(crate) early_listening: bool,
+    /// Some workers close each connection after their answer.
+    pub(crate) closed_connections: bool,
 }
 
 /// Bugs that are injected into the loops of the schedulers.
@@ -129,6 +135,8 @@
     pub(crate) gives_up_without_proof: bool,
     /// Leases are judged by a scheduler whose own lease may have ended.
     pub(crate) judges_without_authority: bool,
+    /// Starts are sent over any connection.
+    pub(crate) starts_on_any_connection: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -186,6 +194,8 @@
     pub(crate) awaited: BTreeSet<u64>,
     /// Calls whose responses are lost.
     loses_answer: BTreeSet<u64>,
+    /// Calls over connections that workers which are down have accepted, with their ports.
+    early_calls: Vec<(u16, u64)>,
     /// Status requests that wait for an end at a worker until a time.
     waiting: Vec<(u64, u64)>,
     /// Workers that each dispatcher cannot reach.
@@ -281,6 +291,7 @@
             clients: Clients::default(),
             awaited: BTreeSet::new(),
             loses_answer: BTreeSet::new(),
+            early_calls: Vec::new(),
             waiting: Vec::new(),
             unreachable: vec![vec![false; WORKERS]; 2],
             link_arrivals: BTreeMap::new(),
@@ -402,6 +413,7 @@
                 if !self.workers[index].is_up && self.workers[index].starts_at_ms <= now_ms {
                     self.choose_port(index);
                     self.workers[index].restart(now_ms);
+                    self.read_early_calls(index);
                 }
             }
         }
@@ -431,6 +443,24 @@
         }
     }
 
+    /// Has a worker that has started read the calls on the connections that it accepted
+    /// before.
+    fn read_early_calls(&mut self, index: usize) {
+        let (port, born_ms) = (self.workers[index].port, self.workers[index].born_ms);
+        let is_its = |call: &mut (u16, u64)| call.0 == port;
+        let early: Vec<(u16, u64)> = self.early_calls.extract_if(.., is_its).collect();
+        for (_, number) in early {
+            self.calls.get_mut(&number).expect("calls are kept").life = born_ms;
+            let latency_ms = self.latency();
+            self.schedule(self.now_ms + latency_ms, Event::Execute(number));
+        }
+    }
+
+    /// Returns whether a worker closes each connection after its answer.
+    fn closes_connections(&self, worker: usize) -> bool {
+        self.environment.closed_connections && worker % 2 == 1
+    }
+
     /// Gives a worker that starts again a port that no other one listens on.
     fn choose_port(&mut self, index: usize) {
         if !self.environment.moves {
@@ -870,12 +900,15 @@
         let holder = self.holder_of(call.port);
         let born_ms = holder.map(|holder| self.workers[holder].born_ms);
         let idle = self.clients.take(&call);
-        let is_broken = born_ms.is_none() || idle.is_some_and(|life| Some(life) != born_ms);
-        call.life = idle.or(born_ms).unwrap_or_default();
+        let idle_life = idle.map(|(life, _)| life);
+        let is_broken = born_ms.is_none() || idle_life.is_some_and(|life| Some(life) != born_ms);
+        call.life = idle_life.or(born_ms).unwrap_or_default();
+        call.has_told = idle.is_some_and(|(_, has_told)| has_told);
+        let told_life = call.has_told.then_some(call.life);
         if let CallBody::Status(request) = &mut call.body {
             // Lease and acknowledgement are sent only over a connection on which their life
             // has answered.
-            let is_known = idle == Some(request.processed.started_unix_ms);
+            let is_known = told_life == Some(request.processed.started_unix_ms);
             if !is_known && !self.bugs.acknowledges_to_another_life {
                 request.lease_end_ms = None;
                 request.acknowledged = 0;
@@ -889,6 +922,8 @@
             }
         );
         let (can_reach, is_reused) = (self.can_reach(&call), idle.is_some());
+        let (recipient, port) = (call.recipient(), call.port);
+        let closes = self.closes_connections(call.worker);
         self.calls.insert(number, call);
         if needs_connection && !is_reused {
             self.schedule_in(1..2, Event::ArriveAtClient(number, CallResult::Unconnected));
@@ -897,6 +932,27 @@
         if !can_reach {
             return;
         }
+        let is_early = self.environment.early_listening && born_ms.is_none() && !is_reused;
+        match recipient {
+            // A status request shows first to which life a new connection leads.
+            Recipient::Life { started_unix_ms } if !is_reused => {
+                if born_ms != Some(started_unix_ms) {
+                    let failed = CallResult::Failed { was_sent: false };
+                    self.schedule_in(1..ORDER_TIMEOUT_MS, Event::ArriveAtClient(number, failed));
+                    return;
+                }
+                if closes {
+                    let event = Event::ArriveAtClient(number, CallResult::NotKept);
+                    self.schedule_in(1..10, event);
+                    return;
+                }
+            }
+            _ if is_early => {
+                self.early_calls.push((port, number));
+                return;
+            }
+            _ => {}
+        }
         if is_broken {
             let was_sent = is_reused && self.chance(2);
             let failed = CallResult::Failed { was_sent };
@@ -956,14 +1012,18 @@
                 }
                 Err(answer) => answer,
             },
-            CallBody::Order {
-                order,
-                lease_end_ms,
-                ..
-            } => {
+            CallBody::Order { order, terms, .. } => {
                 let case = self.random.random_range(0..160);
-                let mut execute =
-                    || worker.execute(order, call.token, *lease_end_ms, order_run, now_ms, rules);
+                let mut execute = || {
+                    worker.execute(
+                        order,
+                        call.token,
+                        terms.lease_end_ms,
+                        order_run,
+                        now_ms,
+                        rules,
+                    )
+                };
                 match case {
                     0..2 => dotterelsill_jobs::Answer::Unhealthy,
                     // A program in between answers, whether the order reaches the worker
@@ -1036,14 +1096,18 @@
         }
         let call = call.clone();
         let mut result = result;
+        let mut call = call;
         match (&mut result, &call.body) {
-            (CallResult::Failed { .. }, _) => self.clients.close_idle(&call),
+            (CallResult::Failed { .. } | CallResult::NotKept, _) => {
+                self.clients.close_idle(&call);
+            }
             (CallResult::Unconnected, _) => {}
             (CallResult::Status(status), CallBody::Status(request)) => {
                 status.drop_processed(&request.processed);
-                self.clients.put_back(&call);
+                call.has_told = true;
+                self.keep_connection(&call);
             }
-            _ => self.clients.put_back(&call),
+            _ => self.keep_connection(&call),
         }
         if call.route == Route::Direct {
             self.arrive_at_scheduler(number, result);
@@ -1056,6 +1120,12 @@
         }
     }
 
+    fn keep_connection(&mut self, call: &Call) {
+        if !self.closes_connections(call.worker) {
+            self.clients.put_back(call);
+        }
+    }
+
     fn arrive_at_scheduler(&mut self, number: u64, result: CallResult) {
         let token = self.calls[&number].token;
         let Some(index) = self.driver_of(token) else {
--- a/crates/dotterelsill_jobs/tests/facts_of_other_lives.rs
+++ b/crates/dotterelsill_jobs/tests/facts_of_other_lives.rs
@@ -122,7 +122,9 @@
     submit(&mut scheduler, 1, &small_job(), ms(100_010));
     let orders = scheduler.plan(ms(100_020));
     assert_eq!(starts(&orders), [(task(1, 0, 0), key)]);
-    assert!(scheduler.start_lease_end(key, true, ms(100_030)).is_some());
+    assert!(scheduler
+        .start_terms(key, task(1, 0, 0), true, ms(100_030))
+        .is_some());
     // The start gets no answer. The worker restarts, and its status is read.
     scheduler.on_silence(key, ms(100_050));
     let status = |sent_at, worker_ms, running| WorkerStatus {
--- a/crates/dotterelsill_jobs/tests/search/world.rs
+++ b/crates/dotterelsill_jobs/tests/search/world.rs
@@ -565,9 +565,11 @@
         let driver = &mut self.drivers[index];
         let may_extend = driver.is_valid(now_ms);
         let lease_end_ms = match order {
-            Order::Start { .. } => driver
-                .scheduler
-                .start_lease_end(key, may_extend, at(now_ms))?,
+            Order::Start { task, .. } => {
+                let scheduler = &mut driver.scheduler;
+                let terms = scheduler.start_terms(key, *task, may_extend, at(now_ms))?;
+                terms.lease_end_ms
+            }
             Order::Stop { .. } | Order::Pace { .. } => 0,
         };
         let token = driver.scheduler.token();
--- a/crates/dotterelsill_jobs/tests/starts_of_lives.rs
+++ b/crates/dotterelsill_jobs/tests/starts_of_lives.rs
@@ -6,6 +6,7 @@
 use common::{
     add_worker,
     confirm,
+    instance,
     ms,
     record,
     report,
@@ -19,8 +20,10 @@
 };
 use dotterelsill_jobs::{
     Answer,
+    InstanceState,
     ListedRun,
     Order,
+    Recipient,
     Scheduler,
     WorkerKey,
     WorkerOrder,
@@ -78,7 +81,9 @@
         let orders = scheduler.plan(ms(1140));
         assert_eq!(starts(&orders), [(task(1, 0, 0), key)]);
         assert!(scheduler.may_send(key, &orders[0].order, false, ms(1150)));
-        assert!(scheduler.start_lease_end(key, true, ms(1150)).is_some());
+        assert!(scheduler
+            .start_terms(key, task(1, 0, 0), true, ms(1150))
+            .is_some());
     }
 }
 
@@ -90,7 +95,10 @@
     let (mut scheduler, key, start) = with_waiting_start();
     register_second_life(&mut scheduler);
     assert!(scheduler.may_send(key, &start, true, ms(1060)));
-    assert_eq!(scheduler.start_lease_end(key, true, ms(1060)), None);
+    assert_eq!(
+        scheduler.start_terms(key, task(1, 0, 0), true, ms(1060)),
+        None
+    );
     read_second_life(&mut scheduler, key, 1100, vec![]);
     assert!(!scheduler.may_send(key, &start, true, ms(1110)));
     let stops = scheduler.plan(ms(1120));
@@ -138,3 +146,88 @@
     assert!(scheduler.may_send(key, &orders[0].order, true, ms(1210)));
     confirm(&mut scheduler, &orders, ms(1220));
 }
+
+/// Returns a scheduler with two workers, and the start that it has sent to the first one
+/// without an answer, before that worker's life ended.
+fn with_start_sent_to_an_ended_life(keeps_connections: bool) -> (Scheduler, WorkerKey, Order) {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    if !keeps_connections {
+        scheduler.on_connection_not_kept(key, 1);
+    }
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1000),
+    );
+    let orders = scheduler.plan(ms(1010));
+    assert_eq!(starts(&orders), [(task(1, 0, 0), key)]);
+    let terms = scheduler.start_terms(key, task(1, 0, 0), true, ms(1020));
+    let expected = if keeps_connections {
+        Recipient::Life { started_unix_ms: 1 }
+    } else {
+        Recipient::AnyLife
+    };
+    assert_eq!(terms.map(|terms| terms.recipient), Some(expected));
+    add_worker(&mut scheduler, 1, ms(1030));
+    scheduler.on_silence(key, ms(1720));
+    let list = |first| {
+        let second = instance(1, "work", InstanceState::Up);
+        vec![instance(0, "work", first), second]
+    };
+    scheduler.on_instances(list(InstanceState::Up), ms(1800), ms(1810));
+    scheduler.on_instances(list(InstanceState::Down), ms(3000), ms(3010));
+    (scheduler, key, orders[0].order.clone())
+}
+
+/// Guards against a task of a lost worker that waits although its start was sent over a
+/// connection to the life that has ended, and can reach no other one.
+#[test]
+fn start_that_reaches_one_life_alone_holds_up_no_task() {
+    let (mut scheduler, key, _) = with_start_sent_to_an_ended_life(true);
+    let started = starts(&scheduler.plan(ms(3020)));
+    assert_eq!(started.len(), 1);
+    assert_ne!(started[0].1, key);
+}
+
+/// Guards against a task that is started elsewhere while the next life may still begin it,
+/// as its start was sent over a connection that may lead there. That life answers a stop
+/// first.
+#[test]
+fn start_that_may_reach_the_next_life_is_settled_by_a_stop() {
+    let (mut scheduler, key, start) = with_start_sent_to_an_ended_life(false);
+    scheduler.expire_leases(ms(3020));
+    assert_eq!(starts(&scheduler.plan(ms(3020))), []);
+    assert!(scheduler.has_worker(key));
+    let restarted = WorkerReport {
+        started_unix_ms: 2,
+        ..report(0, "dc")
+    };
+    scheduler.on_report(restarted, ms(3050));
+    read_second_life(&mut scheduler, key, 3100, vec![]);
+    assert!(!scheduler.may_send(key, &start, true, ms(3110)));
+    let stops = scheduler.plan(ms(3120));
+    assert!(matches!(stops[0].order, Order::Stop { .. }), "{stops:?}");
+    scheduler.on_answer(key, &stops[0].order, Answer::Done, false, ms(3130));
+    read_second_life(&mut scheduler, key, 3200, vec![]);
+    assert_eq!(starts(&scheduler.plan(ms(3210))).len(), 1);
+}
+
+/// Guards against a task that never runs again because its worker, to which a start was sent
+/// that any life may get, does not come back. The worker stays in the record of those that
+/// may run tasks until the start can no longer be carried out.
+#[test]
+fn start_that_may_reach_a_later_life_is_given_up_once_it_cannot_come() {
+    let (mut scheduler, key, _) = with_start_sent_to_an_ended_life(false);
+    scheduler.expire_leases(ms(14_000));
+    assert_eq!(starts(&scheduler.plan(ms(14_000))), []);
+    assert!(scheduler
+        .granted()
+        .iter()
+        .any(|worker| worker.id == report(0, "dc").id));
+    assert_eq!(scheduler.expire_leases(ms(14_100)), [key]);
+    let started = starts(&scheduler.plan(ms(14_100)));
+    assert_eq!(started.len(), 1);
+    assert_ne!(started[0].1, key);
+}
--- a/crates/dotterelsill_node/src/dispatch.rs
+++ b/crates/dotterelsill_node/src/dispatch.rs
@@ -20,6 +20,7 @@
     Answer,
     Order,
     ProcessedEnds,
+    Recipient,
     WorkerKey,
     WorkerStatus, //
 };
@@ -59,11 +60,12 @@
         processed: ProcessedEnds,
     },
     /// Send an order under a fencing token. `lease_end_ms` is on the worker's clock. With
-    /// `needs_connection` it goes only to a process that has answered an order before.
+    /// `needs_connection` no connection is opened for it.
     Order {
         order: Order,
         token: u64,
         lease_end_ms: u64,
+        recipient: Recipient,
         needs_connection: bool,
     },
 }
@@ -83,6 +85,9 @@
     pub(crate) was_sent: bool,
     /// Whether the call was not made since it needs a connection and none was open.
     pub(crate) is_unconnected: bool,
+    /// Whether the call was not made since the worker keeps no connection that is known
+    /// to lead to the recipient.
+    pub(crate) is_not_kept: bool,
     /// Time limit that was exceeded, if the call failed for that.
     pub(crate) time_limit: Option<Duration>,
     pub(crate) reason: String,
@@ -91,11 +96,9 @@
 impl From<&CallError> for CallFailure {
     fn from(error: &CallError) -> Self {
         Self {
-            was_sent: !matches!(
-                error,
-                CallError::NotSent { .. } | CallError::NotConnected { .. }
-            ),
+            was_sent: error.was_sent(),
             is_unconnected: matches!(error, CallError::NotConnected { .. }),
+            is_not_kept: matches!(error, CallError::NotKept { .. }),
             time_limit: error.time_limit(),
             reason: error.to_string(),
         }
@@ -117,9 +120,10 @@
             order,
             token,
             lease_end_ms,
+            recipient,
             needs_connection,
         } => client
-            .send_order(order, *token, *lease_end_ms, *needs_connection)
+            .send_order(order, *token, *lease_end_ms, *recipient, *needs_connection)
             .await
             .map(CallAnswer::Answer),
     };
--- a/crates/dotterelsill_node/src/dispatch/link.rs
+++ b/crates/dotterelsill_node/src/dispatch/link.rs
@@ -172,7 +172,7 @@
 
     /// Sends an order without waiting for its answer. Returns whether the link is
     /// open; `settle` gets the result.
-    pub(super) fn send_order(&self, sent: SentOrder, lease_end_ms: u64) -> bool {
+    pub(super) fn send_order(&self, sent: SentOrder) -> bool {
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
         let give_up_at = sent.sent_at + CALL_MARGIN;
         let queued = QueuedCall {
@@ -181,7 +181,8 @@
             call: Call::Order {
                 order: sent.order.clone(),
                 token: self.token,
-                lease_end_ms,
+                lease_end_ms: sent.terms.lease_end_ms,
+                recipient: sent.terms.recipient,
                 needs_connection: false,
             },
             give_up_at,
@@ -221,6 +222,7 @@
             Err(elapsed) => Err(CallFailure {
                 was_sent: true,
                 is_unconnected: false,
+                is_not_kept: false,
                 time_limit: Some(limit),
                 reason: format!("dispatcher: {elapsed}"),
             }),
--- a/crates/dotterelsill_node/src/dispatch/links.rs
+++ b/crates/dotterelsill_node/src/dispatch/links.rs
@@ -90,16 +90,11 @@
 
     /// Sends an order over the dispatcher at an address without waiting for its
     /// answer, and returns whether a link to it is open.
-    pub(crate) fn send_order(
-        &self,
-        address: SocketAddr,
-        sent: SentOrder,
-        lease_end_ms: u64,
-    ) -> bool {
+    pub(crate) fn send_order(&self, address: SocketAddr, sent: SentOrder) -> bool {
         let links = self.links();
         links
             .get(&address)
-            .is_some_and(|link| link.send_order(sent, lease_end_ms))
+            .is_some_and(|link| link.send_order(sent))
     }
 
     /// Makes a call to a worker over the dispatcher at an address.
--- a/crates/dotterelsill_node/src/dispatch/messages.rs
+++ b/crates/dotterelsill_node/src/dispatch/messages.rs
@@ -12,6 +12,7 @@
     Order,
     PayloadCache,
     ProcessedEnds,
+    Recipient,
     StepId,
     TaskId, //
 };
@@ -51,18 +52,38 @@
         Call::Order {
             order,
             lease_end_ms,
+            recipient,
             needs_connection,
             ..
-        } => encode_order(order, *lease_end_ms, *needs_connection, payloads),
+        } => {
+            let body = encode_order(order, payloads);
+            with_terms(body, *lease_end_ms, *recipient, *needs_connection)
+        }
     }
 }
 
-fn encode_order(
-    order: &Order,
+/// Adds to an encoded start what its order does not say.
+fn with_terms(
+    body: worker_call::Body,
     lease_end_ms: u64,
+    recipient: Recipient,
     needs_connection: bool,
-    payloads: &mut PayloadCache,
 ) -> worker_call::Body {
+    match body {
+        worker_call::Body::Start(start) => worker_call::Body::Start(StartCall {
+            lease_end_ms,
+            needs_connection,
+            recipient_started_unix_ms: match recipient {
+                Recipient::AnyLife => None,
+                Recipient::Life { started_unix_ms } => Some(started_unix_ms),
+            },
+            ..start
+        }),
+        body => body,
+    }
+}
+
+fn encode_order(order: &Order, payloads: &mut PayloadCache) -> worker_call::Body {
     match order {
         Order::Start {
             task,
@@ -73,11 +94,10 @@
         } => worker_call::Body::Start(StartCall {
             task: Some(encode_task(*task)),
             attempt: *attempt,
-            lease_end_ms,
-            needs_connection,
             checkpoint: checkpoint.clone(),
             ticket: ticket.to_string(),
             payload: payloads.add(task.step.job, text).then(|| text.to_string()),
+            ..StartCall::default()
         }),
         Order::Stop { task, attempt } => worker_call::Body::Stop(StopCall {
             task: Some(encode_task(*task)),
@@ -101,11 +121,12 @@
     token: u64,
     payloads: &mut PayloadCache,
 ) -> Result<Call, String> {
-    let order = |order, lease_end_ms, needs_connection| Call::Order {
+    let order = |order| Call::Order {
         order,
         token,
-        lease_end_ms,
-        needs_connection,
+        lease_end_ms: 0,
+        recipient: Recipient::AnyLife,
+        needs_connection: false,
     };
     match body.ok_or("the call is of an unknown kind")? {
         worker_call::Body::Status(status) => Ok(Call::Status {
@@ -129,6 +150,10 @@
                 payloads.add(task.step.job, &Arc::from(payload));
             }
             let text = payloads.get(task.step.job);
+            let recipient = match start.recipient_started_unix_ms {
+                None => Recipient::AnyLife,
+                Some(started_unix_ms) => Recipient::Life { started_unix_ms },
+            };
             let start_order = Order::Start {
                 task,
                 attempt: start.attempt,
@@ -136,18 +161,20 @@
                 checkpoint: start.checkpoint,
                 ticket: start.ticket.into(),
             };
-            Ok(order(
-                start_order,
-                start.lease_end_ms,
-                start.needs_connection,
-            ))
+            Ok(Call::Order {
+                order: start_order,
+                token,
+                lease_end_ms: start.lease_end_ms,
+                recipient,
+                needs_connection: start.needs_connection,
+            })
         }
         worker_call::Body::Stop(stop) => {
             let stop_order = Order::Stop {
                 task: decode_task(stop.task)?,
                 attempt: stop.attempt,
             };
-            Ok(order(stop_order, 0, false))
+            Ok(order(stop_order))
         }
         worker_call::Body::Pace(pace) => {
             let pace_order = Order::Pace {
@@ -155,7 +182,7 @@
                 attempt: pace.attempt,
                 percent: pace.percent,
             };
-            Ok(order(pace_order, 0, false))
+            Ok(order(pace_order))
         }
     }
 }
@@ -173,6 +200,7 @@
                 .time_limit
                 .map_or(0, |limit| limit.as_millis() as u32),
             reason: failure.reason,
+            is_not_kept: failure.is_not_kept,
         }),
     }
 }
@@ -192,6 +220,7 @@
         Some(worker_answer::Result::Unanswered(unanswered)) => Err(CallFailure {
             was_sent: unanswered.was_sent,
             is_unconnected: false,
+            is_not_kept: unanswered.is_not_kept,
             time_limit: (unanswered.time_limit_ms > 0)
                 .then(|| Duration::from_millis(unanswered.time_limit_ms.into())),
             reason: unanswered.reason,
@@ -199,6 +228,7 @@
         None => Err(CallFailure {
             was_sent: true,
             is_unconnected: false,
+            is_not_kept: false,
             time_limit: None,
             reason: "the dispatcher's answer is of an unknown kind".to_owned(),
         }),
--- a/crates/dotterelsill_node/src/dispatch/service.rs
+++ b/crates/dotterelsill_node/src/dispatch/service.rs
@@ -237,6 +237,7 @@
     CallFailure {
         was_sent: false,
         is_unconnected: false,
+        is_not_kept: false,
         time_limit: None,
         reason,
     }
--- a/crates/dotterelsill_node/src/dispatch/waiting.rs
+++ b/crates/dotterelsill_node/src/dispatch/waiting.rs
@@ -12,7 +12,10 @@
 };
 
 use async_channel::Sender;
-use dotterelsill_jobs::Order;
+use dotterelsill_jobs::{
+    Order,
+    StartTerms, //
+};
 
 use super::{
     CallAnswer,
@@ -22,11 +25,12 @@
 
 pub(super) type CallResult = Result<CallAnswer, CallFailure>;
 
-/// An order that was sent over a link without a task that waits for its answer.
+/// A start that was sent over a link without a task that waits for its answer.
 #[derive(Debug)]
 pub(crate) struct SentOrder {
     pub(crate) target: Arc<WorkerTarget>,
     pub(crate) order: Order,
+    pub(crate) terms: StartTerms,
     pub(crate) sent_at: Duration,
 }
 
@@ -138,6 +142,7 @@
     let failure = CallFailure {
         was_sent: true,
         is_unconnected: false,
+        is_not_kept: false,
         time_limit: Some(limit),
         reason: format!("dispatcher: no result within {} ms", limit.as_millis()),
     };
@@ -149,6 +154,7 @@
     CallFailure {
         was_sent,
         is_unconnected: false,
+        is_not_kept: false,
         time_limit: None,
         reason: "the link to the dispatcher is closed".to_owned(),
     }
--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -255,7 +255,7 @@
             };
             let mut is_sent = false;
             // Without authority, starts go through the loops, which ask for an open connection.
-            if let (true, Order::Start { .. }, Route::Over(address)) =
+            if let (true, Order::Start { task, .. }, Route::Over(address)) =
                 (may_extend, &order, dispatchers.order_route(worker))
             {
                 if !scheduler.may_send(worker, &order, false, now) {
@@ -263,13 +263,14 @@
                     self.plan_wanted.set();
                     continue;
                 }
-                if let Some(lease_end_ms) = scheduler.start_lease_end(worker, may_extend, now) {
+                if let Some(terms) = scheduler.start_terms(worker, *task, may_extend, now) {
                     let sent = SentOrder {
                         target: handle.target.clone(),
                         order: order.clone(),
+                        terms,
                         sent_at: now,
                     };
-                    is_sent = self.dispatch.send_order(address, sent, lease_end_ms);
+                    is_sent = self.dispatch.send_order(address, sent);
                 }
             }
             if !is_sent {
--- a/crates/dotterelsill_node/src/worker_loops/orders.rs
+++ b/crates/dotterelsill_node/src/worker_loops/orders.rs
@@ -7,7 +7,9 @@
 use dotterelsill_jobs::{
     Answer,
     Order,
+    Recipient,
     Route,
+    StartTerms,
     WorkerKey, //
 };
 
@@ -116,7 +118,7 @@
             }
             let now = clock::now();
             let may_extend = leadership.authority.is_valid(now);
-            let lease_end_ms = {
+            let terms = {
                 let mut scheduler = leadership.scheduler();
                 if leadership.authority.is_lost()
                     || !scheduler.may_send(self.key, order, may_come_late, now)
@@ -126,11 +128,17 @@
                     return OrderOutcome::Settled;
                 }
                 match order {
-                    Order::Start { .. } => scheduler.start_lease_end(self.key, may_extend, now),
-                    Order::Stop { .. } | Order::Pace { .. } => Some(0),
+                    Order::Start { task, .. } => {
+                        scheduler.start_terms(self.key, *task, may_extend, now)
+                    }
+                    // Stops and paces do no harm in another life.
+                    Order::Stop { .. } | Order::Pace { .. } => Some(StartTerms {
+                        lease_end_ms: 0,
+                        recipient: Recipient::AnyLife,
+                    }),
                 }
             };
-            let Some(lease_end_ms) = lease_end_ms else {
+            let Some(terms) = terms else {
                 // The next status call tells which incarnation of the worker answers.
                 Timer::after(UNSENT_ORDER_PAUSE).await;
                 continue;
@@ -143,7 +151,8 @@
             let call = Call::Order {
                 order: order.clone(),
                 token: leadership.token,
-                lease_end_ms,
+                lease_end_ms: terms.lease_end_ms,
+                recipient: terms.recipient,
                 needs_connection,
             };
             let result = self.call(route, call).await;
@@ -156,6 +165,9 @@
                 Ok(CallAnswer::Status(_)) => return OrderOutcome::Unsettled,
                 Err(failure) if failure.is_unconnected => return OrderOutcome::Unconnected,
                 Err(failure) => {
+                    if failure.is_not_kept {
+                        on_not_kept(leadership, self.key, terms.recipient);
+                    }
                     self.on_call_failed("order", route, &failure, sent_at);
                     if failure.was_sent {
                         return OrderOutcome::Unsettled;
@@ -231,6 +243,9 @@
             // No worker answers an order with a status.
             Ok(CallAnswer::Status(_)) => true,
             Err(failure) => {
+                if failure.is_not_kept {
+                    on_not_kept(leadership, key, sent.terms.recipient);
+                }
                 on_call_failed(
                     leadership,
                     &sent.target,
@@ -247,6 +262,14 @@
     leadership.on_changed();
 }
 
+/// Handles that a start was not sent because its recipient keeps no connection.
+fn on_not_kept(leadership: &Leadership, key: WorkerKey, recipient: Recipient) {
+    if let Recipient::Life { started_unix_ms } = recipient {
+        let mut scheduler = leadership.scheduler();
+        scheduler.on_connection_not_kept(key, started_unix_ms);
+    }
+}
+
 /// Hands an order to the loop of its worker.
 fn queue_order(leadership: &Leadership, key: WorkerKey, order: Order, may_come_late: bool) {
     if let Some(handle) = leadership.handles().get(&key) {
