Remove the records of ended jobs, and keep little of them in a takeover

An accepted job of 6 s did not end.

Cause: the progress record of an ended job was never removed, although the job is forgotten after `status_s`; and a takeover held all records at once as they were read, decoded, and as a job each.

Change: a takeover reads the progress page by page and keeps phase and revision of an ended job. When a job is forgotten, the fenced scheduler removes its record, 10 in a transaction. The transaction expects the revision of the record and no record of the job, so a late one leaves a later job alone. A job record that a late write has brought back is removed with the end, or by storing the end again in a takeover; without its progress the next scheduler would run the job again.

--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -25,7 +25,11 @@
     /// Returns a text with one line for the job, one for each step of its open
     /// occurrences and one for each run; `None` if the job is not known.
     pub fn explain(&self, id: crate::JobId, now: Duration) -> Option<String> {
-        let job = self.jobs.get(&id)?;
+        let Some(job) = self.jobs.get(&id) else {
+            let state = self.restored_state(id)?;
+            let phase = format!("{:?}", state.phase).to_lowercase();
+            return Some(format!("job {id}: {phase} under an earlier scheduler\n"));
+        };
         let age_ms = now.saturating_sub(job.known_at).as_millis();
         let home = job.bound_to().unwrap_or("any");
         let mut text = format!(
--- a/crates/dotterelsill_jobs/src/given_up.rs
+++ b/crates/dotterelsill_jobs/src/given_up.rs
@@ -169,7 +169,7 @@
         let (task, attempt, outcome) = (end.task, end.attempt, end.outcome);
         let id = worker.report.id.as_str();
         let born = worker.life.started_unix_ms;
-        let is_known = self.jobs.contains_key(&task.step.job);
+        let is_known = self.has_job(task.step.job);
         log::info!(
             task:%, attempt, outcome:?, worker = id, number = end.number, born, is_known;
             "end_listed"
--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -58,37 +58,19 @@
             job.restore(progress, revision);
             self.restore_unended(id, progress);
         }
+        let has_ended = !job.is_open();
         self.add(job, now);
+        if has_ended {
+            // A late write has brought the record of the job back. Storing the end again
+            // removes it.
+            self.mark_dirty(id);
+        }
         Ok(())
     }
 
-    /// Restores a job that ended under an earlier scheduler.
-    pub fn restore_ended(
-        &mut self,
-        id: JobId,
-        progress: &ProgressRecord,
-        revision: u64,
-        now: Duration,
-    ) {
-        let spec = JobSpec {
-            queue: String::new(),
-            workspace: None,
-            payload: "".into(),
-            steps: Vec::new(),
-            schedule: None,
-            home: None,
-            accepted_token: 0,
-            accepted_unix: Duration::ZERO,
-        };
-        let mut job = Job::new(id, Arc::new(spec), self.token, now);
-        job.restore(progress, revision);
-        self.restore_unended(id, progress);
-        self.add(job, now);
-    }
-
     /// Adds a job that is stored.
     pub fn submit(&mut self, id: JobId, spec: JobSpec, now: Duration, unix: Duration) {
-        if !self.jobs.contains_key(&id) {
+        if !self.has_job(id) {
             if let Some(queue) = self.configuration.queue(&spec.queue) {
                 let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
                 arrivals.note(&spec, now);
@@ -180,7 +162,7 @@
     /// Cancels a job; returns whether it is known.
     pub fn cancel(&mut self, id: JobId, now: Duration) -> bool {
         let Some(job) = self.jobs.get_mut(&id) else {
-            return false;
+            return self.has_job(id);
         };
         if job.is_open() {
             job.cancel();
@@ -229,28 +211,6 @@
         }
     }
 
-    /// Removes ended jobs after the retention time; returns their identifiers.
-    pub fn forget_ended(&mut self, now: Duration) -> Vec<JobId> {
-        let mut forgotten = Vec::new();
-        while let Some(&id) = self.ended.front() {
-            let Some(job) = self.jobs.get(&id) else {
-                self.ended.pop_front();
-                continue;
-            };
-            let is_kept = job
-                .ended_at
-                .is_none_or(|ended| now < ended + self.limits.ended_job_retention);
-            if is_kept || job.has_runs() || !self.is_stored(id) {
-                break;
-            }
-            self.ended.pop_front();
-            self.jobs.remove(&id);
-            self.memory.remove(id);
-            forgotten.push(id);
-        }
-        forgotten
-    }
-
     /// Returns whether all changes of a job are stored.
     pub fn is_stored(&self, id: JobId) -> bool {
         self.jobs
@@ -261,7 +221,9 @@
     /// Returns the state of a job, which counts as open until its end is stored;
     /// `None` if the job is not known.
     pub fn state(&self, id: JobId) -> Option<JobState> {
-        let job = self.jobs.get(&id)?;
+        let Some(job) = self.jobs.get(&id) else {
+            return self.restored_state(id);
+        };
         let is_stored = job.stored_changes == job.changes;
         let phase = if is_stored { job.phase } else { Phase::Open };
         Some(JobState {
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod dispatch_batch;
 mod dispatchers;
 mod done_occurrences;
+mod ended_jobs;
 mod ends;
 mod explain;
 mod fleet;
@@ -74,6 +75,7 @@
     Dispatchers,
     Route, //
 };
+pub use ended_jobs::ExpiredRecord;
 pub use given_up::{
     EndCounts,
     GivenUpReason, //
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -17,6 +17,7 @@
     advice::Tickets,
     arrivals::Arrivals,
     changes::DirtyJobs,
+    ended_jobs::RestoredEnd,
     given_up::GivenUpRuns,
     home::FreeCpu,
     instance_orders::KnownInstance,
@@ -30,6 +31,7 @@
         WorkerReport, //
     },
     Configuration,
+    ExpiredRecord,
     JobId,
     OperatorRequests,
     Order,
@@ -101,6 +103,12 @@
     /// Open jobs with a schedule.
     pub(crate) recurring: BTreeSet<JobId>,
     pub(crate) ended: VecDeque<JobId>,
+    /// Jobs that ended under earlier schedulers.
+    pub(crate) restored_ends: HashMap<JobId, RestoredEnd>,
+    /// Time at which the last of them was restored.
+    pub(crate) ends_restored_at: Duration,
+    /// Records of ended jobs that are to be removed from the store.
+    pub(crate) expired: VecDeque<ExpiredRecord>,
     pub(crate) started_at: Duration,
     /// Whether this scheduler's own lease is valid, so that no later scheduler can
     /// exist.
@@ -163,6 +171,9 @@
             scheduled: BTreeSet::new(),
             recurring: BTreeSet::new(),
             ended: VecDeque::new(),
+            restored_ends: HashMap::new(),
+            ends_restored_at: now,
+            expired: VecDeque::new(),
             started_at: now,
             has_authority: true,
             needs_plan: true,
@@ -230,7 +241,7 @@
 
     /// Returns whether a job is known.
     pub fn has_job(&self, id: JobId) -> bool {
-        self.jobs.contains_key(&id)
+        self.jobs.contains_key(&id) || self.restored_ends.contains_key(&id)
     }
 
     /// Adds a step to the ready steps if its dependencies are completed.
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod election;
 mod event_loop;
+mod expired_records;
 mod guarded;
 mod handover;
 mod instance_orders;
--- a/crates/dotterelsill_node/src/scheduling.rs
+++ b/crates/dotterelsill_node/src/scheduling.rs
@@ -23,6 +23,7 @@
         Leader,
         SchedulerLease, //
     },
+    expired_records,
     instance_orders,
     intake,
     leadership::{
@@ -154,6 +155,7 @@
     group.spawn_until_stop(async move { planning.plan().await });
     group.spawn_until_stop(async move { ticking.tick().await });
     group.spawn_until_stop(writer::run(leadership.clone()));
+    group.spawn_until_stop(expired_records::remove(leadership.clone()));
     group.spawn_until_stop(load::report(leadership.clone(), node.metrics.clone()));
     group.spawn_until_stop(worker_registry::track(leadership.clone()));
     group.spawn_until_stop(dispatch::manage(leadership.clone(), node.peers.clone()));
--- a/crates/dotterelsill_store/src/operations.rs
+++ b/crates/dotterelsill_store/src/operations.rs
@@ -177,15 +177,36 @@
         staleness: Staleness,
     ) -> Result<(Vec<Item>, u64), OperationError> {
         let mut items: Vec<Item> = Vec::new();
+        let revision = self
+            .for_each_page(prefix, staleness, |page| items.extend(page))
+            .await?;
+        Ok((items, revision))
+    }
+
+    /// Reads all items below a prefix page by page, and hands each page to `handle`;
+    /// returns the revision of the first page. Later pages may hold items of later
+    /// revisions.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a page cannot be read. The pages before it were handled.
+    pub async fn for_each_page(
+        &self,
+        prefix: &str,
+        staleness: Staleness,
+        mut handle: impl FnMut(Vec<Item>),
+    ) -> Result<u64, OperationError> {
+        let mut after = String::new();
         let mut revision = None;
         loop {
-            let after = items.last().map_or("", |item| &item.key).to_owned();
             let page = (self.range)(prefix, after, staleness).await?;
-            revision.get_or_insert(page.revision);
-            let is_last = !page.has_more || page.items.is_empty();
-            items.extend(page.items);
-            if is_last {
-                return Ok((items, revision.unwrap_or_default()));
+            let revision = *revision.get_or_insert(page.revision);
+            let last = page.items.last().map(|item| item.key.clone());
+            let has_more = page.has_more;
+            handle(page.items);
+            match last {
+                Some(last) if has_more => after = last,
+                _ => return Ok(revision),
             }
         }
     }
