Tell the next scheduler which workers close their connections

Cause: the worker closes each connection, so its starts go over any. The scheduler that sent one waits before it starts the task elsewhere; the next one does not know of that worker, and did so once a list of instances showed its end.

Change: the record of workers that may run tasks says which ones close connections, and is stored before the first start goes to one over any connection. The next scheduler keeps such a worker, and what may run there, until its status was read or 13 s after the takeover. Other workers that have ended hold up nothing.

--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -87,6 +87,9 @@
             Recipient::Life {
                 started_unix_ms: worker.life.started_unix_ms,
             }
+        } else if !worker.may_grant {
+            // The next scheduler must know that the start may reach a later life.
+            return None;
         } else {
             if let Some(booked) = worker.booked.get_mut(&task) {
                 booked.unbound_until = Some(now + MAX_ORDER_DELAY);
@@ -100,13 +103,15 @@
     }
 
     /// Handles that a start was not sent because the life that was to get it closes its
-    /// connections after each answer. Further starts go to it over any connection.
+    /// connections after each answer. Further starts go to it over any connection, once
+    /// the record of workers that may run tasks says so.
     pub fn on_connection_not_kept(&mut self, key: WorkerKey, started_unix_ms: u64) {
         if let Some(worker) = self.workers.get_mut(&key) {
             let is_present = worker.life.started_unix_ms == started_unix_ms;
             if is_present && worker.life.keeps_connections {
                 log::warn!(worker = worker.report.id, born = started_unix_ms; "connections_not_kept");
                 worker.life.keeps_connections = false;
+                worker.may_grant = false;
             }
         }
     }
@@ -251,7 +256,7 @@
         let lapsed: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.has_run_to_end(now) || worker.is_gone())
+            .filter(|(_, worker)| worker.has_run_to_end(now) || worker.is_gone(now))
             .filter(|(_, worker)| worker.has_lapsed(now))
             .map(|(&key, _)| key)
             .collect();
@@ -277,7 +282,7 @@
                 },
             };
             self.end_worker_runs(key, evidence, now);
-            if self.workers[&key].is_gone() {
+            if self.workers[&key].is_gone(now) {
                 self.remove_worker(key);
                 removed.push(key);
             }
--- a/crates/dotterelsill_jobs/src/granted.rs
+++ b/crates/dotterelsill_jobs/src/granted.rs
@@ -43,6 +43,11 @@
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.is_listed = false;
             worker.is_expected = true;
+            if granted.closes_connections {
+                worker.has_unbound_starts = true;
+                let late_until = self.started_at + MAX_ORDER_DELAY;
+                worker.unknown_until = worker.unknown_until.max(late_until);
+            }
         }
         Some(key)
     }
@@ -82,7 +87,8 @@
         for granted in granted {
             let key = self.by_id.get(&granted.id);
             if let Some(worker) = key.and_then(|key| self.workers.get_mut(key)) {
-                worker.may_grant = true;
+                // The record may be older than the fact that the worker closes connections.
+                worker.may_grant |= granted.closes_connections || worker.life.keeps_connections;
             }
         }
         self.needs_plan = true;
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -104,6 +104,8 @@
     pub(crate) may_grant: bool,
     /// Whether an earlier scheduler may have started tasks on the worker.
     pub(crate) is_expected: bool,
+    /// Whether a start of an earlier scheduler may reach any life of the worker.
+    pub(crate) has_unbound_starts: bool,
 }
 
 impl Worker {
@@ -123,6 +125,7 @@
             is_terminating: false,
             may_grant: false,
             is_expected: false,
+            has_unbound_starts: false,
         }
     }
 
@@ -237,9 +240,12 @@
         booked.any(|booked| !booked.may_reach_later_life(now))
     }
 
-    /// Returns whether the worker is not registered and has no runs.
-    pub(crate) fn is_gone(&self) -> bool {
-        !self.is_listed && self.booked.is_empty()
+    /// Returns whether the worker is not registered and has no runs, and no start of an
+    /// earlier scheduler may begin one.
+    pub(crate) fn is_gone(&self, now: Duration) -> bool {
+        let may_begin_runs =
+            self.has_unbound_starts && !self.life.is_known && now < self.unknown_until;
+        !self.is_listed && self.booked.is_empty() && !may_begin_runs
     }
 
     /// Resumes use of the worker after an order that would have ended it was not
@@ -265,6 +271,7 @@
             address: self.report.address.clone(),
             pool: self.report.pool.clone(),
             data_centre: self.report.data_centre.clone(),
+            closes_connections: !self.life.keeps_connections,
         }
     }
 
--- a/crates/dotterelsill_jobs/tests/backlog.rs
+++ b/crates/dotterelsill_jobs/tests/backlog.rs
@@ -41,6 +41,7 @@
         address: report.address.clone(),
         pool: report.pool.clone(),
         data_centre: report.data_centre.clone(),
+        ..GrantedWorker::default()
     };
     scheduler.restore_granted_worker(&granted, now);
     scheduler.on_report(report, now).0
--- a/crates/dotterelsill_jobs/tests/ends_of_lives.rs
+++ b/crates/dotterelsill_jobs/tests/ends_of_lives.rs
@@ -197,6 +197,7 @@
         address: common::report(0, "dc").address,
         pool: "work".to_owned(),
         data_centre: "dc".to_owned(),
+        ..GrantedWorker::default()
     };
     scheduler.restore_granted_worker(&restored, ms(1000));
     let others = || {
--- a/crates/dotterelsill_jobs/tests/ends_search/world.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/world.rs
@@ -142,6 +142,8 @@
 #[derive(Clone, Debug)]
 enum Event {
     ArriveAtDispatcher(u64),
+    /// A call that was held up on its way reaches the worker that listens then.
+    PassOn(u64),
     Execute(u64),
     ArriveAtClient(u64, CallResult),
     TimeOutAtClient(u64),
@@ -756,6 +758,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::ArriveAtDispatcher(number) => self.dispatch(number),
+            Event::PassOn(number) => self.pass_on(number),
             Event::Execute(number) => self.execute(number),
             Event::ArriveAtClient(number, result) => self.arrive_at_client(number, result),
             Event::TimeOutAtClient(number) => {
@@ -951,6 +954,11 @@
                 self.early_calls.push((port, number));
                 return;
             }
+            // A proxy holds the call back, and connects to the worker when it passes it on.
+            _ if self.environment.early_listening && !is_reused && self.chance(20) => {
+                self.schedule_in(100..9000, Event::PassOn(number));
+                return;
+            }
             _ => {}
         }
         if is_broken {
@@ -972,6 +980,16 @@
         self.schedule(at_ms, Event::Execute(number));
     }
 
+    /// Connects a call that was held up to the present life at its port.
+    fn pass_on(&mut self, number: u64) {
+        let port = self.calls[&number].port;
+        if let Some(holder) = self.holder_of(port) {
+            let call = self.calls.get_mut(&number).expect("calls are kept");
+            call.life = self.workers[holder].born_ms;
+            self.execute(number);
+        }
+    }
+
     fn execute(&mut self, number: u64) {
         let call = self.calls[&number].clone();
         let now_ms = self.now_ms;
--- a/crates/dotterelsill_jobs/tests/facts_of_other_lives.rs
+++ b/crates/dotterelsill_jobs/tests/facts_of_other_lives.rs
@@ -96,6 +96,7 @@
         address: report(0, "dc").address,
         pool: "work".to_owned(),
         data_centre: "dc".to_owned(),
+        ..GrantedWorker::default()
     };
     scheduler
         .restore(JobId(1), &small_job(), None, ms(1000))
--- a/crates/dotterelsill_jobs/tests/moves.rs
+++ b/crates/dotterelsill_jobs/tests/moves.rs
@@ -133,6 +133,7 @@
         address: "127.0.0.1:2099".to_owned(),
         pool: "work".to_owned(),
         data_centre: "dc".to_owned(),
+        ..GrantedWorker::default()
     };
     successor.restore_granted_worker(&cut_off, ms(1000));
     let restored = record("urgent", 7, vec![step(6, 1000)]);
--- a/crates/dotterelsill_jobs/tests/starts_of_lives.rs
+++ b/crates/dotterelsill_jobs/tests/starts_of_lives.rs
@@ -21,6 +21,7 @@
 use dotterelsill_jobs::{
     Answer,
     InstanceState,
+    JobId,
     ListedRun,
     Order,
     Recipient,
@@ -30,6 +31,7 @@
     WorkerReport,
     WorkerStatus, //
 };
+use dotterelsill_proto::jobs::GrantedWorker;
 
 /// Returns a scheduler with a start that was decided for the first life of its only
 /// worker, which is silent.
@@ -154,6 +156,11 @@
     let key = add_worker(&mut scheduler, 0, ms(1000));
     if !keeps_connections {
         scheduler.on_connection_not_kept(key, 1);
+        // The next scheduler has to know it before a start is sent.
+        assert!(scheduler.has_granted_change());
+        let granted = scheduler.granted();
+        assert!(granted[0].closes_connections);
+        scheduler.on_granted_stored(&granted);
     }
     submit(
         &mut scheduler,
@@ -231,3 +238,46 @@
     assert_eq!(started.len(), 1);
     assert_ne!(started[0].1, key);
 }
+
+/// Guards against a task of a restored job that is started elsewhere while a start of the
+/// earlier scheduler may still begin it, on a later life of a worker that closes each
+/// connection. Other workers that have ended hold up nothing.
+#[test]
+fn start_of_an_earlier_scheduler_may_reach_a_later_life() {
+    for closes_connections in [false, true] {
+        let mut scheduler = scheduler(9, ms(1000));
+        let worker = report(0, "dc");
+        let granted = GrantedWorker {
+            id: worker.id,
+            address: worker.address,
+            pool: worker.pool,
+            data_centre: worker.data_centre,
+            closes_connections,
+        };
+        scheduler.restore_granted_worker(&granted, ms(1000));
+        let job = record("urgent", 7, vec![step(1, 1000)]);
+        scheduler
+            .restore(JobId(1), &job, None, ms(1000))
+            .expect("the record is valid");
+        scheduler.open_due_jobs(ms(1000));
+        add_worker(&mut scheduler, 1, ms(1030));
+        let list = |first| {
+            vec![
+                instance(0, "work", first),
+                instance(1, "work", InstanceState::Up),
+            ]
+        };
+        scheduler.on_instances(list(InstanceState::Up), ms(1800), ms(1810));
+        scheduler.on_instances(list(InstanceState::Down), ms(3000), ms(3010));
+        let mut started_at = None;
+        for at in (3050..15_000).step_by(50) {
+            scheduler.expire_leases(ms(at));
+            scheduler.replan();
+            if !starts(&scheduler.plan(ms(at))).is_empty() {
+                started_at.get_or_insert(at);
+            }
+        }
+        let expected = if closes_connections { 14_000 } else { 3050 };
+        assert_eq!(started_at, Some(expected));
+    }
+}
--- a/crates/dotterelsill_jobs/tests/unended_runs.rs
+++ b/crates/dotterelsill_jobs/tests/unended_runs.rs
@@ -75,6 +75,7 @@
         address: report.address,
         pool: report.pool,
         data_centre: report.data_centre,
+        ..GrantedWorker::default()
     }
 }
 
