Read the intake currently at a takeover

Cause: jobs that are accepted while no scheduler answers lie in the intake, which the scheduler knew from stale reads alone. These may be seconds old.

Change: the first list of the intake, and each second one after it, is a current read. Until the first was read, the number of waiting jobs is not said; callers get 503 with the time to come back.

--- a/crates/dotterelsill_node/src/intake.rs
+++ b/crates/dotterelsill_node/src/intake.rs
@@ -4,7 +4,10 @@
 //! so that a job is accepted by a single transaction whichever instance stores it.
 
 use std::{
-    sync::Arc,
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
     time::Duration, //
 };
 
@@ -115,11 +118,13 @@
     }
 }
 
-/// Imports jobs from the intake until the task group stops.
+/// Imports jobs from the intake until the task group stops. Stale reads, which are
+/// cheaper, alternate with current ones.
 pub(crate) async fn import_all(leadership: Arc<Leadership>) {
     let dependency = Dependency::new("intake");
+    let mut staleness = Staleness::Current;
     loop {
-        match leadership.store.list(keys::INTAKE, Staleness::Stale).await {
+        match leadership.store.list(keys::INTAKE, staleness).await {
             Ok((items, _)) => {
                 dependency.on_answer();
                 let mut accepted_keys = Vec::new();
@@ -134,6 +139,13 @@
                         }
                     }
                 }
+                if staleness == Staleness::Current {
+                    leadership.has_read_intake.store(true, Ordering::Release);
+                }
+                staleness = match staleness {
+                    Staleness::Current => Staleness::Stale,
+                    Staleness::Stale => Staleness::Current,
+                };
                 if let Err(error) = remove_accepted(&leadership, &accepted_keys).await {
                     dependency.on_error(&error);
                 }
--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
+        atomic::AtomicBool,
         Arc,
         Mutex,
         MutexGuard,
@@ -121,6 +122,8 @@
     pub(crate) list_wanted: Signal,
     /// Notified after each attempt to store jobs and their changes.
     pub(crate) stored: Event,
+    /// Whether the jobs that were accepted while no scheduler answered are known.
+    pub(crate) has_read_intake: AtomicBool,
 }
 
 /// Returns the scheduler's time limits, derived from the bounds of the platform.
@@ -168,6 +171,7 @@
             write_wanted: Signal::default(),
             list_wanted: Signal::default(),
             stored: Event::new(),
+            has_read_intake: AtomicBool::new(false),
         }
     }
 
--- a/crates/dotterelsill_node/src/requests.rs
+++ b/crates/dotterelsill_node/src/requests.rs
@@ -2,7 +2,10 @@
 
 use std::{
     future::Future,
-    sync::Arc,
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
     time::Duration, //
 };
 
@@ -125,9 +128,10 @@
     outcome_within(leadership, limit, stored).await
 }
 
-/// Returns how many jobs of a queue have not started.
+/// Returns how many jobs of a queue have not started; `Refused` while jobs that were
+/// accepted before this scheduler took over may be missing.
 pub(crate) fn pending(leadership: &Leadership, queue: &str) -> (Outcome, u64) {
-    if leadership.is_valid() {
+    if leadership.is_valid() && leadership.has_read_intake.load(Ordering::Acquire) {
         let accepted = leadership.submissions.lock().accepted_on(queue) as u64;
         (
             Outcome::Done,
