Count the labels of a worker's present life alone

Cause: a status shows the new life before it registers, and the labels were those of the life before.

Change: a label counts only if the registration is of the present life. Tasks without a required label do not wait for it, as capacity, pool and rack belong to the instance.

The test of the decision fails on the code before.

--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -268,7 +268,7 @@
             .step
             .required_label
             .as_ref()
-            .is_none_or(|label| worker.report.labels.contains(label));
+            .is_none_or(|label| worker.has_label(label));
         let limit = self
             .step
             .max_per_worker
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -347,6 +347,14 @@
         data_centre.is_none_or(|name| self.report.data_centre == name)
     }
 
+    /// Returns whether the present life has a label. It may be of another kind than the
+    /// life before, whose registration does not count.
+    pub(crate) fn has_label(&self, label: &String) -> bool {
+        let (reported, present) = (self.report.started_unix_ms, self.life.started_unix_ms);
+        let is_own_report = reported == 0 || present == 0 || reported == present;
+        is_own_report && self.report.labels.contains(label)
+    }
+
     /// Returns the rack, which is the last label by the platform's convention.
     pub(crate) fn rack(&self) -> Option<&str> {
         self.report.labels.last().map(String::as_str)
--- a/crates/dotterelsill_jobs/tests/starts_of_lives.rs
+++ b/crates/dotterelsill_jobs/tests/starts_of_lives.rs
@@ -31,7 +31,10 @@
     WorkerReport,
     WorkerStatus, //
 };
-use dotterelsill_proto::jobs::GrantedWorker;
+use dotterelsill_proto::jobs::{
+    self,
+    GrantedWorker, //
+};
 
 /// Returns a scheduler with a start that was decided for the first life of its only
 /// worker, which is silent.
@@ -281,3 +284,32 @@
         assert_eq!(started_at, Some(expected));
     }
 }
+
+/// Guards against a task that needs a label and is started on a worker that has restarted as
+/// one of another kind, by the registration of the life before. Tasks without such a need do
+/// not wait for the new one.
+#[test]
+fn restarted_worker_gets_tasks_for_a_label_once_it_has_registered() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    let labelled = jobs::Step {
+        required_label: "a".to_owned(),
+        ..step(1, 1000)
+    };
+    read_second_life(&mut scheduler, key, 1100, vec![]);
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 7, vec![labelled]),
+        ms(1200),
+    );
+    submit(
+        &mut scheduler,
+        2,
+        &record("urgent", 7, vec![step(1, 1000)]),
+        ms(1200),
+    );
+    assert_eq!(starts(&scheduler.plan(ms(1210))), [(task(2, 0, 0), key)]);
+    register_second_life(&mut scheduler);
+    assert_eq!(starts(&scheduler.plan(ms(1310))), [(task(1, 0, 0), key)]);
+}
