--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -349,10 +349,10 @@
 
     /// Returns whether the present life has a label. It may be of another kind than the
     /// life before, whose registration does not count.
-    pub(crate) fn has_label(&self, label: &String) -> bool {
+    pub(crate) fn has_label(&self, label: &str) -> bool {
         let (reported, present) = (self.report.started_unix_ms, self.life.started_unix_ms);
         let is_own_report = reported == 0 || present == 0 || reported == present;
-        is_own_report && self.report.labels.contains(label)
+        is_own_report && self.report.labels.iter().any(|own| own == label)
     }
 
     /// Returns the rack, which is the last label by the platform's convention.
--- a/crates/dotterelsill_node/src/expired_records.rs
+++ b/crates/dotterelsill_node/src/expired_records.rs
@@ -143,9 +143,14 @@
         .expected
         .push((progress_key.clone(), record.revision));
     transaction.removes.extend([job_key, progress_key]);
-    log::info!(job:% = record.job; "leftover_job_removed");
-    if let Err(error) = (leadership.store.commit)(transaction).await {
-        log::warn!(error:%, records = 1; "expired_records_not_removed");
-        leadership.scheduler().give_back_expired([record]);
+    match (leadership.store.commit)(transaction).await {
+        Ok(CommitOutcome::Done { .. }) => {
+            log::info!(job:% = record.job; "leftover_job_removed");
+            return;
+        }
+        // Changed since; the next try sees how.
+        Ok(CommitOutcome::Conflict { .. }) => {}
+        Err(error) => log::warn!(error:%, records = 1; "expired_records_not_removed"),
     }
+    leadership.scheduler().give_back_expired([record]);
 }
