Use the system's allocator in the node

Cause: an instance without load took 62 MB, 21 MB of it for mimalloc, whose large aligned segments are backed by huge pages. Switching huge pages off through MIMALLOC_ALLOW_THP=0 left 48 MB, the system's allocator 40 MB.

--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -51,10 +51,6 @@
     Snafu, //
 };
 
-// A busy scheduler allocates many short-lived objects.
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// Takes jobs, schedules their tasks and maintains instances.
 #[derive(FromArgs)]
 struct Args {
