Request lists of instances sooner after a takeover

Cause: after a takeover restored jobs wait until workers that are gone are known to have ended, which two lists in a row have to show that were requested 1.5 s after the takeover. Lists were a second apart.

Change: the next list is requested when it can first be evidence, and 200 ms after one that misses such a worker; otherwise a second later, as before.

--- a/crates/dotterelsill_jobs/src/instance_orders.rs
+++ b/crates/dotterelsill_jobs/src/instance_orders.rs
@@ -31,6 +31,13 @@
 /// Maximum time for which a call of an earlier scheduler may be in flight.
 const MAX_CALL_TIME: Duration = Duration::from_millis(1500);
 
+/// Interval between lists while one more could show that a worker has ended on which an
+/// earlier scheduler may have started tasks.
+const SHORT_LIST_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Interval between lists otherwise; each listing costs a call.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Delay before an order that was refused is given again.
 pub(crate) const REFUSED_ORDER_DELAY: Duration = Duration::from_millis(700);
 
@@ -173,6 +180,30 @@
         }
     }
 
+    /// Returns how long to wait before the next list of instances, after one that was
+    /// requested at `requested_at`.
+    ///
+    /// Load pattern: the scheduler is replaced during a burst, shortly after instances
+    /// were moved or lost. Restored jobs are held back while an earlier scheduler may
+    /// have started their tasks on workers that are gone, which only lists can show.
+    pub fn list_pause(&self, requested_at: Duration, now: Duration) -> Duration {
+        let gone = self
+            .workers
+            .values()
+            .filter(|worker| !worker.is_listed && self.may_run_unseen(worker, now));
+        let next = gone.filter_map(|worker| {
+            let shows_end_from = worker.life.since + LIST_LAG;
+            if requested_at <= shows_end_from {
+                // Only a list that is requested later than that is evidence.
+                Some(shows_end_from + Duration::from_millis(1))
+            } else {
+                (worker.life.missed_lists > 0).then_some(requested_at + SHORT_LIST_INTERVAL)
+            }
+        });
+        let pause = next.min().map(|at| at.saturating_sub(now));
+        pause.unwrap_or(LIST_INTERVAL).min(LIST_INTERVAL)
+    }
+
     /// Returns the time until which orders of an earlier scheduler may still take
     /// effect.
     pub(crate) fn earlier_orders_until(&self) -> Duration {
--- a/crates/dotterelsill_node/src/instance_orders.rs
+++ b/crates/dotterelsill_node/src/instance_orders.rs
@@ -32,9 +32,6 @@
     leadership::Leadership, //
 };
 
-/// Interval between listings of the instances; each listing costs a call.
-const LIST_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Interval between plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -56,8 +53,9 @@
             }
             Err(error) => dependency.on_error(&error),
         }
+        let pause = leadership.scheduler().list_pause(asked_at, clock::now());
         let pause = async {
-            Timer::after(LIST_INTERVAL).await;
+            Timer::after(pause).await;
         };
         pause.or(leadership.list_wanted.wait()).await;
     }
