jobs: Count submissions that may be stored as pending

A transaction may take effect although its response is lost or late. An instance that the scheduler does not answer then finds the job stored and accepts it, while the scheduler still holds it as a submission and leaves it out of the number of pending jobs until the write is retried with success.

Count submissions whose transaction is in flight or was not answered. The number may include jobs that are refused in the end, never the other way.

job_that_may_be_stored_is_pending failed before (0 instead of 1 with the transaction in flight) and passes.

--- a/crates/dotterelsill_jobs/src/submissions.rs
+++ b/crates/dotterelsill_jobs/src/submissions.rs
@@ -129,17 +129,18 @@
         }
     }
 
-    /// Returns the number of jobs of a queue that are waiting or being stored and were
-    /// already accepted, because an instance stored them in the intake.
+    /// Returns the number of jobs of a queue that are waiting or being stored and may be
+    /// accepted already: an instance stored them in the intake, or a transaction that
+    /// contains them may have taken effect, so that an instance that finds a job stored
+    /// accepts it.
     pub fn accepted_on(&self, queue: &str) -> usize {
         let waiting = self.waiting.iter().filter(|submission| {
             // A job that was handed in again while it is being stored counts once.
             !self.taken.contains_key(&submission.id)
-                && submission.is_from_intake
+                && (submission.is_from_intake || submission.may_be_stored)
                 && submission.record.queue == queue
         });
-        let taken = self.taken.values();
-        let taken = taken.filter(|taken| taken.is_in_intake && taken.queue == queue);
+        let taken = self.taken.values().filter(|taken| taken.queue == queue);
         waiting.count() + taken.count()
     }
 
