jobs: Count a cancelled job as pending until that is stored

A cancellation that the store has not confirmed is lost with its scheduler, and the job goes on waiting. The state of the job is reported as open until then, but the number of pending jobs left it out at once.

job_is_pending_until_its_cancellation_is_stored failed before (0 instead of 1) and passes.

--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -232,9 +232,11 @@
         })
     }
 
-    /// Returns the number of open jobs of a queue that have not begun.
+    /// Returns the number of jobs of a queue that have not begun. One that is cancelled
+    /// counts until that is stored: otherwise it goes on under the next scheduler.
     pub fn pending(&self, queue: &str) -> u64 {
-        let is_pending = |job: &&Job| job.is_open() && !job.has_begun && job.spec.queue == queue;
+        let is_waiting = |job: &Job| job.is_open() || job.stored_changes < job.changes;
+        let is_pending = |job: &&Job| !job.has_begun && job.spec.queue == queue && is_waiting(job);
         self.jobs.values().filter(is_pending).count() as u64
     }
 }
