jobs: Count a job as begun only on evidence of a run

The answer to the start of one member of a gang marked the job as begun, even if another member was refused and the gang never got together: the members only wait for each other. The same held for restored progress without the end of a run.

A gang has begun once all members run, one reports progress, or one has ended as done or failed. Restored progress shows a begin only by the end of a run.

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -389,7 +389,7 @@
                     self.overload.on_answered(took);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
-                    job.has_begun = true;
+                    job.note_running(task.step, 0);
                 }
                 self.confirm(key, task, attempt, Some(now));
             }
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -19,6 +19,7 @@
 use crate::{
     done_occurrences::DoneOccurrences,
     given_up::GivenUpReason,
+    pending::has_begun,
     spec::FORMAT,
     tasks::Tasks,
     JobId,
@@ -296,7 +297,7 @@
         task.map_or(String::new(), |task| task.checkpoint.clone())
     }
 
-    fn is_gang(&self, step: StepId) -> bool {
+    pub(crate) fn is_gang(&self, step: StepId) -> bool {
         let step = self.spec.steps.get(step.step as usize);
         step.is_some_and(|step| step.is_gang)
     }
@@ -546,9 +547,7 @@
             let changed = state.tasks.changed().iter();
             state.done = changed.filter(|task| task.is_done).count() as u32;
         }
-        if !record.steps.is_empty() || self.done_occurrences.count() > 0 {
-            self.has_begun = true;
-        }
+        self.has_begun |= has_begun(record);
         self.phase = record.phase();
     }
 }
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -35,6 +35,7 @@
 mod order;
 mod overload;
 mod pace;
+mod pending;
 mod placement;
 mod plan;
 mod rank;
@@ -116,6 +117,7 @@
     WorkerOrder,
     WorkerStatus, //
 };
+pub use pending::has_begun;
 pub use resources::Resources;
 pub use scheduler::{
     Limits,
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/pending/mod.rs
@@ -0,0 +1,5 @@
+//! What is needed to know how many accepted jobs of a queue have not begun.
+
+mod begin;
+
+pub use begin::has_begun;
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -108,7 +108,7 @@
         }
         self.record_listed_end(key, end, now);
         if let Some(job) = self.jobs.get_mut(&end.task.step.job) {
-            job.has_begun = true;
+            job.note_listed_outcome(end.task.step, end.outcome);
         }
         let change = self.end_run(
             key,
@@ -147,7 +147,6 @@
         }
         let job = self.jobs.get_mut(&task.step.job);
         if let Some(job) = job {
-            job.has_begun = true;
             job.note_checkpoint(task.step, task.index, &listed.checkpoint);
         }
         if let Some(run) = self.run_mut(key, task, listed.attempt) {
@@ -159,6 +158,9 @@
                 run.advanced_at = now;
             }
         }
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.note_running(task.step, listed.percent);
+        }
         false
     }
 
@@ -207,7 +209,6 @@
             return false;
         }
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
-            job.has_begun = true;
             job.note_checkpoint(task.step, task.index, &listed.checkpoint);
             if let Some(state) = job.task(task.step, task.index) {
                 state.next_attempt = state.next_attempt.max(listed.attempt + 1);
@@ -220,6 +221,7 @@
                     advanced_at: now,
                 });
             }
+            job.note_running(task.step, listed.percent);
         }
         true
     }
--- a/crates/dotterelsill_jobs/tests/pending.rs
+++ b/crates/dotterelsill_jobs/tests/pending.rs
@@ -1,10 +1,18 @@
 //! Number of accepted jobs of a queue that have not begun.
 
 use dotterelsill_jobs::{
+    Answer,
     JobId,
+    RunOutcome,
     Submission,
     Submissions, //
 };
+use dotterelsill_proto::jobs::{
+    self,
+    Phase,
+    ProgressRecord,
+    StepProgress, //
+};
 
 mod common;
 use common::*;
@@ -72,3 +80,74 @@
         .unwrap();
     assert_eq!(next.pending("urgent"), 0);
 }
+
+/// Guards against a restored job that counts as begun although its progress names no end
+/// of a run.
+#[test]
+fn restored_job_without_an_end_is_pending() {
+    let job = record("urgent", 7, vec![step(2, 1000)]);
+    let with_steps = |done: Vec<u32>| ProgressRecord {
+        phase: Phase::Open.into(),
+        steps: vec![StepProgress {
+            done,
+            ..StepProgress::default()
+        }],
+        is_spread: true,
+        ..ProgressRecord::default()
+    };
+    for (done, pending) in [(Vec::new(), 1), (vec![0], 0)] {
+        let mut next = scheduler(8, ms(2000));
+        let progress = with_steps(done);
+        next.restore(JobId(1), &job, Some((&progress, 9)), ms(2000))
+            .unwrap();
+        assert_eq!(next.pending("urgent"), pending, "{progress:?}");
+    }
+}
+
+/// Guards against a job that counts as begun although its gang never got together: one
+/// member was refused, and the others, whose starts were answered, only waited for it.
+#[test]
+fn gang_that_never_got_together_is_pending() {
+    for outcome in [RunOutcome::Alone, RunOutcome::Broken, RunOutcome::Stopped] {
+        let mut scheduler = scheduler(7, ms(1000));
+        let keys = [0, 1].map(|index| add_worker(&mut scheduler, index, ms(1000)));
+        let gang = jobs::Step {
+            is_gang: true,
+            max_per_worker: 1,
+            ..step(2, 1000)
+        };
+        let job = record("urgent", 7, vec![gang]);
+        submit(&mut scheduler, 1, &job, ms(1000));
+        let orders = scheduler.plan(ms(1010));
+        assert_eq!(orders.len(), 2);
+        confirm(&mut scheduler, &orders[..1], ms(1020));
+        let refused = &orders[1];
+        scheduler.on_answer(
+            refused.worker,
+            &refused.order,
+            Answer::NoRoom,
+            false,
+            ms(1030),
+        );
+        let (member, attempt) = orders[0].order.run();
+        let mut status = status_at(ms(1100));
+        status.running = vec![running(member, attempt, 0)];
+        scheduler.on_worker_status(orders[0].worker, &status, ms(1100));
+        assert_eq!(scheduler.pending("urgent"), 1, "one member waits");
+        let mut status = status_at(ms(1200));
+        status.ended = vec![ended(1, member, attempt, outcome)];
+        scheduler.on_worker_status(orders[0].worker, &status, ms(1200));
+        assert_eq!(scheduler.pending("urgent"), 1, "{outcome:?}");
+
+        // The whole gang starts, once the refusal is no longer held against the worker.
+        for key in keys {
+            scheduler.on_worker_status(key, &status_at(ms(6900)), ms(6900));
+        }
+        let orders = scheduler.plan(ms(7000));
+        assert_eq!(starts(&orders).len(), 2, "{orders:?}");
+        confirm(&mut scheduler, &orders[..1], ms(7010));
+        assert_eq!(scheduler.pending("urgent"), 1);
+        confirm(&mut scheduler, &orders[1..], ms(7020));
+        assert_eq!(scheduler.pending("urgent"), 0, "all members run");
+    }
+}
