node: Say how many jobs are pending only from a recent read of the intake

One current read of the intake made the number known for as long as the scheduler held its lease. Stale reads alternated with current ones, and a slow removal or a lost response delayed the next read, so the number left out jobs that had been accepted into the intake several seconds before.

Read the intake currently at each interval of 1 s, also while an earlier read is unanswered, and answer only while the latest answered read began less than 2 s ago and the lease is valid after the jobs were counted. Requests refused for want of that are logged once a second and counted by reason in dotterelsill_pending_unknown_total.

--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -117,7 +117,13 @@
     WorkerOrder,
     WorkerStatus, //
 };
-pub use pending::has_begun;
+pub use pending::{
+    has_begun,
+    IntakeReads,
+    PendingCount,
+    PendingUnknown,
+    MAX_PENDING_AGE, //
+};
 pub use resources::Resources;
 pub use scheduler::{
     Limits,
--- a/crates/dotterelsill_jobs/tests/pending.rs
+++ b/crates/dotterelsill_jobs/tests/pending.rs
@@ -2,7 +2,9 @@
 
 use dotterelsill_jobs::{
     Answer,
+    IntakeReads,
     JobId,
+    PendingUnknown,
     RunOutcome,
     Submission,
     Submissions, //
@@ -151,3 +153,24 @@
         assert_eq!(scheduler.pending("urgent"), 0, "all members run");
     }
 }
+
+/// Guards against a number that leaves out jobs which were accepted into the intake more
+/// than 2 s ago: reads of the intake fail, are answered late or in another order, or the
+/// answer to the caller is held up.
+#[test]
+fn pending_is_unknown_without_a_recent_read() {
+    let mut reads = IntakeReads::default();
+    let unread = reads.count(3, true, ms(1000));
+    assert_eq!(unread, Err(PendingUnknown::IntakeUnread));
+    reads.on_read(ms(1000));
+    // A read that began earlier is answered after a later one.
+    reads.on_read(ms(400));
+    let count = reads.count(3, true, ms(2900)).unwrap();
+    assert_eq!((count.jobs, count.age), (3, ms(1900)));
+    let old = Err(PendingUnknown::IntakeReadOld);
+    assert_eq!(reads.count(3, true, ms(3000)), old);
+    assert_eq!(count.after(ms(99)).unwrap().age, ms(1999));
+    assert_eq!(count.after(ms(100)), old);
+    let lost = reads.count(3, false, ms(1100));
+    assert_eq!(lost, Err(PendingUnknown::NoAuthority));
+}
--- a/crates/dotterelsill_node/src/intake.rs
+++ b/crates/dotterelsill_node/src/intake.rs
@@ -4,14 +4,18 @@
 //! so that a job is accepted by a single transaction whichever instance stores it.
 
 use std::{
-    sync::{
-        atomic::Ordering,
-        Arc, //
-    },
-    time::Duration, //
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use async_io::Timer;
+use async_lock::{
+    Semaphore,
+    SemaphoreGuardArc, //
+};
 use dotterelsill_jobs::{
     JobId,
     JobState, //
@@ -31,6 +35,7 @@
     Transaction,
     Write, //
 };
+use futures_lite::FutureExt as _;
 use prost::Message as _;
 
 use crate::{
@@ -38,12 +43,22 @@
     dependency::Dependency,
     keys,
     leadership::Leadership,
+    signal::Signal,
     submission::Submission, //
 };
 
-/// Interval between listings of the intake.
+/// Interval between the begins of two reads of the intake. The number of pending jobs is
+/// known as long as each read is answered within the rest of [`MAX_PENDING_AGE`].
+///
+/// [`MAX_PENDING_AGE`]: dotterelsill_jobs::MAX_PENDING_AGE
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Maximum number of reads at a time: as many as begin while one is answered after 3 s.
+const MAX_READS: usize = 3;
+
 /// Maximum number of jobs that one transaction removes: the platform's limit of 32
 /// entries, minus the expected revision of the scheduler's key.
 const MAX_REMOVALS: usize = 31;
@@ -118,41 +133,79 @@
     }
 }
 
-/// Imports jobs from the intake until the task group stops. Stale reads, which are
-/// cheaper, alternate with current ones.
+/// State of the reads of the intake by one scheduler.
+struct IntakeReader {
+    leadership: Arc<Leadership>,
+    dependency: Dependency,
+    /// Set when a read has failed.
+    failed: Signal,
+    /// Held while accepted jobs are being removed.
+    removing: async_lock::Mutex<()>,
+}
+
+/// Imports jobs from the intake until the task group stops. A read begins at each
+/// interval, also while an earlier one is not answered yet: otherwise one lost response
+/// leaves the jobs unknown that are accepted meanwhile.
 pub(crate) async fn import_all(leadership: Arc<Leadership>) {
-    let dependency = Dependency::new("intake");
-    let mut staleness = Staleness::Current;
+    let slots = Arc::new(Semaphore::new(MAX_READS));
+    let reader = Arc::new(IntakeReader {
+        leadership: leadership.clone(),
+        dependency: Dependency::new("intake"),
+        failed: Signal::default(),
+        removing: async_lock::Mutex::default(),
+    });
     loop {
-        match leadership.store.list(keys::INTAKE, staleness).await {
-            Ok((items, _)) => {
-                dependency.on_answer();
-                let mut accepted_keys = Vec::new();
-                for item in items {
-                    match keys::job_of(keys::INTAKE, &item.key) {
-                        Some(id) if leadership.scheduler().has_job(id) => {
-                            accepted_keys.push(item.key)
-                        }
-                        Some(id) if leadership.submissions.lock().note_in_intake(id) => {}
-                        _ => {
-                            import_item(&leadership, &item);
-                        }
-                    }
-                }
-                if staleness == Staleness::Current {
-                    leadership.has_read_intake.store(true, Ordering::Release);
-                }
-                staleness = match staleness {
-                    Staleness::Current => Staleness::Stale,
-                    Staleness::Stale => Staleness::Current,
-                };
-                if let Err(error) = remove_accepted(&leadership, &accepted_keys).await {
-                    dependency.on_error(&error);
+        let next_read = Instant::now() + POLL_INTERVAL;
+        if let Some(slot) = slots.try_acquire_arc() {
+            let reader = reader.clone();
+            leadership.tasks.spawn_until_stop(async move {
+                reader.read(slot).await;
+            });
+        }
+        let due = async {
+            Timer::at(next_read).await;
+        };
+        let failed = async {
+            reader.failed.wait().await;
+            Timer::after(RETRY_PAUSE).await;
+        };
+        due.or(failed).await;
+    }
+}
+
+impl IntakeReader {
+    /// Reads the intake, imports its jobs, and removes those that are accepted already.
+    async fn read(&self, slot: SemaphoreGuardArc) {
+        let leadership = &self.leadership;
+        let began = clock::now();
+        let listed = leadership.store.list(keys::INTAKE, Staleness::Current);
+        let items = match listed.await {
+            Ok((items, _)) => items,
+            Err(error) => {
+                self.dependency.on_error(&error);
+                self.failed.set();
+                return;
+            }
+        };
+        drop(slot);
+        self.dependency.on_answer();
+        let mut accepted_keys = Vec::new();
+        for item in items {
+            match keys::job_of(keys::INTAKE, &item.key) {
+                Some(id) if leadership.scheduler().has_job(id) => accepted_keys.push(item.key),
+                Some(id) if leadership.submissions.lock().note_in_intake(id) => {}
+                _ => {
+                    import_item(leadership, &item);
                 }
             }
-            Err(error) => dependency.on_error(&error),
         }
-        Timer::after(POLL_INTERVAL).await;
+        leadership.intake_reads().on_read(began);
+        // The next read shows again what a removal that is still under way leaves.
+        if let Some(_removing) = self.removing.try_lock() {
+            if let Err(error) = remove_accepted(leadership, &accepted_keys).await {
+                self.dependency.on_error(&error);
+            }
+        }
     }
 }
 
--- a/crates/dotterelsill_node/src/leader_link.rs
+++ b/crates/dotterelsill_node/src/leader_link.rs
@@ -167,7 +167,10 @@
     /// Queries how many jobs of a queue have not started.
     pub(crate) async fn pending(&self, queue: &str, limit: Duration) -> (Outcome, u64) {
         if let Some(leadership) = self.leadership.load_full() {
-            return requests::pending(&leadership, queue);
+            return match requests::pending(&leadership, queue) {
+                Some(count) => (Outcome::Done, count.jobs),
+                None => (Outcome::Refused, 0),
+            };
         }
         let Some(mut client) = self.client() else {
             return (Outcome::Refused, 0);
--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -3,7 +3,6 @@
 use std::{
     collections::HashMap,
     sync::{
-        atomic::AtomicBool,
         Arc,
         Mutex,
         MutexGuard,
@@ -16,6 +15,7 @@
 use async_io::Timer;
 use async_lock::Semaphore;
 use dotterelsill_jobs::{
+    IntakeReads,
     Limits,
     Order,
     Route,
@@ -122,8 +122,7 @@
     pub(crate) list_wanted: Signal,
     /// Notified after each attempt to store jobs and their changes.
     pub(crate) stored: Event,
-    /// Whether the jobs that were accepted while no scheduler answered are known.
-    pub(crate) has_read_intake: AtomicBool,
+    intake_reads: Mutex<IntakeReads>,
 }
 
 /// Returns the scheduler's time limits, derived from the bounds of the platform.
@@ -171,7 +170,7 @@
             write_wanted: Signal::default(),
             list_wanted: Signal::default(),
             stored: Event::new(),
-            has_read_intake: AtomicBool::new(false),
+            intake_reads: Mutex::default(),
         }
     }
 
@@ -190,6 +189,14 @@
         self.handles.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is known of the reads of the intake. The guard must not be held across
+    /// an `await`.
+    pub(crate) fn intake_reads(&self) -> MutexGuard<'_, IntakeReads> {
+        self.intake_reads
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the share of new jobs to refuse, in percent.
     pub(crate) fn refused_percent(&self) -> u32 {
         self.scheduler().refused_percent(clock::now())
--- a/crates/dotterelsill_node/src/load.rs
+++ b/crates/dotterelsill_node/src/load.rs
@@ -12,6 +12,7 @@
 };
 
 use async_io::Timer;
+use dotterelsill_jobs::PendingUnknown;
 use dotterelsill_store::{
     CommitOutcome,
     OperationError, //
@@ -65,6 +66,8 @@
     stores: Counter,
     stores_failed: Counter,
     store_worst_us: Counter,
+    /// In the order of [`PendingUnknown::ALL`].
+    pending_unknown: [Counter; PendingUnknown::ALL.len()],
 }
 
 impl Load {
@@ -111,6 +114,23 @@
         }
         self.store_worst_us.record_max(took.as_micros() as u64);
     }
+
+    /// Counts a request for the number of pending jobs, which is not known.
+    pub(crate) fn on_pending_unknown(&self, reason: PendingUnknown) {
+        self.pending_unknown[reason as usize].add(1);
+    }
+
+    /// Logs and counts the requests for the number of pending jobs that were refused since
+    /// the last call.
+    pub(crate) fn report_pending_unknown(&self, metrics: &Metrics) {
+        for reason in PendingUnknown::ALL {
+            let requests = self.pending_unknown[reason as usize].take();
+            if requests > 0 {
+                log::info!(reason = reason.name(), requests; "pending_unknown");
+                metrics.on_pending_unknown(reason, requests);
+            }
+        }
+    }
 }
 
 /// Logs the activity and the backlog each second, and counts unusual ends, until the
@@ -135,6 +155,7 @@
             )
         };
         metrics.on_ends(&end_counts);
+        leadership.load.report_pending_unknown(&metrics);
         let orders_queued: usize = leadership.handles().values().map(|h| h.orders.len()).sum();
         let submissions = leadership.submissions.lock().len();
         let (dispatchers, workers_dispatched) = leadership.dispatch.dispatchers().in_use();
--- a/crates/dotterelsill_node/src/metrics.rs
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use dotterelsill_jobs::EndCounts;
+use dotterelsill_jobs::{
+    EndCounts,
+    PendingUnknown, //
+};
 use http::{
     Method,
     StatusCode, //
@@ -36,6 +39,7 @@
     runs_given_up: IntCounterVec,
     unknown_job_ends: IntCounter,
     done_after_given_up: IntCounter,
+    pending_unknown: IntCounterVec,
     loop_lateness: Histogram,
     loop_lateness_worst: Gauge,
     /// Whether this instance schedules.
@@ -93,6 +97,13 @@
                 "dotterelsill_done_after_given_up_total",
                 "Ends `done` listed by workers of runs that the scheduler had given up",
             )?,
+            pending_unknown: IntCounterVec::new(
+                Opts::new(
+                    "dotterelsill_pending_unknown_total",
+                    "Requests for the number of pending jobs that the scheduler refused",
+                ),
+                &["reason"],
+            )?,
             loop_lateness: Histogram::with_opts(
                 HistogramOpts::new(
                     "dotterelsill_loop_late_seconds",
@@ -122,6 +133,7 @@
         registry.register(Box::new(metrics.runs_given_up.clone()))?;
         registry.register(Box::new(metrics.unknown_job_ends.clone()))?;
         registry.register(Box::new(metrics.done_after_given_up.clone()))?;
+        registry.register(Box::new(metrics.pending_unknown.clone()))?;
         registry.register(Box::new(metrics.loop_lateness.clone()))?;
         registry.register(Box::new(metrics.loop_lateness_worst.clone()))?;
         registry.register(Box::new(metrics.is_scheduling.clone()))?;
@@ -179,6 +191,13 @@
         self.done_after_given_up.inc_by(counts.done_after_given_up);
     }
 
+    /// Adds requests for the number of pending jobs that the scheduler refused.
+    pub(crate) fn on_pending_unknown(&self, reason: PendingUnknown, requests: u64) {
+        self.pending_unknown
+            .with_label_values(&[reason.name()])
+            .inc_by(requests);
+    }
+
     /// Records by how much a sample of the event loop was late.
     pub(crate) fn on_loop_wake(&self, late: Duration) {
         self.loop_lateness.observe(late.as_secs_f64());
--- a/crates/dotterelsill_node/src/peer_service.rs
+++ b/crates/dotterelsill_node/src/peer_service.rs
@@ -127,8 +127,10 @@
         request: Request<PendingRequest>,
     ) -> Result<Response<PendingResponse>, Status> {
         let queue = request.into_inner().queue;
-        let (outcome, pending) = match self.leadership.load_full() {
-            Some(leadership) => requests::pending(&leadership, &queue),
+        let leadership = self.leadership.load_full();
+        let count = leadership.and_then(|leadership| requests::pending(&leadership, &queue));
+        let (outcome, pending) = match count {
+            Some(count) => (Outcome::Done, count.jobs),
             None => (Outcome::Refused, 0),
         };
         Ok(Response::new(PendingResponse {
--- a/crates/dotterelsill_node/src/requests.rs
+++ b/crates/dotterelsill_node/src/requests.rs
@@ -2,17 +2,15 @@
 
 use std::{
     future::Future,
-    sync::{
-        atomic::Ordering,
-        Arc, //
-    },
+    sync::Arc,
     time::Duration, //
 };
 
 use async_io::Timer;
 use dotterelsill_jobs::{
     JobId,
-    JobState, //
+    JobState,
+    PendingCount, //
 };
 use dotterelsill_proto::jobs::{
     JobRecord,
@@ -128,17 +126,20 @@
     outcome_within(leadership, limit, stored).await
 }
 
-/// Returns how many jobs of a queue have not started; `Refused` while jobs that were
-/// accepted before this scheduler took over may be missing.
-pub(crate) fn pending(leadership: &Leadership, queue: &str) -> (Outcome, u64) {
-    if leadership.is_valid() && leadership.has_read_intake.load(Ordering::Acquire) {
-        let accepted = leadership.submissions.lock().accepted_on(queue) as u64;
-        (
-            Outcome::Done,
-            leadership.scheduler().pending(queue) + accepted,
-        )
-    } else {
-        (Outcome::Refused, 0)
+/// Returns how many jobs of a queue have not started; `None` while accepted jobs may be
+/// missing.
+pub(crate) fn pending(leadership: &Leadership, queue: &str) -> Option<PendingCount> {
+    let reads = *leadership.intake_reads();
+    // A job leaves the submissions once the scheduler knows it, so counting them first
+    // cannot miss it.
+    let accepted = leadership.submissions.lock().accepted_on(queue) as u64;
+    let jobs = accepted + leadership.scheduler().pending(queue);
+    match reads.count(jobs, leadership.is_valid(), clock::now()) {
+        Ok(count) => Some(count),
+        Err(reason) => {
+            leadership.load.on_pending_unknown(reason);
+            None
+        }
     }
 }
 
--- a/crates/dotterelsill_node/src/scheduling.rs
+++ b/crates/dotterelsill_node/src/scheduling.rs
@@ -183,6 +183,7 @@
     }
     node.metrics
         .on_ends(&leadership.scheduler().take_end_counts());
+    leadership.load.report_pending_unknown(&node.metrics);
     node.leadership.store(None);
     node.metrics.is_scheduling.set(0);
     node.metrics.dispatched_workers.set(0);
