node: Refuse a number of pending jobs that is too old on arrival

An instance that does not schedule asks the scheduler, and handed on the number however late the response came: up to the caller's deadline, on top of the age that it had at the scheduler.

The response says how old the number is, and the instance that answers the caller adds the duration of its call.

PendingCount::after is tested in pending_is_unknown_without_a_recent_read; a response that is held up on its way is not played with daemons.

--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -118,7 +118,6 @@
     WorkerStatus, //
 };
 pub use pending::{
-    has_begun,
     IntakeReads,
     PendingCount,
     PendingUnknown,
--- a/crates/dotterelsill_jobs/src/pending/begin.rs
+++ b/crates/dotterelsill_jobs/src/pending/begin.rs
@@ -21,7 +21,7 @@
 
 /// Returns whether a job with this stored progress has begun. Progress without the end
 /// of a run, such as that of a job that may leave its home, does not show it.
-pub fn has_begun(progress: &ProgressRecord) -> bool {
+pub(crate) fn has_begun(progress: &ProgressRecord) -> bool {
     let has_ends = |step: &StepProgress| !step.done.is_empty() || !step.failed.is_empty();
     progress.done_below > 0
         || !progress.done_occurrences.is_empty()
--- a/crates/dotterelsill_jobs/src/pending/mod.rs
+++ b/crates/dotterelsill_jobs/src/pending/mod.rs
@@ -3,7 +3,7 @@
 mod begin;
 mod intake_reads;
 
-pub use begin::has_begun;
+pub(crate) use begin::has_begun;
 pub use intake_reads::{
     IntakeReads,
     PendingCount,
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -322,8 +322,8 @@
 
 async fn pending(service: &CallerService, queue: &Queue, limit: Duration) -> Response<Full<Bytes>> {
     match service.link.pending(&queue.name, limit).await {
-        (Outcome::Done, pending) => json_response(StatusCode::OK, platform::pending_body(pending)),
-        _ => unavailable("the scheduler does not answer"),
+        Some(pending) => json_response(StatusCode::OK, platform::pending_body(pending)),
+        None => unavailable("the number of waiting jobs is not known"),
     }
 }
 
--- a/crates/dotterelsill_node/src/leader_link.rs
+++ b/crates/dotterelsill_node/src/leader_link.rs
@@ -14,7 +14,8 @@
 use arc_swap::ArcSwapOption;
 use dotterelsill_jobs::{
     JobId,
-    JobState, //
+    JobState,
+    PendingCount, //
 };
 use dotterelsill_proto::jobs::{
     scheduler_client::SchedulerClient,
@@ -164,22 +165,35 @@
         }
     }
 
-    /// Queries how many jobs of a queue have not started.
-    pub(crate) async fn pending(&self, queue: &str, limit: Duration) -> (Outcome, u64) {
+    /// Queries how many jobs of a queue have not started; `None` if that is not known.
+    pub(crate) async fn pending(&self, queue: &str, limit: Duration) -> Option<u64> {
         if let Some(leadership) = self.leadership.load_full() {
-            return match requests::pending(&leadership, queue) {
-                Some(count) => (Outcome::Done, count.jobs),
-                None => (Outcome::Refused, 0),
-            };
+            return requests::pending(&leadership, queue).map(|count| count.jobs);
         }
-        let Some(mut client) = self.client() else {
-            return (Outcome::Refused, 0);
-        };
+        let mut client = self.client()?;
         let request = PendingRequest {
             queue: queue.to_owned(),
         };
+        let sent_at = clock::now();
         match self.await_response(limit, client.pending(request)).await {
-            Ok(response) => (response.outcome(), response.pending),
+            Ok(response) if response.outcome() == Outcome::Done => {
+                let count = PendingCount {
+                    jobs: response.pending,
+                    age: Duration::from_millis(response.age_ms),
+                };
+                let took = clock::now().saturating_sub(sent_at);
+                match count.after(took) {
+                    Ok(count) => Some(count.jobs),
+                    Err(_) => {
+                        log::info!(
+                            queue, age_ms = response.age_ms, took_ms = took.as_millis() as u64;
+                            "pending_too_old"
+                        );
+                        None
+                    }
+                }
+            }
+            Ok(_) => None,
             Err(CallFailure {
                 error,
                 limit_ms,
@@ -189,7 +203,7 @@
                     call = "pending", queue, limit_ms, took_ms = times.took_ms,
                     loop_late_ms = times.loop_late_ms, error; "scheduler_unanswered"
                 );
-                (Outcome::Unknown, 0)
+                None
             }
         }
     }
--- a/crates/dotterelsill_node/src/peer_service.rs
+++ b/crates/dotterelsill_node/src/peer_service.rs
@@ -129,14 +129,18 @@
         let queue = request.into_inner().queue;
         let leadership = self.leadership.load_full();
         let count = leadership.and_then(|leadership| requests::pending(&leadership, &queue));
-        let (outcome, pending) = match count {
-            Some(count) => (Outcome::Done, count.jobs),
-            None => (Outcome::Refused, 0),
+        let response = match count {
+            Some(count) => PendingResponse {
+                outcome: Outcome::Done.into(),
+                pending: count.jobs,
+                age_ms: count.age.as_millis() as u64,
+            },
+            None => PendingResponse {
+                outcome: Outcome::Refused.into(),
+                ..PendingResponse::default()
+            },
         };
-        Ok(Response::new(PendingResponse {
-            outcome: outcome.into(),
-            pending,
-        }))
+        Ok(Response::new(response))
     }
 
     async fn explain(
