jobs: Keep a job that is in the intake when its transaction fails

While the transaction of a submitted job is in flight, an instance that got no answer may store the job in the intake, and a read of the intake notes that. When the transaction was then certainly not carried out, the note was lost and the job dropped, so that the number of pending jobs left out an accepted job until the next read, although it counted as recently read.

Ask the submissions whether a job may be dropped, in one step with the note.

job_in_the_intake_is_kept_when_its_transaction_fails fails with the former rule (0 instead of 1) and passes.

--- a/crates/dotterelsill_jobs/src/submissions.rs
+++ b/crates/dotterelsill_jobs/src/submissions.rs
@@ -92,6 +92,18 @@
         self.taken.remove(&id);
     }
 
+    /// Drops a taken job whose transaction was not carried out; returns whether it did. A
+    /// job that may be accepted in another way is kept, and must be put back.
+    pub fn refuse(&mut self, submission: &Submission<W>) -> bool {
+        let taken = self.taken.get(&submission.id);
+        let is_in_intake = taken.is_some_and(|taken| taken.is_in_intake);
+        if submission.may_be_stored || submission.is_from_intake || is_in_intake {
+            return false;
+        }
+        self.settle(submission.id);
+        true
+    }
+
     /// Puts a taken job whose outcome is unknown back to the front. If it was
     /// submitted again in the meantime, the two are merged; the record of this one
     /// is kept, since it may be stored.
--- a/crates/dotterelsill_jobs/tests/pending.rs
+++ b/crates/dotterelsill_jobs/tests/pending.rs
@@ -174,3 +174,24 @@
     let lost = reads.count(3, false, ms(1100));
     assert_eq!(lost, Err(PendingUnknown::NoAuthority));
 }
+
+/// Guards against an accepted job that is dropped, and left out until the next read of the
+/// intake, because the transaction that contained it was certainly not carried out: an
+/// instance had stored the job in the intake meanwhile.
+#[test]
+fn job_in_the_intake_is_kept_when_its_transaction_fails() {
+    let mut queue = Submissions::default();
+    queue.add(submission(1, false));
+    queue.add(submission(2, false));
+    let taken = queue.take(10);
+    assert!(queue.note_in_intake(JobId(1)));
+    for submission in taken {
+        if !queue.refuse(&submission) {
+            queue.put_back(submission);
+        }
+    }
+    assert_eq!(queue.accepted_on("urgent"), 1);
+    let kept = queue.take(10);
+    assert_eq!((kept.len(), kept[0].id), (1, JobId(1)));
+    assert!(kept[0].is_from_intake);
+}
--- a/crates/dotterelsill_node/src/writer.rs
+++ b/crates/dotterelsill_node/src/writer.rs
@@ -266,8 +266,7 @@
 ) {
     let mut open = Vec::new();
     for mut submission in submissions {
-        if is_not_done && !submission.may_be_stored && !submission.is_from_intake {
-            leadership.submissions.lock().settle(submission.id);
+        if is_not_done && leadership.submissions.lock().refuse(&submission) {
             leadership.scheduler().cancel_reservation(submission.id);
             notify_waiting(&submission, Outcome::Refused);
             continue;
