--- a/crates/dotterelsill_jobs/src/submissions.rs
+++ b/crates/dotterelsill_jobs/src/submissions.rs
@@ -92,6 +92,18 @@
         self.taken.remove(&id);
     }
 
+    /// Drops a taken job whose transaction was not carried out; returns whether it did. A
+    /// job that may be accepted in another way is kept, and must be put back.
+    pub fn refuse(&mut self, submission: &Submission<W>) -> bool {
+        let taken = self.taken.get(&submission.id);
+        let is_in_intake = taken.is_some_and(|taken| taken.is_in_intake);
+        if submission.may_be_stored || submission.is_from_intake || is_in_intake {
+            return false;
+        }
+        self.settle(submission.id);
+        true
+    }
+
     /// Puts a taken job whose outcome is unknown back to the front. If it was
     /// submitted again in the meantime, the two are merged; the record of this one
     /// is kept, since it may be stored.
@@ -129,17 +141,18 @@
         }
     }
 
-    /// Returns the number of jobs of a queue that are waiting or being stored and were
-    /// already accepted, because an instance stored them in the intake.
+    /// Returns the number of jobs of a queue that are waiting or being stored and may be
+    /// accepted already: an instance stored them in the intake, or a transaction that
+    /// contains them may have taken effect, so that an instance that finds a job stored
+    /// accepts it.
     pub fn accepted_on(&self, queue: &str) -> usize {
         let waiting = self.waiting.iter().filter(|submission| {
             // A job that was handed in again while it is being stored counts once.
             !self.taken.contains_key(&submission.id)
-                && submission.is_from_intake
+                && (submission.is_from_intake || submission.may_be_stored)
                 && submission.record.queue == queue
         });
-        let taken = self.taken.values();
-        let taken = taken.filter(|taken| taken.is_in_intake && taken.queue == queue);
+        let taken = self.taken.values().filter(|taken| taken.queue == queue);
         waiting.count() + taken.count()
     }
 
--- a/crates/dotterelsill_node/src/peer_service.rs
+++ b/crates/dotterelsill_node/src/peer_service.rs
@@ -127,14 +127,20 @@
         request: Request<PendingRequest>,
     ) -> Result<Response<PendingResponse>, Status> {
         let queue = request.into_inner().queue;
-        let (outcome, pending) = match self.leadership.load_full() {
-            Some(leadership) => requests::pending(&leadership, &queue),
-            None => (Outcome::Refused, 0),
+        let leadership = self.leadership.load_full();
+        let count = leadership.and_then(|leadership| requests::pending(&leadership, &queue));
+        let response = match count {
+            Some(count) => PendingResponse {
+                outcome: Outcome::Done.into(),
+                pending: count.jobs,
+                age_ms: count.age.as_millis() as u64,
+            },
+            None => PendingResponse {
+                outcome: Outcome::Refused.into(),
+                ..PendingResponse::default()
+            },
         };
-        Ok(Response::new(PendingResponse {
-            outcome: outcome.into(),
-            pending,
-        }))
+        Ok(Response::new(response))
     }
 
     async fn explain(
