--- /dev/null
+++ b/crates/dotterelsill_jobs/src/waves/selection.rs
@@ -0,0 +1,112 @@
+//! Choice of the instances that a wave drains next.
+
+use std::time::Duration;
+
+use super::{
+    Stage,
+    WaveState, //
+};
+use crate::{
+    instance_orders::KnownInstance,
+    InstanceState,
+    Scheduler, //
+};
+
+/// Part of a wave's duration, in percent, within which the maintenance is planned;
+/// the rest is a reserve for faults.
+const WAVE_TIME_PERCENT: u32 = 60;
+
+/// Time from the start of draining one instance to its return to service.
+const MAINTENANCE_CYCLE: Duration = Duration::from_millis(5500);
+
+/// Maximum part of a pool's instances, in percent, that may be unavailable because
+/// of a wave, unless time is running out.
+const MAX_UNAVAILABLE_PERCENT: usize = 34;
+
+impl Scheduler {
+    /// Starts draining as many instances as are needed to finish the wave on time.
+    pub(super) fn drain_more(&mut self, state: &mut WaveState, now: Duration, unix: Duration) {
+        let is_waiting =
+            |stage: &Stage| matches!(stage, Stage::Waiting { not_before } if *not_before <= now);
+        let mut waiting: Vec<String> = state
+            .stages
+            .iter()
+            .filter(|(name, stage)| is_waiting(stage) && self.instances.contains_key(*name))
+            .map(|(name, _)| name.clone())
+            .collect();
+        if waiting.is_empty() {
+            return;
+        }
+        let planned = state.wave.duration * WAVE_TIME_PERCENT / 100;
+        let left = (state.started_unix + planned).saturating_sub(unix);
+        let rounds = (left.as_millis() / MAINTENANCE_CYCLE.as_millis()).max(1) as usize;
+        let is_busy = |stage: &&Stage| !matches!(stage, Stage::Waiting { .. } | Stage::Done);
+        let busy = state.stages.values().filter(is_busy).count();
+        let wanted = (waiting.len() + busy).div_ceil(rounds);
+        let most = wanted.min(state.wave.cap as usize).max(1);
+        // Cheapest first: instances that are switched off, then idle ones.
+        waiting.sort_by_cached_key(|name| self.eviction_cost(name));
+        let is_short = left.is_zero();
+        let mut count = busy;
+        for name in waiting {
+            if count >= most {
+                return;
+            }
+            let known = &self.instances[&name];
+            if known.ordered.is_some() || now < known.late_until {
+                continue;
+            }
+            if known.instance.state != InstanceState::Up || !self.may_drain(&name, now) {
+                continue;
+            }
+            if !is_short && !self.pool_can_spare(&known.instance.pool.clone(), state) {
+                continue;
+            }
+            self.set_cordoned(&name, true);
+            log::info!(instance = name, wave = state.wave.number; "instance_draining");
+            state.stages.insert(name, Stage::Draining { since: now });
+            count += 1;
+        }
+    }
+
+    /// Returns whether a pool can spare another instance for a wave.
+    fn pool_can_spare(&self, pool: &str, state: &WaveState) -> bool {
+        if self.is_standby(pool) {
+            return true;
+        }
+        let of_pool = |known: &&KnownInstance| known.instance.pool == pool;
+        let all = self.instances.values().filter(of_pool).count();
+        let is_unavailable = |(name, stage): &(&String, &Stage)| {
+            let is_busy = !matches!(stage, Stage::Waiting { .. } | Stage::Done);
+            let known = self.instances.get(*name);
+            is_busy && known.is_some_and(|known| known.instance.pool == pool)
+        };
+        let unavailable = state.stages.iter().filter(is_unavailable).count();
+        (unavailable + 1) * 100 <= (all * MAX_UNAVAILABLE_PERCENT).max(100)
+    }
+
+    /// Returns the cost of ending the runs of an instance.
+    pub(super) fn eviction_cost(&self, name: &str) -> (bool, usize, u64) {
+        let Some(key) = self.worker_of(name) else {
+            return (false, 0, 0);
+        };
+        let worker = &self.workers[&key];
+        let lasting = worker.booked.values().filter(|run| run.is_lasting).count();
+        (true, lasting, worker.used.cpu_milli)
+    }
+
+    /// Returns whether an instance may be drained. While orders of an earlier
+    /// scheduler may still end long-running tasks that appear to be available, no
+    /// other long-running tasks are ended; the instance must be known to run none.
+    pub(super) fn may_drain(&self, name: &str, now: Duration) -> bool {
+        if now >= self.earlier_orders_until() {
+            return true;
+        }
+        let has_worker = |known: &KnownInstance| !known.instance.worker.is_empty();
+        if !self.instances.get(name).is_some_and(has_worker) {
+            return true;
+        }
+        self.worker_of(name)
+            .is_some_and(|key| self.workers[&key].life.is_known && self.lasting_on(key).is_empty())
+    }
+}
