jobs: Move long-running tasks off a wave's instances from its start

Cause: a wave drained the cheapest instances first, so those with long-running tasks came last. Only may_miss tasks of a step may be unavailable at a time, and each takes seconds to be available elsewhere, so that the last instances took one such cycle after the other and were caught by the next change of the scheduler or outage of the store. An instance also waited up to 3 s for its short tasks before its long-running ones were stopped.

Change: instances with long-running tasks are drained first, as many as the budgets allow, and regardless of the pool's limit when the budgets need all of the time that is left. Their long-running tasks are stopped while the instance waits for short tasks or for its turn. An instance whose tasks have no budget left is not drained yet.

--- a/crates/dotterelsill_jobs/src/held_back.rs
+++ b/crates/dotterelsill_jobs/src/held_back.rs
@@ -135,7 +135,7 @@
 
     /// Returns the number of candidates that could run a task of a step if they had no
     /// tasks that end by themselves.
-    fn reservable_workers(
+    pub(crate) fn reservable_workers(
         &self,
         job: &Job,
         id: StepId,
--- a/crates/dotterelsill_jobs/src/instance_orders.rs
+++ b/crates/dotterelsill_jobs/src/instance_orders.rs
@@ -31,6 +31,9 @@
 /// Maximum time for which a call of an earlier scheduler may be in flight.
 const MAX_CALL_TIME: Duration = Duration::from_millis(1500);
 
+/// Maximum time from the arrival of a stop at a worker to the end of the run.
+pub(crate) const MAX_STOP_TIME: Duration = Duration::from_millis(1000);
+
 /// Delay before an order that was refused is given again.
 pub(crate) const REFUSED_ORDER_DELAY: Duration = Duration::from_millis(700);
 
@@ -216,10 +219,7 @@
             return Vec::new();
         }
         let mut orders = Vec::new();
-        let numbers: Vec<u64> = self.waves.keys().copied().collect();
-        for number in numbers {
-            self.plan_wave(number, &mut orders, now, unix);
-        }
+        self.plan_waves(&mut orders, now, unix);
         self.plan_moves(&mut orders, now);
         for order in &orders {
             self.ordered_at.insert(order.instance.clone(), now);
--- a/crates/dotterelsill_jobs/src/waves.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    instance_orders::MAX_STOP_TIME,
     InstanceAction,
     InstanceOrder,
     InstanceState,
@@ -29,8 +30,12 @@
 enum Stage {
     /// Draining has not started, and may not start before a time.
     Waiting { not_before: Duration },
-    /// The instance gets no new tasks.
-    Draining { since: Duration },
+    /// The instance gets no new tasks. Until `wait_until` it waits for short and for
+    /// stopped tasks to end.
+    Draining {
+        since: Duration,
+        wait_until: Duration,
+    },
     /// The maintenance was ordered and the response is outstanding.
     Ordered,
     /// An order was not answered and a later one was refused because the instance
@@ -68,7 +73,23 @@
 }
 
 impl Scheduler {
-    pub(crate) fn plan_wave(
+    /// Returns the maintenance orders of all waves.
+    pub(crate) fn plan_waves(
+        &mut self,
+        orders: &mut Vec<InstanceOrder>,
+        now: Duration,
+        unix: Duration,
+    ) {
+        let numbers: Vec<u64> = self.waves.keys().copied().collect();
+        if numbers.is_empty() {
+            return;
+        }
+        for number in numbers {
+            self.plan_wave(number, orders, now, unix);
+        }
+    }
+
+    fn plan_wave(
         &mut self,
         number: u64,
         orders: &mut Vec<InstanceOrder>,
@@ -80,22 +101,28 @@
         };
         self.note_returns(&mut state, now);
         self.drain_more(&mut state, now, unix);
-        let draining: Vec<(String, Duration)> = state
+        let mut draining: Vec<(Duration, String, Duration)> = state
             .stages
             .iter()
-            .filter_map(|(name, stage)| match stage {
-                Stage::Draining { since } => Some((name.clone(), *since)),
+            .filter_map(|(name, stage)| match *stage {
+                Stage::Draining { since, wait_until } => Some((since, name.clone(), wait_until)),
                 _ => None,
             })
             .collect();
-        for (name, since) in draining {
-            if self.unavailable_count(&state, now) >= state.wave.cap as usize {
-                break;
-            }
+        draining.sort_unstable();
+        for (since, name, wait_until) in draining {
             if !self.may_drain(&name, now) {
                 continue;
             }
-            if self.may_end(&name, since, now) {
+            let has_slot = self.unavailable_count(&state, now) < state.wave.cap as usize;
+            let is_ready = has_slot && !self.waits_for_ends(&name, wait_until, now);
+            if self.evict(&name, is_ready, now) {
+                let wait_until = wait_until.max(now + MAX_STOP_TIME);
+                let stage = Stage::Draining { since, wait_until };
+                state.stages.insert(name, stage);
+                continue;
+            }
+            if is_ready && self.may_end(&name) {
                 let order = InstanceOrder {
                     instance: name.clone(),
                     action: InstanceAction::Maintain { wave: number },
@@ -103,8 +130,6 @@
                 self.note_ordered(&order);
                 state.stages.insert(name, Stage::Ordered);
                 orders.push(order);
-            } else {
-                self.evict(&name);
             }
         }
         self.return_for_lasting(&mut state, now);
--- a/crates/dotterelsill_jobs/src/waves/selection.rs
+++ b/crates/dotterelsill_jobs/src/waves/selection.rs
@@ -1,6 +1,9 @@
 //! Choice of the instances that a wave drains next.
 
-use std::time::Duration;
+use std::{
+    cmp::Reverse,
+    time::Duration, //
+};
 
 use super::{
     Stage,
@@ -19,12 +22,17 @@
 /// Time from the start of draining one instance to its return to service.
 const MAINTENANCE_CYCLE: Duration = Duration::from_millis(5500);
 
+/// Maximum time for which an instance waits for its short tasks to end. After that
+/// the maintenance stops them.
+const MAX_DRAIN_TIME: Duration = Duration::from_millis(3000);
+
 /// Maximum part of a pool's instances, in percent, that may be unavailable because
 /// of a wave, unless time is running out.
 const MAX_UNAVAILABLE_PERCENT: usize = 34;
 
 impl Scheduler {
-    /// Starts draining as many instances as are needed to finish the wave on time.
+    /// Starts draining instances: those with long-running tasks as early as the budgets of
+    /// their steps allow, and as many others as are needed to finish the wave on time.
     pub(super) fn drain_more(&mut self, state: &mut WaveState, now: Duration, unix: Duration) {
         let is_waiting =
             |stage: &Stage| matches!(stage, Stage::Waiting { not_before } if *not_before <= now);
@@ -41,34 +49,56 @@
         let left = (state.started_unix + planned).saturating_sub(unix);
         let rounds = (left.as_millis() / MAINTENANCE_CYCLE.as_millis()).max(1) as usize;
         let is_busy = |stage: &&Stage| !matches!(stage, Stage::Waiting { .. } | Stage::Done);
-        let busy = state.stages.values().filter(is_busy).count();
+        let mut busy = state.stages.values().filter(is_busy).count();
         let wanted = (waiting.len() + busy).div_ceil(rounds);
         let most = wanted.min(state.wave.cap as usize).max(1);
+        waiting.retain(|name| self.is_drainable(name, now));
+        let is_budgeted = |name: &String| !self.budgeted_on(name).is_empty();
+        let (mut budgeted, mut others): (Vec<String>, Vec<String>) =
+            waiting.into_iter().partition(is_budgeted);
+        // The largest first, as the smaller ones fit into what is left of the budgets.
+        budgeted.sort_by_cached_key(|name| Reverse(self.eviction_cost(name)));
+        let is_urgent = left <= self.budgeted_time(state);
+        for name in budgeted {
+            let pool = &self.instances[&name].instance.pool;
+            let may_drain = is_urgent || busy < most && self.pool_can_spare(pool, state);
+            if may_drain && self.has_budget_beside_draining(&name, state) {
+                self.drain(&name, state, now);
+                busy += 1;
+            }
+        }
         // Cheapest first: instances that are switched off, then idle ones.
-        waiting.sort_by_cached_key(|name| self.eviction_cost(name));
-        let is_short = left.is_zero();
-        let mut count = busy;
-        for name in waiting {
-            if count >= most {
+        others.sort_by_cached_key(|name| self.eviction_cost(name));
+        for name in others {
+            let pool = &self.instances[&name].instance.pool;
+            if busy >= most {
                 return;
             }
-            let known = &self.instances[&name];
-            if known.ordered.is_some() || now < known.late_until {
-                continue;
-            }
-            if known.instance.state != InstanceState::Up || !self.may_drain(&name, now) {
-                continue;
-            }
-            if !is_short && !self.pool_can_spare(&known.instance.pool.clone(), state) {
-                continue;
+            if left.is_zero() || self.pool_can_spare(pool, state) {
+                self.drain(&name, state, now);
+                busy += 1;
             }
-            self.set_cordoned(&name, true);
-            log::info!(instance = name, wave = state.wave.number; "instance_draining");
-            state.stages.insert(name, Stage::Draining { since: now });
-            count += 1;
         }
     }
 
+    fn is_drainable(&self, name: &str, now: Duration) -> bool {
+        let known = &self.instances[name];
+        known.ordered.is_none()
+            && now >= known.late_until
+            && known.instance.state == InstanceState::Up
+            && self.may_drain(name, now)
+    }
+
+    fn drain(&mut self, name: &str, state: &mut WaveState, now: Duration) {
+        self.set_cordoned(name, true);
+        log::info!(instance = name, wave = state.wave.number; "instance_draining");
+        let stage = Stage::Draining {
+            since: now,
+            wait_until: now + MAX_DRAIN_TIME,
+        };
+        state.stages.insert(name.to_owned(), stage);
+    }
+
     /// Returns whether a pool can spare another instance for a wave.
     fn pool_can_spare(&self, pool: &str, state: &WaveState) -> bool {
         if self.is_standby(pool) {
