jobs: Continue waves sooner after an election

Cause: for 4.5 s after its election a scheduler ended no long-running task at all, and counted every instance that its predecessor had ordered lately as down, also those whose maintenance was recorded as begun. With a cap of 68 and 68 orders before the election, a wave stood still for 4.5 s.

Change: tasks on instances that an order of the predecessor may still end count as unavailable, so that the budgets hold without a general pause. All long-running tasks are left alone only for 2.5 s: the time in which a stop of the predecessor may arrive and end a run. Instances whose maintenance is recorded count as in maintenance for its duration after the election.

--- a/crates/dotterelsill_jobs/src/instance_orders.rs
+++ b/crates/dotterelsill_jobs/src/instance_orders.rs
@@ -185,6 +185,13 @@
         self.started_at + self.limits.alternation_window + MAX_CALL_TIME
     }
 
+    /// Returns the time until which runs that are listed as active may be ending because
+    /// of stops of an earlier scheduler.
+    pub(crate) fn earlier_stops_until(&self) -> Duration {
+        let until = self.started_at + MAX_CALL_TIME + MAX_STOP_TIME;
+        until.min(self.earlier_orders_until())
+    }
+
     /// Restores the instances that an earlier scheduler has recently given orders
     /// to.
     pub fn restore_ordered_instances(&mut self, instances: &[String]) {
--- a/crates/dotterelsill_jobs/src/waves.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -5,7 +5,10 @@
 //! ones are stopped within the disruption budgets of their steps.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
@@ -80,6 +83,7 @@
         now: Duration,
         unix: Duration,
     ) {
+        self.mark_workers(now);
         let numbers: Vec<u64> = self.waves.keys().copied().collect();
         if numbers.is_empty() {
             return;
@@ -89,6 +93,23 @@
         }
     }
 
+    /// Marks the workers that an order of an earlier scheduler may still end.
+    fn mark_workers(&mut self, now: Duration) {
+        let mut maintained = BTreeSet::new();
+        for (name, stage) in self.waves.values().flat_map(|state| &state.stages) {
+            // The platform maintains an instance once in a wave, so that a late
+            // repetition of the order has no effect.
+            if matches!(stage, Stage::InMaintenance { .. } | Stage::Done) {
+                maintained.extend(self.worker_of(name));
+            }
+        }
+        let held = self.held_until.iter().filter(|(_, until)| now < **until);
+        let held: BTreeSet<_> = held.filter_map(|(name, _)| self.worker_of(name)).collect();
+        for (key, worker) in &mut self.workers {
+            worker.is_held = held.contains(key) && !maintained.contains(key);
+        }
+    }
+
     fn plan_wave(
         &mut self,
         number: u64,
@@ -179,7 +200,7 @@
         };
         let may_be_down = |(name, stage): &(&String, &Stage)| {
             let is_held = self.held_until.get(*name).is_some_and(|until| now < *until);
-            is_held || is_unavailable(stage)
+            is_unavailable(stage) || is_held && **stage != Stage::Done
         };
         state.stages.iter().filter(may_be_down).count()
     }
--- a/crates/dotterelsill_jobs/src/waves/budgets.rs
+++ b/crates/dotterelsill_jobs/src/waves/budgets.rs
@@ -151,7 +151,10 @@
         let is_staying = |key: WorkerKey| {
             let worker = self.workers.get(&key);
             worker.is_some_and(|worker| {
-                worker.life.is_known && !worker.is_silent() && !worker.is_terminating
+                worker.life.is_known
+                    && !worker.is_silent()
+                    && !worker.is_terminating
+                    && !worker.is_held
             })
         };
         task.runs.iter().any(|run| {
--- a/crates/dotterelsill_jobs/src/waves/progress.rs
+++ b/crates/dotterelsill_jobs/src/waves/progress.rs
@@ -33,7 +33,12 @@
                 .remove(&wave.number)
                 .unwrap_or((unix, Vec::new()));
             let stage = |name: &String| {
-                let stage = if done.contains(name) {
+                let stage = if done.contains(name) && self.held_until.contains_key(name) {
+                    // The maintenance began before this scheduler did.
+                    Stage::InMaintenance {
+                        since: self.started_at,
+                    }
+                } else if done.contains(name) {
                     Stage::Done
                 } else {
                     Stage::Waiting {
--- a/crates/dotterelsill_jobs/src/waves/selection.rs
+++ b/crates/dotterelsill_jobs/src/waves/selection.rs
@@ -125,11 +125,12 @@
         (true, lasting, worker.used.cpu_milli)
     }
 
-    /// Returns whether an instance may be drained. While orders of an earlier
-    /// scheduler may still end long-running tasks that appear to be available, no
-    /// other long-running tasks are ended; the instance must be known to run none.
+    /// Returns whether an instance may be drained. While stops of an earlier scheduler
+    /// may still end long-running tasks that appear to be available, no other
+    /// long-running tasks are ended; the instance must be known to run none. Tasks that
+    /// its orders to instances may end do not count as available.
     pub(super) fn may_drain(&self, name: &str, now: Duration) -> bool {
-        if now >= self.earlier_orders_until() {
+        if now >= self.earlier_stops_until() {
             return true;
         }
         let has_worker = |known: &KnownInstance| !known.instance.worker.is_empty();
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -97,6 +97,8 @@
     /// Whether the worker gets no new tasks because its instance is due for
     /// maintenance or a move.
     pub(crate) is_cordoned: bool,
+    /// Whether an order of an earlier scheduler may still end the worker.
+    pub(crate) is_held: bool,
     /// Whether the instance was ordered to do something that ends the worker.
     pub(crate) is_terminating: bool,
     /// Whether the worker is in the stored record of workers that may run tasks;
@@ -122,6 +124,7 @@
             order_answered_at: None,
             silent_since: None,
             is_cordoned: false,
+            is_held: false,
             is_terminating: false,
             may_grant: false,
             is_expected: false,
