jobs: Start long-running tasks where no maintenance is due

Cause: a long-running task that a wave stopped was started on the fullest worker with room, often one whose instance the same wave was yet to maintain. It was stopped once more there, and used the budget of its step again.

Change: among workers that are otherwise equal, a long-running task starts on one that no wave is yet to maintain; room is held back in the same order. Without a wave, and for other tasks, placement is as before.

--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -83,8 +83,9 @@
 
     /// Holds back room for up to `count` long-running tasks of a step that fit on no
     /// worker, so that what becomes free there is not given to tasks that are planned
-    /// later. It is held on the workers that lack the least; as nothing is started on
-    /// these, they lack less in each further plan.
+    /// later. It is held on the workers that lack the least, those that no wave is yet to
+    /// maintain first; as nothing is started on these, they lack less in each further
+    /// plan.
     pub(crate) fn hold_back<'a>(
         &mut self,
         worker: impl Fn(WorkerKey) -> Option<&'a Worker>,
@@ -101,10 +102,10 @@
                 wanted.add(&request.resources);
                 let could_run = request.allows_beside(candidate.key, worker, others)
                     && worker.lasting_room().fits(&Resources::default(), &wanted);
-                could_run.then(|| (worker.lacking_permille(&wanted), index))
+                could_run.then(|| (worker.is_due, worker.lacking_permille(&wanted), index))
             };
             let candidates = self.list.iter().enumerate();
-            let Some((_, index)) = candidates.filter_map(lacking).min() else {
+            let Some((_, _, index)) = candidates.filter_map(lacking).min() else {
                 break;
             };
             *held_on.entry(index).or_default() += 1;
@@ -182,13 +183,14 @@
 }
 
 /// Penalties of a worker, most important first; the lowest score wins.
-type Score = (bool, bool, bool, bool, u64);
+type Score = (bool, bool, bool, bool, bool, u64);
 
 /// Returns the index of the best candidate for a task. In order of importance it
 /// prefers another worker than the one where the task failed, the rack of the
 /// task's data, a worker without tasks that it would interfere with, one with less
-/// than half of the step's long-running tasks, and the one with the least processor
-/// time left, so that large tasks still fit and idle workers stay idle.
+/// than half of the step's long-running tasks, for a long-running task one that no wave
+/// is yet to maintain, and the one with the least processor time left, so that large
+/// tasks still fit and idle workers stay idle.
 pub(crate) fn choose_worker<'a>(
     candidates: &[Candidate],
     worker: impl Fn(WorkerKey) -> Option<&'a Worker>,
@@ -214,6 +216,7 @@
             is_far,
             request.interferes_with(worker),
             request.is_crowded(worker),
+            request.step.is_lasting && worker.is_due,
             left,
         );
         if best.is_none_or(|(_, other)| score < other) {
--- a/crates/dotterelsill_jobs/src/waves.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -93,19 +93,30 @@
         }
     }
 
-    /// Marks the workers that an order of an earlier scheduler may still end.
+    /// Marks the workers whose instances are yet to be maintained, and those that an
+    /// order of an earlier scheduler may still end.
     fn mark_workers(&mut self, now: Duration) {
+        let mut due = BTreeSet::new();
         let mut maintained = BTreeSet::new();
-        for (name, stage) in self.waves.values().flat_map(|state| &state.stages) {
-            // The platform maintains an instance once in a wave, so that a late
-            // repetition of the order has no effect.
-            if matches!(stage, Stage::InMaintenance { .. } | Stage::Done) {
-                maintained.extend(self.worker_of(name));
+        for state in self.waves.values().filter(|state| !state.is_completed) {
+            for (name, stage) in &state.stages {
+                match stage {
+                    Stage::Waiting { .. } | Stage::Draining { .. } => {
+                        due.extend(self.worker_of(name))
+                    }
+                    // The platform maintains an instance once in a wave, so that a late
+                    // repetition of the order has no effect.
+                    Stage::InMaintenance { .. } | Stage::Done => {
+                        maintained.extend(self.worker_of(name))
+                    }
+                    Stage::Ordered | Stage::MayBeDown { .. } => {}
+                }
             }
         }
         let held = self.held_until.iter().filter(|(_, until)| now < **until);
         let held: BTreeSet<_> = held.filter_map(|(name, _)| self.worker_of(name)).collect();
         for (key, worker) in &mut self.workers {
+            worker.is_due = due.contains(key);
             worker.is_held = held.contains(key) && !maintained.contains(key);
         }
     }
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -97,6 +97,8 @@
     /// Whether the worker gets no new tasks because its instance is due for
     /// maintenance or a move.
     pub(crate) is_cordoned: bool,
+    /// Whether a wave is yet to maintain the worker's instance.
+    pub(crate) is_due: bool,
     /// Whether an order of an earlier scheduler may still end the worker.
     pub(crate) is_held: bool,
     /// Whether the instance was ordered to do something that ends the worker.
@@ -124,6 +126,7 @@
             order_answered_at: None,
             silent_since: None,
             is_cordoned: false,
+            is_due: false,
             is_held: false,
             is_terminating: false,
             may_grant: false,
--- a/crates/dotterelsill_jobs/tests/waves_after_takeover.rs
+++ b/crates/dotterelsill_jobs/tests/waves_after_takeover.rs
@@ -115,3 +115,31 @@
     assert_eq!(orders.len(), 1, "{orders:?}");
     assert_ne!(orders[0], "i0");
 }
+
+/// Guards against long-running tasks that are stopped once more, since they were started
+/// on an instance that the wave is yet to maintain.
+#[test]
+fn long_running_tasks_start_where_no_maintenance_is_due() {
+    let mut scheduler = elected(1, 1, &["i0"], &[]);
+    let keys = [0, 1].map(|index| add_worker(&mut scheduler, index, ms(1100)));
+    scheduler.on_instances(list(2, "work"), ms(1200), ms(1200));
+    assert_eq!(maintained(&mut scheduler, 1300), [""; 0], "it is held");
+    submit(
+        &mut scheduler,
+        1,
+        &record("urgent", 8, vec![step(1, 1000)]),
+        ms(1300),
+    );
+    let orders = scheduler.plan(ms(1310));
+    assert_eq!(starts(&orders), [(task(1, 0, 0), keys[0])]);
+    confirm(&mut scheduler, &orders, ms(1320));
+    // Without the wave, the fuller one of the two is preferred.
+    submit(
+        &mut scheduler,
+        2,
+        &record("urgent", 8, vec![lasting(1)]),
+        ms(1400),
+    );
+    let orders = scheduler.plan(ms(1410));
+    assert_eq!(starts(&orders), [(task(2, 0, 0), keys[1])]);
+}
--- a/crates/dotterelsill_jobs/tests/waves_under_load.rs
+++ b/crates/dotterelsill_jobs/tests/waves_under_load.rs
@@ -545,9 +545,10 @@
 /// the last ones run long-running tasks, of which few may be stopped at a time.
 #[test]
 fn wave_ends_in_time_with_a_new_scheduler_and_a_store_outage() {
-    for max_per_worker in [1, 2] {
+    for (max_per_worker, ready_ms) in [(1, 1500), (2, 1500), (2, 2500)] {
         check_in_time(&Scenario {
             max_per_worker,
+            ready_ms,
             ..Scenario::default()
         });
     }
