jobs: Maintain instances of a pool in its burst last

Cause: a wave took instances in the order of what they run, up to 34% of a pool at once, also from a pool whose tasks waited for capacity.

--- a/crates/dotterelsill_jobs/src/moves.rs
+++ b/crates/dotterelsill_jobs/src/moves.rs
@@ -280,27 +280,31 @@
         for balance in balances.values_mut() {
             balance.idle.sort_unstable();
         }
-        for (pool, steps) in &self.ready {
-            let Some(balance) = balances.get_mut(pool) else {
+        for (pool, balance) in &mut balances {
+            balance.waiting_milli = self.waiting_milli(pool);
+        }
+        balances
+    }
+
+    /// Returns the processor time that the waiting tasks of a pool request, in
+    /// millicores, without those that the caps of their workspaces hold back.
+    pub(crate) fn waiting_milli(&self, pool: &str) -> u64 {
+        let mut waiting_milli = 0;
+        for id in self.ready.get(pool).into_iter().flatten() {
+            let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
                 continue;
             };
-            for id in steps {
-                let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
-                    continue;
-                };
-                let step = &job.spec.steps[id.step as usize];
-                if !self.is_within_cap(job.spec.workspace.as_deref(), &step.counted_resources()) {
-                    continue;
-                }
-                let Some(occurrence) = job.occurrences.get(&id.occurrence) else {
-                    continue;
-                };
-                let tasks = &occurrence.steps[id.step as usize].tasks;
-                let waiting = tasks.waiting() as u64;
-                balance.waiting_milli += waiting * step.resources.cpu_milli;
+            let step = &job.spec.steps[id.step as usize];
+            if !self.is_within_cap(job.spec.workspace.as_deref(), &step.counted_resources()) {
+                continue;
             }
+            let Some(occurrence) = job.occurrences.get(&id.occurrence) else {
+                continue;
+            };
+            let tasks = &occurrence.steps[id.step as usize].tasks;
+            waiting_milli += tasks.waiting() as u64 * step.resources.cpu_milli;
         }
-        balances
+        waiting_milli
     }
 }
 
--- a/crates/dotterelsill_jobs/src/waves/selection.rs
+++ b/crates/dotterelsill_jobs/src/waves/selection.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cmp::Reverse,
+    collections::BTreeSet,
     time::Duration, //
 };
 
@@ -52,6 +53,8 @@
         let mut busy = state.stages.values().filter(is_busy).count();
         let wanted = (waiting.len() + busy).div_ceil(rounds);
         let most = wanted.min(state.wave.cap as usize).max(1);
+        let short = self.short_pools(now);
+        let may_defer = left > self.time_needed(state, &short);
         waiting.retain(|name| self.is_drainable(name, now));
         let is_budgeted = |name: &String| !self.budgeted_on(name).is_empty();
         let (mut budgeted, mut others): (Vec<String>, Vec<String>) =
@@ -61,17 +64,20 @@
         let is_urgent = left <= self.budgeted_time(state);
         for name in budgeted {
             let pool = &self.instances[&name].instance.pool;
-            let may_drain = is_urgent || busy < most && self.pool_can_spare(pool, state);
+            let may_drain = is_urgent
+                || busy < most && !short.contains(pool) && self.pool_can_spare(pool, state);
             if may_drain && self.has_budget_beside_draining(&name, state) {
                 self.drain(&name, state, now);
                 busy += 1;
             }
         }
-        // Cheapest first: instances that are switched off, then idle ones.
-        others.sort_by_cached_key(|name| self.eviction_cost(name));
+        // Instances of pools that lack capacity last, else the cheapest first: those that
+        // are switched off, then idle ones.
+        let is_short = |name: &String| short.contains(&self.instances[name].instance.pool);
+        others.sort_by_cached_key(|name| (is_short(name), self.eviction_cost(name)));
         for name in others {
             let pool = &self.instances[&name].instance.pool;
-            if busy >= most {
+            if busy >= most || may_defer && short.contains(pool) {
                 return;
             }
             if left.is_zero() || self.pool_can_spare(pool, state) {
@@ -81,6 +87,44 @@
         }
     }
 
+    /// Returns the pools whose waiting tasks need more than the free capacity of their
+    /// workers.
+    fn short_pools(&self, now: Duration) -> BTreeSet<String> {
+        let is_short = |pool: &&String| {
+            let candidates = self.candidates_of(pool, now);
+            let free = candidates.list().iter().map(|worker| worker.free.cpu_milli);
+            !self.is_standby(pool) && self.waiting_milli(pool) > free.sum()
+        };
+        let pools = self.configuration.pools.keys();
+        pools.filter(is_short).cloned().collect()
+    }
+
+    /// Returns the time until the last maintenance begins if each of the pools is drained
+    /// with as many instances at once as it can spare, and the wave with as many as its
+    /// cap allows.
+    fn time_needed(&self, state: &WaveState, pools: &BTreeSet<String>) -> Duration {
+        let is_waiting = |(name, stage): &(&String, &Stage)| {
+            matches!(stage, Stage::Waiting { .. } | Stage::Draining { .. })
+                && self.instances.contains_key(*name)
+        };
+        let waiting: Vec<&String> = state
+            .stages
+            .iter()
+            .filter(is_waiting)
+            .map(|(name, _)| name)
+            .collect();
+        let cycles = |count: usize, at_once: usize| count as f64 / at_once.max(1) as f64;
+        let of_pool = |pool: &String| {
+            let waiting = waiting
+                .iter()
+                .filter(|name| self.instances[**name].instance.pool == *pool);
+            cycles(waiting.count(), self.spare_count(pool))
+        };
+        let of_all = cycles(waiting.len(), state.wave.cap as usize);
+        let cycles = pools.iter().map(of_pool).fold(of_all, f64::max);
+        MAINTENANCE_CYCLE.mul_f64((cycles - 1.0).max(0.0)) + MAX_DRAIN_TIME
+    }
+
     fn is_drainable(&self, name: &str, now: Duration) -> bool {
         let known = &self.instances[name];
         known.ordered.is_none()
@@ -104,15 +148,20 @@
         if self.is_standby(pool) {
             return true;
         }
-        let of_pool = |known: &&KnownInstance| known.instance.pool == pool;
-        let all = self.instances.values().filter(of_pool).count();
         let is_unavailable = |(name, stage): &(&String, &Stage)| {
             let is_busy = !matches!(stage, Stage::Waiting { .. } | Stage::Done);
             let known = self.instances.get(*name);
             is_busy && known.is_some_and(|known| known.instance.pool == pool)
         };
         let unavailable = state.stages.iter().filter(is_unavailable).count();
-        (unavailable + 1) * 100 <= (all * MAX_UNAVAILABLE_PERCENT).max(100)
+        unavailable < self.spare_count(pool)
+    }
+
+    /// Returns the number of instances that a pool can spare for a wave at once.
+    fn spare_count(&self, pool: &str) -> usize {
+        let of_pool = |known: &&KnownInstance| known.instance.pool == pool;
+        let all = self.instances.values().filter(of_pool).count();
+        (all * MAX_UNAVAILABLE_PERCENT / 100).max(1)
     }
 
     /// Returns the cost of ending the runs of an instance.
--- a/crates/dotterelsill_jobs/tests/waves_under_load.rs
+++ b/crates/dotterelsill_jobs/tests/waves_under_load.rs
@@ -568,3 +568,53 @@
         assert!(world.left() > 0, "the scenario is meant to be too short");
     }
 }
+
+/// Guards against a wave that takes instances from a pool in its burst, although there is
+/// time to maintain them later.
+#[test]
+fn instances_of_a_pool_in_its_burst_come_last() {
+    for max_per_worker in [1, 2] {
+        let world = check_in_time(&Scenario {
+            max_per_worker,
+            burst: 45,
+            ..Scenario::default()
+        });
+        // Those with long-running tasks, whose budgets need all of the time.
+        let begun = world.begun_in_burst;
+        assert!(
+            begun <= 15,
+            "{begun} instances, {:?}",
+            world.orders_by_second
+        );
+    }
+}
+
+/// Guards against a wave that is late since it waits for the end of a shortage.
+#[test]
+fn wave_ends_in_time_though_a_pool_lacks_capacity_throughout() {
+    check_in_time(&Scenario {
+        burst: 60,
+        burst_ms: (0, 25_000),
+        ..Scenario::default()
+    });
+}
+
+/// Guards against instances in use that are maintained before those that are switched off.
+#[test]
+fn switched_off_instances_come_first() {
+    let mut world = World::new(Scenario {
+        duration_ms: 500,
+        ..Scenario::default()
+    });
+    world.run();
+    let of_wave = world.machines.iter().enumerate();
+    let of_wave = of_wave.filter(|(index, _)| is_in_wave(*index));
+    let off = of_wave.filter(|(_, machine)| machine.pool == "off");
+    let begun: Vec<bool> = off
+        .map(|(_, machine)| machine.maintained_ms.is_some())
+        .collect();
+    assert!(
+        begun.len() > 20 && begun.iter().all(|begun| *begun),
+        "{begun:?}"
+    );
+}
