jobs, node: Report the progress of waves

Cause: whether a wave would be late, and what it waited for, could only be worked out from the lines on single instances.

Change: a log line wave_progress, once a second for each wave that is not completed, and the gauges dotterelsill_wave_instances_left and dotterelsill_wave_seconds_left, by wave, on the scheduler. The gauges are removed when the instance stops scheduling.

Result: the new test of Scheduler::wave_progress passes. The gauges themselves have no test: the daemon is a binary without one that reads its metrics.

--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -137,5 +137,8 @@
     ApplyBounds,
     Validity, //
 };
-pub use waves::WaveChange;
+pub use waves::{
+    WaveChange,
+    WaveProgress, //
+};
 pub use worker::WorkerReport;
--- a/crates/dotterelsill_jobs/src/waves.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -23,8 +23,11 @@
 
 mod budgets;
 mod progress;
+mod report;
 mod selection;
 
+pub use report::WaveProgress;
+
 /// Time added to the duration of the maintenance before an instance counts as back.
 const RETURN_MARGIN: Duration = Duration::from_millis(300);
 
@@ -60,6 +63,10 @@
     /// Number of instances in the record stored last; `None` before the first write.
     stored_done: Option<usize>,
     is_completion_stored: bool,
+    /// Number of instances that are not drained because their pools lack capacity.
+    deferred: usize,
+    /// Time of the last log line on the progress.
+    logged_at: Option<Duration>,
 }
 
 /// Progress of a wave to be stored and reported.
@@ -174,6 +181,7 @@
             state.is_completed = true;
             log::info!(wave = number; "wave_completed");
         }
+        self.log_progress(&mut state, now, unix);
         self.waves.insert(number, state);
     }
 
--- a/crates/dotterelsill_jobs/src/waves/progress.rs
+++ b/crates/dotterelsill_jobs/src/waves/progress.rs
@@ -54,6 +54,8 @@
                 is_completed: false,
                 stored_done: None,
                 is_completion_stored: false,
+                deferred: 0,
+                logged_at: None,
             };
             self.waves.insert(wave.number, state);
         }
--- a/crates/dotterelsill_jobs/src/waves/selection.rs
+++ b/crates/dotterelsill_jobs/src/waves/selection.rs
@@ -43,6 +43,7 @@
             .filter(|(name, stage)| is_waiting(stage) && self.instances.contains_key(*name))
             .map(|(name, _)| name.clone())
             .collect();
+        state.deferred = 0;
         if waiting.is_empty() {
             return;
         }
@@ -75,9 +76,14 @@
         // are switched off, then idle ones.
         let is_short = |name: &String| short.contains(&self.instances[name].instance.pool);
         others.sort_by_cached_key(|name| (is_short(name), self.eviction_cost(name)));
+        if may_defer {
+            let undeferred = others.partition_point(|name| !is_short(name));
+            state.deferred = others.len() - undeferred;
+            others.truncate(undeferred);
+        }
         for name in others {
             let pool = &self.instances[&name].instance.pool;
-            if busy >= most || may_defer && short.contains(pool) {
+            if busy >= most {
                 return;
             }
             if left.is_zero() || self.pool_can_spare(pool, state) {
--- a/crates/dotterelsill_jobs/tests/waves_after_takeover.rs
+++ b/crates/dotterelsill_jobs/tests/waves_after_takeover.rs
@@ -10,7 +10,8 @@
     Limits,
     OperatorRequests,
     Scheduler,
-    Wave, //
+    Wave,
+    WaveProgress, //
 };
 use dotterelsill_proto::jobs;
 
@@ -143,3 +144,20 @@
     let orders = scheduler.plan(ms(1410));
     assert_eq!(starts(&orders), [(task(2, 0, 0), keys[1])]);
 }
+
+/// Guards against a report on a wave that counts its time from the election, or the
+/// instances whose maintenance has begun as left.
+#[test]
+fn progress_is_that_of_the_whole_wave() {
+    let mut scheduler = elected(3, 1, &["i0"], &["i0"]);
+    scheduler.on_instances(list(3, "off"), ms(1100), ms(1100));
+    scheduler.plan_instances(ms(1100), ms(1900));
+    let progress = WaveProgress {
+        number: 1,
+        instances_left: 2,
+        time_left: ms(19_000),
+    };
+    assert_eq!(scheduler.wave_progress(ms(1900)), [progress]);
+    let after = scheduler.wave_progress(ms(30_000));
+    assert_eq!(after[0].time_left, ms(0));
+}
--- a/crates/dotterelsill_node/src/instance_orders.rs
+++ b/crates/dotterelsill_node/src/instance_orders.rs
@@ -29,7 +29,8 @@
     dependency::Dependency,
     guarded::GuardedRecord,
     keys,
-    leadership::Leadership, //
+    leadership::Leadership,
+    metrics::Metrics, //
 };
 
 /// Interval between listings of the instances; each listing costs a call.
@@ -64,7 +65,7 @@
 }
 
 /// Plans and sends orders to instances until the task group stops.
-pub(crate) async fn give_orders(leadership: Arc<Leadership>) {
+pub(crate) async fn give_orders(leadership: Arc<Leadership>, metrics: Arc<Metrics>) {
     let mut record = GuardedRecord::new(keys::ORDERED);
     loop {
         Timer::after(PLAN_INTERVAL).await;
@@ -75,6 +76,7 @@
             let mut scheduler = leadership.scheduler();
             let orders = scheduler.plan_instances(clock::now(), clock::unix());
             let ordered = scheduler.ordered_instances(clock::now());
+            metrics.on_waves(&scheduler.wave_progress(clock::unix()));
             (orders, ordered, scheduler.wave_changes())
         };
         if !orders.is_empty() {
--- a/crates/dotterelsill_node/src/metrics.rs
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -1,8 +1,17 @@
 //! Counters and latency histograms in the Prometheus text format.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration, //
+};
 
-use dotterelsill_jobs::EndCounts;
+use dotterelsill_jobs::{
+    EndCounts,
+    WaveProgress, //
+};
 use http::{
     Method,
     StatusCode, //
@@ -10,12 +19,14 @@
 use prometheus::{
     Encoder as _,
     Gauge,
+    GaugeVec,
     Histogram,
     HistogramOpts,
     HistogramVec,
     IntCounter,
     IntCounterVec,
     IntGauge,
+    IntGaugeVec,
     Opts,
     Registry,
     TextEncoder, //
@@ -38,6 +49,10 @@
     done_after_given_up: IntCounter,
     loop_lateness: Histogram,
     loop_lateness_worst: Gauge,
+    /// Numbers of the waves that have gauges.
+    waves: Mutex<Vec<u64>>,
+    wave_instances_left: IntGaugeVec,
+    wave_seconds_left: GaugeVec,
     /// Whether this instance schedules.
     pub(crate) is_scheduling: IntGauge,
     /// Number of workers that this instance, as the scheduler, calls over dispatchers.
@@ -104,6 +119,21 @@
                 "dotterelsill_loop_late_worst_seconds",
                 "Longest time by which a sleeping task was woken late in the last second",
             )?,
+            waves: Mutex::default(),
+            wave_instances_left: IntGaugeVec::new(
+                Opts::new(
+                    "dotterelsill_wave_instances_left",
+                    "Instances of a wave whose maintenance has not started",
+                ),
+                &["wave"],
+            )?,
+            wave_seconds_left: GaugeVec::new(
+                Opts::new(
+                    "dotterelsill_wave_seconds_left",
+                    "Time until a wave must be over, 0 once it has passed",
+                ),
+                &["wave"],
+            )?,
             is_scheduling: IntGauge::new(
                 "dotterelsill_is_scheduling",
                 "Whether this instance schedules",
@@ -124,6 +154,8 @@
         registry.register(Box::new(metrics.done_after_given_up.clone()))?;
         registry.register(Box::new(metrics.loop_lateness.clone()))?;
         registry.register(Box::new(metrics.loop_lateness_worst.clone()))?;
+        registry.register(Box::new(metrics.wave_instances_left.clone()))?;
+        registry.register(Box::new(metrics.wave_seconds_left.clone()))?;
         registry.register(Box::new(metrics.is_scheduling.clone()))?;
         registry.register(Box::new(metrics.dispatched_workers.clone()))?;
         Ok(metrics)
@@ -179,6 +211,26 @@
         self.done_after_given_up.inc_by(counts.done_after_given_up);
     }
 
+    /// Sets the progress of the maintenance waves, and removes that of all others.
+    pub(crate) fn on_waves(&self, waves: &[WaveProgress]) {
+        let numbers: Vec<u64> = waves.iter().map(|wave| wave.number).collect();
+        let mut shown = self.waves.lock().unwrap_or_else(PoisonError::into_inner);
+        if *shown != numbers {
+            self.wave_instances_left.reset();
+            self.wave_seconds_left.reset();
+            *shown = numbers;
+        }
+        for wave in waves {
+            let number = wave.number.to_string();
+            self.wave_instances_left
+                .with_label_values(&[&number])
+                .set(wave.instances_left as i64);
+            self.wave_seconds_left
+                .with_label_values(&[&number])
+                .set(wave.time_left.as_secs_f64());
+        }
+    }
+
     /// Records by how much a sample of the event loop was late.
     pub(crate) fn on_loop_wake(&self, late: Duration) {
         self.loop_lateness.observe(late.as_secs_f64());
--- a/crates/dotterelsill_node/src/scheduling.rs
+++ b/crates/dotterelsill_node/src/scheduling.rs
@@ -163,7 +163,8 @@
     let advisor = node.settings.advisor_address;
     let advisor = advisor.map(|address| AdvisorClient::new(address, group));
     group.spawn_until_stop(advice::run(leadership.clone(), advisor));
-    group.spawn_until_stop(instance_orders::give_orders(leadership.clone()));
+    let metrics = node.metrics.clone();
+    group.spawn_until_stop(instance_orders::give_orders(leadership.clone(), metrics));
     group.spawn_until_stop(instance_orders::list_instances(leadership.clone()));
     let processor_milli = node.settings.processor_milli();
     let larger_available = node.handovers.wait_for_larger(&node.peers, processor_milli);
@@ -189,6 +190,7 @@
     node.leader.store(None);
     authority.mark_lost("this instance has stopped scheduling");
     end_scheduling(node, lease, group).await;
+    node.metrics.on_waves(&[]);
 }
 
 /// Creates a scheduler without jobs, with the configuration known now.
