jobs: Test waves across handovers with orders in flight

Change: the simulation of waves under load executes orders 1.4 s after they were given, across handovers of 50 ms at nine times.

--- a/crates/dotterelsill_jobs/tests/waves_under_load.rs
+++ b/crates/dotterelsill_jobs/tests/waves_under_load.rs
@@ -43,7 +43,6 @@
 const CAP: usize = 68;
 const MAINTENANCE_MS: u64 = 2000;
 const MOVE_MS: u64 = 1500;
-const ORDER_MS: u64 = 100;
 const STATUS_MS: u64 = 1000;
 const STOP_MS: u64 = 500;
 const SHORT_TASK_MS: u64 = 1000;
@@ -65,6 +64,8 @@
     burst: u32,
     /// Time of the burst of the pool `work`.
     burst_ms: (u64, u64),
+    /// Time until an order to an instance is executed.
+    order_ms: u64,
     /// Times without a scheduler; another one takes over at the end of each.
     unscheduled_ms: Vec<(u64, u64)>,
     /// Time in which the store answers no call.
@@ -80,6 +81,7 @@
             usual: 4,
             burst: 30,
             burst_ms: (2000, 9000),
+            order_ms: 100,
             unscheduled_ms: vec![(13_000, 14_700), (19_500, 22_200)],
             store_outage_ms: (18_000, 22_000),
         }
@@ -407,7 +409,7 @@
                 *self.orders_by_second.entry(second).or_default() += 1;
             }
             self.in_flight
-                .push((self.now_ms + ORDER_MS, self.token, order));
+                .push((self.now_ms + self.scenario.order_ms, self.token, order));
         }
         self.execute(&orders);
     }
@@ -569,6 +571,23 @@
     }
 }
 
+/// Guards against a new scheduler that exceeds the cap or a budget while stops and orders
+/// to instances of its predecessor still take effect. The simulation checks both.
+#[test]
+fn rules_hold_after_handovers_with_orders_in_flight() {
+    for first_ms in (200..6000).step_by(700) {
+        let handover = |at: u64| (at, at + STEP_MS);
+        let mut world = World::new(Scenario {
+            duration_ms: 14_000,
+            order_ms: 1400,
+            unscheduled_ms: vec![handover(first_ms), handover(first_ms + 4150)],
+            store_outage_ms: (0, 0),
+            ..Scenario::default()
+        });
+        world.run();
+    }
+}
+
 /// Guards against a wave that takes instances from a pool in its burst, although there is
 /// time to maintain them later.
 #[test]
