jobs: Hold instances of an earlier order of another wave

Cause: after an election, an instance that one wave had maintained counted as settled, although an order of the predecessor for another wave might still end its long-running tasks. A budget could then be exceeded.

Change: an instance is settled only if no wave is yet to maintain it.

--- a/crates/dotterelsill_jobs/src/waves.rs
+++ b/crates/dotterelsill_jobs/src/waves.rs
@@ -3,6 +3,10 @@
 //! Maintenance ends everything that runs on an instance, so the instance is drained
 //! first: it gets no new tasks, short tasks end by themselves, and long-running
 //! ones are stopped within the disruption budgets of their steps.
+//!
+//! Load pattern: a wave takes half of all instances within half a minute, while pools
+//! burst in turn, the scheduler changes and the store is away for some seconds. Each
+//! long-running step lets few of its tasks be moved at a time.
 
 use std::{
     collections::{
@@ -92,9 +96,6 @@
     ) {
         self.mark_workers(now);
         let numbers: Vec<u64> = self.waves.keys().copied().collect();
-        if numbers.is_empty() {
-            return;
-        }
         for number in numbers {
             self.plan_wave(number, orders, now, unix);
         }
@@ -112,7 +113,7 @@
                         due.extend(self.worker_of(name))
                     }
                     // The platform maintains an instance once in a wave, so that a late
-                    // repetition of the order has no effect.
+                    // repetition of the order has no effect unless it is of another wave.
                     Stage::InMaintenance { .. } | Stage::Done => {
                         maintained.extend(self.worker_of(name))
                     }
@@ -124,7 +125,8 @@
         let held: BTreeSet<_> = held.filter_map(|(name, _)| self.worker_of(name)).collect();
         for (key, worker) in &mut self.workers {
             worker.is_due = due.contains(key);
-            worker.is_held = held.contains(key) && !maintained.contains(key);
+            let is_settled = maintained.contains(key) && !due.contains(key);
+            worker.is_held = held.contains(key) && !is_settled;
         }
     }
 
--- a/crates/dotterelsill_jobs/tests/waves_after_takeover.rs
+++ b/crates/dotterelsill_jobs/tests/waves_after_takeover.rs
@@ -28,18 +28,22 @@
     let mut scheduler = Scheduler::new(8, limits, ms(1000));
     scheduler.restore_ordered_instances(&names(ordered));
     scheduler.restore_wave(1, ms(900), &names(done));
-    let wave = Wave {
-        number: 1,
+    scheduler.configure(configuration(), requests(&[1], instances, cap));
+    scheduler
+}
+
+/// Returns waves with the given numbers on the same instances.
+fn requests(numbers: &[u64], instances: usize, cap: u32) -> Arc<OperatorRequests> {
+    let wave = |&number: &u64| Wave {
+        number,
         instances: (0..instances).map(|index| format!("i{index}")).collect(),
         duration: ms(20_000),
         cap,
     };
-    let requests = OperatorRequests {
-        waves: vec![wave],
+    Arc::new(OperatorRequests {
+        waves: numbers.iter().map(wave).collect(),
         ..OperatorRequests::default()
-    };
-    scheduler.configure(configuration(), Arc::new(requests));
-    scheduler
+    })
 }
 
 fn list(instances: usize, pool: &str) -> Vec<Instance> {
@@ -90,6 +94,24 @@
     assert_eq!(maintained(&mut scheduler, 5600).len(), 1);
 }
 
+/// Guards against an instance that one wave has maintained and that counts as available
+/// while the predecessor's order of another wave may still end its tasks.
+#[test]
+fn maintenance_of_an_earlier_wave_does_not_settle_an_order() {
+    let mut scheduler = elected(3, 2, &["i0"], &["i0", "i1"]);
+    scheduler.configure(configuration(), requests(&[1, 2], 3, 2));
+    let mut scheduler = with_lasting_tasks(scheduler, 2);
+    // The first wave is not completed.
+    let mut list = list(3, "work");
+    list[2].state = InstanceState::Moving;
+    list[2].worker.clear();
+    scheduler.on_instances(list, ms(1200), ms(1200));
+    for at in [1300, 3600, 5400] {
+        assert_eq!(maintained(&mut scheduler, at), [""; 0], "at {at} ms");
+    }
+    assert_eq!(maintained(&mut scheduler, 5600).len(), 1);
+}
+
 /// Guards against a new scheduler that ends long-running tasks while stops of its
 /// predecessor may end others, and against one that waits for longer than these take.
 #[test]
