Merge maintenance waves under load

Long-running tasks leave the instances of a wave from its start, waves go on sooner after an election, and pools in a burst come last (docs/design/waves-under-load.md).

--- a/crates/dotterelsill_jobs/src/instance_orders.rs
+++ b/crates/dotterelsill_jobs/src/instance_orders.rs
@@ -38,6 +38,9 @@
 /// Interval between lists otherwise; each listing costs a call.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum time from the arrival of a stop at a worker to the end of the run.
+pub(crate) const MAX_STOP_TIME: Duration = Duration::from_millis(1000);
+
 /// Delay before an order that was refused is given again.
 pub(crate) const REFUSED_ORDER_DELAY: Duration = Duration::from_millis(700);
 
@@ -213,6 +216,13 @@
         self.started_at + self.limits.alternation_window + MAX_CALL_TIME
     }
 
+    /// Returns the time until which runs that are listed as active may be ending because
+    /// of stops of an earlier scheduler.
+    pub(crate) fn earlier_stops_until(&self) -> Duration {
+        let until = self.started_at + MAX_CALL_TIME + MAX_STOP_TIME;
+        until.min(self.earlier_orders_until())
+    }
+
     /// Restores the instances that an earlier scheduler has recently given orders
     /// to.
     pub fn restore_ordered_instances(&mut self, instances: &[String]) {
@@ -247,10 +257,7 @@
             return Vec::new();
         }
         let mut orders = Vec::new();
-        let numbers: Vec<u64> = self.waves.keys().copied().collect();
-        for number in numbers {
-            self.plan_wave(number, &mut orders, now, unix);
-        }
+        self.plan_waves(&mut orders, now, unix);
         self.plan_moves(&mut orders, now);
         for order in &orders {
             self.ordered_at.insert(order.instance.clone(), now);
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -144,5 +144,8 @@
     ApplyBounds,
     Validity, //
 };
-pub use waves::WaveChange;
+pub use waves::{
+    WaveChange,
+    WaveProgress, //
+};
 pub use worker::WorkerReport;
