Learn run times and start tasks on slow workers last

Cause: estimates are off by half or more, and some workers are slow for seconds. Placement prefers the fullest worker, which is a slow one as its runs take longer.

Change: the scheduler keeps a robust mean of the ratio of measured to estimated run time by queue and image (1,024 at most), and measures the speed of each run from the reported progress. A worker with two or more slow runs, and three for each run of usual speed, is slow until 3 s after it has last shown this; choose_worker takes it last. Gangs, long-running tasks and fillers are neither measured nor placed differently.

Result: tests/run_times (5 tests) passes; slow_worker_gets_tasks_last fails without the new first sort key. All tests of dotterelsill_jobs pass (debug).

--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -9,6 +9,7 @@
     },
     job::{
         LastEnd,
+        Run,
         RunState, //
     },
     Answer,
@@ -69,15 +70,21 @@
             return 0;
         };
         let is_lasting = job.spec.steps[task.step.step as usize].is_lasting;
+        let mut ended = None;
         if let Some(state) = job.task(task.step, task.index) {
-            state
-                .runs
-                .retain(|run| !(run.worker == key && run.attempt == attempt));
+            let is_ended = |run: &Run| run.worker == key && run.attempt == attempt;
+            let position = state.runs.iter().position(is_ended);
+            ended = position.map(|position| state.runs.remove(position));
             state.next_attempt = state.next_attempt.max(attempt + 1);
         }
         job.note_checkpoint(task.step, task.index, end.checkpoint);
         let change = match end.outcome {
-            RunOutcome::Done if !is_lasting => self.note_done(key, task, now),
+            RunOutcome::Done if !is_lasting => {
+                if let Some(run) = &ended {
+                    self.note_run_time(key, task, &run.speed, now);
+                }
+                self.note_done(key, task, now)
+            }
             RunOutcome::Failed => self.note_failed(key, end, max_attempts, now),
             _ => 0,
         };
@@ -386,6 +393,7 @@
                         run.state = RunState::Running;
                     }
                     run.advanced_at = now;
+                    run.speed.on_begun(now);
                     self.overload.on_answered(took);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -19,6 +19,7 @@
 use crate::{
     done_occurrences::DoneOccurrences,
     given_up::GivenUpReason,
+    run_times::RunSpeed,
     spec::FORMAT,
     tasks::Tasks,
     JobId,
@@ -68,6 +69,7 @@
     pub percent: u32,
     /// Time at which the reported progress last changed.
     pub advanced_at: Duration,
+    pub(crate) speed: RunSpeed,
 }
 
 /// The last known end of a run of a task.
--- a/crates/dotterelsill_jobs/src/job_memory.rs
+++ b/crates/dotterelsill_jobs/src/job_memory.rs
@@ -63,7 +63,7 @@
 /// Returns the estimated memory of a job that is submitted, in bytes.
 fn memory_of_record(record: &JobRecord) -> u64 {
     let steps = record.steps.iter().map(|step| {
-        let strings = step.required_label.len() + step.near_rack.len();
+        let strings = step.required_label.len() + step.near_rack.len() + step.image.len();
         STEP_BYTES + (4 * step.after.len() + strings) as u64
     });
     let strings = record.spec.len() + record.queue.len() + record.workspace.len();
@@ -74,7 +74,7 @@
 pub(crate) fn memory_of_open(spec: &JobSpec) -> u64 {
     let length = |text: &Option<String>| text.as_ref().map_or(0, String::len);
     let steps = spec.steps.iter().map(|step| {
-        let strings = length(&step.required_label) + length(&step.near_rack);
+        let strings = length(&step.required_label) + length(&step.near_rack) + step.image.len();
         STEP_BYTES + (4 * step.after.len() + strings) as u64
     });
     let strings = spec.payload.len() + spec.queue.len() + length(&spec.workspace);
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -39,6 +39,7 @@
 mod plan;
 mod rank;
 mod resources;
+mod run_times;
 mod scheduler;
 mod spec;
 mod submissions;
@@ -117,6 +118,7 @@
     WorkerStatus, //
 };
 pub use resources::Resources;
+pub use run_times::RunTimes;
 pub use scheduler::{
     Limits,
     Scheduler, //
--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -14,6 +14,7 @@
 use crate::{
     granted::MAX_ORDER_DELAY,
     health::Health,
+    run_times::WorkerSpeed,
     JobId, //
 };
 
@@ -90,6 +91,7 @@
     /// Highest number of an end whose acknowledgement was sent, for the logs.
     pub(crate) sent_acknowledgement: u64,
     pub(crate) health: Health,
+    pub(crate) speed: WorkerSpeed,
     /// Whether the life leaves connections open after its answers.
     pub(crate) keeps_connections: bool,
     /// Number of consecutive instance lists that did not contain the worker.
@@ -121,6 +123,7 @@
             acknowledged_end: 0,
             sent_acknowledgement: 0,
             health: Health::default(),
+            speed: WorkerSpeed::default(),
             keeps_connections: true,
             missed_lists: 0,
             clock: None,
--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     job::Job,
+    run_times::is_measured,
     worker::Worker,
     OperatorRequests,
     Resources,
@@ -31,6 +32,8 @@
     pub(crate) free: Resources,
     /// Resources that are held back on the worker.
     held: Resources,
+    /// Whether runs on the worker are much slower than expected.
+    pub(crate) is_slow: bool,
 }
 
 /// The workers of a pool that may get tasks.
@@ -178,17 +181,19 @@
         key,
         free,
         held: Resources::default(),
+        is_slow: worker.life.speed.is_slow(now),
     })
 }
 
 /// Penalties of a worker, most important first; the lowest score wins.
-type Score = (bool, bool, bool, bool, u64);
+type Score = (bool, bool, bool, bool, bool, u64);
 
 /// Returns the index of the best candidate for a task. In order of importance it
-/// prefers another worker than the one where the task failed, the rack of the
-/// task's data, a worker without tasks that it would interfere with, one with less
-/// than half of the step's long-running tasks, and the one with the least processor
-/// time left, so that large tasks still fit and idle workers stay idle.
+/// prefers a worker that is not slow if the runs of the task are measured, another
+/// worker than the one where the task failed, the rack of the task's data, a worker
+/// without tasks that it would interfere with, one with less than half of the step's
+/// long-running tasks, and the one with the least processor time left, so that large
+/// tasks still fit and idle workers stay idle.
 pub(crate) fn choose_worker<'a>(
     candidates: &[Candidate],
     worker: impl Fn(WorkerKey) -> Option<&'a Worker>,
@@ -210,6 +215,7 @@
         let is_far = rack.is_some() && worker.rack() != rack;
         let left = candidate.free.cpu_milli - resources.cpu_milli;
         let score = (
+            candidate.is_slow && is_measured(request.step),
             request.avoid == Some(candidate.key),
             is_far,
             request.interferes_with(worker),
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -24,6 +24,7 @@
         PlacementRequest, //
     },
     rank::Rank,
+    run_times::RunSpeed,
     worker::BookedRun,
     Order,
     Resources,
@@ -54,6 +55,7 @@
                 }
             }
         }
+        self.clear_slow_workers(now);
         std::mem::take(&mut self.orders)
     }
 
@@ -435,6 +437,7 @@
         };
         let spec = job.spec.clone();
         let step = &spec.steps[id.step as usize];
+        let checkpoint = job.checkpoint(id, index);
         let Some(state) = job.task(id, index) else {
             return;
         };
@@ -449,9 +452,9 @@
             ordered_at: now,
             percent: 0,
             advanced_at: now,
+            speed: RunSpeed::of_start(!checkpoint.is_empty()),
         });
         let is_restored = job.is_restored;
-        let checkpoint = job.checkpoint(id, index);
         let resources = step.counted_resources();
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.book(
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/run_times/speed.rs
@@ -0,0 +1,146 @@
+//! Speed of a run, from the progress that its worker reports.
+
+use std::time::Duration;
+
+/// Minimum time over which the speed of a run is measured. Progress comes in whole
+/// percent, and a run may begin with a start-up without progress.
+const MIN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Part of the expected run time over which the speed is measured at least, as a divisor.
+const INTERVAL_DIVISOR: u32 = 4;
+
+/// Longest minimum time of a measurement. Workers are slow for 5 to 7 s, most of which
+/// must be left when this is found.
+const LONGEST_MIN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after which a measurement ends although it shows neither a slow nor a usual run.
+const MAX_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Factor on the expected run time from which on a run is slow. Estimates that are off by
+/// half stay below it; slow workers and stragglers take 5 to 7 times as long.
+const SLOW_FACTOR: u32 = 3;
+
+/// Factor on the expected run time below which a run has its usual speed.
+const USUAL_FACTOR: u32 = 2;
+
+/// Time for which a measurement counts: the longest wait of a status call, which is
+/// 1.5 s, and the call itself.
+pub(super) const MAX_STATUS_AGE: Duration = Duration::from_secs(2);
+
+/// Result of a measurement.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Verdict {
+    /// The run takes at least [`SLOW_FACTOR`] times as long as expected.
+    Slow,
+    /// The run takes less than [`USUAL_FACTOR`] times as long as expected.
+    Usual,
+}
+
+/// Last measurement of a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Measurement {
+    at: Duration,
+    verdict: Option<Verdict>,
+    /// Work left, in percent.
+    left_percent: u32,
+    /// Time that the whole task takes at the measured speed.
+    whole: Duration,
+}
+
+/// Progress of a run over time.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct RunSpeed {
+    /// Time since which the run is known to be active.
+    begun_at: Option<Duration>,
+    /// Whether the run began at `begun_at`, without a checkpoint.
+    is_whole: bool,
+    /// Whether the run resumes from a checkpoint, so that its first progress is unknown.
+    resumes: bool,
+    /// Time and progress at the begin of the present measurement.
+    since: Duration,
+    since_percent: u32,
+    percent: u32,
+    last: Option<Measurement>,
+}
+
+impl RunSpeed {
+    /// Creates the state of a run that is started.
+    pub(crate) fn of_start(has_checkpoint: bool) -> Self {
+        Self {
+            resumes: has_checkpoint,
+            ..Self::default()
+        }
+    }
+
+    /// Records that the worker has confirmed the start.
+    pub(crate) fn on_begun(&mut self, now: Duration) {
+        if self.begun_at.is_none() && !self.resumes {
+            self.begun_at = Some(now);
+            self.is_whole = true;
+            self.since = now;
+        }
+    }
+
+    /// Records the progress as of `at`. `expected` is the expected time of a whole run.
+    pub(crate) fn on_progress(&mut self, percent: u32, at: Duration, expected: Duration) {
+        let percent = percent.min(100);
+        if self.begun_at.is_none() || percent < self.percent {
+            self.begun_at.get_or_insert(at);
+            (self.since, self.since_percent, self.percent) = (at, percent, percent);
+            return;
+        }
+        self.percent = percent;
+        let shortest = (expected / INTERVAL_DIVISOR).clamp(MIN_INTERVAL, LONGEST_MIN_INTERVAL);
+        let interval = at.saturating_sub(self.since);
+        if interval < shortest {
+            return;
+        }
+        let done_percent = percent - self.since_percent;
+        let verdict = judge(interval, done_percent, expected);
+        self.last = Some(Measurement {
+            at,
+            verdict,
+            left_percent: 100 - percent,
+            whole: interval * 100 / done_percent.max(1),
+        });
+        if verdict.is_some() || interval >= MAX_INTERVAL {
+            (self.since, self.since_percent) = (at, percent);
+        }
+    }
+
+    /// Returns the verdict on the last part of a run that has ended `done`.
+    pub(crate) fn verdict_at_end(&self, now: Duration, expected: Duration) -> Option<Verdict> {
+        self.begun_at?;
+        let interval = now.saturating_sub(self.since);
+        let verdict = judge(interval, 100 - self.since_percent, expected);
+        verdict.filter(|verdict| *verdict == Verdict::Usual || interval >= MIN_INTERVAL)
+    }
+
+    /// Returns the verdict of the last measurement, unless it is too old.
+    pub(crate) fn verdict(&self, now: Duration) -> Option<Verdict> {
+        self.last_measurement(now)?.verdict
+    }
+
+    /// Returns the time that a run without a checkpoint has taken.
+    pub(crate) fn whole_time(&self, now: Duration) -> Option<Duration> {
+        let begun_at = self.begun_at.filter(|_| self.is_whole)?;
+        Some(now.saturating_sub(begun_at))
+    }
+
+    fn last_measurement(&self, now: Duration) -> Option<Measurement> {
+        self.last
+            .filter(|last| now.saturating_sub(last.at) <= MAX_STATUS_AGE)
+    }
+}
+
+/// Judges the progress over an interval. Progress is rounded down to whole percent, so that
+/// a slow run may have made up to one more.
+fn judge(interval: Duration, done_percent: u32, expected: Duration) -> Option<Verdict> {
+    if interval * 100 >= expected * SLOW_FACTOR * (done_percent + 1) {
+        Some(Verdict::Slow)
+    } else if interval * 100 < expected * USUAL_FACTOR * done_percent {
+        Some(Verdict::Usual)
+    } else {
+        None
+    }
+}
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -37,6 +37,7 @@
     Order,
     Resources,
     RunState,
+    RunTimes,
     StepId,
     TaskId,
     WorkerKey,
@@ -143,6 +144,9 @@
     pub(crate) overload: Overload,
     /// Runs that were given up without an end of their own, for the logs.
     pub(crate) given_up: GivenUpRuns,
+    pub(crate) run_times: RunTimes,
+    /// Workers that were found to be slow.
+    pub(crate) slow_workers: BTreeSet<WorkerKey>,
 }
 
 impl Scheduler {
@@ -191,6 +195,8 @@
             free_cpu: BTreeMap::new(),
             overload: Overload::default(),
             given_up: GivenUpRuns::default(),
+            run_times: RunTimes::default(),
+            slow_workers: BTreeSet::new(),
         }
     }
 
@@ -232,6 +238,11 @@
         self.needs_plan = true;
     }
 
+    /// Returns the run times learned so far.
+    pub fn run_times(&self) -> &RunTimes {
+        &self.run_times
+    }
+
     /// Returns the share of new jobs to refuse, in percent. It is above 0 while
     /// starts are late because jobs arrive faster than this scheduler can place
     /// them.
--- a/crates/dotterelsill_jobs/src/spec.rs
+++ b/crates/dotterelsill_jobs/src/spec.rs
@@ -90,6 +90,8 @@
     /// Whether the tasks are best-effort and only use processor time left over by
     /// others.
     pub is_filler: bool,
+    /// Image that the tasks run; empty if not known.
+    pub image: String,
     /// Maximum number of tasks that may be unavailable at once because of the
     /// system's own actions, such as maintenance.
     pub may_miss: Option<u32>,
@@ -247,6 +249,7 @@
             is_lasting: step.is_lasting,
             target: non_zero(step.target_ms).map(|ms| Duration::from_millis(ms.into())),
             is_filler: step.is_filler,
+            image: step.image.clone(),
             may_miss: non_zero(step.may_miss),
         }
     }
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -16,6 +16,7 @@
     },
     life::PendingEnd,
     order::MAX_LISTED_ENDS,
+    run_times::RunSpeed,
     worker::BookedRun,
     ListedEnd,
     ListedRun,
@@ -74,6 +75,7 @@
         if status.ended.len() < MAX_LISTED_ENDS && !status.has_unreadable_rows {
             self.end_unlisted_runs(key, status, now);
         }
+        self.judge_worker(key, status, now);
         self.acknowledge_stored(key);
         self.pace_fillers(key);
     }
@@ -218,6 +220,7 @@
                     ordered_at: now,
                     percent: listed.percent,
                     advanced_at: now,
+                    speed: RunSpeed::default(),
                 });
             }
         }
