Copy no task of which both runs could fail too often

Cause: two runs of a task could both fail after earlier ones, so that more runs failed than the queue's max_attempts.

Change: a task is copied only while its failed runs and two more are within max_attempts; with a max_attempts of 1 nothing is copied. The search checks the number of failed runs of speculative tasks as well.

--- a/crates/dotterelsill_jobs/src/run_times/stragglers.rs
+++ b/crates/dotterelsill_jobs/src/run_times/stragglers.rs
@@ -166,7 +166,9 @@
         let standing = match state.runs.as_slice() {
             _ if state.is_done => Standing::Over,
             [run] => {
-                let is_exhausted = state.failed_attempts.len() as u32 >= queue.max_attempts.max(1);
+                // Both runs may fail.
+                let failures = state.failed_attempts.len() + MAX_RUNS;
+                let is_exhausted = failures > queue.max_attempts as usize;
                 if state.was_copied_or_moved || run.state == RunState::Stopping || is_exhausted {
                     Standing::Over
                 } else {
--- a/crates/dotterelsill_jobs/tests/run_times/copies.rs
+++ b/crates/dotterelsill_jobs/tests/run_times/copies.rs
@@ -103,6 +103,57 @@
     assert_eq!(sim.scheduler.take_run_counts().copies_started, 1);
 }
 
+/// Guards against copies in room that is too small for a waiting task, which would then
+/// wait longer.
+#[test]
+fn copies_leave_room_for_a_large_task() {
+    let mut sim = Sim::new(3);
+    sim.straggles = |number, _| match number {
+        0 => 20,
+        1..10 => 4,
+        _ => 1,
+    };
+    sim.submit(1, &record("urgent", 7, vec![speculative(1)]));
+    let mut long = step(9, 1000);
+    long.estimated_ms = 4000;
+    sim.submit(2, &record("urgent", 7, vec![long]));
+    sim.run_until(ms(1010));
+    sim.submit(3, &record("urgent", 7, vec![step(1, 4000)]));
+    sim.run_until(ms(4900));
+    assert_eq!(sim.starts.len(), 10, "the large task waits");
+    sim.run_until(ms(6000));
+    assert_eq!(sim.starts_of(task(3, 0, 0)).len(), 1);
+    assert_eq!(sim.starts_of(task(1, 0, 0)).len(), 2);
+}
+
+/// Guards against more failed runs of a task than its queue allows: both runs may fail.
+#[test]
+fn nothing_is_copied_after_a_failed_run_if_two_may_fail() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let first = add_worker(&mut scheduler, 0, ms(1000));
+    let other = add_worker(&mut scheduler, 1, ms(1000));
+    let job = record("urgent", 7, vec![speculative(1)]);
+    submit(&mut scheduler, 1, &job, ms(1000));
+    let task = task(1, 0, 0);
+    let orders = scheduler.plan(ms(1010));
+    confirm(&mut scheduler, &orders, ms(1010));
+    let failed = WorkerStatus {
+        ended: vec![ended(1, task, 1, RunOutcome::Failed)],
+        ..status_at(ms(1100))
+    };
+    scheduler.on_worker_status(first, &failed, ms(1100));
+    scheduler.replan();
+    let orders = scheduler.plan(ms(1200));
+    assert_eq!(starts(&orders), [(task, other)]);
+    confirm(&mut scheduler, &orders, ms(1200));
+    let slow = WorkerStatus {
+        running: vec![running(task, 2, 5)],
+        ..status_at(ms(2000))
+    };
+    scheduler.on_worker_status(other, &slow, ms(2000));
+    assert_eq!(scheduler.plan(ms(2010)), []);
+}
+
 /// Guards against a copy because of a status that is old: the run may have ended.
 #[test]
 fn nothing_is_copied_while_the_worker_is_not_read() {
--- a/crates/dotterelsill_jobs/tests/search/world.rs
+++ b/crates/dotterelsill_jobs/tests/search/world.rs
@@ -709,12 +709,8 @@
                         return Err(format!("{now_ms}: {task} runs on {other} and {here}"));
                     }
                 }
-                // The other run of a task goes on until its stop arrives.
-                if step.is_speculative {
-                    self.check_order(*task)?;
-                    continue;
-                }
-                if self.done.contains_key(task) {
+                // The other run of a speculative task goes on until its stop arrives.
+                if self.done.contains_key(task) && !step.is_speculative {
                     return Err(format!("{now_ms}: {task} runs after its end"));
                 }
                 let failed = self.failed.get(task).copied().unwrap_or(0);
