Move runs of plain steps away from slow workers

Cause: a worker that is slow for seconds holds up the jobs of its runs, also while other workers have room.

Change: a slow run of a finite step without is_speculative on a slow worker is stopped if another worker has room, no task of the pool waits for room, the run is at least 300 ms old and it is expected to need more than 1.5 times the time of a stop (900 ms at most) and a new run from the latest checkpoint. The task waits until the end is listed. A task is moved once; tasks of restored jobs are not moved, as an earlier scheduler may have done so. Nothing is copied or moved while more than half of the judged workers of a pool are slow. A counter and a log line show it.

--- a/crates/dotterelsill_jobs/src/run_times/mod.rs
+++ b/crates/dotterelsill_jobs/src/run_times/mod.rs
@@ -5,6 +5,7 @@
 
 mod copies;
 mod learned;
+mod moves;
 mod slow_workers;
 mod speed;
 mod stragglers;
--- a/crates/dotterelsill_jobs/src/run_times/speed.rs
+++ b/crates/dotterelsill_jobs/src/run_times/speed.rs
@@ -195,6 +195,12 @@
         }
     }
 
+    /// Returns the time for which the run is known to be active.
+    pub(super) fn age(&self, now: Duration) -> Duration {
+        self.begun_at
+            .map_or(Duration::ZERO, |begun_at| now.saturating_sub(begun_at))
+    }
+
     /// Returns the time until a run is overdue, so that its speed is of interest; `None` if
     /// it was measured since, or did not begin.
     pub(super) fn time_until_overdue(&self, expected: Duration, now: Duration) -> Option<Duration> {
--- a/crates/dotterelsill_jobs/src/run_times/stragglers.rs
+++ b/crates/dotterelsill_jobs/src/run_times/stragglers.rs
@@ -16,11 +16,13 @@
         CopyBudget,
         MAX_RUNS, //
     },
-    speed::MAX_STATUS_AGE,
+    moves::is_worth_a_move,
+    speed::MAX_STATUS_AGE, //
 };
 use crate::{
     job::Task,
     placement::Candidates,
+    Run,
     RunState,
     Scheduler,
     TaskId,
@@ -48,6 +50,8 @@
     pub copies_started: u64,
     /// Copies that ended `done` while the other run was active.
     pub copies_ended_first: u64,
+    /// Runs that were stopped to be started on another worker.
+    pub runs_moved: u64,
 }
 
 /// Tasks with a run that was found to be slow.
@@ -64,13 +68,27 @@
     pub(super) task: TaskId,
     pub(super) worker: WorkerKey,
     pub(super) attempt: u64,
-    pub(super) is_speculative: bool,
+    /// Whether a second run may be started beside the run.
+    pub(super) may_copy: bool,
+    /// Whether the run may be stopped to be started on another worker.
+    pub(super) may_move: bool,
+    pub(super) age: Duration,
     /// Time that the run is expected to need from now on.
     pub(super) left: Duration,
     /// Time that a new run is expected to need from its start on.
     pub(super) renewed: Duration,
 }
 
+/// Slow runs of a pool, and what is being done about them.
+#[derive(Debug, Default)]
+struct SlowRuns {
+    stragglers: Vec<Straggler>,
+    /// Processor time of the copies.
+    copied_milli: u64,
+    /// Tasks whose runs are being stopped to be started on another worker.
+    moving: Vec<TaskId>,
+}
+
 /// What is known about a task that had a slow run.
 enum Standing {
     /// Nothing is left to be done.
@@ -79,6 +97,8 @@
     Copied {
         cpu_milli: u64,
     },
+    /// The run is being stopped to be started on another worker.
+    Moving,
     /// Nothing can be said now.
     Unclear,
     Slow(Straggler),
@@ -90,55 +110,54 @@
         std::mem::take(&mut self.stragglers.counts)
     }
 
-    /// Copies slow runs, if capacity is left after all waiting tasks were planned.
+    /// Copies or moves slow runs, if capacity is left after all waiting tasks were planned.
     pub(crate) fn relieve_stragglers(&mut self, now: Duration) {
         if now < self.stragglers.next_look_at {
             return;
         }
         self.stragglers.next_look_at = now + LOOK_INTERVAL;
         self.clear_slow_workers(now);
-        let mut by_pool: BTreeMap<String, (Vec<Straggler>, u64)> = BTreeMap::new();
+        let mut by_pool: BTreeMap<String, SlowRuns> = BTreeMap::new();
         let tasks: Vec<TaskId> = self.stragglers.tasks.iter().copied().collect();
         for task in tasks {
             let Some((pool, standing)) = self.standing(task, now) else {
                 self.stragglers.tasks.remove(&task);
                 continue;
             };
-            let (stragglers, copied_milli) = by_pool.entry(pool).or_default();
+            let slow_runs = by_pool.entry(pool).or_default();
             match standing {
                 Standing::Over => {
                     self.stragglers.tasks.remove(&task);
                 }
-                Standing::Copied { cpu_milli } => *copied_milli += cpu_milli,
+                Standing::Copied { cpu_milli } => slow_runs.copied_milli += cpu_milli,
+                Standing::Moving => slow_runs.moving.push(task),
                 Standing::Unclear => {}
-                Standing::Slow(straggler) => stragglers.push(straggler),
+                Standing::Slow(straggler) => slow_runs.stragglers.push(straggler),
             }
         }
         // Without authority, a later scheduler may have seen the tasks end.
         if !self.has_authority {
             return;
         }
-        for (pool, (stragglers, copied_milli)) in by_pool {
-            if !stragglers.is_empty() {
-                self.relieve_pool(&pool, stragglers, copied_milli, now);
+        for (pool, slow_runs) in by_pool {
+            if !slow_runs.stragglers.is_empty() {
+                self.relieve_pool(&pool, slow_runs, now);
             }
         }
     }
 
-    fn relieve_pool(
-        &mut self,
-        pool: &str,
-        mut stragglers: Vec<Straggler>,
-        copied_milli: u64,
-        now: Duration,
-    ) {
+    fn relieve_pool(&mut self, pool: &str, slow_runs: SlowRuns, now: Duration) {
         if self.has_work_for_room(pool, now) || !self.is_mostly_usual(pool, now) {
             return;
         }
         let mut candidates = self.candidates_of(pool, now);
         let capacity_milli = capacity_milli(&candidates, self);
         candidates.retain(|candidate| !candidate.is_slow);
-        let mut budget = CopyBudget::new(capacity_milli, copied_milli);
+        for task in slow_runs.moving {
+            self.reserve_room(task, &mut candidates, now);
+        }
+        let mut budget = CopyBudget::new(capacity_milli, slow_runs.copied_milli);
+        let mut stragglers = slow_runs.stragglers;
         let unread_data_centres = self.unread_data_centres(pool, now);
         stragglers.sort_by_key(|straggler| (Reverse(straggler.left), straggler.task));
         for straggler in &stragglers {
@@ -147,8 +166,10 @@
             if job.is_none_or(|job| job.waits_for_unread_workers(&unread_data_centres)) {
                 continue;
             }
-            if straggler.is_speculative && is_worth_a_copy(straggler) {
+            if straggler.may_copy && is_worth_a_copy(straggler) {
                 self.copy_run(straggler, &mut candidates, &mut budget, now);
+            } else if straggler.may_move && is_worth_a_move(straggler) {
+                self.move_run(straggler, &mut candidates, now);
             }
         }
     }
@@ -166,14 +187,23 @@
         let standing = match state.runs.as_slice() {
             _ if state.is_done => Standing::Over,
             [run] => {
-                // Both runs may fail.
-                let failures = state.failed_attempts.len() + MAX_RUNS;
-                let is_exhausted = failures > queue.max_attempts as usize;
-                if state.was_copied_or_moved || run.state == RunState::Stopping || is_exhausted {
+                let is_stopping = run.state == RunState::Stopping;
+                if state.was_copied_or_moved && is_stopping && !step.is_speculative {
+                    Standing::Moving
+                } else if state.was_copied_or_moved || is_stopping {
                     Standing::Over
                 } else {
                     let expected = self.expected_run_time(job, task)?;
-                    let slow = self.straggler(task, state, expected, step.is_speculative, now);
+                    let slow = self.straggler(task, run, expected, now);
+                    let slow = slow.map(|straggler| Straggler {
+                        // Both runs may fail.
+                        may_copy: step.is_speculative
+                            && state.failed_attempts.len() + MAX_RUNS
+                                <= queue.max_attempts as usize,
+                        // An earlier scheduler may have moved the task before.
+                        may_move: !step.is_speculative && !job.is_restored && straggler.may_move,
+                        ..straggler
+                    });
                     slow.map_or(Standing::Unclear, Standing::Slow)
                 }
             }
@@ -188,12 +218,10 @@
     fn straggler(
         &self,
         task: TaskId,
-        state: &Task,
+        run: &Run,
         expected: Duration,
-        is_speculative: bool,
         now: Duration,
     ) -> Option<Straggler> {
-        let run = state.runs.first()?;
         let worker = self.workers.get(&run.worker)?;
         let read_at = worker.life.clock_read_at()?;
         if worker.is_silent() || now.saturating_sub(read_at) > MAX_STATUS_AGE {
@@ -208,7 +236,9 @@
             task,
             worker: run.worker,
             attempt: run.attempt,
-            is_speculative,
+            may_copy: false,
+            may_move: slow_left.is_some(),
+            age: run.speed.age(now),
             left: run.speed.time_left(expected, slow_left, now)?,
             renewed: START_TIME + run.speed.time_without_saved(expected),
         })
--- a/crates/dotterelsill_jobs/tests/run_times/main.rs
+++ b/crates/dotterelsill_jobs/tests/run_times/main.rs
@@ -3,6 +3,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod copies;
+mod moves;
 mod sim;
 
 use std::time::Duration;
--- a/crates/dotterelsill_jobs/tests/search/main.rs
+++ b/crates/dotterelsill_jobs/tests/search/main.rs
@@ -74,7 +74,7 @@
 /// listed, while some runs and workers are slow.
 #[test]
 fn rules_hold_while_runs_are_slow() {
-    let (mut copies, mut restarts_after_stop) = (0, 0);
+    let (mut copies, mut moves) = (0, 0);
     for seed in trace::seed().map_or(0..seeds(), |seed| seed..seed + 1) {
         let mut world = World::with_slow_runs(seed);
         world
@@ -83,10 +83,11 @@
         let open = world.open_jobs();
         assert!(open.is_empty(), "seed {seed}: {open:?} did not end");
         copies += world.copies;
-        restarts_after_stop += world.restarts_after_stop;
+        moves += world.moves;
     }
-    eprintln!("{copies} copies, {restarts_after_stop} restarts after a stop");
     assert!(copies > 0, "runs are copied");
+    assert!(moves > 0, "runs are moved");
+    eprintln!("{copies} copies, {moves} moves");
 }
 
 /// Checks that the simulation detects a bug: a scheduler that relies on the end of
--- a/crates/dotterelsill_jobs/tests/search/world.rs
+++ b/crates/dotterelsill_jobs/tests/search/world.rs
@@ -119,8 +119,8 @@
     has_slow_runs: bool,
     /// Number of starts beside another run of the task.
     pub(crate) copies: usize,
-    /// Number of runs that were started again after they had been stopped.
-    pub(crate) restarts_after_stop: usize,
+    /// Number of runs that were stopped to be started elsewhere.
+    pub(crate) moves: u64,
     /// Violation at a start.
     violation: Option<String>,
 }
@@ -178,7 +178,7 @@
             failed: BTreeMap::new(),
             has_slow_runs: false,
             copies: 0,
-            restarts_after_stop: 0,
+            moves: 0,
             violation: None,
         }
     }
@@ -392,6 +392,7 @@
                 next_at_ms: now_ms,
             });
         }
+        self.moves += driver.scheduler.take_run_counts().runs_moved;
         self.send_pending(index)
     }
 
@@ -659,9 +660,6 @@
         }
         let mut others = self.workers.iter().filter(|other| other.id != worker.id);
         self.copies += usize::from(others.any(|other| active(other).is_some()));
-        let mut ends = self.workers.iter().flat_map(|worker| &worker.ended);
-        let is_stopped = ends.any(|end| end.task == task && end.outcome == RunOutcome::Stopped);
-        self.restarts_after_stop += usize::from(is_stopped);
         if self.done.contains_key(&task) {
             let text = format!("{}: {task} starts after its end", self.now_ms);
             self.violation.get_or_insert(text);
--- a/crates/dotterelsill_node/src/metrics.rs
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -41,6 +41,7 @@
     done_after_given_up: IntCounter,
     copies_started: IntCounter,
     copies_ended_first: IntCounter,
+    runs_moved: IntCounter,
     slow_workers: IntGauge,
     loop_lateness: Histogram,
     loop_lateness_worst: Gauge,
@@ -107,6 +108,10 @@
                 "dotterelsill_copies_ended_first_total",
                 "Second runs that ended before the slow run of their task",
             )?,
+            runs_moved: IntCounter::new(
+                "dotterelsill_runs_moved_total",
+                "Runs that were stopped on a slow worker to be started on another one",
+            )?,
             slow_workers: IntGauge::new(
                 "dotterelsill_slow_workers",
                 "Workers on which runs are much slower than expected, on the scheduler",
@@ -142,6 +147,7 @@
         registry.register(Box::new(metrics.done_after_given_up.clone()))?;
         registry.register(Box::new(metrics.copies_started.clone()))?;
         registry.register(Box::new(metrics.copies_ended_first.clone()))?;
+        registry.register(Box::new(metrics.runs_moved.clone()))?;
         registry.register(Box::new(metrics.slow_workers.clone()))?;
         registry.register(Box::new(metrics.loop_lateness.clone()))?;
         registry.register(Box::new(metrics.loop_lateness_worst.clone()))?;
@@ -204,6 +210,7 @@
     pub(crate) fn on_slow_runs(&self, counts: &RunCounts, slow_workers: usize) {
         self.copies_started.inc_by(counts.copies_started);
         self.copies_ended_first.inc_by(counts.copies_ended_first);
+        self.runs_moved.inc_by(counts.runs_moved);
         self.slow_workers.set(slow_workers as i64);
     }
 
