--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -9,6 +9,7 @@
     },
     job::{
         LastEnd,
+        Run,
         RunState, //
     },
     Answer,
@@ -69,15 +70,22 @@
             return 0;
         };
         let is_lasting = job.spec.steps[task.step.step as usize].is_lasting;
+        let mut ended = None;
         if let Some(state) = job.task(task.step, task.index) {
-            state
-                .runs
-                .retain(|run| !(run.worker == key && run.attempt == attempt));
+            let is_ended = |run: &Run| run.worker == key && run.attempt == attempt;
+            let position = state.runs.iter().position(is_ended);
+            ended = position.map(|position| state.runs.remove(position));
             state.next_attempt = state.next_attempt.max(attempt + 1);
         }
         job.note_checkpoint(task.step, task.index, end.checkpoint);
         let change = match end.outcome {
-            RunOutcome::Done if !is_lasting => self.note_done(key, task, now),
+            RunOutcome::Done if !is_lasting => {
+                if let Some(run) = &ended {
+                    self.note_run_time(key, task, &run.speed, now);
+                }
+                let is_copy = ended.as_ref().is_some_and(|run| run.is_copy);
+                self.note_done(key, task, is_copy, now)
+            }
             RunOutcome::Failed => self.note_failed(key, end, max_attempts, now),
             _ => 0,
         };
@@ -195,7 +203,7 @@
         }
     }
 
-    fn note_done(&mut self, key: WorkerKey, task: TaskId, now: Duration) -> u64 {
+    fn note_done(&mut self, key: WorkerKey, task: TaskId, is_copy: bool, now: Duration) -> u64 {
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.life.health.on_done();
         }
@@ -206,10 +214,16 @@
             // Only the end of the job is stored from now on.
             return job.changes;
         }
+        let has_other_run = job
+            .task(task.step, task.index)
+            .is_some_and(|task| !task.runs.is_empty());
         let is_new = job.complete(task.step, task.index);
         let changes = job.changes;
         let has_ended = !job.is_open();
         if is_new {
+            if is_copy && has_other_run {
+                self.stragglers.counts.copies_ended_first += 1;
+            }
             self.stop_other_runs(task);
             self.make_successors_ready(task.step);
         }
@@ -386,6 +400,7 @@
                         run.state = RunState::Running;
                     }
                     run.advanced_at = now;
+                    run.speed.on_begun(now);
                     self.overload.on_answered(took);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -20,6 +20,7 @@
     done_occurrences::DoneOccurrences,
     given_up::GivenUpReason,
     pending::has_begun,
+    run_times::RunSpeed,
     spec::FORMAT,
     tasks::Tasks,
     JobId,
@@ -69,6 +70,9 @@
     pub percent: u32,
     /// Time at which the reported progress last changed.
     pub advanced_at: Duration,
+    pub(crate) speed: RunSpeed,
+    /// Whether the run was started beside a slow run of the task.
+    pub(crate) is_copy: bool,
 }
 
 /// The last known end of a run of a task.
@@ -98,6 +102,8 @@
     /// Whether a run was given up that a later scheduler may have seen end `done`. The
     /// task then starts only with authority, which shows that there is no such scheduler.
     pub(crate) needs_authority: bool,
+    /// Whether a slow run of the task was copied or moved, which is done once.
+    pub(crate) was_copied_or_moved: bool,
     /// Last known end of a run, for the logs.
     pub(crate) last_end: Option<Box<LastEnd>>,
 }
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -40,6 +40,7 @@
 mod plan;
 mod rank;
 mod resources;
+mod run_times;
 mod scheduler;
 mod spec;
 mod submissions;
@@ -124,6 +125,10 @@
     MAX_PENDING_AGE, //
 };
 pub use resources::Resources;
+pub use run_times::{
+    RunCounts,
+    RunTimes, //
+};
 pub use scheduler::{
     Limits,
     Scheduler, //
--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -14,7 +14,9 @@
 use crate::{
     granted::MAX_ORDER_DELAY,
     health::Health,
-    JobId, //
+    run_times::WorkerSpeed,
+    JobId,
+    TaskId, //
 };
 
 /// Bound on the rate by which a worker's clock may run slow, as a divisor: 50
@@ -64,6 +66,9 @@
     pub(crate) job: JobId,
     /// Number of the job's progress change that must be stored first.
     pub(crate) change: u64,
+    /// Task that is done, if it may have copies. The end is acknowledged once no start of
+    /// another run can be carried out any more.
+    pub(crate) copied: Option<TaskId>,
 }
 
 /// What the scheduler knows of one life.
@@ -90,6 +95,7 @@
     /// Highest number of an end whose acknowledgement was sent, for the logs.
     pub(crate) sent_acknowledgement: u64,
     pub(crate) health: Health,
+    pub(crate) speed: WorkerSpeed,
     /// Whether the life leaves connections open after its answers.
     pub(crate) keeps_connections: bool,
     /// Number of consecutive instance lists that did not contain the worker.
@@ -121,6 +127,7 @@
             acknowledged_end: 0,
             sent_acknowledgement: 0,
             health: Health::default(),
+            speed: WorkerSpeed::default(),
             keeps_connections: true,
             missed_lists: 0,
             clock: None,
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -24,6 +24,7 @@
         PlacementRequest, //
     },
     rank::Rank,
+    run_times::RunSpeed,
     worker::BookedRun,
     Order,
     Resources,
@@ -54,6 +55,7 @@
                 }
             }
         }
+        self.relieve_stragglers(now);
         std::mem::take(&mut self.orders)
     }
 
@@ -414,14 +416,14 @@
             && is_within(cap.accelerators, used.accelerators, resources.accelerators)
     }
 
-    fn next_attempt(&mut self, id: StepId, index: u32) -> u64 {
+    pub(crate) fn next_attempt(&mut self, id: StepId, index: u32) -> u64 {
         let job = self.jobs.get_mut(&id.job);
         job.and_then(|job| job.task(id, index))
             .map_or(1, |task| task.next_attempt)
     }
 
     /// Books a run and orders its start.
-    fn start(
+    pub(crate) fn start(
         &mut self,
         key: WorkerKey,
         task: TaskId,
@@ -435,6 +437,7 @@
         };
         let spec = job.spec.clone();
         let step = &spec.steps[id.step as usize];
+        let checkpoint = job.checkpoint(id, index);
         let Some(state) = job.task(id, index) else {
             return;
         };
@@ -449,9 +452,10 @@
             ordered_at: now,
             percent: 0,
             advanced_at: now,
+            speed: RunSpeed::of_start(!checkpoint.is_empty()),
+            is_copy: false,
         });
         let is_restored = job.is_restored;
-        let checkpoint = job.checkpoint(id, index);
         let resources = step.counted_resources();
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.book(
@@ -505,7 +509,10 @@
     }
 }
 
-fn ticket_of(tickets: Option<&BTreeMap<WorkerKey, Arc<str>>>, key: WorkerKey) -> Arc<str> {
+pub(crate) fn ticket_of(
+    tickets: Option<&BTreeMap<WorkerKey, Arc<str>>>,
+    key: WorkerKey,
+) -> Arc<str> {
     let ticket = tickets.and_then(|tickets| tickets.get(&key));
     ticket.cloned().unwrap_or_else(|| "".into())
 }
--- a/crates/dotterelsill_node/src/metrics.rs
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -11,6 +11,7 @@
 use dotterelsill_jobs::{
     EndCounts,
     PendingUnknown,
+    RunCounts,
     WaveProgress, //
 };
 use http::{
@@ -49,6 +50,10 @@
     unknown_job_ends: IntCounter,
     done_after_given_up: IntCounter,
     pending_unknown: IntCounterVec,
+    copies_started: IntCounter,
+    copies_ended_first: IntCounter,
+    runs_moved: IntCounter,
+    slow_workers: IntGauge,
     loop_lateness: Histogram,
     loop_lateness_worst: Gauge,
     /// Numbers of the waves that have gauges.
@@ -117,6 +122,22 @@
                 ),
                 &["reason"],
             )?,
+            copies_started: IntCounter::new(
+                "dotterelsill_copies_started_total",
+                "Second runs that were started beside a slow run",
+            )?,
+            copies_ended_first: IntCounter::new(
+                "dotterelsill_copies_ended_first_total",
+                "Second runs that ended before the slow run of their task",
+            )?,
+            runs_moved: IntCounter::new(
+                "dotterelsill_runs_moved_total",
+                "Runs that were stopped on a slow worker to be started on another one",
+            )?,
+            slow_workers: IntGauge::new(
+                "dotterelsill_slow_workers",
+                "Workers on which runs are much slower than expected, on the scheduler",
+            )?,
             loop_lateness: Histogram::with_opts(
                 HistogramOpts::new(
                     "dotterelsill_loop_late_seconds",
@@ -162,6 +183,10 @@
         registry.register(Box::new(metrics.unknown_job_ends.clone()))?;
         registry.register(Box::new(metrics.done_after_given_up.clone()))?;
         registry.register(Box::new(metrics.pending_unknown.clone()))?;
+        registry.register(Box::new(metrics.copies_started.clone()))?;
+        registry.register(Box::new(metrics.copies_ended_first.clone()))?;
+        registry.register(Box::new(metrics.runs_moved.clone()))?;
+        registry.register(Box::new(metrics.slow_workers.clone()))?;
         registry.register(Box::new(metrics.loop_lateness.clone()))?;
         registry.register(Box::new(metrics.loop_lateness_worst.clone()))?;
         registry.register(Box::new(metrics.wave_instances_left.clone()))?;
@@ -248,6 +273,14 @@
         }
     }
 
+    /// Adds what the scheduler has done about slow runs, and sets the number of slow workers.
+    pub(crate) fn on_slow_runs(&self, counts: &RunCounts, slow_workers: usize) {
+        self.copies_started.inc_by(counts.copies_started);
+        self.copies_ended_first.inc_by(counts.copies_ended_first);
+        self.runs_moved.inc_by(counts.runs_moved);
+        self.slow_workers.set(slow_workers as i64);
+    }
+
     /// Records by how much a sample of the event loop was late.
     pub(crate) fn on_loop_wake(&self, late: Duration) {
         self.loop_lateness.observe(late.as_secs_f64());
