Search ends of runs while runs are copied and moved

Cause: the search for lost ends reported all runs at 100%, so that none was slow, and no task had two runs.

Change: a new environment with restarts, lists, takeovers and hand-overs in which runs report their progress, one worker at a time and a quarter of the runs are 6 times slower, and some steps are speculative. Two runs are allowed only for these, and none may start after the end `done` was noted.

--- a/crates/dotterelsill_jobs/tests/ends_search/main.rs
+++ b/crates/dotterelsill_jobs/tests/ends_search/main.rs
@@ -41,6 +41,7 @@
     hand_overs: false,
     early_listening: false,
     closed_connections: false,
+    slow_runs: false,
 };
 
 const TAKEOVERS: Environment = Environment {
@@ -94,6 +95,13 @@
     ..RESTARTS_AND_TAKEOVERS
 };
 
+/// Some runs and workers are slow, and some steps may have two runs of a task.
+const SLOW_RUNS: Environment = Environment {
+    slow_runs: true,
+    hand_overs: true,
+    ..LISTS
+};
+
 const EVERYTHING: Environment = Environment {
     moves: true,
     gangs_and_fillers: true,
@@ -237,6 +245,28 @@
     check(HAND_OVERS);
 }
 
+/// Guards against the same while slow runs are stopped and started elsewhere, against a
+/// copy that starts after the end of its task was noted, and a third run of a task.
+#[test]
+fn ends_are_kept_while_runs_are_slow() {
+    check(SLOW_RUNS);
+}
+
+/// Guards against a simulation in which slow runs are neither copied nor moved.
+#[test]
+fn slow_runs_are_copied_and_moved() {
+    let mut totals = world::WorldCounts::default();
+    for seed in 0..20 {
+        let mut world = World::new(seed, SLOW_RUNS, Bugs::default());
+        let _ = world.run();
+        totals.copies += world.counts.copies;
+        totals.moved_runs += world.counts.moved_runs;
+    }
+    println!("{totals:?}");
+    assert!(totals.copies > 10, "{totals:?}");
+    assert!(totals.moved_runs > 3, "{totals:?}");
+}
+
 /// Guards against the same when all of this happens.
 #[test]
 fn ends_are_kept_through_everything() {
