Defer jobs of no use and the least valuable jobs of a full pool

Cause: under overload, steps were ordered by latest start time alone. Jobs of no use any more came first among the late ones, and one wide job could make many small ones late.

Change: a pool whose waiting work does not fit into its free room divides its jobs into classes at most each 100 ms, after Moore and Hodgson with the value of a job for its capacity. Ranks compare the class before the latest start time. Without a shortage the order is unchanged.

Measured: the existing tests of dotterelsill_jobs pass (debug).

--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -27,6 +27,7 @@
     RunOutcome,
     Step,
     StepId,
+    TaskId,
     WorkerKey, //
 };
 
@@ -367,6 +368,16 @@
         }
     }
 
+    /// Returns the time since the start of a run was ordered.
+    pub(crate) fn ran_for(&self, task: TaskId, attempt: u64, now: Duration) -> Duration {
+        let occurrence = self.occurrences.get(&task.step.occurrence);
+        let step = occurrence.and_then(|state| state.steps.get(task.step.step as usize));
+        let runs = step.and_then(|step| step.tasks.get(task.index as usize));
+        let mut runs = runs.into_iter().flat_map(|task| &task.runs);
+        let run = runs.find(|run| run.attempt == attempt);
+        run.map_or(Duration::ZERO, |run| now.saturating_sub(run.ordered_at))
+    }
+
     /// Returns whether any task has a run.
     pub(crate) fn has_runs(&self) -> bool {
         let steps = self.occurrences.values().flat_map(|state| &state.steps);
--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -85,6 +85,10 @@
     fn add(&mut self, job: Job, now: Duration) {
         let id = job.id;
         if job.is_open() {
+            if let Some(queue) = self.configuration.queue(&job.spec.queue) {
+                let sizes = self.sizes.entry(queue.name.clone()).or_default();
+                sizes.note(&job.spec);
+            }
             let workspace = job.spec.workspace.as_deref().unwrap_or_default();
             self.memory.set(id, workspace, memory_of_open(&job.spec));
             self.scheduled.insert(id);
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -40,6 +40,7 @@
 mod rank;
 mod resources;
 mod scheduler;
+pub mod shortage;
 mod spec;
 mod submissions;
 mod tasks;
--- a/crates/dotterelsill_jobs/src/placement.rs
+++ b/crates/dotterelsill_jobs/src/placement.rs
@@ -61,6 +61,13 @@
         &self.list
     }
 
+    /// Returns the sum of the free resources of all workers.
+    pub(crate) fn total_free(&self) -> Resources {
+        let mut total = Resources::default();
+        self.list.iter().for_each(|worker| total.add(&worker.free));
+        total
+    }
+
     /// Returns whether the resources may fit on a worker; `false` is certain.
     pub(crate) fn may_fit(&self, resources: &Resources) -> bool {
         self.max_free.fits(&Resources::default(), resources)
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -24,6 +24,7 @@
         PlacementRequest, //
     },
     rank::Rank,
+    shortage::JobOccurrence,
     worker::BookedRun,
     Order,
     Resources,
@@ -83,6 +84,9 @@
     }
 
     fn plan_pool(&mut self, pool: &str, mut candidates: Candidates, now: Duration) {
+        if self.divides_jobs {
+            self.divide_pool(pool, &candidates, now);
+        }
         let ranks = self.ranks(pool, now, |resources| candidates.may_fit(resources));
         if ranks.is_empty() {
             return;
@@ -106,6 +110,7 @@
         };
         let mut ranks = Vec::new();
         let (jobs, configuration) = (&self.jobs, &self.configuration);
+        let division = self.shortage.get(pool).map(|shortage| &shortage.division);
         let mut moved = Vec::new();
         ready.retain(|step| {
             let Some(job) = jobs.get(&step.job).filter(|job| job.is_open()) else {
@@ -123,7 +128,9 @@
                     let spec = &job.spec.steps[step.step as usize];
                     // Room is held back for long-running tasks that do not fit.
                     if spec.is_lasting || may_fit(&spec.counted_resources()) {
-                        ranks.push(Rank::new(*step, job, queue, now));
+                        let id = JobOccurrence::of(*step);
+                        let placing = division.and_then(|division| division.get(&id));
+                        ranks.push(Rank::new(*step, job, queue, placing, now));
                     }
                     true
                 }
--- a/crates/dotterelsill_jobs/src/rank.rs
+++ b/crates/dotterelsill_jobs/src/rank.rs
@@ -2,10 +2,11 @@
 //!
 //! Load pattern: queues have bursts at different times, in which they need about
 //! five times their mean, more than their pool holds, for some seconds. Waiting
-//! steps are then ranked by urgency and by the latest start time that still meets
-//! the job's latency objective; steps that can no longer meet it come after those
-//! that can. Long-running tasks go first: they are few, must be restarted within
-//! seconds however full the pool is, and would otherwise wait behind each burst.
+//! steps are then ranked by urgency, by the class of their job under a shortage, and by
+//! the latest start time that still meets the job's latency objective. Without a
+//! shortage, steps that can no longer meet it come after those that can. Long-running
+//! tasks go first: they are few, must be restarted within seconds however full the pool
+//! is, and would otherwise wait behind each burst.
 
 use std::{
     cmp::Ordering,
@@ -14,6 +15,10 @@
 
 use crate::{
     job::Job,
+    shortage::{
+        Class,
+        Placing, //
+    },
     Queue,
     StepId, //
 };
@@ -24,40 +29,59 @@
     pub(crate) step: StepId,
     is_finite: bool,
     urgency: u32,
-    is_late: bool,
+    class: Class,
     latest_start: Duration,
 }
 
 impl Rank {
-    /// Ranks a step of a job.
-    pub(crate) fn new(step: StepId, job: &Job, queue: &Queue, now: Duration) -> Self {
-        let path = job.critical_paths.iter().max().copied().unwrap_or_default();
-        let objective = path.mul_f64(queue.slack_factor.max(0.0)) + queue.target;
+    /// Ranks a step of a job. `placing` is the place of the job under a shortage.
+    pub(crate) fn new(
+        step: StepId,
+        job: &Job,
+        queue: &Queue,
+        placing: Option<&Placing>,
+        now: Duration,
+    ) -> Self {
         let remaining = job.critical_paths[step.step as usize];
-        let since_due = match job.spec.schedule {
-            // Occurrences are opened when they are due.
-            Some(schedule) => schedule.interval.saturating_mul(step.occurrence),
-            None => Duration::ZERO,
+        let latest_start = due_of(job, queue, step.occurrence).saturating_sub(remaining);
+        let by_time = if latest_start < now {
+            Class::Late
+        } else {
+            Class::OnTime
         };
-        let due = job.known_at + since_due + objective;
-        let latest_start = due.saturating_sub(remaining);
         Self {
             step,
             is_finite: !job.spec.steps[step.step as usize].is_lasting,
             urgency: queue.urgency,
-            is_late: latest_start < now,
+            class: placing.map_or(by_time, |placing| placing.class),
             latest_start,
         }
     }
 }
 
+/// Returns the latency objective of a job.
+pub(crate) fn objective_of(job: &Job, queue: &Queue) -> Duration {
+    let path = job.critical_paths.iter().max().copied().unwrap_or_default();
+    path.mul_f64(queue.slack_factor.max(0.0)) + queue.target
+}
+
+/// Returns the time at which the latency objective of an occurrence of a job ends.
+pub(crate) fn due_of(job: &Job, queue: &Queue, occurrence: u32) -> Duration {
+    let since_due = match job.spec.schedule {
+        // Occurrences are opened when they are due.
+        Some(schedule) => schedule.interval.saturating_mul(occurrence),
+        None => Duration::ZERO,
+    };
+    job.known_at + since_due + objective_of(job, queue)
+}
+
 impl Ord for Rank {
     fn cmp(&self, other: &Self) -> Ordering {
         let key = |rank: &Self| {
             (
                 rank.is_finite,
                 rank.urgency,
-                rank.is_late,
+                rank.class,
                 rank.latest_start,
                 rank.step,
             )
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -24,6 +24,10 @@
     job::Job,
     job_memory::JobMemory,
     overload::Overload,
+    shortage::{
+        PoolShortage,
+        QueueSizes, //
+    },
     unended::Unended,
     waves::WaveState,
     worker::{
@@ -137,6 +141,12 @@
     pub(crate) tickets: BTreeMap<StepId, Tickets>,
     /// Arrival rates, by pool.
     pub(crate) arrivals: BTreeMap<String, Arrivals>,
+    /// Order of the jobs of pools with a shortage, by pool.
+    pub(crate) shortage: BTreeMap<String, PoolShortage>,
+    /// Sizes of the latest jobs, by queue.
+    pub(crate) sizes: BTreeMap<String, QueueSizes>,
+    /// Whether jobs are divided into classes when a pool has a shortage.
+    pub(crate) divides_jobs: bool,
     /// Free processor time for new jobs, by pool.
     pub(crate) free_cpu: BTreeMap<String, FreeCpu>,
     /// Admission control for new jobs.
@@ -188,6 +198,9 @@
             idle_since: BTreeMap::new(),
             tickets: BTreeMap::new(),
             arrivals: BTreeMap::new(),
+            shortage: BTreeMap::new(),
+            sizes: BTreeMap::new(),
+            divides_jobs: true,
             free_cpu: BTreeMap::new(),
             overload: Overload::default(),
             given_up: GivenUpRuns::default(),
@@ -232,6 +245,13 @@
         self.needs_plan = true;
     }
 
+    /// Sets whether jobs are divided into classes when a pool has a shortage. Otherwise
+    /// steps are ordered by latest start time alone.
+    pub fn set_division(&mut self, is_on: bool) {
+        self.divides_jobs = is_on;
+        self.shortage.clear();
+    }
+
     /// Returns the share of new jobs to refuse, in percent. It is above 0 while
     /// starts are late because jobs arrive faster than this scheduler can place
     /// them.
--- /dev/null
+++ b/crates/dotterelsill_jobs/src/shortage/mod.rs
@@ -0,0 +1,129 @@
+//! Order of jobs in a pool that cannot finish its waiting work in time.
+//!
+//! Load pattern: a queue's burst of some seconds brings about five times its mean, more
+//! than its pool holds, and one workspace may send several times its usual load beside
+//! it. Ordering by latest start time alone then starts each job when it is about to be
+//! late, so that a wide job makes many small ones late, and spends the pool on results
+//! that are no longer of use.
+//!
+//! [`divide`] splits the jobs into classes. It only changes the order in which steps are
+//! planned, never whether one may start.
+
+mod division;
+mod pool;
+mod sizes;
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+pub use division::divide;
+pub(crate) use pool::PoolShortage;
+pub(crate) use sizes::QueueSizes;
+
+use crate::{
+    JobId,
+    StepId, //
+};
+
+/// Ratio of the age up to which a late result is of use to the latency objective.
+pub const USEFUL_OBJECTIVES: u32 = 3;
+
+/// A job, or one occurrence of a recurring job.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct JobOccurrence {
+    /// Identifier of the job.
+    pub job: JobId,
+    /// Number of the occurrence.
+    pub occurrence: u32,
+}
+
+impl JobOccurrence {
+    /// Returns the job and the occurrence of a step.
+    pub(crate) fn of(step: StepId) -> Self {
+        Self {
+            job: step.job,
+            occurrence: step.occurrence,
+        }
+    }
+}
+
+/// A job with work that waits for a worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WaitingJob<'a> {
+    /// The job.
+    pub id: JobOccurrence,
+    /// Name of its queue.
+    pub queue: &'a str,
+    /// Workspace that owns the job, if any.
+    pub workspace: Option<&'a str>,
+    /// Urgency of the queue; 0 is the most urgent.
+    pub urgency: u32,
+    /// End of the latency objective.
+    pub due: Duration,
+    /// Time after which the result is of no use.
+    pub useful_until: Duration,
+    /// Time for which the rest of the job runs if all its tasks start at once.
+    pub shortest: Duration,
+    /// Work of the tasks that wait, as the time in milliseconds for which it takes the
+    /// whole pool.
+    pub work_ms: f64,
+    /// Cost to callers of not serving the job in time; 1 for a mean job of its queue.
+    pub value: f64,
+}
+
+/// What a pool can finish.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    /// Work of the running tasks that end by themselves, as the time in milliseconds for
+    /// which it takes the whole pool.
+    pub running_ms: f64,
+}
+
+/// Class of a job, in scheduling order.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Class {
+    /// The job is planned to end within its objective.
+    OnTime,
+    /// The job is planned to end late, while its result is of some use.
+    Late,
+    /// The job could still be of use, but there is no capacity for it.
+    NoCapacity,
+    /// The result is of no use any more.
+    NoUse,
+}
+
+/// What decided the class of a job.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Term {
+    /// There is capacity for the job.
+    Room,
+    /// The job cannot end in time, however much capacity it gets.
+    Time,
+    /// Other jobs are worth more for the capacity that they take.
+    Cost,
+}
+
+impl Term {
+    /// Returns the name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Room => "room",
+            Self::Time => "time",
+            Self::Cost => "cost",
+        }
+    }
+}
+
+/// Class of one job and the reason for it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Placing {
+    /// Class.
+    pub class: Class,
+    /// Reason.
+    pub term: Term,
+}
+
+/// Classes of the jobs of a pool.
+pub type Division = HashMap<JobOccurrence, Placing>;
