--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -74,6 +74,8 @@
             if let Some(queue) = self.configuration.queue(&spec.queue) {
                 let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
                 arrivals.note(&spec, now);
+                let recent = self.recent.entry(queue.pool.clone()).or_default();
+                recent.note(id, now);
             }
             let job = Job::new(id, Arc::new(spec), self.token, now);
             self.add(job, now);
--- a/crates/dotterelsill_jobs/src/rank.rs
+++ b/crates/dotterelsill_jobs/src/rank.rs
@@ -60,8 +60,8 @@
 }
 
 /// Returns the latency objective of a job.
-pub(crate) fn objective_of(job: &Job, queue: &Queue) -> Duration {
-    let path = job.critical_paths.iter().max().copied().unwrap_or_default();
+pub(crate) fn objective_of(critical_paths: &[Duration], queue: &Queue) -> Duration {
+    let path = critical_paths.iter().max().copied().unwrap_or_default();
     path.mul_f64(queue.slack_factor.max(0.0)) + queue.target
 }
 
@@ -72,7 +72,7 @@
         Some(schedule) => schedule.interval.saturating_mul(occurrence),
         None => Duration::ZERO,
     };
-    job.known_at + since_due + objective_of(job, queue)
+    job.known_at + since_due + objective_of(&job.critical_paths, queue)
 }
 
 impl Ord for Rank {
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -26,7 +26,8 @@
     overload::Overload,
     shortage::{
         PoolShortage,
-        QueueSizes, //
+        QueueSizes,
+        RecentArrivals, //
     },
     unended::Unended,
     waves::WaveState,
@@ -145,6 +146,8 @@
     pub(crate) shortage: BTreeMap<String, PoolShortage>,
     /// Sizes of the latest jobs, by queue.
     pub(crate) sizes: BTreeMap<String, QueueSizes>,
+    /// Jobs that arrived lately, by pool.
+    pub(crate) recent: BTreeMap<String, RecentArrivals>,
     /// Whether jobs are divided into classes when a pool has a shortage.
     pub(crate) divides_jobs: bool,
     /// Free processor time for new jobs, by pool.
@@ -200,6 +203,7 @@
             arrivals: BTreeMap::new(),
             shortage: BTreeMap::new(),
             sizes: BTreeMap::new(),
+            recent: BTreeMap::new(),
             divides_jobs: true,
             free_cpu: BTreeMap::new(),
             overload: Overload::default(),
--- a/crates/dotterelsill_jobs/src/shortage/division.rs
+++ b/crates/dotterelsill_jobs/src/shortage/division.rs
@@ -45,20 +45,26 @@
     division: &mut Division,
 ) -> f64 {
     let mut set = |job: &WaitingJob<'_>, class, term| {
-        division.insert(job.id, Placing { class, term });
+        if !job.is_expected {
+            division.insert(job.id, Placing { class, term });
+        }
     };
     let (on_time, mut rest): (Vec<_>, Vec<_>) = jobs
         .iter()
         .map(|job| (*job, Term::Time))
         .partition(|(job, _)| now + job.shortest <= job.due);
-    on_time.iter().for_each(|(job, _)| set(job, Class::OnTime, Term::Room));
+    on_time
+        .iter()
+        .for_each(|(job, _)| set(job, Class::OnTime, Term::Room));
     let on_time = on_time.into_iter().map(|(job, _)| job);
     rest.extend(defer(on_time, &mut planned_ms, now, |job| job.due));
 
+    rest.retain(|(job, _)| !job.is_expected);
     let (mut late, no_use): (Vec<_>, Vec<_>) = rest
         .into_iter()
         .partition(|(job, _)| now + job.shortest <= job.useful_until);
-    late.iter().for_each(|(job, term)| set(job, Class::Late, *term));
+    late.iter()
+        .for_each(|(job, term)| set(job, Class::Late, *term));
     late.sort_unstable_by_key(|(job, _)| (job.useful_until, job.id));
     let late = late.into_iter().map(|(job, _)| job);
     for (job, term) in defer(late, &mut planned_ms, now, |job| job.useful_until) {
--- a/crates/dotterelsill_jobs/src/shortage/mod.rs
+++ b/crates/dotterelsill_jobs/src/shortage/mod.rs
@@ -10,6 +10,7 @@
 //! planned, never whether one may start.
 
 mod division;
+mod expected;
 mod pool;
 mod sizes;
 
@@ -19,6 +20,7 @@
 };
 
 pub use division::divide;
+pub(crate) use expected::RecentArrivals;
 pub(crate) use pool::PoolShortage;
 pub(crate) use sizes::QueueSizes;
 
@@ -71,6 +73,8 @@
     pub work_ms: f64,
     /// Cost to callers of not serving the job in time; 1 for a mean job of its queue.
     pub value: f64,
+    /// Whether the job has not arrived yet. It takes capacity and gets no class.
+    pub is_expected: bool,
 }
 
 /// What a pool can finish.
--- a/crates/dotterelsill_jobs/src/shortage/pool.rs
+++ b/crates/dotterelsill_jobs/src/shortage/pool.rs
@@ -7,9 +7,9 @@
 
 use super::{
     divide,
+    expected::LOOK_AHEAD,
     Division,
     JobOccurrence,
-    Placing,
     Room,
     WaitingJob,
     USEFUL_OBJECTIVES, //
@@ -21,6 +21,7 @@
         due_of,
         objective_of, //
     },
+    Queue,
     Resources,
     Scheduler, //
 };
@@ -40,11 +41,6 @@
 }
 
 impl Scheduler {
-    /// Returns the class of a job, if its pool has a shortage and the job was divided.
-    pub(crate) fn placing(&self, pool: &str, id: JobOccurrence) -> Option<Placing> {
-        self.shortage.get(pool)?.division.get(&id).copied()
-    }
-
     /// Divides the jobs of a pool, unless that was done lately.
     pub(crate) fn divide_pool(&mut self, pool: &str, candidates: &Candidates, now: Duration) {
         let shortage = self.shortage.get(pool);
@@ -110,7 +106,58 @@
             let job = self.jobs.get(&id.job).filter(|job| job.is_open())?;
             self.waiting_job(pool, id, job, &capacity)
         });
-        divide(&jobs.collect::<Vec<_>>(), room, now)
+        let jobs: Vec<WaitingJob<'_>> = jobs
+            .chain(self.expected_jobs(pool, &capacity, now))
+            .collect();
+        divide(&jobs, room, now)
+    }
+
+    /// Returns the jobs that will arrive if those that arrived lately come again.
+    fn expected_jobs<'a>(
+        &'a self,
+        pool: &'a str,
+        capacity: &'a Resources,
+        now: Duration,
+    ) -> impl Iterator<Item = WaitingJob<'a>> {
+        let recent = self.recent.get(pool).into_iter();
+        recent
+            .flat_map(move |recent| recent.recent(now))
+            .filter_map(move |id| {
+                let job = self.jobs.get(&id)?;
+                let queue = self.configuration.queue(&job.spec.queue)?;
+                // The job may have ended, which drops its critical paths.
+                let objective = objective_of(&job.spec.critical_paths(), queue);
+                if queue.pool != pool || objective.is_zero() {
+                    return None;
+                }
+                let steps = job.spec.steps.iter().filter(|step| !step.is_lasting);
+                let work_ms = steps.map(|step| {
+                    let part = part_of(&step.counted_resources(), capacity);
+                    part * f64::from(step.count) * millis(step.estimated)
+                });
+                let arrives_at = job.known_at + LOOK_AHEAD;
+                let due = arrives_at + objective;
+                Some(WaitingJob {
+                    id: JobOccurrence {
+                        job: id,
+                        occurrence: 0,
+                    },
+                    queue: &queue.name,
+                    workspace: job.spec.workspace.as_deref(),
+                    urgency: queue.urgency,
+                    due,
+                    useful_until: due + objective * (USEFUL_OBJECTIVES - 1),
+                    shortest: Duration::ZERO,
+                    work_ms: work_ms.sum(),
+                    value: self.value_of(job, queue),
+                    is_expected: true,
+                })
+            })
+    }
+
+    fn value_of(&self, job: &Job, queue: &Queue) -> f64 {
+        let sizes = self.sizes.get(&queue.name);
+        sizes.map_or(1.0, |sizes| sizes.value_of(&job.spec))
     }
 
     /// Returns the view of a job with waiting tasks; `None` if it takes no part in a
@@ -123,7 +170,7 @@
         capacity: &Resources,
     ) -> Option<WaitingJob<'a>> {
         let queue = self.configuration.queue(&job.spec.queue)?;
-        let objective = objective_of(job, queue);
+        let objective = objective_of(&job.critical_paths, queue);
         if queue.pool != pool || objective.is_zero() {
             return None;
         }
@@ -157,10 +204,8 @@
             useful_until: due + objective * (USEFUL_OBJECTIVES - 1),
             shortest,
             work_ms,
-            value: self
-                .sizes
-                .get(&queue.name)
-                .map_or(1.0, |sizes| sizes.value_of(&job.spec)),
+            value: self.value_of(job, queue),
+            is_expected: false,
         })
     }
 }
