--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -110,7 +110,7 @@
         };
         let mut ranks = Vec::new();
         let (jobs, configuration) = (&self.jobs, &self.configuration);
-        let division = self.shortage.get(pool).map(|shortage| &shortage.division);
+        let division = self.shortage.get(pool).map(|shortage| &shortage.placed);
         let mut moved = Vec::new();
         ready.retain(|step| {
             let Some(job) = jobs.get(&step.job).filter(|job| job.is_open()) else {
@@ -130,6 +130,7 @@
                     if spec.is_lasting || may_fit(&spec.counted_resources()) {
                         let id = JobOccurrence::of(*step);
                         let placing = division.and_then(|division| division.get(&id));
+                        let placing = placing.map(|placed| placed.placing);
                         ranks.push(Rank::new(*step, job, queue, placing, now));
                     }
                     true
--- a/crates/dotterelsill_jobs/src/rank.rs
+++ b/crates/dotterelsill_jobs/src/rank.rs
@@ -39,7 +39,7 @@
         step: StepId,
         job: &Job,
         queue: &Queue,
-        placing: Option<&Placing>,
+        placing: Option<Placing>,
         now: Duration,
     ) -> Self {
         let remaining = job.critical_paths[step.step as usize];
@@ -65,14 +65,19 @@
     path.mul_f64(queue.slack_factor.max(0.0)) + queue.target
 }
 
-/// Returns the time at which the latency objective of an occurrence of a job ends.
-pub(crate) fn due_of(job: &Job, queue: &Queue, occurrence: u32) -> Duration {
+/// Returns the time at which an occurrence of a job was accepted or due to begin.
+pub(crate) fn accepted_at(job: &Job, occurrence: u32) -> Duration {
     let since_due = match job.spec.schedule {
         // Occurrences are opened when they are due.
         Some(schedule) => schedule.interval.saturating_mul(occurrence),
         None => Duration::ZERO,
     };
-    job.known_at + since_due + objective_of(&job.critical_paths, queue)
+    job.known_at + since_due
+}
+
+/// Returns the time at which the latency objective of an occurrence of a job ends.
+pub(crate) fn due_of(job: &Job, queue: &Queue, occurrence: u32) -> Duration {
+    accepted_at(job, occurrence) + objective_of(&job.critical_paths, queue)
 }
 
 impl Ord for Rank {
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -25,6 +25,7 @@
     job_memory::JobMemory,
     overload::Overload,
     shortage::{
+        DeferralCounts,
         PoolShortage,
         QueueSizes,
         RecentArrivals, //
@@ -146,6 +147,8 @@
     pub(crate) shortage: BTreeMap<String, PoolShortage>,
     /// Sizes of the latest jobs, by queue.
     pub(crate) sizes: BTreeMap<String, QueueSizes>,
+    /// Numbers of deferred jobs, for the metrics.
+    pub(crate) deferrals: DeferralCounts,
     /// Jobs that arrived lately, by pool.
     pub(crate) recent: BTreeMap<String, RecentArrivals>,
     /// Whether jobs are divided into classes when a pool has a shortage.
@@ -203,6 +206,7 @@
             arrivals: BTreeMap::new(),
             shortage: BTreeMap::new(),
             sizes: BTreeMap::new(),
+            deferrals: DeferralCounts::default(),
             recent: BTreeMap::new(),
             divides_jobs: true,
             free_cpu: BTreeMap::new(),
--- a/crates/dotterelsill_jobs/src/shortage/division.rs
+++ b/crates/dotterelsill_jobs/src/shortage/division.rs
@@ -5,13 +5,16 @@
 //! form of it. The pool counts as one machine. Instead of the longest job, the one whose
 //! deferral costs the least for the capacity it takes is put back.
 
-use std::{
-    cmp::Ordering,
-    collections::BinaryHeap,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use super::{
+    ageing::aged,
+    candidates::Candidates,
+    large::QueueCounts,
+    shares::{
+        PlannedShares,
+        Shares, //
+    },
     Class,
     Division,
     Placing,
@@ -24,116 +27,118 @@
 /// run longer than estimated.
 const PLANNED_PART: f64 = 0.75;
 
-/// Divides the jobs of a pool into classes. More urgent jobs are planned first. The cost
-/// is O(n log n) in the number of jobs.
-pub fn divide(jobs: &[WaitingJob<'_>], room: Room, now: Duration) -> Division {
-    let mut division = Division::with_capacity(jobs.len());
+/// Divides the jobs of a pool into classes. More urgent jobs are planned first. `counts`
+/// are the earlier jobs of the queues by size. The cost is O(n log n) in the number of
+/// jobs, if they belong to a few queues.
+pub fn divide<'a>(
+    jobs: &'a [WaitingJob<'a>],
+    room: Room,
+    shares: &Shares<'a>,
+    counts: QueueCounts<'a>,
+    now: Duration,
+) -> Division {
     let mut order: Vec<&WaitingJob<'_>> = jobs.iter().collect();
     order.sort_unstable_by_key(|job| (job.urgency, job.due, job.id));
-    let mut planned_ms = room.running_ms;
-    for jobs in order.chunk_by(|one, other| one.urgency == other.urgency) {
-        planned_ms = divide_equally_urgent(jobs, planned_ms, room.rate, now, &mut division);
-    }
-    division
-}
-
-/// Divides jobs of one urgency, ordered by due time, and returns the planned work.
-fn divide_equally_urgent(
-    jobs: &[&WaitingJob<'_>],
-    mut planned_ms: f64,
-    rate: f64,
-    now: Duration,
-    division: &mut Division,
-) -> f64 {
-    let mut set = |job: &WaitingJob<'_>, class, term| {
-        if !job.is_expected {
-            division.insert(job.id, Placing { class, term });
-        }
+    let mut plan = Plan {
+        room,
+        shares,
+        counts,
+        planned_ms: room.running_ms,
+        now,
+        division: Division::with_capacity(jobs.len()),
     };
-    let (on_time, mut rest): (Vec<_>, Vec<_>) = jobs
-        .iter()
-        .map(|job| (*job, Term::Time))
-        .partition(|(job, _)| now + job.shortest <= job.due);
-    on_time
-        .iter()
-        .for_each(|(job, _)| set(job, Class::OnTime, Term::Room));
-    let on_time = on_time.into_iter().map(|(job, _)| job);
-    rest.extend(defer(on_time, &mut planned_ms, rate, now, |job| job.due));
-
-    rest.retain(|(job, _)| !job.is_expected);
-    let (mut late, no_use): (Vec<_>, Vec<_>) = rest
-        .into_iter()
-        .partition(|(job, _)| now + job.shortest <= job.useful_until);
-    late.iter()
-        .for_each(|(job, term)| set(job, Class::Late, *term));
-    late.sort_unstable_by_key(|(job, _)| (job.useful_until, job.id));
-    let late = late.into_iter().map(|(job, _)| job);
-    for (job, term) in defer(late, &mut planned_ms, rate, now, |job| job.useful_until) {
-        planned_ms += job.work_ms;
-        set(job, Class::NoCapacity, term);
+    for job in jobs.iter().filter(|job| !job.is_expected) {
+        plan.counts.entry(job.queue).or_default().see(job.size);
     }
-    for (job, _) in no_use {
-        planned_ms += job.work_ms;
-        set(job, Class::NoUse, Term::Time);
+    for jobs in order.chunk_by(|one, other| one.urgency == other.urgency) {
+        plan.divide_equally_urgent(jobs.to_vec());
     }
-    planned_ms
+    plan.division
 }
 
-/// Adds up the work of jobs, ordered by their deadlines, and returns those that are put
-/// back because the pool cannot end all of them in time.
-fn defer<'a>(
-    jobs: impl Iterator<Item = &'a WaitingJob<'a>>,
-    planned_ms: &mut f64,
-    rate: f64,
+/// Division in progress.
+struct Plan<'a, 'b> {
+    room: Room,
+    shares: &'b Shares<'a>,
+    counts: QueueCounts<'a>,
+    /// Work of the jobs that go before those that are not divided yet.
+    planned_ms: f64,
     now: Duration,
-    deadline: impl Fn(&WaitingJob<'_>) -> Duration,
-) -> Vec<(&'a WaitingJob<'a>, Term)> {
-    let mut deferred = Vec::new();
-    let mut planned = BinaryHeap::new();
-    for job in jobs {
-        let time_left = deadline(job).saturating_sub(now);
-        let capacity_ms = time_left.as_secs_f64() * 1000.0 * rate * PLANNED_PART;
-        *planned_ms += job.work_ms;
-        planned.push(Cheapest(job));
-        while *planned_ms > capacity_ms {
-            let Some(Cheapest(cheapest)) = planned.pop() else {
-                break;
-            };
-            *planned_ms -= cheapest.work_ms;
-            deferred.push((cheapest, Term::Cost));
-        }
-    }
-    deferred
+    division: Division,
 }
 
-/// Orders jobs by the cost of deferring them for the capacity that they take; the
-/// cheapest is the largest.
-#[derive(Clone, Copy, Debug)]
-struct Cheapest<'a>(&'a WaitingJob<'a>);
+impl<'a> Plan<'a, '_> {
+    /// Divides jobs of one urgency, ordered by due time.
+    fn divide_equally_urgent(&mut self, mut jobs: Vec<&'a WaitingJob<'a>>) {
+        let now = self.now;
+        for index in aged(&jobs, now) {
+            self.set(jobs[index], Class::Aged, Term::Age);
+            self.planned_ms += jobs[index].work_ms;
+        }
+        jobs.retain(|job| job.is_expected || !self.division.contains_key(&job.id));
+        let (on_time, too_late): (Vec<&WaitingJob<'_>>, Vec<_>) = jobs
+            .into_iter()
+            .partition(|job| now + job.shortest <= job.due);
+        for job in &too_late {
+            self.counts.entry(job.queue).or_default().defer(job.size);
+        }
+        on_time
+            .iter()
+            .for_each(|job| self.set(job, Class::OnTime, Term::Room));
+        let mut rest = self.defer(&on_time, |job| job.due);
+        rest.retain(|(job, _)| !job.is_expected);
+        rest.extend(too_late.into_iter().map(|job| (job, Term::Time)));
 
-impl Cheapest<'_> {
-    fn worth(&self) -> f64 {
-        self.0.value / self.0.work_ms.max(f64::MIN_POSITIVE)
+        let (mut late, no_use): (Vec<_>, Vec<_>) = rest
+            .into_iter()
+            .partition(|(job, _)| now + job.shortest <= job.useful_until);
+        late.iter()
+            .for_each(|(job, term)| self.set(job, Class::Late, *term));
+        late.sort_unstable_by_key(|(job, _)| (job.useful_until, job.id));
+        let late: Vec<_> = late.into_iter().map(|(job, _)| job).collect();
+        for (job, term) in self.defer(&late, |job| job.useful_until) {
+            self.planned_ms += job.work_ms;
+            self.set(job, Class::NoCapacity, term);
+        }
+        for (job, _) in no_use {
+            self.planned_ms += job.work_ms;
+            self.set(job, Class::NoUse, Term::Time);
+        }
     }
-}
 
-impl Ord for Cheapest<'_> {
-    fn cmp(&self, other: &Self) -> Ordering {
-        let by_worth = other.worth().total_cmp(&self.worth());
-        by_worth.then(self.0.id.cmp(&other.0.id))
-    }
-}
-
-impl PartialOrd for Cheapest<'_> {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
+    fn set(&mut self, job: &WaitingJob<'_>, class: Class, term: Term) {
+        if !job.is_expected {
+            self.division.insert(job.id, Placing { class, term });
+        }
     }
-}
 
-impl PartialEq for Cheapest<'_> {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
+    /// Adds up the work of jobs, ordered by their deadlines, and returns those that are
+    /// put back because the pool cannot end all of them in time.
+    fn defer(
+        &mut self,
+        jobs: &[&'a WaitingJob<'a>],
+        deadline: impl Fn(&WaitingJob<'_>) -> Duration,
+    ) -> Vec<(&'a WaitingJob<'a>, Term)> {
+        let (now, rate) = (self.now, self.room.rate * PLANNED_PART);
+        let capacity_ms = |job: &WaitingJob<'_>| {
+            let time_left = deadline(job).saturating_sub(now);
+            time_left.as_secs_f64() * 1000.0 * rate
+        };
+        let horizon_ms = jobs.last().map_or(0.0, |job| capacity_ms(job));
+        let shares = PlannedShares::new(self.shares, jobs, horizon_ms);
+        let mut candidates = Candidates::new(shares, &mut self.counts);
+        let mut deferred = Vec::new();
+        for job in jobs {
+            self.planned_ms += job.work_ms;
+            candidates.push(job);
+            while self.planned_ms > capacity_ms(job) {
+                let Some((job, term)) = candidates.pop() else {
+                    break;
+                };
+                self.planned_ms -= job.work_ms;
+                deferred.push((job, term));
+            }
+        }
+        deferred
     }
 }
-
-impl Eq for Cheapest<'_> {}
--- a/crates/dotterelsill_jobs/src/shortage/mod.rs
+++ b/crates/dotterelsill_jobs/src/shortage/mod.rs
@@ -9,20 +9,34 @@
 //! [`divide`] splits the jobs into classes. It only changes the order in which steps are
 //! planned, never whether one may start.
 
+mod ageing;
+mod candidates;
+mod deferrals;
 mod division;
 mod expected;
+mod large;
 mod pool;
+mod shares;
 mod sizes;
 mod throughput;
+mod views;
 
 use std::{
     collections::HashMap,
     time::Duration, //
 };
 
+pub use ageing::AGED_AFTER;
+pub use deferrals::DeferralCounts;
 pub use division::divide;
 pub(crate) use expected::RecentArrivals;
+pub use large::{
+    QueueCounts,
+    SizeCounts,
+    SizeGroup, //
+};
 pub(crate) use pool::PoolShortage;
+pub use shares::Shares;
 pub(crate) use sizes::QueueSizes;
 
 use crate::{
@@ -50,6 +64,15 @@
             occurrence: step.occurrence,
         }
     }
+
+    /// Returns a step of the job.
+    pub(crate) fn step(self, step: u32) -> StepId {
+        StepId {
+            job: self.job,
+            occurrence: self.occurrence,
+            step,
+        }
+    }
 }
 
 /// A job with work that waits for a worker.
@@ -63,6 +86,10 @@
     pub workspace: Option<&'a str>,
     /// Urgency of the queue; 0 is the most urgent.
     pub urgency: u32,
+    /// Time of acceptance.
+    pub accepted_at: Duration,
+    /// Group by size.
+    pub size: SizeGroup,
     /// End of the latency objective.
     pub due: Duration,
     /// Time after which the result is of no use.
@@ -74,6 +101,10 @@
     pub work_ms: f64,
     /// Cost to callers of not serving the job in time; 1 for a mean job of its queue.
     pub value: f64,
+    /// Part of the pool that the running tasks of the job occupy.
+    pub running_part: f64,
+    /// Part of the pool that its tasks need that can start now.
+    pub ready_part: f64,
     /// Whether the job has not arrived yet. It takes capacity and gets no class.
     pub is_expected: bool,
 }
@@ -91,6 +122,8 @@
 /// Class of a job, in scheduling order.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Class {
+    /// The job has waited so long that it goes first.
+    Aged,
     /// The job is planned to end within its objective.
     OnTime,
     /// The job is planned to end late, while its result is of some use.
@@ -101,6 +134,19 @@
     NoUse,
 }
 
+impl Class {
+    /// Returns the name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Aged => "aged",
+            Self::OnTime => "on_time",
+            Self::Late => "late",
+            Self::NoCapacity => "no_capacity",
+            Self::NoUse => "no_use",
+        }
+    }
+}
+
 /// What decided the class of a job.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Term {
@@ -110,6 +156,10 @@
     Time,
     /// Other jobs are worth more for the capacity that they take.
     Cost,
+    /// The workspace plans more than its share of the pool.
+    Share,
+    /// The job has waited for too long.
+    Age,
 }
 
 impl Term {
@@ -119,6 +169,8 @@
             Self::Room => "room",
             Self::Time => "time",
             Self::Cost => "cost",
+            Self::Share => "share",
+            Self::Age => "age",
         }
     }
 }
--- a/crates/dotterelsill_jobs/src/shortage/pool.rs
+++ b/crates/dotterelsill_jobs/src/shortage/pool.rs
@@ -1,28 +1,31 @@
-//! Division of the jobs that wait for a pool of the scheduler.
+//! Divisions of the jobs that wait for the pools of a scheduler.
 
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
     time::Duration, //
 };
 
 use super::{
+    deferrals::Summary,
     divide,
-    expected::LOOK_AHEAD,
     throughput::Throughput,
+    views::{
+        millis,
+        part_of, //
+    },
+    Class,
     Division,
     JobOccurrence,
-    Room,
-    WaitingJob,
-    USEFUL_OBJECTIVES, //
+    Placing,
+    QueueCounts,
+    SizeCounts,
+    SizeGroup, //
 };
 use crate::{
-    job::Job,
     placement::Candidates,
-    rank::{
-        due_of,
-        objective_of, //
-    },
-    Queue,
     Resources,
     Scheduler,
     Step, //
@@ -31,234 +34,133 @@
 /// Minimum time between two divisions of a pool.
 const DIVISION_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Part of the estimate for which a run that has exceeded it is still expected to run.
-const OVERDUE_PART: f64 = 0.1;
+/// A job in a division.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Placed {
+    pub(crate) placing: Placing,
+    size: SizeGroup,
+    /// Time since which the job is deferred.
+    pub(crate) deferred_since: Option<Duration>,
+}
 
 /// Order of a pool's jobs.
 #[derive(Debug, Default)]
 pub(crate) struct PoolShortage {
     divided_at: Option<Duration>,
     /// Classes of the jobs; empty while the waiting work fits into the free room.
-    pub(crate) division: Division,
+    pub(crate) placed: HashMap<JobOccurrence, Placed>,
+    /// Earlier jobs by queue.
+    counts: BTreeMap<String, SizeCounts>,
     capacity: Resources,
     throughput: Throughput,
+    summary: Summary,
 }
 
 impl Scheduler {
     /// Divides the jobs of a pool, unless that was done lately.
     pub(crate) fn divide_pool(&mut self, pool: &str, candidates: &Candidates, now: Duration) {
-        let shortage = self.shortage.get(pool);
-        let divided_at = shortage.and_then(|shortage| shortage.divided_at);
-        if divided_at.is_some_and(|at| now < at + DIVISION_INTERVAL) {
-            return;
-        }
-        let is_short = !self.fits_free_room(pool, candidates);
-        let capacity = self.finite_capacity(candidates);
-        let shortage = self.shortage.entry(pool.to_owned()).or_default();
-        shortage.divided_at = Some(now);
-        if !is_short {
-            shortage.division.clear();
-            shortage.throughput.on_free_room();
-            return;
-        }
-        shortage.capacity = capacity;
-        let room = Room {
-            running_ms: 0.0,
-            rate: shortage.throughput.measure(now),
-        };
-        let division = self.division_of(pool, candidates, room, now);
-        if let Some(shortage) = self.shortage.get_mut(pool) {
-            shortage.division = division;
+        let mut shortage = self.shortage.remove(pool).unwrap_or_default();
+        let is_due = |at: Duration| now >= at + DIVISION_INTERVAL;
+        if shortage.divided_at.is_none_or(is_due) {
+            shortage.divided_at = Some(now);
+            if self.fits_free_room(pool, candidates) {
+                shortage.throughput.on_free_room();
+                self.place(&mut shortage, &Division::new(), &HashMap::new(), now);
+            } else {
+                self.divide_full_pool(pool, &mut shortage, candidates, now);
+            }
         }
+        self.shortage.insert(pool.to_owned(), shortage);
     }
 
     /// Returns whether all ready tasks of a pool fit into the free resources.
     fn fits_free_room(&self, pool: &str, candidates: &Candidates) -> bool {
-        let free = candidates.total_free();
         let mut wanted = Resources::default();
         for id in self.ready.get(pool).into_iter().flatten() {
             let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
                 continue;
             };
             let step = &job.spec.steps[id.step as usize];
-            if let (Some(occurrence), false) =
-                (job.occurrences.get(&id.occurrence), step.is_lasting)
-            {
+            let occurrence = job.occurrences.get(&id.occurrence);
+            if let Some(occurrence) = occurrence.filter(|_| !step.is_lasting) {
                 let waiting = occurrence.steps[id.step as usize].tasks.waiting();
                 wanted.add(&step.counted_resources().times(waiting));
             }
         }
+        let free = candidates.total_free();
         free.fits(&Resources::default(), &wanted)
     }
 
-    /// Returns the resources of the workers for tasks that end by themselves.
-    fn finite_capacity(&self, candidates: &Candidates) -> Resources {
-        let mut capacity = Resources::default();
-        let workers = candidates.list().iter();
-        let workers = workers.filter_map(|candidate| self.workers.get(&candidate.key));
-        workers.for_each(|worker| capacity.add(&worker.lasting_room()));
-        capacity
-    }
-
-    /// Records that a task is started.
-    pub(crate) fn note_start(&mut self, pool: &str, step: &Step) {
-        if let Some(shortage) = self.shortage.get_mut(pool).filter(|_| !step.is_lasting) {
-            let part = part_of(&step.counted_resources(), &shortage.capacity);
-            shortage.throughput.on_start(part * millis(step.estimated));
-        }
-    }
-
-    fn division_of(
-        &self,
+    fn divide_full_pool(
+        &mut self,
         pool: &str,
+        shortage: &mut PoolShortage,
         candidates: &Candidates,
-        mut room: Room,
         now: Duration,
-    ) -> Division {
-        let capacity = self.finite_capacity(candidates);
-        let mut ids: BTreeSet<JobOccurrence> = BTreeSet::new();
-        let workers = candidates.list().iter();
-        for worker in workers.filter_map(|candidate| self.workers.get(&candidate.key)) {
-            for (task, booked) in &worker.booked {
-                let Some(job) = self.jobs.get(&task.step.job) else {
-                    continue;
-                };
-                if booked.is_lasting {
-                    continue;
-                }
-                ids.insert(JobOccurrence::of(task.step));
-                let estimated = job.spec.steps.get(task.step.step as usize);
-                let estimated = estimated.map_or(Duration::ZERO, |step| step.estimated);
-                let left = estimated.saturating_sub(job.ran_for(*task, booked.attempt, now));
-                let left = left.max(estimated.mul_f64(OVERDUE_PART));
-                room.running_ms += part_of(&booked.resources, &capacity) * millis(left);
-            }
-        }
-        let ready = self.ready.get(pool).into_iter().flatten();
-        ids.extend(ready.copied().map(JobOccurrence::of));
-        let jobs = ids.into_iter().filter_map(|id| {
-            let job = self.jobs.get(&id.job).filter(|job| job.is_open())?;
-            self.waiting_job(pool, id, job, &capacity)
-        });
-        let jobs: Vec<WaitingJob<'_>> = jobs
-            .chain(self.expected_jobs(pool, &capacity, now))
+    ) {
+        shortage.capacity = self.finite_capacity(candidates);
+        let rate = shortage.throughput.measure(now);
+        let views = self.views(pool, candidates, &shortage.capacity, rate, now);
+        let counts = shortage.counts.iter();
+        let counts: QueueCounts<'_> = counts
+            .map(|(queue, counts)| (queue.as_str(), *counts))
             .collect();
-        divide(&jobs, room, now)
+        let division = divide(&views.jobs, views.room, &views.shares, counts, now);
+        let waiting = views.jobs.iter().filter(|job| !job.is_expected);
+        let sizes: HashMap<JobOccurrence, SizeGroup> =
+            waiting.map(|job| (job.id, job.size)).collect();
+        self.place(shortage, &division, &sizes, now);
+        shortage.summary.log(pool, &division, rate, now);
     }
 
-    /// Returns the jobs that will arrive if those that arrived lately come again.
-    fn expected_jobs<'a>(
-        &'a self,
-        pool: &'a str,
-        capacity: &'a Resources,
+    /// Replaces the classes of a pool's jobs, and counts the jobs that were deferred or no
+    /// longer wait.
+    fn place(
+        &mut self,
+        shortage: &mut PoolShortage,
+        division: &Division,
+        sizes: &HashMap<JobOccurrence, SizeGroup>,
         now: Duration,
-    ) -> impl Iterator<Item = WaitingJob<'a>> {
-        let recent = self.recent.get(pool).into_iter();
-        recent
-            .flat_map(move |recent| recent.recent(now))
-            .filter_map(move |id| {
-                let job = self.jobs.get(&id)?;
-                let queue = self.configuration.queue(&job.spec.queue)?;
-                // The job may have ended, which drops its critical paths.
-                let objective = objective_of(&job.spec.critical_paths(), queue);
-                if queue.pool != pool || objective.is_zero() {
-                    return None;
-                }
-                let steps = job.spec.steps.iter().filter(|step| !step.is_lasting);
-                let work_ms = steps.map(|step| {
-                    let part = part_of(&step.counted_resources(), capacity);
-                    part * f64::from(step.count) * millis(step.estimated)
-                });
-                let arrives_at = job.known_at + LOOK_AHEAD;
-                let due = arrives_at + objective;
-                Some(WaitingJob {
-                    id: JobOccurrence {
-                        job: id,
-                        occurrence: 0,
-                    },
-                    queue: &queue.name,
-                    workspace: job.spec.workspace.as_deref(),
-                    urgency: queue.urgency,
-                    due,
-                    useful_until: due + objective * (USEFUL_OBJECTIVES - 1),
-                    shortest: Duration::ZERO,
-                    work_ms: work_ms.sum(),
-                    value: self.value_of(job, queue),
-                    is_expected: true,
-                })
-            })
-    }
-
-    fn value_of(&self, job: &Job, queue: &Queue) -> f64 {
-        let sizes = self.sizes.get(&queue.name);
-        sizes.map_or(1.0, |sizes| sizes.value_of(&job.spec))
-    }
-
-    /// Returns the view of a job with waiting tasks; `None` if it takes no part in a
-    /// division.
-    fn waiting_job<'a>(
-        &'a self,
-        pool: &str,
-        id: JobOccurrence,
-        job: &'a Job,
-        capacity: &Resources,
-    ) -> Option<WaitingJob<'a>> {
-        let queue = self.configuration.queue(&job.spec.queue)?;
-        let objective = objective_of(&job.critical_paths, queue);
-        if queue.pool != pool || objective.is_zero() {
-            return None;
+    ) {
+        let earlier = std::mem::take(&mut shortage.placed);
+        for (id, &placing) in division {
+            let is_deferred = placing.class > Class::OnTime;
+            let since = earlier.get(id).and_then(|placed| placed.deferred_since);
+            let queue = self.jobs.get(&id.job).map(|job| &job.spec.queue);
+            if let Some(queue) = queue.filter(|_| is_deferred && since.is_none()) {
+                self.deferrals.on_deferred(queue, *id, placing);
+            }
+            let placed = Placed {
+                placing,
+                size: sizes.get(id).copied().unwrap_or_default(),
+                deferred_since: is_deferred.then_some(since.unwrap_or(now)),
+            };
+            shortage.placed.insert(*id, placed);
         }
-        let occurrence = job.occurrences.get(&id.occurrence)?;
-        let mut work_ms = 0.0;
-        let mut shortest = Duration::ZERO;
-        for (index, (step, state)) in job.spec.steps.iter().zip(&occurrence.steps).enumerate() {
-            if step.is_lasting || state.is_done() {
+        for (id, placed) in earlier {
+            let is_deferred = shortage
+                .placed
+                .get(&id)
+                .map(|now| now.deferred_since.is_some());
+            let Some(job) = self.jobs.get(&id.job) else {
                 continue;
+            };
+            if let Some(since) = placed.deferred_since.filter(|_| is_deferred != Some(true)) {
+                self.deferrals
+                    .on_over(&job.spec.queue, now.saturating_sub(since));
             }
-            let waiting = state.tasks.waiting();
-            let path = job.critical_paths[index];
-            if waiting == 0 {
-                shortest = shortest.max(path.saturating_sub(step.estimated));
-                continue;
+            if is_deferred.is_none() {
+                let counts = shortage.counts.entry(job.spec.queue.clone()).or_default();
+                counts.note(placed.size, placed.deferred_since.is_some());
             }
-            shortest = shortest.max(path);
-            let resources = step.counted_resources();
-            work_ms += part_of(&resources, capacity) * waiting as f64 * millis(step.estimated);
         }
-        let due = due_of(job, queue, id.occurrence);
-        let workspace = job.spec.workspace.as_deref();
-        // A job that waits for the limit of its workspace takes no capacity.
-        let is_limited = !self.is_within_cap(workspace, &smallest_task(job));
-        (work_ms > 0.0 && !is_limited).then(|| WaitingJob {
-            id,
-            queue: &queue.name,
-            workspace,
-            urgency: queue.urgency,
-            due,
-            useful_until: due + objective * (USEFUL_OBJECTIVES - 1),
-            shortest,
-            work_ms,
-            value: self.value_of(job, queue),
-            is_expected: false,
-        })
     }
-}
 
-/// Returns the least amount of each resource that a task of the job reserves.
-fn smallest_task(job: &Job) -> Resources {
-    let tasks = job.spec.steps.iter().map(crate::Step::counted_resources);
-    let smallest = tasks.reduce(|one, other| one.min(&other));
-    smallest.unwrap_or_default()
-}
-
-/// Returns the largest part of a capacity that the resources take.
-fn part_of(resources: &Resources, capacity: &Resources) -> f64 {
-    let part = |wanted: u64, capacity: u64| wanted as f64 / capacity.max(1) as f64;
-    part(resources.cpu_milli, capacity.cpu_milli)
-        .max(part(resources.memory_mb, capacity.memory_mb))
-        .max(part(resources.accelerators, capacity.accelerators))
-}
-
-fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1000.0
+    /// Records that a task is started.
+    pub(crate) fn note_start(&mut self, pool: &str, step: &Step) {
+        if let Some(shortage) = self.shortage.get_mut(pool).filter(|_| !step.is_lasting) {
+            let part = part_of(&step.counted_resources(), &shortage.capacity);
+            shortage.throughput.on_start(part * millis(step.estimated));
+        }
+    }
 }
