Put back workspaces that plan twice as much as the others

Cause: a workspace that sends several times its load in a burst took the pool's capacity from the others.

Change: of the jobs that cannot all end in time, those of workspaces whose planned work for their weight is more than twice that of the others go first. Deferrals are counted and logged.

--- a/crates/dotterelsill_jobs/src/shortage/candidates.rs
+++ b/crates/dotterelsill_jobs/src/shortage/candidates.rs
@@ -9,75 +9,56 @@
 };
 
 use super::{
-    large::QueueCounts,
     shares::PlannedShares,
-    SizeGroup,
     Term,
     WaitingJob, //
 };
 
-/// Maximum number of workspaces above their share that are compared with each other;
+/// Maximum number of workspaces above their share that are compared with each other, which
 /// bounds the cost of a choice. The others count as one.
 const MAX_COMPARED: usize = 32;
 
-/// Jobs that have the same precedence in deferral, apart from their cost.
-type Group<'a> = (Option<&'a str>, &'a str, SizeGroup);
-
-/// Planned jobs, by what decides on their deferral.
+/// Planned jobs from which one is chosen to be put back.
 #[derive(Debug)]
-pub(super) struct Candidates<'a, 'b> {
-    groups: BTreeMap<Group<'a>, BinaryHeap<Cheapest<'a>>>,
+pub(super) struct Candidates<'a> {
+    /// Jobs of each compared workspace; those of all others are below `None`.
+    groups: BTreeMap<Option<&'a str>, BinaryHeap<Cheapest<'a>>>,
     /// Workspaces that were above their share at first, sorted.
     compared: Vec<&'a str>,
     shares: PlannedShares<'a>,
-    counts: &'b mut QueueCounts<'a>,
 }
 
-impl<'a, 'b> Candidates<'a, 'b> {
-    pub(super) fn new(shares: PlannedShares<'a>, counts: &'b mut QueueCounts<'a>) -> Self {
-        let mut above = shares.above();
-        above.truncate(MAX_COMPARED);
-        above.sort_unstable();
+impl<'a> Candidates<'a> {
+    pub(super) fn new(shares: PlannedShares<'a>) -> Self {
+        let mut compared = shares.above();
+        compared.truncate(MAX_COMPARED);
+        compared.sort_unstable();
         Self {
             groups: BTreeMap::new(),
-            compared: above,
+            compared,
             shares,
-            counts,
         }
     }
 
     pub(super) fn push(&mut self, job: &'a WaitingJob<'a>) {
         let is_compared = |name: &&str| self.compared.binary_search(name).is_ok();
-        let group = (job.workspace.filter(is_compared), job.queue, job.size);
+        let group = job.workspace.filter(is_compared);
         self.groups.entry(group).or_default().push(Cheapest(job));
     }
 
-    /// Takes out the job to put back: one that is not protected, of the workspace that is
-    /// the most above its share, and the one that costs the least for its capacity.
+    /// Takes out the job to put back: one of the workspace that is the most above its
+    /// share, and the one that costs the least for its capacity.
     pub(super) fn pop(&mut self) -> Option<(&'a WaitingJob<'a>, Term)> {
-        let precedence = |(group, jobs): (&Group<'a>, &BinaryHeap<Cheapest<'a>>)| {
-            let (workspace, queue, size) = *group;
-            let cheapest = *jobs.peek()?;
-            let counts = self.counts.get(queue);
-            let may_defer = counts.is_none_or(|counts| counts.may_defer(size));
-            let excess = self.shares.excess(workspace);
-            Some((may_defer, excess, cheapest, *group))
+        let of_group = |(group, jobs): (&Option<&'a str>, &BinaryHeap<Cheapest<'a>>)| {
+            let excess = self.shares.excess(*group).unwrap_or_default();
+            Some((excess, *jobs.peek()?, *group))
         };
-        let (_, excess, _, group) = self.groups.iter().filter_map(precedence).max_by(
-            |(one_may, one_excess, one, _), (other_may, other_excess, other, _)| {
-                let excess = |excess: &Option<f64>| excess.unwrap_or_default();
-                one_may
-                    .cmp(other_may)
-                    .then(excess(one_excess).total_cmp(&excess(other_excess)))
-                    .then(one.cmp(other))
-            },
-        )?;
+        let groups = self.groups.iter().filter_map(of_group);
+        let (excess, _, group) = groups
+            .max_by(|one, other| one.0.total_cmp(&other.0).then_with(|| one.1.cmp(&other.1)))?;
         let Cheapest(job) = self.groups.get_mut(&group)?.pop()?;
         self.shares.remove(job);
-        if let Some(counts) = self.counts.get_mut(job.queue).filter(|_| !job.is_expected) {
-            counts.defer(job.size);
-        }
-        let term = if excess.is_some() {
+        let term = if excess > 0.0 {
             Term::Share
         } else {
             Term::Cost
--- a/crates/dotterelsill_jobs/src/shortage/division.rs
+++ b/crates/dotterelsill_jobs/src/shortage/division.rs
@@ -10,7 +10,6 @@
 use super::{
     ageing::aged,
     candidates::Candidates,
-    large::QueueCounts,
     shares::{
         PlannedShares,
         Shares, //
@@ -27,14 +26,12 @@
 /// run longer than estimated.
 const PLANNED_PART: f64 = 0.75;
 
-/// Divides the jobs of a pool into classes. More urgent jobs are planned first. `counts`
-/// are the earlier jobs of the queues by size. The cost is O(n log n) in the number of
-/// jobs, if they belong to a few queues.
+/// Divides the jobs of a pool into classes. More urgent jobs are planned first. The
+/// cost is O(n log n) in the number of jobs.
 pub fn divide<'a>(
     jobs: &'a [WaitingJob<'a>],
     room: Room,
     shares: &Shares<'a>,
-    counts: QueueCounts<'a>,
     now: Duration,
 ) -> Division {
     let mut order: Vec<&WaitingJob<'_>> = jobs.iter().collect();
@@ -42,14 +39,10 @@
     let mut plan = Plan {
         room,
         shares,
-        counts,
         planned_ms: room.running_ms,
         now,
         division: Division::with_capacity(jobs.len()),
     };
-    for job in jobs.iter().filter(|job| !job.is_expected) {
-        plan.counts.entry(job.queue).or_default().see(job.size);
-    }
     for jobs in order.chunk_by(|one, other| one.urgency == other.urgency) {
         plan.divide_equally_urgent(jobs.to_vec());
     }
@@ -60,7 +53,6 @@
 struct Plan<'a, 'b> {
     room: Room,
     shares: &'b Shares<'a>,
-    counts: QueueCounts<'a>,
     /// Work of the jobs that go before those that are not divided yet.
     planned_ms: f64,
     now: Duration,
@@ -79,9 +71,6 @@
         let (on_time, too_late): (Vec<&WaitingJob<'_>>, Vec<_>) = jobs
             .into_iter()
             .partition(|job| now + job.shortest <= job.due);
-        for job in &too_late {
-            self.counts.entry(job.queue).or_default().defer(job.size);
-        }
         on_time
             .iter()
             .for_each(|job| self.set(job, Class::OnTime, Term::Room));
@@ -124,9 +113,8 @@
             let time_left = deadline(job).saturating_sub(now);
             time_left.as_secs_f64() * 1000.0 * rate
         };
-        let horizon_ms = jobs.last().map_or(0.0, |job| capacity_ms(job));
-        let shares = PlannedShares::new(self.shares, jobs, horizon_ms);
-        let mut candidates = Candidates::new(shares, &mut self.counts);
+        let shares = PlannedShares::new(self.shares, jobs);
+        let mut candidates = Candidates::new(shares);
         let mut deferred = Vec::new();
         for job in jobs {
             self.planned_ms += job.work_ms;
--- a/crates/dotterelsill_jobs/src/shortage/mod.rs
+++ b/crates/dotterelsill_jobs/src/shortage/mod.rs
@@ -14,7 +14,6 @@
 mod deferrals;
 mod division;
 mod expected;
-mod large;
 mod pool;
 mod shares;
 mod sizes;
@@ -30,11 +29,6 @@
 pub use deferrals::DeferralCounts;
 pub use division::divide;
 pub(crate) use expected::RecentArrivals;
-pub use large::{
-    QueueCounts,
-    SizeCounts,
-    SizeGroup, //
-};
 pub(crate) use pool::PoolShortage;
 pub use shares::Shares;
 pub(crate) use sizes::QueueSizes;
@@ -88,8 +82,6 @@
     pub urgency: u32,
     /// Time of acceptance.
     pub accepted_at: Duration,
-    /// Group by size.
-    pub size: SizeGroup,
     /// End of the latency objective.
     pub due: Duration,
     /// Time after which the result is of no use.
--- a/crates/dotterelsill_jobs/src/shortage/pool.rs
+++ b/crates/dotterelsill_jobs/src/shortage/pool.rs
@@ -1,10 +1,7 @@
 //! Divisions of the jobs that wait for the pools of a scheduler.
 
 use std::{
-    collections::{
-        BTreeMap,
-        HashMap, //
-    },
+    collections::HashMap,
     time::Duration, //
 };
 
@@ -19,10 +16,7 @@
     Class,
     Division,
     JobOccurrence,
-    Placing,
-    QueueCounts,
-    SizeCounts,
-    SizeGroup, //
+    Placing, //
 };
 use crate::{
     placement::Candidates,
@@ -38,7 +32,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Placed {
     pub(crate) placing: Placing,
-    size: SizeGroup,
     /// Time since which the job is deferred.
     pub(crate) deferred_since: Option<Duration>,
 }
@@ -49,8 +42,6 @@
     divided_at: Option<Duration>,
     /// Classes of the jobs; empty while the waiting work fits into the free room.
     pub(crate) placed: HashMap<JobOccurrence, Placed>,
-    /// Earlier jobs by queue.
-    counts: BTreeMap<String, SizeCounts>,
     capacity: Resources,
     throughput: Throughput,
     summary: Summary,
@@ -65,7 +56,7 @@
             shortage.divided_at = Some(now);
             if self.fits_free_room(pool, candidates) {
                 shortage.throughput.on_free_room();
-                self.place(&mut shortage, &Division::new(), &HashMap::new(), now);
+                self.place(&mut shortage, &Division::new(), now);
             } else {
                 self.divide_full_pool(pool, &mut shortage, candidates, now);
             }
@@ -101,27 +92,13 @@
         shortage.capacity = self.finite_capacity(candidates);
         let rate = shortage.throughput.measure(now);
         let views = self.views(pool, candidates, &shortage.capacity, rate, now);
-        let counts = shortage.counts.iter();
-        let counts: QueueCounts<'_> = counts
-            .map(|(queue, counts)| (queue.as_str(), *counts))
-            .collect();
-        let division = divide(&views.jobs, views.room, &views.shares, counts, now);
-        let waiting = views.jobs.iter().filter(|job| !job.is_expected);
-        let sizes: HashMap<JobOccurrence, SizeGroup> =
-            waiting.map(|job| (job.id, job.size)).collect();
-        self.place(shortage, &division, &sizes, now);
+        let division = divide(&views.jobs, views.room, &views.shares, now);
+        self.place(shortage, &division, now);
         shortage.summary.log(pool, &division, rate, now);
     }
 
-    /// Replaces the classes of a pool's jobs, and counts the jobs that were deferred or no
-    /// longer wait.
-    fn place(
-        &mut self,
-        shortage: &mut PoolShortage,
-        division: &Division,
-        sizes: &HashMap<JobOccurrence, SizeGroup>,
-        now: Duration,
-    ) {
+    /// Replaces the classes of a pool's jobs, and counts the deferred jobs.
+    fn place(&mut self, shortage: &mut PoolShortage, division: &Division, now: Duration) {
         let earlier = std::mem::take(&mut shortage.placed);
         for (id, &placing) in division {
             let is_deferred = placing.class > Class::OnTime;
@@ -132,26 +109,18 @@
             }
             let placed = Placed {
                 placing,
-                size: sizes.get(id).copied().unwrap_or_default(),
                 deferred_since: is_deferred.then_some(since.unwrap_or(now)),
             };
             shortage.placed.insert(*id, placed);
         }
         for (id, placed) in earlier {
-            let is_deferred = shortage
-                .placed
-                .get(&id)
-                .map(|now| now.deferred_since.is_some());
-            let Some(job) = self.jobs.get(&id.job) else {
+            let is_deferred = |placed: &Placed| placed.deferred_since.is_some();
+            if shortage.placed.get(&id).is_some_and(is_deferred) {
                 continue;
-            };
-            if let Some(since) = placed.deferred_since.filter(|_| is_deferred != Some(true)) {
-                self.deferrals
-                    .on_over(&job.spec.queue, now.saturating_sub(since));
             }
-            if is_deferred.is_none() {
-                let counts = shortage.counts.entry(job.spec.queue.clone()).or_default();
-                counts.note(placed.size, placed.deferred_since.is_some());
+            if let (Some(job), Some(since)) = (self.jobs.get(&id.job), placed.deferred_since) {
+                let took = now.saturating_sub(since);
+                self.deferrals.on_over(&job.spec.queue, took);
             }
         }
     }
--- a/crates/dotterelsill_jobs/src/shortage/shares.rs
+++ b/crates/dotterelsill_jobs/src/shortage/shares.rs
@@ -17,12 +17,16 @@
     pub running_ms: HashMap<&'a str, f64>,
 }
 
-/// Planned work of the workspaces with a weight.
+/// Ratio of a workspace's planned work for its weight to that of the other workspaces from
+/// which on it is above its share. Below it, the difference may be that of a few jobs, and
+/// deferral by cost serves more callers.
+const EXCESS_RATIO: f64 = 2.0;
+
+/// Planned work of the workspaces with a weight that have any.
 #[derive(Debug, Default)]
 pub(super) struct PlannedShares<'a> {
     workspaces: HashMap<&'a str, Planned>,
-    /// Planned work for each unit of weight up to which a workspace is within its share.
-    level_ms: f64,
+    total: Planned,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -32,64 +36,60 @@
 }
 
 impl<'a> PlannedShares<'a> {
-    /// Plans all given jobs for a pool that finishes `capacity_ms` of work.
-    pub(super) fn new(shares: &Shares<'a>, jobs: &[&WaitingJob<'a>], capacity_ms: f64) -> Self {
+    /// Plans all given jobs.
+    pub(super) fn new(shares: &Shares<'a>, jobs: &[&WaitingJob<'a>]) -> Self {
         let mut planned = Self::default();
-        for job in jobs {
-            let weight = job.workspace.and_then(|name| shares.weights.get(name));
-            let (Some(name), Some(&weight)) = (job.workspace, weight.filter(|&&w| w > 0)) else {
+        let running = shares.running_ms.iter().map(|(name, ms)| (*name, *ms));
+        let waiting = jobs.iter().map(|job| (job.workspace, job.work_ms));
+        let waiting = waiting.filter_map(|(name, ms)| Some((name?, ms)));
+        for (name, work_ms) in running.chain(waiting) {
+            let weight = shares.weights.get(name).copied().unwrap_or_default();
+            if weight == 0 {
                 continue;
-            };
-            let running_ms = shares.running_ms.get(name).copied().unwrap_or_default();
-            let entry = planned.workspaces.entry(name).or_insert(Planned {
-                weight: weight as f64,
-                planned_ms: running_ms,
+            }
+            let weight = weight as f64;
+            let total = &mut planned.total;
+            let entry = planned.workspaces.entry(name).or_insert_with(|| {
+                total.weight += weight;
+                Planned {
+                    weight,
+                    planned_ms: 0.0,
+                }
             });
-            entry.planned_ms += job.work_ms;
+            entry.planned_ms += work_ms;
+            total.planned_ms += work_ms;
         }
-        planned.level_ms = level_of(planned.workspaces.values().copied(), capacity_ms);
         planned
     }
 
     /// Returns the workspaces above their share, those that are the most above it first.
     pub(super) fn above(&self) -> Vec<&'a str> {
-        let names = self.workspaces.keys();
-        let excess = |name: &'a str| Some((self.excess(Some(name))?, name));
-        let mut above: Vec<(f64, &str)> = names.filter_map(|name| excess(name)).collect();
+        let names = self.workspaces.keys().copied();
+        let excess = |name| Some((self.excess(Some(name))?, name));
+        let mut above: Vec<(f64, &str)> = names.filter_map(excess).collect();
         above.sort_unstable_by(|one, other| other.0.total_cmp(&one.0).then(one.1.cmp(other.1)));
         above.into_iter().map(|(_, name)| name).collect()
     }
 
-    /// Returns by how much a workspace exceeds its share, as the ratio of its planned work
-    /// to it; `None` if it does not, or has no weight.
+    /// Returns the ratio of a workspace's planned work for its weight to that of the other
+    /// workspaces; `None` if it is within its share or has no weight, or if there are no
+    /// others.
     pub(super) fn excess(&self, workspace: Option<&str>) -> Option<f64> {
         let planned = self.workspaces.get(workspace?)?;
-        let ratio = planned.planned_ms / (planned.weight * self.level_ms).max(f64::MIN_POSITIVE);
-        (ratio > 1.0).then_some(ratio)
+        let others_weight = self.total.weight - planned.weight;
+        if others_weight <= 0.0 {
+            return None;
+        }
+        let others = (self.total.planned_ms - planned.planned_ms).max(0.0) / others_weight;
+        let ratio = planned.planned_ms / planned.weight / others.max(f64::MIN_POSITIVE);
+        (ratio > EXCESS_RATIO).then_some(ratio)
     }
 
     /// Removes a job that is put back.
     pub(super) fn remove(&mut self, job: &WaitingJob<'_>) {
         if let Some(planned) = job.workspace.and_then(|name| self.workspaces.get_mut(name)) {
             planned.planned_ms -= job.work_ms;
+            self.total.planned_ms -= job.work_ms;
         }
     }
 }
-
-/// Returns the level, in work for each unit of weight, at which workspaces that plan no
-/// more than it, and the others with it, use the whole capacity.
-fn level_of(workspaces: impl Iterator<Item = Planned>, capacity_ms: f64) -> f64 {
-    let mut workspaces: Vec<Planned> = workspaces.collect();
-    let level = |planned: &Planned| planned.planned_ms / planned.weight;
-    workspaces.sort_unstable_by(|one, other| level(one).total_cmp(&level(other)));
-    let mut weight_left: f64 = workspaces.iter().map(|planned| planned.weight).sum();
-    let mut left_ms = capacity_ms;
-    for planned in &workspaces {
-        if level(planned) * weight_left > left_ms {
-            return left_ms.max(0.0) / weight_left;
-        }
-        left_ms -= planned.planned_ms;
-        weight_left -= planned.weight;
-    }
-    f64::INFINITY
-}
--- a/crates/dotterelsill_jobs/src/shortage/sizes.rs
+++ b/crates/dotterelsill_jobs/src/shortage/sizes.rs
@@ -2,19 +2,11 @@
 
 use std::collections::VecDeque;
 
-use super::SizeGroup;
 use crate::JobSpec;
 
-/// Number of jobs that are remembered, enough for the percentiles of a queue.
+/// Number of jobs that are remembered, enough for the mean of a queue.
 const MAX_SIZES: usize = 256;
 
-/// Minimum number of jobs for groups by size.
-const MIN_SIZES: usize = 20;
-
-/// Parts of the jobs of a queue that are large.
-const LARGE_PART: f64 = 0.3;
-const LARGEST_PART: f64 = 0.1;
-
 /// Part of the value of a mean job that each job has, whatever its size.
 const FIXED_VALUE: f64 = 0.3;
 
@@ -24,8 +16,6 @@
 pub(crate) struct QueueSizes {
     sizes: VecDeque<u64>,
     sum: u64,
-    /// Sizes above which a job is large, and among the largest.
-    large_above: Option<(u64, u64)>,
 }
 
 impl QueueSizes {
@@ -38,21 +28,6 @@
             let oldest = self.sizes.pop_front().unwrap_or_default();
             self.sum = self.sum.saturating_sub(oldest);
         }
-        let mut sorted: Vec<u64> = self.sizes.iter().copied().collect();
-        sorted.sort_unstable_by(|one, other| other.cmp(one));
-        let from = |part: f64| sorted[(sorted.len() as f64 * part) as usize];
-        let is_enough = sorted.len() >= MIN_SIZES;
-        self.large_above = is_enough.then(|| (from(LARGE_PART), from(LARGEST_PART)));
-    }
-
-    /// Returns the group of a job.
-    pub(crate) fn group_of(&self, spec: &JobSpec) -> SizeGroup {
-        let size = size_of(spec);
-        match self.large_above {
-            Some((_, largest)) if size > largest => SizeGroup::Largest,
-            Some((large, _)) if size > large => SizeGroup::Large,
-            _ => SizeGroup::Other,
-        }
     }
 
     /// Returns the value of a job to callers; 1 for one of mean size.
--- a/crates/dotterelsill_jobs/src/shortage/views.rs
+++ b/crates/dotterelsill_jobs/src/shortage/views.rs
@@ -13,7 +13,6 @@
     JobOccurrence,
     Room,
     Shares,
-    SizeGroup,
     WaitingJob,
     USEFUL_OBJECTIVES, //
 };
@@ -139,7 +138,6 @@
                     workspace: job.spec.workspace.as_deref(),
                     urgency: queue.urgency,
                     accepted_at: arrives_at,
-                    size: self.size_of(job, queue),
                     due,
                     useful_until: due + objective * (USEFUL_OBJECTIVES - 1),
                     shortest: Duration::ZERO,
@@ -157,11 +155,6 @@
         sizes.map_or(1.0, |sizes| sizes.value_of(&job.spec))
     }
 
-    fn size_of(&self, job: &Job, queue: &Queue) -> SizeGroup {
-        let sizes = self.sizes.get(&queue.name);
-        sizes.map_or(SizeGroup::Other, |sizes| sizes.group_of(&job.spec))
-    }
-
     /// Returns the view of a job with waiting tasks; `None` if it takes no part in a
     /// division.
     fn waiting_job<'a>(
@@ -208,7 +201,6 @@
             workspace,
             urgency: queue.urgency,
             accepted_at: accepted_at(job, id.occurrence),
-            size: self.size_of(job, queue),
             due,
             useful_until: due + objective * (USEFUL_OBJECTIVES - 1),
             shortest,
