Keep the ages of jobs over a takeover, and show deferrals

Cause: after a change of the scheduler all jobs counted as new, and operators could not see why a job was put back.

--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -16,6 +16,7 @@
         Candidate,
         PlacementRequest, //
     },
+    shortage::JobOccurrence,
     Resources,
     Scheduler,
     StepId, //
@@ -42,7 +43,22 @@
                 "not stored yet"
             },
         );
+        let queue = self.configuration.queue(&job.spec.queue);
+        let shortage = queue.and_then(|queue| self.shortage.get(&queue.pool));
         for step in steps_of(job) {
+            let id = JobOccurrence::of(step);
+            let placed = shortage.and_then(|shortage| shortage.placed.get(&id));
+            if let Some(placed) = placed.filter(|_| step.step == 0) {
+                let (class, term) = (placed.placing.class.name(), placed.placing.term.name());
+                let since = placed.deferred_since.unwrap_or(now);
+                let deferred_ms = now.saturating_sub(since).as_millis();
+                // Writing to a `String` cannot fail.
+                let _ = writeln!(
+                    text,
+                    "occurrence {}: class {class} by {term}, deferred for {deferred_ms} ms",
+                    step.occurrence
+                );
+            }
             let state = &job.occurrences[&step.occurrence].steps[step.step as usize];
             self.explain_step(&mut text, job, step, state, now);
         }
--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -15,6 +15,11 @@
 use crate::{
     job::Job,
     job_memory::memory_of_open,
+    shortage::{
+        age_of,
+        MAX_RESTORED_AGE,
+        MAX_SUBMITTED_AGE, //
+    },
     JobId,
     JobSpec,
     Scheduler,
@@ -54,6 +59,10 @@
     ) -> Result<(), SpecError> {
         let spec = Arc::new(JobSpec::try_from(record)?);
         let mut job = Job::new(id, spec, self.token, now);
+        if let Some((known_at, unix)) = self.wall_clock {
+            let unix = unix + now.saturating_sub(known_at);
+            job.age_when_known = age_of(job.spec.accepted_unix, unix, MAX_RESTORED_AGE);
+        }
         if let Some((progress, revision)) = progress {
             job.restore(progress, revision);
             self.restore_unended(id, progress);
@@ -77,7 +86,8 @@
                 let recent = self.recent.entry(queue.pool.clone()).or_default();
                 recent.note(id, now);
             }
-            let job = Job::new(id, Arc::new(spec), self.token, now);
+            let mut job = Job::new(id, Arc::new(spec), self.token, now);
+            job.age_when_known = age_of(job.spec.accepted_unix, unix, MAX_SUBMITTED_AGE);
             self.add(job, now);
             let mut open_steps = self.open_recurring_steps();
             self.open_due(id, unix, &mut open_steps);
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -151,6 +151,9 @@
     pub(crate) deferrals: DeferralCounts,
     /// Jobs that arrived lately, by pool.
     pub(crate) recent: BTreeMap<String, RecentArrivals>,
+    /// A time, and the same since the Unix epoch. Steps of the wall clock after it have
+    /// no effect.
+    pub(crate) wall_clock: Option<(Duration, Duration)>,
     /// Whether jobs are divided into classes when a pool has a shortage.
     pub(crate) divides_jobs: bool,
     /// Free processor time for new jobs, by pool.
@@ -208,6 +211,7 @@
             sizes: BTreeMap::new(),
             deferrals: DeferralCounts::default(),
             recent: BTreeMap::new(),
+            wall_clock: None,
             divides_jobs: true,
             free_cpu: BTreeMap::new(),
             overload: Overload::default(),
@@ -226,6 +230,12 @@
         self.has_authority = has_authority;
     }
 
+    /// Sets the time since the Unix epoch, from which the ages of restored jobs are
+    /// determined. Without it they count from their restoration.
+    pub fn set_wall_clock(&mut self, unix: Duration, now: Duration) {
+        self.wall_clock = Some((now, unix));
+    }
+
     /// Returns whether runs of an earlier scheduler may be active on a worker.
     ///
     /// The end of the earlier scheduler's leases is relied on only with authority:
--- a/crates/dotterelsill_jobs/src/shortage/mod.rs
+++ b/crates/dotterelsill_jobs/src/shortage/mod.rs
@@ -10,6 +10,7 @@
 //! planned, never whether one may start.
 
 mod ageing;
+mod ages;
 mod candidates;
 mod deferrals;
 mod division;
@@ -26,6 +27,11 @@
 };
 
 pub use ageing::AGED_AFTER;
+pub(crate) use ages::{
+    age_of,
+    MAX_RESTORED_AGE,
+    MAX_SUBMITTED_AGE, //
+};
 pub use deferrals::DeferralCounts;
 pub use division::divide;
 pub(crate) use expected::RecentArrivals;
--- a/crates/dotterelsill_jobs/tests/shortage/world.rs
+++ b/crates/dotterelsill_jobs/tests/shortage/world.rs
@@ -159,6 +159,7 @@
         let now = at(now_ms);
         let mut scheduler = common::scheduler(token, now);
         scheduler.configure(configuration(self.order), Arc::default());
+        scheduler.set_wall_clock(now, now);
         scheduler.set_division(self.order == StepOrder::Divided);
         for (number, job) in self.jobs[..jobs].iter().enumerate() {
             if self.took[number].is_none() {
--- a/crates/dotterelsill_node/src/load.rs
+++ b/crates/dotterelsill_node/src/load.rs
@@ -122,7 +122,7 @@
         Timer::after(REPORT_INTERVAL).await;
         let now = clock::now();
         let processor_time_used = clock::processor_time();
-        let (backlog, held_back, waiting_lasting, end_counts) = {
+        let (backlog, held_back, waiting_lasting, end_counts, deferrals) = {
             let mut scheduler = leadership.scheduler();
             let end_counts = scheduler.take_end_counts();
             let waiting_lasting = scheduler.waiting_lasting(LASTING_WAIT_THRESHOLD, now);
@@ -132,9 +132,11 @@
                 held_back,
                 waiting_lasting,
                 end_counts,
+                scheduler.take_deferral_counts(),
             )
         };
         metrics.on_ends(&end_counts);
+        metrics.on_deferrals(&deferrals);
         let orders_queued: usize = leadership.handles().values().map(|h| h.orders.len()).sum();
         let submissions = leadership.submissions.lock().len();
         let (dispatchers, workers_dispatched) = leadership.dispatch.dispatchers().in_use();
--- a/crates/dotterelsill_node/src/metrics.rs
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
-use dotterelsill_jobs::EndCounts;
+use dotterelsill_jobs::{
+    shortage::DeferralCounts,
+    EndCounts, //
+};
 use http::{
     Method,
     StatusCode, //
 };
 use prometheus::{
+    CounterVec,
     Encoder as _,
     Gauge,
     Histogram,
@@ -34,6 +38,8 @@
     store_durations: HistogramVec,
     dispatched_calls: IntCounterVec,
     runs_given_up: IntCounterVec,
+    jobs_deferred: IntCounterVec,
+    deferred_time: CounterVec,
     unknown_job_ends: IntCounter,
     done_after_given_up: IntCounter,
     loop_lateness: Histogram,
@@ -85,6 +91,20 @@
                 ),
                 &["reason"],
             )?,
+            jobs_deferred: IntCounterVec::new(
+                Opts::new(
+                    "dotterelsill_jobs_deferred_total",
+                    "Jobs that a shortage deferred, by what decided on it",
+                ),
+                &["queue", "term"],
+            )?,
+            deferred_time: CounterVec::new(
+                Opts::new(
+                    "dotterelsill_jobs_deferred_seconds_total",
+                    "Time for which jobs were deferred by a shortage",
+                ),
+                &["queue"],
+            )?,
             unknown_job_ends: IntCounter::new(
                 "dotterelsill_unknown_job_ends_total",
                 "Ends listed by workers of runs whose job the scheduler does not know",
@@ -120,6 +140,8 @@
         registry.register(Box::new(metrics.store_durations.clone()))?;
         registry.register(Box::new(metrics.dispatched_calls.clone()))?;
         registry.register(Box::new(metrics.runs_given_up.clone()))?;
+        registry.register(Box::new(metrics.jobs_deferred.clone()))?;
+        registry.register(Box::new(metrics.deferred_time.clone()))?;
         registry.register(Box::new(metrics.unknown_job_ends.clone()))?;
         registry.register(Box::new(metrics.done_after_given_up.clone()))?;
         registry.register(Box::new(metrics.loop_lateness.clone()))?;
@@ -179,6 +201,20 @@
         self.done_after_given_up.inc_by(counts.done_after_given_up);
     }
 
+    /// Adds the deferrals that the scheduler has counted.
+    pub(crate) fn on_deferrals(&self, counts: &DeferralCounts) {
+        for ((queue, term), count) in &counts.jobs {
+            self.jobs_deferred
+                .with_label_values(&[queue.as_str(), term.name()])
+                .inc_by(*count);
+        }
+        for (queue, took) in &counts.deferred {
+            self.deferred_time
+                .with_label_values(&[queue.as_str()])
+                .inc_by(took.as_secs_f64());
+        }
+    }
+
     /// Records by how much a sample of the event loop was late.
     pub(crate) fn on_loop_wake(&self, late: Duration) {
         self.loop_lateness.observe(late.as_secs_f64());
--- a/crates/dotterelsill_node/src/scheduling.rs
+++ b/crates/dotterelsill_node/src/scheduling.rs
@@ -183,6 +183,8 @@
     }
     node.metrics
         .on_ends(&leadership.scheduler().take_end_counts());
+    node.metrics
+        .on_deferrals(&leadership.scheduler().take_deferral_counts());
     node.leadership.store(None);
     node.metrics.is_scheduling.set(0);
     node.metrics.dispatched_workers.set(0);
@@ -196,6 +198,7 @@
     let mut scheduler = Scheduler::new(token, leadership::limits(&node.settings), clock::now());
     let view = node.operators.view();
     scheduler.configure(view.configuration.clone(), view.requests.clone());
+    scheduler.set_wall_clock(clock::unix(), clock::now());
     scheduler
 }
 
