--- a/crates/dotterelsill_jobs/src/arrivals.rs
+++ b/crates/dotterelsill_jobs/src/arrivals.rs
@@ -59,7 +59,7 @@
 
 /// Returns the work of all tasks that end by themselves, in millicores times
 /// milliseconds.
-fn work_of(spec: &JobSpec) -> u64 {
+pub(crate) fn work_of(spec: &JobSpec) -> u64 {
     let steps = spec.steps.iter().filter(|step| !step.is_lasting);
     let work = steps.map(|step| {
         let task = step.counted_resources().cpu_milli * step.estimated.as_millis() as u64;
--- a/crates/dotterelsill_jobs/src/shortage/sizes.rs
+++ b/crates/dotterelsill_jobs/src/shortage/sizes.rs
@@ -2,7 +2,10 @@
 
 use std::collections::VecDeque;
 
-use crate::JobSpec;
+use crate::{
+    arrivals::work_of,
+    JobSpec, //
+};
 
 /// Number of jobs that are remembered, enough for the mean of a queue.
 const MAX_SIZES: usize = 256;
@@ -21,7 +24,7 @@
 impl QueueSizes {
     /// Records a job.
     pub(crate) fn note(&mut self, spec: &JobSpec) {
-        let size = size_of(spec);
+        let size = work_of(spec);
         self.sizes.push_back(size);
         self.sum = self.sum.saturating_add(size);
         if self.sizes.len() > MAX_SIZES {
@@ -36,16 +39,6 @@
             return 1.0;
         }
         let mean = self.sum as f64 / self.sizes.len() as f64;
-        FIXED_VALUE + (1.0 - FIXED_VALUE) * size_of(spec) as f64 / mean
+        FIXED_VALUE + (1.0 - FIXED_VALUE) * work_of(spec) as f64 / mean
     }
 }
-
-/// Returns the size of a job, in millicores times milliseconds.
-pub(crate) fn size_of(spec: &JobSpec) -> u64 {
-    let steps = spec.steps.iter().filter(|step| !step.is_lasting);
-    let sizes = steps.map(|step| {
-        let task = step.counted_resources().cpu_milli * step.estimated.as_millis() as u64;
-        task.saturating_mul(step.count.into())
-    });
-    sizes.fold(0, u64::saturating_add)
-}
