--- a/crates/dotterelsill_jobs/src/rank.rs
+++ b/crates/dotterelsill_jobs/src/rank.rs
@@ -31,6 +31,9 @@
     urgency: u32,
     class: Class,
     latest_start: Duration,
+    /// Whether the job is in a division and no task of it has started: the work of a job
+    /// that has begun would be lost.
+    is_unbegun: bool,
 }
 
 impl Rank {
@@ -55,6 +58,7 @@
             urgency: queue.urgency,
             class: placing.map_or(by_time, |placing| placing.class),
             latest_start,
+            is_unbegun: placing.is_some() && !job.has_begun,
         }
     }
 }
@@ -88,6 +92,7 @@
                 rank.urgency,
                 rank.class,
                 rank.latest_start,
+                rank.is_unbegun,
                 rank.step,
             )
         };
