Store the age of a job in four bytes

Cause: the age as a duration made an ended job take 1,232 bytes, more than the estimate of 1,216 by which memory for jobs is limited.

Change: the age is kept in milliseconds. explain shows the class only of jobs that are deferred or have aged.

--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -16,7 +16,11 @@
         Candidate,
         PlacementRequest, //
     },
-    shortage::JobOccurrence,
+    shortage::{
+        Class,
+        JobOccurrence,
+        Placed, //
+    },
     Resources,
     Scheduler,
     StepId, //
@@ -48,7 +52,8 @@
         for step in steps_of(job) {
             let id = JobOccurrence::of(step);
             let placed = shortage.and_then(|shortage| shortage.placed.get(&id));
-            if let Some(placed) = placed.filter(|_| step.step == 0) {
+            let is_shown = |placed: &&Placed| placed.placing.class != Class::OnTime;
+            if let Some(placed) = placed.filter(is_shown).filter(|_| step.step == 0) {
                 let (class, term) = (placed.placing.class.name(), placed.placing.term.name());
                 let since = placed.deferred_since.unwrap_or(now);
                 let deferred_ms = now.saturating_sub(since).as_millis();
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -138,8 +138,8 @@
     pub(crate) phase: Phase,
     /// Time at which the scheduler learned of the job.
     pub(crate) known_at: Duration,
-    /// Age of the job at that time.
-    pub(crate) age_when_known: Duration,
+    /// Age of the job at that time, in milliseconds.
+    pub(crate) age_when_known_ms: u32,
     /// Time at which the job ended.
     pub(crate) ended_at: Option<Duration>,
     pub(crate) has_begun: bool,
@@ -180,7 +180,7 @@
             id,
             phase: Phase::Open,
             known_at: now,
-            age_when_known: Duration::ZERO,
+            age_when_known_ms: 0,
             ended_at: None,
             has_begun: false,
             is_restored: spec.accepted_token != token,
--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -16,7 +16,7 @@
     job::Job,
     job_memory::memory_of_open,
     shortage::{
-        age_of,
+        age_ms_of,
         MAX_RESTORED_AGE,
         MAX_SUBMITTED_AGE, //
     },
@@ -61,7 +61,7 @@
         let mut job = Job::new(id, spec, self.token, now);
         if let Some((known_at, unix)) = self.wall_clock {
             let unix = unix + now.saturating_sub(known_at);
-            job.age_when_known = age_of(job.spec.accepted_unix, unix, MAX_RESTORED_AGE);
+            job.age_when_known_ms = age_ms_of(job.spec.accepted_unix, unix, MAX_RESTORED_AGE);
         }
         if let Some((progress, revision)) = progress {
             job.restore(progress, revision);
@@ -87,7 +87,7 @@
                 recent.note(id, now);
             }
             let mut job = Job::new(id, Arc::new(spec), self.token, now);
-            job.age_when_known = age_of(job.spec.accepted_unix, unix, MAX_SUBMITTED_AGE);
+            job.age_when_known_ms = age_ms_of(job.spec.accepted_unix, unix, MAX_SUBMITTED_AGE);
             self.add(job, now);
             let mut open_steps = self.open_recurring_steps();
             self.open_due(id, unix, &mut open_steps);
--- a/crates/dotterelsill_jobs/src/rank.rs
+++ b/crates/dotterelsill_jobs/src/rank.rs
@@ -76,7 +76,8 @@
         Some(schedule) => schedule.interval.saturating_mul(occurrence),
         None => Duration::ZERO,
     };
-    (job.known_at + since_due).saturating_sub(job.age_when_known)
+    let age = Duration::from_millis(job.age_when_known_ms.into());
+    (job.known_at + since_due).saturating_sub(age)
 }
 
 /// Returns the time at which the latency objective of an occurrence of a job ends.
--- a/crates/dotterelsill_jobs/src/shortage/ages.rs
+++ b/crates/dotterelsill_jobs/src/shortage/ages.rs
@@ -15,12 +15,12 @@
 /// once it has aged, and may have become known late.
 pub(crate) const MAX_RESTORED_AGE: Duration = AGED_AFTER.saturating_add(MAX_SUBMITTED_AGE);
 
-/// Returns the age of a job by the time of its acceptance and that of now, since the Unix
+/// Returns the age of a job in milliseconds, by the time of its acceptance and that of now, since the Unix
 /// epoch. The clocks of two instances may differ and step by seconds, so the age is
 /// bounded by `longest`. It is zero if the time of acceptance is not recorded or ahead.
-pub(crate) fn age_of(accepted_unix: Duration, unix: Duration, longest: Duration) -> Duration {
+pub(crate) fn age_ms_of(accepted_unix: Duration, unix: Duration, longest: Duration) -> u32 {
     if accepted_unix.is_zero() {
-        return Duration::ZERO;
+        return 0;
     }
-    unix.saturating_sub(accepted_unix).min(longest)
+    unix.saturating_sub(accepted_unix).min(longest).as_millis() as u32
 }
--- a/crates/dotterelsill_jobs/src/shortage/mod.rs
+++ b/crates/dotterelsill_jobs/src/shortage/mod.rs
@@ -28,14 +28,17 @@
 
 pub use ageing::AGED_AFTER;
 pub(crate) use ages::{
-    age_of,
+    age_ms_of,
     MAX_RESTORED_AGE,
     MAX_SUBMITTED_AGE, //
 };
 pub use deferrals::DeferralCounts;
 pub use division::divide;
 pub(crate) use expected::RecentArrivals;
-pub(crate) use pool::PoolShortage;
+pub(crate) use pool::{
+    Placed,
+    PoolShortage, //
+};
 pub use shares::Shares;
 pub(crate) use sizes::QueueSizes;
 
