--- a/crates/dotterelsill_jobs/src/shortage/expected.rs
+++ b/crates/dotterelsill_jobs/src/shortage/expected.rs
@@ -15,7 +15,7 @@
 pub(crate) const LOOK_AHEAD: Duration = Duration::from_millis(1500);
 
 /// Maximum number of jobs of a pool that are remembered.
-const MAX_ARRIVALS: usize = 4000;
+const MAX_ARRIVALS: usize = 2000;
 
 /// Jobs of a pool that arrived lately, with the times of their arrival.
 #[derive(Debug, Default)]
