Merge order and shares under shortage

Jobs of a pool that is short of room are divided into classes by due time, worth, work and share (docs/design/order-under-shortage.md).

--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -29,6 +29,7 @@
     RunOutcome,
     Step,
     StepId,
+    TaskId,
     WorkerKey, //
 };
 
@@ -144,6 +145,8 @@
     pub(crate) phase: Phase,
     /// Time at which the scheduler learned of the job.
     pub(crate) known_at: Duration,
+    /// Age of the job at that time, in milliseconds.
+    pub(crate) age_when_known_ms: u32,
     /// Time at which the job ended.
     pub(crate) ended_at: Option<Duration>,
     pub(crate) has_begun: bool,
@@ -184,6 +187,7 @@
             id,
             phase: Phase::Open,
             known_at: now,
+            age_when_known_ms: 0,
             ended_at: None,
             has_begun: false,
             is_restored: spec.accepted_token != token,
@@ -374,6 +378,16 @@
         }
     }
 
+    /// Returns the time since the start of a run was ordered.
+    pub(crate) fn ran_for(&self, task: TaskId, attempt: u64, now: Duration) -> Duration {
+        let occurrence = self.occurrences.get(&task.step.occurrence);
+        let step = occurrence.and_then(|state| state.steps.get(task.step.step as usize));
+        let runs = step.and_then(|step| step.tasks.get(task.index as usize));
+        let mut runs = runs.into_iter().flat_map(|task| &task.runs);
+        let run = runs.find(|run| run.attempt == attempt);
+        run.map_or(Duration::ZERO, |run| now.saturating_sub(run.ordered_at))
+    }
+
     /// Returns whether any task has a run.
     pub(crate) fn has_runs(&self) -> bool {
         let steps = self.occurrences.values().flat_map(|state| &state.steps);
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -42,6 +42,7 @@
 mod resources;
 mod run_times;
 mod scheduler;
+pub mod shortage;
 mod spec;
 mod submissions;
 mod tasks;
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -25,6 +25,7 @@
     },
     rank::Rank,
     run_times::RunSpeed,
+    shortage::JobOccurrence,
     worker::BookedRun,
     Order,
     Resources,
@@ -85,6 +86,9 @@
     }
 
     fn plan_pool(&mut self, pool: &str, mut candidates: Candidates, now: Duration) {
+        if self.divides_jobs {
+            self.divide_pool(pool, &candidates, now);
+        }
         let ranks = self.ranks(pool, now, |resources| candidates.may_fit(resources));
         if ranks.is_empty() {
             return;
@@ -108,6 +112,7 @@
         };
         let mut ranks = Vec::new();
         let (jobs, configuration) = (&self.jobs, &self.configuration);
+        let division = self.shortage.get(pool).map(|shortage| &shortage.placed);
         let mut moved = Vec::new();
         ready.retain(|step| {
             let Some(job) = jobs.get(&step.job).filter(|job| job.is_open()) else {
@@ -125,7 +130,10 @@
                     let spec = &job.spec.steps[step.step as usize];
                     // Room is held back for long-running tasks that do not fit.
                     if spec.is_lasting || may_fit(&spec.counted_resources()) {
-                        ranks.push(Rank::new(*step, job, queue, now));
+                        let id = JobOccurrence::of(*step);
+                        let placing = division.and_then(|division| division.get(&id));
+                        let placing = placing.map(|placed| placed.placing);
+                        ranks.push(Rank::new(*step, job, queue, placing, now));
                     }
                     true
                 }
@@ -477,6 +485,10 @@
             );
         }
         self.add_usage(spec.workspace.clone(), &resources);
+        if let Some(queue) = self.configuration.queue(&spec.queue) {
+            let pool = queue.pool.clone();
+            self.note_start(&pool, step);
+        }
         self.overload.on_decided();
         log::debug!(task:%, attempt, worker = key.0; "task_placed");
         let worker = self.workers.get(&key).map(|worker| &worker.report.id);
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -25,6 +25,12 @@
     job_memory::JobMemory,
     overload::Overload,
     run_times::Stragglers,
+    shortage::{
+        DeferralCounts,
+        PoolShortage,
+        QueueSizes,
+        RecentArrivals, //
+    },
     unended::Unended,
     waves::WaveState,
     worker::{
@@ -139,6 +145,19 @@
     pub(crate) tickets: BTreeMap<StepId, Tickets>,
     /// Arrival rates, by pool.
     pub(crate) arrivals: BTreeMap<String, Arrivals>,
+    /// Order of the jobs of pools with a shortage, by pool.
+    pub(crate) shortage: BTreeMap<String, PoolShortage>,
+    /// Sizes of the latest jobs, by queue.
+    pub(crate) sizes: BTreeMap<String, QueueSizes>,
+    /// Numbers of deferred jobs, for the metrics.
+    pub(crate) deferrals: DeferralCounts,
+    /// Jobs that arrived lately, by pool.
+    pub(crate) recent: BTreeMap<String, RecentArrivals>,
+    /// A time, and the same since the Unix epoch. Steps of the wall clock after it have
+    /// no effect.
+    pub(crate) wall_clock: Option<(Duration, Duration)>,
+    /// Whether jobs are divided into classes when a pool has a shortage.
+    pub(crate) divides_jobs: bool,
     /// Free processor time for new jobs, by pool.
     pub(crate) free_cpu: BTreeMap<String, FreeCpu>,
     /// Admission control for new jobs.
@@ -194,6 +213,12 @@
             idle_since: BTreeMap::new(),
             tickets: BTreeMap::new(),
             arrivals: BTreeMap::new(),
+            shortage: BTreeMap::new(),
+            sizes: BTreeMap::new(),
+            deferrals: DeferralCounts::default(),
+            recent: BTreeMap::new(),
+            wall_clock: None,
+            divides_jobs: true,
             free_cpu: BTreeMap::new(),
             overload: Overload::default(),
             given_up: GivenUpRuns::default(),
@@ -214,6 +239,12 @@
         self.has_authority = has_authority;
     }
 
+    /// Sets the time since the Unix epoch, from which the ages of restored jobs are
+    /// determined. Without it they count from their restoration.
+    pub fn set_wall_clock(&mut self, unix: Duration, now: Duration) {
+        self.wall_clock = Some((now, unix));
+    }
+
     /// Returns whether runs of an earlier scheduler may be active on a worker.
     ///
     /// The end of the earlier scheduler's leases is relied on only with authority:
@@ -246,6 +277,13 @@
         &self.run_times
     }
 
+    /// Sets whether jobs are divided into classes when a pool has a shortage. Otherwise
+    /// steps are ordered by latest start time alone.
+    pub fn set_division(&mut self, is_on: bool) {
+        self.divides_jobs = is_on;
+        self.shortage.clear();
+    }
+
     /// Returns the share of new jobs to refuse, in percent. It is above 0 while
     /// starts are late because jobs arrive faster than this scheduler can place
     /// them.
--- a/crates/dotterelsill_node/src/metrics.rs
+++ b/crates/dotterelsill_node/src/metrics.rs
@@ -9,6 +9,7 @@
 };
 
 use dotterelsill_jobs::{
+    shortage::DeferralCounts,
     EndCounts,
     PendingUnknown,
     RunCounts,
@@ -19,6 +20,7 @@
     StatusCode, //
 };
 use prometheus::{
+    CounterVec,
     Encoder as _,
     Gauge,
     GaugeVec,
@@ -47,6 +49,8 @@
     store_durations: HistogramVec,
     dispatched_calls: IntCounterVec,
     runs_given_up: IntCounterVec,
+    jobs_deferred: IntCounterVec,
+    deferred_time: CounterVec,
     unknown_job_ends: IntCounter,
     done_after_given_up: IntCounter,
     pending_unknown: IntCounterVec,
@@ -107,6 +111,20 @@
                 ),
                 &["reason"],
             )?,
+            jobs_deferred: IntCounterVec::new(
+                Opts::new(
+                    "dotterelsill_jobs_deferred_total",
+                    "Jobs that a shortage deferred, by what decided on it",
+                ),
+                &["queue", "term"],
+            )?,
+            deferred_time: CounterVec::new(
+                Opts::new(
+                    "dotterelsill_jobs_deferred_seconds_total",
+                    "Time for which jobs were deferred by a shortage",
+                ),
+                &["queue"],
+            )?,
             unknown_job_ends: IntCounter::new(
                 "dotterelsill_unknown_job_ends_total",
                 "Ends listed by workers of runs whose job the scheduler does not know",
@@ -180,6 +198,8 @@
         registry.register(Box::new(metrics.store_durations.clone()))?;
         registry.register(Box::new(metrics.dispatched_calls.clone()))?;
         registry.register(Box::new(metrics.runs_given_up.clone()))?;
+        registry.register(Box::new(metrics.jobs_deferred.clone()))?;
+        registry.register(Box::new(metrics.deferred_time.clone()))?;
         registry.register(Box::new(metrics.unknown_job_ends.clone()))?;
         registry.register(Box::new(metrics.done_after_given_up.clone()))?;
         registry.register(Box::new(metrics.pending_unknown.clone()))?;
@@ -281,6 +301,20 @@
         self.slow_workers.set(slow_workers as i64);
     }
 
+    /// Adds the deferrals that the scheduler has counted.
+    pub(crate) fn on_deferrals(&self, counts: &DeferralCounts) {
+        for ((queue, term), count) in &counts.jobs {
+            self.jobs_deferred
+                .with_label_values(&[queue.as_str(), term.name()])
+                .inc_by(*count);
+        }
+        for (queue, took) in &counts.deferred {
+            self.deferred_time
+                .with_label_values(&[queue.as_str()])
+                .inc_by(took.as_secs_f64());
+        }
+    }
+
     /// Records by how much a sample of the event loop was late.
     pub(crate) fn on_loop_wake(&self, late: Duration) {
         self.loop_lateness.observe(late.as_secs_f64());
--- a/crates/dotterelsill_node/src/scheduling.rs
+++ b/crates/dotterelsill_node/src/scheduling.rs
@@ -187,6 +187,8 @@
     leadership.load.report_pending_unknown(&node.metrics);
     node.metrics
         .on_slow_runs(&leadership.scheduler().take_run_counts(), 0);
+    node.metrics
+        .on_deferrals(&leadership.scheduler().take_deferral_counts());
     node.leadership.store(None);
     node.metrics.is_scheduling.set(0);
     node.metrics.dispatched_workers.set(0);
@@ -201,6 +203,7 @@
     let mut scheduler = Scheduler::new(token, leadership::limits(&node.settings), clock::now());
     let view = node.operators.view();
     scheduler.configure(view.configuration.clone(), view.requests.clone());
+    scheduler.set_wall_clock(clock::unix(), clock::now());
     scheduler
 }
 
