--- a/crates/dotterelsill_jobs/src/shortage/deferrals.rs
+++ b/crates/dotterelsill_jobs/src/shortage/deferrals.rs
@@ -75,7 +75,8 @@
         }
         self.logged_at = Some(now);
         log::info!(
-            pool, aged = of_class(Class::Aged), on_time = of_class(Class::OnTime),
+            pool, aged = of_class(Class::Aged),
+            last_chance = of_class(Class::LastChance), on_time = of_class(Class::OnTime),
             late = of_class(Class::Late), no_capacity = of_class(Class::NoCapacity),
             no_use = of_class(Class::NoUse), by_time = of_term(Term::Time),
             by_cost = of_term(Term::Cost), by_share = of_term(Term::Share),
--- a/crates/dotterelsill_jobs/src/shortage/mod.rs
+++ b/crates/dotterelsill_jobs/src/shortage/mod.rs
@@ -15,6 +15,7 @@
 mod deferrals;
 mod division;
 mod expected;
+mod growing;
 mod pool;
 mod shares;
 mod sizes;
@@ -35,6 +36,7 @@
 pub use deferrals::DeferralCounts;
 pub use division::divide;
 pub(crate) use expected::RecentArrivals;
+pub use growing::divide_by_time;
 pub(crate) use pool::{
     Placed,
     PoolShortage, //
@@ -125,6 +127,8 @@
 pub enum Class {
     /// The job has waited so long that it goes first.
     Aged,
+    /// The result will be of no use unless the job starts soon.
+    LastChance,
     /// The job is planned to end within its objective.
     OnTime,
     /// The job is planned to end late, while its result is of some use.
@@ -140,6 +144,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Aged => "aged",
+            Self::LastChance => "last_chance",
             Self::OnTime => "on_time",
             Self::Late => "late",
             Self::NoCapacity => "no_capacity",
--- a/crates/dotterelsill_jobs/src/shortage/pool.rs
+++ b/crates/dotterelsill_jobs/src/shortage/pool.rs
@@ -8,6 +8,7 @@
 use super::{
     deferrals::Summary,
     divide,
+    divide_by_time,
     throughput::Throughput,
     views::{
         millis,
@@ -20,6 +21,7 @@
 };
 use crate::{
     placement::Candidates,
+    InstanceAction,
     Resources,
     Scheduler,
     Step, //
@@ -28,6 +30,10 @@
 /// Minimum time between two divisions of a pool.
 const DIVISION_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time after the last sign of an arriving instance for which room counts as on its way:
+/// a move, the registration of the worker and the first reading of its status.
+const GROWTH_TIME: Duration = Duration::from_secs(3);
+
 /// A job in a division.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Placed {
@@ -43,6 +49,8 @@
     /// Classes of the jobs; empty while the waiting work fits into the free room.
     pub(crate) placed: HashMap<JobOccurrence, Placed>,
     capacity: Resources,
+    /// Time until which room counts as on its way.
+    grows_until: Duration,
     throughput: Throughput,
     summary: Summary,
 }
@@ -92,11 +100,33 @@
         shortage.capacity = self.finite_capacity(candidates);
         let rate = shortage.throughput.measure(now);
         let views = self.views(pool, candidates, &shortage.capacity, rate, now);
-        let division = divide(&views.jobs, views.room, &views.shares, now);
+        if self.is_room_coming(pool, now) {
+            shortage.grows_until = now + GROWTH_TIME;
+        }
+        let division = if now < shortage.grows_until {
+            divide_by_time(&views.jobs, now)
+        } else {
+            divide(&views.jobs, views.room, &views.shares, now)
+        };
         self.place(shortage, &division, now);
         shortage.summary.log(pool, &division, rate, now);
     }
 
+    /// Returns whether instances are being moved to a pool, or the workers that it has are
+    /// not all known yet after a takeover.
+    fn is_room_coming(&self, pool: &str, now: Duration) -> bool {
+        let mut ordered = self.instances.values().filter_map(|known| {
+            let order = known.ordered.as_ref()?;
+            match &order.action {
+                InstanceAction::Move { pool } => Some(pool),
+                InstanceAction::Maintain { .. } => None,
+            }
+        });
+        ordered.any(|destination| destination == pool)
+            || now < self.started_at + GROWTH_TIME
+            || !self.unread_data_centres(pool, now).is_empty()
+    }
+
     /// Replaces the classes of a pool's jobs, and counts the deferred jobs.
     fn place(&mut self, shortage: &mut PoolShortage, division: &Division, now: Duration) {
         let earlier = std::mem::take(&mut shortage.placed);
