--- a/crates/dotterelsill_jobs/src/shortage/pool.rs
+++ b/crates/dotterelsill_jobs/src/shortage/pool.rs
@@ -112,8 +112,8 @@
         shortage.summary.log(pool, &division, rate, now);
     }
 
-    /// Returns whether instances are being moved to a pool, or the workers that it has are
-    /// not all known yet after a takeover.
+    /// Returns whether instances are being moved to a pool, or not all of its workers were
+    /// read since a takeover.
     fn is_room_coming(&self, pool: &str, now: Duration) -> bool {
         let mut ordered = self.instances.values().filter_map(|known| {
             let order = known.ordered.as_ref()?;
@@ -123,7 +123,6 @@
             }
         });
         ordered.any(|destination| destination == pool)
-            || now < self.started_at + GROWTH_TIME
             || !self.unread_data_centres(pool, now).is_empty()
     }
 
