--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -49,7 +49,9 @@
                 let unseen = self.unseen_usage.entry(workspace).or_default();
                 unseen.add(&resources);
             }
-            for pool in self.waiting_pools() {
+            let pools = self.waiting_pools();
+            self.end_shortages(&pools, now);
+            for pool in pools {
                 let candidates = self.candidates_of(&pool, now);
                 if !candidates.list().is_empty() {
                     self.plan_pool(&pool, candidates, now);
--- a/crates/dotterelsill_jobs/src/shortage/pool.rs
+++ b/crates/dotterelsill_jobs/src/shortage/pool.rs
@@ -72,6 +72,20 @@
         self.shortage.insert(pool.to_owned(), shortage);
     }
 
+    /// Ends the shortages of pools without waiting steps.
+    pub(crate) fn end_shortages(&mut self, waiting: &[String], now: Duration) {
+        let pools = self.shortage.iter();
+        let pools =
+            pools.filter(|(pool, shortage)| !shortage.placed.is_empty() && !waiting.contains(pool));
+        let over: Vec<String> = pools.map(|(pool, _)| pool.clone()).collect();
+        for pool in over {
+            let mut shortage = self.shortage.remove(&pool).unwrap_or_default();
+            shortage.throughput.on_free_room();
+            self.place(&mut shortage, &Division::new(), now);
+            self.shortage.insert(pool, shortage);
+        }
+    }
+
     /// Returns whether all ready tasks of a pool fit into the free resources.
     fn fits_free_room(&self, pool: &str, candidates: &Candidates) -> bool {
         let mut wanted = Resources::default();
--- a/crates/dotterelsill_jobs/tests/shortage/order.rs
+++ b/crates/dotterelsill_jobs/tests/shortage/order.rs
@@ -41,6 +41,25 @@
     assert!(text.contains("class no_use by time"), "{text}");
 }
 
+/// Guards against a time of deferral that goes on after the job has begun and nothing waits.
+#[test]
+fn deferral_ends_when_nothing_waits() {
+    let mut scheduler = common::scheduler(1, NOW);
+    common::submit(&mut scheduler, 1, &accepted_at(NOW - ms(6900)), NOW);
+    common::submit(&mut scheduler, 2, &accepted_at(NOW - ms(3000)), NOW);
+    assert_eq!(first_of(&mut scheduler, NOW), 2);
+    common::add_worker(&mut scheduler, 1, NOW + ms(10));
+    assert_eq!(common::starts(&scheduler.plan(NOW + ms(10))).len(), 1);
+    for later in [ms(20), ms(70), ms(9000)] {
+        scheduler.replan();
+        assert!(scheduler.plan(NOW + later).is_empty());
+    }
+    let counts = scheduler.take_deferral_counts();
+    let jobs: u64 = counts.jobs.values().sum();
+    assert_eq!(jobs, 2);
+    assert!(counts.deferred["urgent"] <= ms(140), "{counts:?}");
+}
+
 /// Guards against jobs that count as new after a change of the scheduler.
 #[test]
 fn restored_job_keeps_its_age() {
