--- a/crates/dotterelsill_jobs/src/shortage/deferrals.rs
+++ b/crates/dotterelsill_jobs/src/shortage/deferrals.rs
@@ -66,11 +66,10 @@
         let of_term = |term| {
             let placings = division.values();
             placings
-                .filter(|p| p.class > Class::OnTime && p.term == term)
+                .filter(|p| p.class.is_deferred() && p.term == term)
                 .count() as u64
         };
-        if !self.logged_at.is_none_or(is_due) || division.values().all(|p| p.class <= Class::OnTime)
-        {
+        if !self.logged_at.is_none_or(is_due) || !division.values().any(|p| p.class.is_deferred()) {
             return;
         }
         self.logged_at = Some(now);
@@ -78,7 +77,8 @@
             pool, aged = of_class(Class::Aged),
             last_chance = of_class(Class::LastChance), on_time = of_class(Class::OnTime),
             late = of_class(Class::Late), no_capacity = of_class(Class::NoCapacity),
-            no_use = of_class(Class::NoUse), by_time = of_term(Term::Time),
+            no_use = of_class(Class::NoUse), ample = of_class(Class::Ample),
+            by_time = of_term(Term::Time),
             by_cost = of_term(Term::Cost), by_share = of_term(Term::Share),
             rate_percent = (rate * 100.0) as u64;
             "jobs_deferred"
--- a/crates/dotterelsill_jobs/src/shortage/division.rs
+++ b/crates/dotterelsill_jobs/src/shortage/division.rs
@@ -73,7 +73,7 @@
             .partition(|job| now + job.shortest <= job.due);
         on_time
             .iter()
-            .for_each(|job| self.set(job, Class::OnTime, Term::Room));
+            .for_each(|job| self.set(job, job.class_on_time(now), Term::Room));
         let mut rest = self.defer(&on_time, |job| job.due);
         rest.retain(|(job, _)| !job.is_expected);
         rest.extend(too_late.into_iter().map(|job| (job, Term::Time)));
--- a/crates/dotterelsill_jobs/src/shortage/growing.rs
+++ b/crates/dotterelsill_jobs/src/shortage/growing.rs
@@ -42,7 +42,7 @@
                 continue;
             }
             let (class, term) = if now + job.shortest <= job.due {
-                (Class::OnTime, Term::Room)
+                (job.class_on_time(now), Term::Room)
             } else if now > latest_start(job) {
                 (Class::NoUse, Term::Time)
             } else if now + LAST_CHANCE >= latest_start(job) && occupied < LAST_CHANCE_PART {
--- a/crates/dotterelsill_jobs/src/shortage/mod.rs
+++ b/crates/dotterelsill_jobs/src/shortage/mod.rs
@@ -52,6 +52,10 @@
 /// Ratio of the age up to which a late result is of use to the latency objective.
 pub const USEFUL_OBJECTIVES: u32 = 3;
 
+/// Time to the latest start of a job from which on it can wait for all others: longer than
+/// any of them waits before it goes first.
+const AMPLE_TIME: Duration = AGED_AFTER;
+
 /// A job, or one occurrence of a recurring job.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct JobOccurrence {
@@ -112,6 +116,19 @@
     pub is_expected: bool,
 }
 
+impl WaitingJob<'_> {
+    /// Returns the class of the job if it can end within its objective. Jobs with much time
+    /// left, such as occurrences of a schedule that are opened in advance, go behind those
+    /// that are late, which would otherwise wait for all of them.
+    fn class_on_time(&self, now: Duration) -> Class {
+        if self.due.saturating_sub(self.shortest) > now + AMPLE_TIME {
+            Class::Ample
+        } else {
+            Class::OnTime
+        }
+    }
+}
+
 /// What a pool can finish.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Room {
@@ -137,9 +154,16 @@
     NoCapacity,
     /// The result is of no use any more.
     NoUse,
+    /// The job can wait for long and still end within its objective.
+    Ample,
 }
 
 impl Class {
+    /// Returns whether a job of the class is behind others that are worth more to callers.
+    pub(crate) fn is_deferred(self) -> bool {
+        matches!(self, Self::Late | Self::NoCapacity | Self::NoUse)
+    }
+
     /// Returns the name for logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -149,6 +173,7 @@
             Self::Late => "late",
             Self::NoCapacity => "no_capacity",
             Self::NoUse => "no_use",
+            Self::Ample => "ample",
         }
     }
 }
--- a/crates/dotterelsill_jobs/src/shortage/pool.rs
+++ b/crates/dotterelsill_jobs/src/shortage/pool.rs
@@ -14,7 +14,6 @@
         millis,
         part_of, //
     },
-    Class,
     Division,
     JobOccurrence,
     Placing, //
@@ -144,7 +143,7 @@
     fn place(&mut self, shortage: &mut PoolShortage, division: &Division, now: Duration) {
         let earlier = std::mem::take(&mut shortage.placed);
         for (id, &placing) in division {
-            let is_deferred = placing.class > Class::OnTime;
+            let is_deferred = placing.class.is_deferred();
             let since = earlier.get(id).and_then(|placed| placed.deferred_since);
             let queue = self.jobs.get(&id.job).map(|job| &job.spec.queue);
             if let Some(queue) = queue.filter(|_| is_deferred && since.is_none()) {
--- a/crates/dotterelsill_jobs/tests/order_by_time.rs
+++ b/crates/dotterelsill_jobs/tests/order_by_time.rs
@@ -70,3 +70,15 @@
     let first = first.iter().filter(|class| **class == Class::LastChance);
     assert_eq!(first.count(), 3);
 }
+
+/// Guards against jobs that wait for all occurrences of a schedule that are opened in
+/// advance, as these still have much time.
+#[test]
+fn job_with_much_time_goes_last() {
+    let mut in_advance = job(1, 0, 0.1);
+    in_advance.due = NOW + Duration::from_secs(600);
+    in_advance.useful_until = NOW + Duration::from_secs(1800);
+    let jobs = [in_advance, job(2, 5500, 0.1)];
+    assert_eq!(classes(&jobs), [Class::Ample, Class::NoUse]);
+    assert!(Class::NoUse < Class::Ample, "the late job goes first");
+}
