--- a/crates/dotterelsill_jobs/src/shortage/mod.rs
+++ b/crates/dotterelsill_jobs/src/shortage/mod.rs
@@ -6,8 +6,9 @@
 //! late, so that a wide job makes many small ones late, and spends the pool on results
 //! that are no longer of use.
 //!
-//! [`divide`] splits the jobs into classes. It only changes the order in which steps are
-//! planned, never whether one may start.
+//! [`divide`] splits the jobs into classes by what the pool can finish, and
+//! [`divide_by_time`] by their times alone while more room is on its way. Classes only
+//! change the order in which steps are planned, never whether one may start.
 
 mod ageing;
 mod ages;
