--- a/crates/dotterelsill_node/src/daemon.rs
+++ b/crates/dotterelsill_node/src/daemon.rs
@@ -108,6 +108,8 @@
 /// State shared by the tasks of the daemon.
 pub(crate) struct Node {
     pub(crate) settings: Arc<Settings>,
+    /// Whether the scheduler divides the jobs of full pools into classes.
+    pub(crate) defers_jobs: bool,
     pub(crate) store: Arc<Operations>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) reachability: Arc<Reachability>,
@@ -123,7 +125,11 @@
 }
 
 /// Runs the daemon until SIGTERM.
-pub(crate) async fn run(settings: Settings, tasks: Tasks) -> Result<(), StartError> {
+pub(crate) async fn run(
+    settings: Settings,
+    defers_jobs: bool,
+    tasks: Tasks,
+) -> Result<(), StartError> {
     let callers_listener = bind(settings.callers_address)?;
     let readiness_listener = bind(settings.readiness_address)?;
     let peers_listener = bind(settings.peers_address)?;
@@ -141,6 +147,7 @@
     tasks.spawn_until_stop(event_loop::monitor(lateness.clone(), metrics.clone()));
     let store = || dotterelsill_platform::store_operations(settings.store_address, &tasks);
     let node = Arc::new(Node {
+        defers_jobs,
         store: Arc::new(relay::operations(
             store(),
             peers.clone(),
--- a/crates/dotterelsill_node/src/main.rs
+++ b/crates/dotterelsill_node/src/main.rs
@@ -57,6 +57,9 @@
     /// log level, such as info or info,dotterelsill_jobs=debug
     #[argh(option, default = "String::from(\"info\")")]
     log_level: String,
+    /// defer jobs that cost callers least when a pool gets no room for its work
+    #[argh(switch)]
+    defer_jobs: bool,
 }
 
 /// Failure that ends the daemon.
@@ -93,5 +96,8 @@
     abort_on_panic();
     init_request_logs(&args.log_level).context(LogSnafu)?;
     let settings = dotterelsill_platform::load_settings().context(SettingsSnafu)?;
-    dotterelsill_rpc::run(settings.cores, |tasks| daemon::run(settings, tasks)).context(DaemonSnafu)
+    dotterelsill_rpc::run(settings.cores, |tasks| {
+        daemon::run(settings, args.defer_jobs, tasks)
+    })
+    .context(DaemonSnafu)
 }
--- a/crates/dotterelsill_node/src/scheduling.rs
+++ b/crates/dotterelsill_node/src/scheduling.rs
@@ -202,6 +202,7 @@
 fn new_scheduler(node: &Node, token: u64) -> Scheduler {
     let mut scheduler = Scheduler::new(token, leadership::limits(&node.settings), clock::now());
     let view = node.operators.view();
+    scheduler.set_division(node.defers_jobs);
     scheduler.configure(view.configuration.clone(), view.requests.clone());
     scheduler.set_wall_clock(clock::unix(), clock::now());
     scheduler
