--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -59,7 +59,7 @@
     ) -> Result<(), SpecError> {
         let spec = Arc::new(JobSpec::try_from(record)?);
         let mut job = Job::new(id, spec, self.token, now);
-        if let Some((known_at, unix)) = self.wall_clock {
+        if let Some((known_at, unix)) = self.wall_clock.filter(|_| self.divides_jobs) {
             let unix = unix + now.saturating_sub(known_at);
             job.age_when_known_ms = age_ms_of(job.spec.accepted_unix, unix, MAX_RESTORED_AGE);
         }
@@ -87,7 +87,9 @@
                 recent.note(id, now);
             }
             let mut job = Job::new(id, Arc::new(spec), self.token, now);
-            job.age_when_known_ms = age_ms_of(job.spec.accepted_unix, unix, MAX_SUBMITTED_AGE);
+            if self.divides_jobs {
+                job.age_when_known_ms = age_ms_of(job.spec.accepted_unix, unix, MAX_SUBMITTED_AGE);
+            }
             self.add(job, now);
             let mut open_steps = self.open_recurring_steps();
             self.open_due(id, unix, &mut open_steps);
