Share the state of tasks among ended jobs

Each ended job kept the state of a task without runs, which only an open job needs.

Change: all ended jobs share one such state; the image of a step is a boxed string.

--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -5,7 +5,10 @@
         BTreeMap,
         BTreeSet, //
     },
-    sync::Arc,
+    sync::{
+        Arc,
+        LazyLock, //
+    },
     time::Duration, //
 };
 
@@ -44,6 +47,9 @@
 /// A schedule may have begun long ago, with any number of occurrences that are due.
 const MAX_WAITING_TASKS: usize = 1000;
 
+/// State of the tasks of ended jobs, which have none.
+static NO_TASK: LazyLock<Arc<Task>> = LazyLock::new(Arc::default);
+
 /// Lifecycle state of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunState {
@@ -399,6 +405,8 @@
     pub(crate) fn drop_open_state(&mut self) {
         self.occurrences.clear();
         self.critical_paths = Vec::new();
+        // No occurrence of an ended job is opened, so all can share one.
+        self.unchanged_task = NO_TASK.clone();
         if !self.spec.payload.is_empty() {
             Arc::make_mut(&mut self.spec).payload = "".into();
         }
--- a/crates/dotterelsill_jobs/src/spec.rs
+++ b/crates/dotterelsill_jobs/src/spec.rs
@@ -91,7 +91,7 @@
     /// others.
     pub is_filler: bool,
     /// Image that the tasks run; empty if not known.
-    pub image: String,
+    pub image: Box<str>,
     /// Maximum number of tasks that may be unavailable at once because of the
     /// system's own actions, such as maintenance.
     pub may_miss: Option<u32>,
@@ -249,7 +249,7 @@
             is_lasting: step.is_lasting,
             target: non_zero(step.target_ms).map(|ms| Duration::from_millis(ms.into())),
             is_filler: step.is_filler,
-            image: step.image.clone(),
+            image: step.image.as_str().into(),
             may_miss: non_zero(step.may_miss),
         }
     }
