--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -277,8 +277,9 @@
         &self.run_times
     }
 
-    /// Sets whether jobs are divided into classes when a pool has a shortage. Otherwise
-    /// steps are ordered by latest start time alone.
+    /// Sets whether jobs are divided into classes when a pool has a shortage, and their
+    /// ages kept over a takeover. Otherwise steps are ordered by urgency, on-time before
+    /// late, and latest start time. Must be called before jobs are restored.
     pub fn set_division(&mut self, is_on: bool) {
         self.divides_jobs = is_on;
         self.shortage.clear();
