review: one odd entry in the store ends each node that is elected

Cause: the last key of a page goes unencoded into the path of the next request, and the HTTP client panics on a path or header value that is not valid, which aborts the process.

--- a/review/rig-3/src/cases.rs
+++ b/review/rig-3/src/cases.rs
@@ -17,6 +17,10 @@
         HOST,
         KEY, //
     },
+    http::{
+        serve,
+        Reply, //
+    },
     Outcome,
     Record, //
 };
@@ -142,7 +146,8 @@
     Ok(record.twice())
 }
 
-/// Another writer leaves an entry beside those of the runners that cannot be read.
+/// Another writer leaves an entry beside those of the runners: one that cannot be read, or
+/// with `ODD=service` one of a service that no configuration names.
 fn odd_key(has_trouble: bool, record: &Arc<Record>) -> Outcome {
     let mut fleet = Fleet::start(record, &runners(), &ZONES, &configuration(1, "alpha"));
     if !fleet.wait_until_ready() {
@@ -161,11 +166,22 @@
     if !fleet.wait(Duration::from_secs(8), |fleet| is_over(fleet, 0)) {
         return Err("the first job did not complete".to_owned());
     }
-    if has_trouble {
-        fleet
-            .store
-            .put("servers/copy of i-alpha-1", &vec![0xff; 900_000]);
-        record.note("another writer: servers/copy of i-alpha-1, 900000 bytes that cannot be read");
+    let way = std::env::var("ODD").unwrap_or_default();
+    if has_trouble && way == "service" {
+        let address = serve(|_| Reply::Json(404, "{}".to_owned())).to_string();
+        let report = json!({"service": "gamma", "address": address, "zone": "rvk",
+            "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "born": 1,
+            "capacity": {"cpu": 16000, "memMb": 65536, "gpu": 0}, "labels": ["a", "r1"],
+            "clockMs": 1000, "sequence": 1});
+        let key = "servers/i-old-1\n";
+        fleet.store.put(key, report.to_string().as_bytes());
+        record.note(format!("another writer: {key:?}, of service gamma"));
+    } else if has_trouble {
+        let key = "servers/copy of i-alpha-1";
+        fleet.store.put(key, &vec![0xff; 900_000]);
+        record.note(format!(
+            "another writer: {key:?}, 900000 bytes that cannot be read"
+        ));
     }
     let mut accepted = Vec::new();
     let begin = Instant::now();
