--- /dev/null
+++ b/review/rig-3/src/cases.rs
@@ -0,0 +1,210 @@
+//! The cases.
+
+use std::{
+    sync::Arc,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use serde_json::json;
+
+use crate::{
+    fleet::{
+        Fleet,
+        HOST,
+        KEY, //
+    },
+    Outcome,
+    Record, //
+};
+
+const ZONES: [&str; 3] = ["rvk", "hfj", "ake"];
+
+pub fn play(case: &str, has_trouble: bool, record: &Arc<Record>) -> Outcome {
+    match case {
+        "repointed" => repointed(has_trouble, record),
+        "odd-key" => odd_key(has_trouble, record),
+        _ => Err(format!("no case {case}")),
+    }
+}
+
+/// Returns a configuration whose queue `/work/` is run by a service.
+fn configuration(version: u64, service: &str) -> String {
+    configuration_with(version, Some(service))
+}
+
+/// Returns a configuration whose queue `/work/` is run by a service, or is not there.
+fn configuration_with(version: u64, service: Option<&str>) -> String {
+    let pool = |name: &str| {
+        json!({"name": name, "healthPath": "/healthz", "maxConnections": 64, "protocol": "h1",
+            "tls": false, "coldStartS": 0.0, "coldPerS": 0.0, "enforcesLimits": false,
+            "standby": false})
+    };
+    let route = |service: &str| {
+        json!({"name": "r-work", "host": HOST, "pathPrefix": "/work/",
+            "kind": "non_idempotent", "timeoutMs": 3000, "targetCompletionMs": 600,
+            "priority": 0, "service": service, "maxAttempts": 4, "slackFactor": 1.6,
+            "anonymous": false})
+    };
+    let routes: Vec<_> = service.into_iter().map(route).collect();
+    json!({"version": version,
+        "routes": routes,
+        "services": [pool("alpha"), pool("beta")],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000},
+        "tenants": [{"name": "tenant-a", "apiKeys": [KEY], "priority": 1, "weight": 1,
+            "cap": {"cpu": 0, "memMb": 0, "gpu": 0}}]})
+    .to_string()
+}
+
+fn runners() -> Vec<(&'static str, &'static str, &'static str, u64)> {
+    vec![
+        ("i-alpha-1", "alpha", "rvk", 16000),
+        ("i-alpha-2", "alpha", "hfj", 16000),
+        ("i-alpha-3", "alpha", "ake", 16000),
+        ("i-beta-1", "beta", "rvk", 16000),
+        ("i-beta-2", "beta", "hfj", 16000),
+        ("i-beta-3", "beta", "ake", 16000),
+    ]
+}
+
+/// A queue gets another service while a job of it runs. Then the runner that runs its tasks
+/// is cut off, and the node that schedules is stopped and started in order. Without the
+/// disruption only the runner is not cut off.
+///
+/// `REPOINT=again` removes the queue and adds it again with the other service, and
+/// `REPOINT=kept` leaves it with its service.
+fn repointed(has_trouble: bool, record: &Arc<Record>) -> Outcome {
+    let way = std::env::var("REPOINT").unwrap_or_default();
+    let mut fleet = Fleet::start(record, &runners(), &ZONES, &configuration(1, "alpha"));
+    if !fleet.wait_until_ready() {
+        return Err("the nodes do not serve".to_owned());
+    }
+    let job = json!({"spec": "work 9000",
+        "steps": [{"count": 4, "cpu": 1000, "memMb": 256, "estimatedMs": 9000}]});
+    let path = "/work/00000000000a0001";
+    if !fleet.submit(path, &job.to_string()) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let runs = |fleet: &Fleet| {
+        fleet
+            .runners
+            .iter()
+            .map(|runner| runner.runs())
+            .sum::<usize>()
+    };
+    if !fleet.wait(Duration::from_secs(5), |fleet| runs(fleet) == 4) {
+        return Err("the tasks did not start".to_owned());
+    }
+    if way == "again" {
+        let removed = configuration_with(2, None);
+        fleet.store.put("op/config", removed.as_bytes());
+        record.note("operator: version 2, the queue is removed");
+        thread::sleep(Duration::from_millis(500));
+    }
+    let service = if way == "kept" { "alpha" } else { "beta" };
+    let changed = configuration(3, service);
+    fleet.store.put("op/config", changed.as_bytes());
+    record.note(format!(
+        "operator: version 3, the queue is run by {service}"
+    ));
+    thread::sleep(Duration::from_millis(2500));
+    let begin = Instant::now();
+    if has_trouble {
+        // One of six runners.
+        let holder = fleet.runners.iter().find(|runner| runner.runs() == 4);
+        let holder = holder.ok_or("the tasks are on several runners")?;
+        record.note(format!("cut    {}", holder.id));
+        holder.set_cut(true);
+    }
+    let leader = fleet.leader().ok_or("nobody schedules")?;
+    fleet.signal(leader, "TERM");
+    let mut is_cut = has_trouble;
+    while begin.elapsed() < Duration::from_secs(25) {
+        thread::sleep(Duration::from_millis(500));
+        fleet.restart_ended();
+        if is_cut && begin.elapsed() > Duration::from_millis(5500) {
+            is_cut = false;
+            for runner in &fleet.runners {
+                runner.set_cut(false);
+            }
+            record.note("the cut ends");
+        }
+        let answer = fleet.client(0, "GET", path, "");
+        if !is_cut && answer.is_some_and(|(_, body)| body.contains("completed")) {
+            break;
+        }
+    }
+    thread::sleep(Duration::from_secs(2));
+    Ok(record.twice())
+}
+
+/// Another writer leaves an entry beside those of the runners that cannot be read.
+fn odd_key(has_trouble: bool, record: &Arc<Record>) -> Outcome {
+    let mut fleet = Fleet::start(record, &runners(), &ZONES, &configuration(1, "alpha"));
+    if !fleet.wait_until_ready() {
+        return Err("the nodes do not serve".to_owned());
+    }
+    let job = json!({"spec": "work 500",
+        "steps": [{"count": 2, "cpu": 1000, "memMb": 256, "estimatedMs": 500}]});
+    let path = |number: u32| format!("/work/00000000000b{number:04x}");
+    if !fleet.submit(&path(0), &job.to_string()) {
+        return Err("the first job was not accepted".to_owned());
+    }
+    let is_over = |fleet: &Fleet, number: u32| {
+        let answer = fleet.client(0, "GET", &path(number), "");
+        answer.is_some_and(|(_, body)| body.contains("completed"))
+    };
+    if !fleet.wait(Duration::from_secs(8), |fleet| is_over(fleet, 0)) {
+        return Err("the first job did not complete".to_owned());
+    }
+    if has_trouble {
+        fleet
+            .store
+            .put("servers/copy of i-alpha-1", &vec![0xff; 900_000]);
+        record.note("another writer: servers/copy of i-alpha-1, 900000 bytes that cannot be read");
+    }
+    let mut accepted = Vec::new();
+    let begin = Instant::now();
+    let mut number = 1;
+    while begin.elapsed() < Duration::from_secs(20) {
+        thread::sleep(Duration::from_millis(1000));
+        fleet.restart_ended();
+        let node = number as usize % fleet.nodes.len();
+        let answer = fleet.client(node, "POST", &path(number), &job.to_string());
+        if answer.is_some_and(|(status, _)| (200..300).contains(&status)) {
+            accepted.push(number);
+        }
+        number += 1;
+    }
+    record.note(format!(
+        "the traffic ends, {} jobs were accepted",
+        accepted.len()
+    ));
+    let finish = Instant::now();
+    while finish.elapsed() < Duration::from_secs(14) {
+        thread::sleep(Duration::from_millis(500));
+        fleet.restart_ended();
+    }
+    let mut found = Vec::new();
+    let ends: Vec<u32> = fleet.nodes.iter().map(|node| node.own_ends).collect();
+    if ends.iter().filter(|ends| **ends >= 3).count() >= 2 {
+        found.push(format!(
+            "fault: processes ended by themselves, by node: {ends:?}"
+        ));
+    }
+    let open: Vec<u32> = accepted
+        .into_iter()
+        .filter(|&job| !is_over(&fleet, job))
+        .collect();
+    if !open.is_empty() {
+        let all = open.len();
+        found.push(format!(
+            "LOST: {all} accepted jobs have nothing running 14 s later"
+        ));
+    }
+    Ok(found)
+}
--- /dev/null
+++ b/review/rig-3/src/runner.rs
@@ -0,0 +1,316 @@
+//! Stand-in for a runner.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Condvar,
+        Mutex, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant,
+        SystemTime, //
+    },
+};
+
+use serde_json::{
+    json,
+    Value, //
+};
+
+use crate::{
+    http::{
+        serve,
+        Reply,
+        Request, //
+    },
+    store::Store,
+    Record, //
+};
+
+const HEARTBEAT: Duration = Duration::from_millis(1500);
+const MAX_LEASE_MS: u64 = 10_000;
+
+struct Run {
+    task: String,
+    attempt: u64,
+    ends_at: Instant,
+    begun_at: Instant,
+    stops_at: Option<Instant>,
+}
+
+#[derive(Default)]
+struct State {
+    fence: u64,
+    lease_until_ms: u64,
+    running: Vec<Run>,
+    /// Number, task, run, how.
+    finished: Vec<(u64, String, u64, &'static str)>,
+    next_end: u64,
+    /// Highest run that was stopped or has ended, by task.
+    over: Vec<(String, u64)>,
+    is_cut: bool,
+}
+
+/// One life of a runner.
+pub struct Runner {
+    pub id: String,
+    pub service: String,
+    zone: String,
+    cpu: u64,
+    labels: Vec<String>,
+    begin: Instant,
+    born: u64,
+    state: Mutex<State>,
+    changed: Condvar,
+    record: Arc<Record>,
+    address: Mutex<Option<SocketAddr>>,
+}
+
+impl Runner {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        cpu: u64,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
+        let born = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap();
+        let runner = Arc::new(Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            cpu,
+            labels: vec!["a".to_owned(), format!("rack-{zone}")],
+            begin: Instant::now(),
+            born: born.as_millis() as u64,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            record: record.clone(),
+            address: Mutex::default(),
+        });
+        let serving = runner.clone();
+        let address = serve(move |request| serving.serve(request));
+        *runner.address.lock().unwrap() = Some(address);
+        let ending = runner.clone();
+        thread::spawn(move || ending.end_runs());
+        let (beating, store) = (runner.clone(), store.clone());
+        thread::spawn(move || {
+            for sequence in 1_u64.. {
+                // A runner that is cut off from the system still reaches the store.
+                store.put(
+                    &format!("servers/{}", beating.id),
+                    beating.report(sequence).as_bytes(),
+                );
+                thread::sleep(HEARTBEAT);
+            }
+        });
+        runner
+    }
+
+    fn report(&self, sequence: u64) -> String {
+        let address = self
+            .address
+            .lock()
+            .unwrap()
+            .expect("set at the start")
+            .to_string();
+        json!({"service": self.service, "address": address, "zone": self.zone, "version": "v1",
+            "slots": 8, "state": "ready", "coldRemainingMs": 0, "born": self.born,
+            "capacity": {"cpu": self.cpu, "memMb": 65536, "gpu": 0}, "labels": self.labels,
+            "clockMs": self.clock_ms(), "sequence": sequence})
+        .to_string()
+    }
+
+    pub fn machine(&self) -> Value {
+        json!({"machine": format!("m-{}", self.id), "pool": self.service, "state": "up",
+            "zone": self.zone, "labels": self.labels,
+            "capacity": {"cpu": self.cpu, "memMb": 65536, "gpu": 0}, "id": self.id})
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.begin.elapsed().as_millis() as u64 + 1000
+    }
+
+    /// Cuts the runner off from the system, or ends that. What it runs goes on.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.state.lock().unwrap().is_cut = is_cut;
+        self.changed.notify_all();
+    }
+
+    pub fn runs(&self) -> usize {
+        self.state.lock().unwrap().running.len()
+    }
+
+    /// Holds up a call or an answer while the runner is cut off; what a partition holds
+    /// up is lost, as its sender resets the connection.
+    fn is_lost(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let was_cut = state.is_cut;
+        while state.is_cut {
+            state = self.changed.wait(state).unwrap();
+        }
+        was_cut
+    }
+
+    fn serve(&self, request: &Request) -> Reply {
+        if self.is_lost() {
+            return Reply::Close;
+        }
+        let (status, mut body) = self.answer(request);
+        if self.is_lost() {
+            return Reply::Close;
+        }
+        body["clockMs"] = json!(self.clock_ms());
+        body["born"] = json!(self.born);
+        Reply::Json(status, body.to_string())
+    }
+
+    fn answer(&self, request: &Request) -> (u16, Value) {
+        if request.path == "/healthz" {
+            return (200, json!({}));
+        }
+        let expected = request.header("dotterelsill-expected-instance");
+        if expected.is_some_and(|id| id != self.id) {
+            return (421, json!({}));
+        }
+        let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
+            return (400, json!({}));
+        };
+        let token = body["fencingToken"].as_u64().unwrap_or(0);
+        let mut state = self.state.lock().unwrap();
+        if token < state.fence {
+            return (409, json!({"reason": "fence"}));
+        }
+        state.fence = token;
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let attempt = body["attempt"].as_u64().unwrap_or(0);
+        match request.path.as_str() {
+            "/run-start" => self.start_run(&mut state, &body, task, attempt),
+            "/run-stop" => {
+                let now = Instant::now();
+                let of_task = |run: &&mut Run| run.task == task && run.attempt <= attempt;
+                for run in state.running.iter_mut().filter(of_task) {
+                    run.stops_at.get_or_insert(now + Duration::from_millis(50));
+                }
+                state.over.push((task, attempt));
+                (200, json!({}))
+            }
+            "/hold" => self.hold(state, &body),
+            "/pace" => (200, json!({})),
+            _ => (404, json!({})),
+        }
+    }
+
+    fn extend(&self, state: &mut State, body: &Value) {
+        if let Some(deadline) = body["deadlineMs"].as_u64() {
+            let most = self.clock_ms() + MAX_LEASE_MS;
+            state.lease_until_ms = state.lease_until_ms.max(deadline.min(most));
+        }
+    }
+
+    fn start_run(
+        &self,
+        state: &mut State,
+        body: &Value,
+        task: String,
+        attempt: u64,
+    ) -> (u16, Value) {
+        let is_it = |run: &Run| run.task == task && run.attempt == attempt;
+        if state.running.iter().any(is_it) {
+            self.extend(state, body);
+            return (200, json!({}));
+        }
+        let is_over = |(other, run): &(String, u64)| *other == task && *run >= attempt;
+        let is_old = state.over.iter().any(is_over);
+        self.extend(state, body);
+        if is_old || state.running.iter().any(|run| run.task == task) {
+            return (409, json!({"reason": "old"}));
+        }
+        if body["deadlineMs"].as_u64().unwrap_or(0) <= self.clock_ms() {
+            return (409, json!({"reason": "late"}));
+        }
+        let spec = body["spec"].as_str().unwrap_or_default();
+        let work_ms = spec.strip_prefix("work ").and_then(|ms| ms.parse().ok());
+        let now = Instant::now();
+        self.record.started(&self.id, &self.service, &task, attempt);
+        state.running.push(Run {
+            task,
+            attempt,
+            begun_at: now,
+            ends_at: now + Duration::from_millis(work_ms.unwrap_or(1000)),
+            stops_at: None,
+        });
+        (200, json!({}))
+    }
+
+    fn hold(&self, mut state: std::sync::MutexGuard<'_, State>, body: &Value) -> (u16, Value) {
+        self.extend(&mut state, body);
+        let last_seen = body["lastSeen"].as_u64().unwrap_or(0);
+        for (_, task, attempt, how) in state.finished.iter().filter(|row| row.0 <= last_seen) {
+            self.record.noted(&self.id, task, *attempt, how);
+        }
+        state.finished.retain(|row| row.0 > last_seen);
+        let wait = Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0).min(2000));
+        let until = Instant::now() + wait;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if !state.finished.is_empty() || left.is_zero() || state.is_cut {
+                break;
+            }
+            state = self.changed.wait_timeout(state, left).unwrap().0;
+        }
+        let percent = |run: &Run| {
+            let whole = run.ends_at.duration_since(run.begun_at).as_millis().max(1);
+            (run.begun_at.elapsed().as_millis() * 100 / whole).min(99) as u64
+        };
+        let running = state.running.iter();
+        let running: Vec<Value> = running
+            .map(|run| json!([run.task, run.attempt, "", percent(run), 500]))
+            .collect();
+        let finished = state.finished.iter().take(500);
+        let finished: Vec<Value> = finished
+            .map(|(number, task, attempt, how)| json!([number, task, attempt, how, ""]))
+            .collect();
+        (200, json!({"running": running, "finished": finished}))
+    }
+
+    /// Ends runs that are done, stopped or without a lease, until the process ends.
+    fn end_runs(&self) {
+        loop {
+            thread::sleep(Duration::from_millis(5));
+            let now = Instant::now();
+            let mut state = self.state.lock().unwrap();
+            let has_lapsed = self.clock_ms() > state.lease_until_ms;
+            let how_of = |run: &Run| {
+                if run.stops_at.is_some_and(|at| now >= at) {
+                    Some("stopped")
+                } else if now >= run.ends_at {
+                    Some("done")
+                } else {
+                    has_lapsed.then_some("lapsed")
+                }
+            };
+            let mut index = 0;
+            while index < state.running.len() {
+                match how_of(&state.running[index]) {
+                    Some(how) => {
+                        let run = state.running.remove(index);
+                        self.record.ended(&self.id, &run.task, run.attempt, how);
+                        state.next_end += 1;
+                        let number = state.next_end;
+                        state.over.push((run.task.clone(), run.attempt));
+                        state.finished.push((number, run.task, run.attempt, how));
+                        self.changed.notify_all();
+                    }
+                    None => index += 1,
+                }
+            }
+        }
+    }
+}
