--- a/review/rig-3/src/cases.rs
+++ b/review/rig-3/src/cases.rs
@@ -31,6 +31,7 @@
     match case {
         "repointed" => repointed(has_trouble, record),
         "odd-key" => odd_key(has_trouble, record),
+        "vacated" => vacated(has_trouble, record),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -224,3 +225,72 @@
     }
     Ok(found)
 }
+
+/// The node that schedules is stopped and started in order while the runner that runs a
+/// job is cut off, and so is the next one. In between a wave of upkeep comes for the
+/// runner's machine, while the interface for machines does not answer. Without the
+/// disruption the runner is not cut off and the interface answers.
+fn vacated(has_trouble: bool, record: &Arc<Record>) -> Outcome {
+    let mut fleet = Fleet::start(record, &runners(), &ZONES, &configuration(1, "alpha"));
+    if !fleet.wait_until_ready() {
+        return Err("the nodes do not serve".to_owned());
+    }
+    let job = json!({"spec": "work 9000",
+        "steps": [{"count": 4, "cpu": 1000, "memMb": 256, "estimatedMs": 9000}]});
+    if !fleet.submit("/work/00000000000c0001", &job.to_string()) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let runs = |fleet: &Fleet| {
+        fleet
+            .runners
+            .iter()
+            .map(|runner| runner.runs())
+            .sum::<usize>()
+    };
+    if !fleet.wait(Duration::from_secs(5), |fleet| runs(fleet) == 4) {
+        return Err("the tasks did not start".to_owned());
+    }
+    thread::sleep(Duration::from_millis(1500));
+    let holder = fleet.runners.iter().find(|runner| runner.runs() == 4);
+    let holder = holder.ok_or("the tasks are on several runners")?.clone();
+    let begin = Instant::now();
+    if has_trouble {
+        record.note(format!("cut    {}", holder.id));
+        holder.set_cut(true);
+    }
+    let first = fleet.leader().ok_or("nobody schedules")?;
+    fleet.signal(first, "TERM");
+    let has_next = |fleet: &Fleet| fleet.leader().is_some_and(|leader| leader != first);
+    if !fleet.wait(Duration::from_secs(2), has_next) {
+        return Err("no other node schedules".to_owned());
+    }
+    let second = fleet.leader().ok_or("nobody schedules")?;
+    let next = Instant::now();
+    record.note(format!("node   {} schedules", fleet.nodes[second].name));
+    let wave = json!({"wave": 1, "machines": [format!("m-{}", holder.id)], "durationS": 20,
+        "cap": 1});
+    fleet.store.put("op/wave/1", wave.to_string().as_bytes());
+    record.note(format!("operator: wave 1 of the machine of {}", holder.id));
+    sleep_until(next + Duration::from_millis(1000));
+    if has_trouble {
+        fleet.cloud.set_down(true);
+    }
+    sleep_until(next + Duration::from_millis(3000));
+    fleet.signal(second, "TERM");
+    sleep_until(begin + Duration::from_millis(5500));
+    if has_trouble {
+        holder.set_cut(false);
+        record.note("the cut ends");
+        sleep_until(next + Duration::from_millis(6000));
+        fleet.cloud.set_down(false);
+    }
+    while begin.elapsed() < Duration::from_secs(14) {
+        thread::sleep(Duration::from_millis(200));
+        fleet.restart_ended();
+    }
+    Ok(record.twice())
+}
+
+fn sleep_until(at: Instant) {
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
--- a/review/rig-3/src/fleet.rs
+++ b/review/rig-3/src/fleet.rs
@@ -24,10 +24,10 @@
 };
 
 use crate::{
+    cloud::Cloud,
     http::{
         call,
-        serve,
-        Reply, //
+        serve, //
     },
     runner::Runner,
     store::Store,
@@ -51,6 +51,7 @@
 
 pub struct Fleet {
     pub store: Arc<Store>,
+    pub cloud: Arc<Cloud>,
     pub runners: Vec<Arc<Runner>>,
     pub nodes: Vec<Node>,
     pub record: Arc<Record>,
@@ -94,17 +95,12 @@
             Runner::start(id, service, zone, *cpu, &store, record)
         };
         let runners: Vec<Arc<Runner>> = runners.iter().map(start).collect();
-        let listed = runners.clone();
-        let cloud_address = serve(move |request| match request.path.as_str() {
-            "/machines" => {
-                let machines: Vec<_> = listed.iter().map(|runner| runner.machine()).collect();
-                let body = serde_json::json!({"machines": machines, "nextToken": null});
-                Reply::Json(200, body.to_string())
-            }
-            _ => Reply::Json(400, "{}".to_owned()),
-        });
+        let cloud = Cloud::new(&runners, &store, record);
+        let listing = cloud.clone();
+        let cloud_address = serve(move |request| listing.answer(request));
         let mut fleet = Self {
             store,
+            cloud,
             runners,
             nodes: Vec::new(),
             record: record.clone(),
--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -6,6 +6,7 @@
 //! disruption is left out.
 
 mod cases;
+mod cloud;
 mod fleet;
 mod http;
 mod runner;
--- a/review/rig-3/src/runner.rs
+++ b/review/rig-3/src/runner.rs
@@ -52,6 +52,7 @@
     /// Highest run that was stopped or has ended, by task.
     over: Vec<(String, u64)>,
     is_cut: bool,
+    is_gone: bool,
 }
 
 /// One life of a runner.
@@ -102,6 +103,10 @@
         let (beating, store) = (runner.clone(), store.clone());
         thread::spawn(move || {
             for sequence in 1_u64.. {
+                if beating.state.lock().unwrap().is_gone {
+                    store.remove(&format!("servers/{}", beating.id));
+                    return;
+                }
                 // A runner that is cut off from the system still reaches the store.
                 store.put(
                     &format!("servers/{}", beating.id),
@@ -127,12 +132,28 @@
         .to_string()
     }
 
-    pub fn machine(&self) -> Value {
-        json!({"machine": format!("m-{}", self.id), "pool": self.service, "state": "up",
+    /// Returns the entry of a machine on which the runner runs.
+    pub fn machine(&self, name: &str) -> Value {
+        json!({"machine": name, "pool": self.service, "state": "up",
             "zone": self.zone, "labels": self.labels,
             "capacity": {"cpu": self.cpu, "memMb": 65536, "gpu": 0}, "id": self.id})
     }
 
+    /// Ends for good, and with it all that runs here.
+    pub fn leave(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.is_gone = true;
+        for run in std::mem::take(&mut state.running) {
+            self.record.ended(&self.id, &run.task, run.attempt, "lost");
+        }
+        self.changed.notify_all();
+    }
+
+    /// Starts the next runner on the same machine.
+    pub fn successor(&self, id: &str, store: &Arc<Store>) -> Arc<Self> {
+        Self::start(id, &self.service, &self.zone, self.cpu, store, &self.record)
+    }
+
     fn clock_ms(&self) -> u64 {
         self.begin.elapsed().as_millis() as u64 + 1000
     }
@@ -152,10 +173,10 @@
     fn is_lost(&self) -> bool {
         let mut state = self.state.lock().unwrap();
         let was_cut = state.is_cut;
-        while state.is_cut {
+        while state.is_cut && !state.is_gone {
             state = self.changed.wait(state).unwrap();
         }
-        was_cut
+        was_cut || state.is_gone
     }
 
     fn serve(&self, request: &Request) -> Reply {
@@ -260,7 +281,7 @@
         let until = Instant::now() + wait;
         loop {
             let left = until.saturating_duration_since(Instant::now());
-            if !state.finished.is_empty() || left.is_zero() || state.is_cut {
+            if !state.finished.is_empty() || left.is_zero() || state.is_cut || state.is_gone {
                 break;
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
--- a/review/rig-3/src/store.rs
+++ b/review/rig-3/src/store.rs
@@ -132,6 +132,14 @@
         self.changed.notify_all();
     }
 
+    /// Removes a key as an operator or a runner does.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state.remove(key);
+        self.changed.notify_all();
+    }
+
     /// Returns the decoded value of a key.
     pub fn get(&self, key: &str) -> Option<Vec<u8>> {
         let state = self.state.lock().unwrap();
