--- a/review/rig-3/src/cases.rs
+++ b/review/rig-3/src/cases.rs
@@ -32,6 +32,7 @@
         "repointed" => repointed(has_trouble, record),
         "odd-key" => odd_key(has_trouble, record),
         "vacated" => vacated(has_trouble, record),
+        "next-life" => next_life(has_trouble, record),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -294,3 +295,67 @@
 fn sleep_until(at: Instant) {
     thread::sleep(at.saturating_duration_since(Instant::now()));
 }
+
+/// A start is held up on its way, its repetition runs and ends, and the runner crashes
+/// once. The runners close each connection after its answer.
+fn next_life(has_trouble: bool, record: &Arc<Record>) -> Outcome {
+    let fleet = Fleet::start(record, &runners(), &ZONES, &configuration(1, "alpha"));
+    fleet.runners.iter().for_each(|runner| runner.set_closes());
+    if !fleet.wait_until_ready() {
+        return Err("the nodes do not serve".to_owned());
+    }
+    let job = json!({"spec": "work 500",
+        "steps": [{"count": 1, "cpu": 1000, "memMb": 256, "estimatedMs": 500}]});
+    let path = |number: u32| format!("/work/00000000000d{number:04x}");
+    let is_completed = |fleet: &Fleet, number: u32| {
+        fleet.wait(Duration::from_secs(8), |fleet| {
+            thread::sleep(Duration::from_millis(200));
+            let answer = fleet.client(0, "GET", &path(number), "");
+            answer.is_some_and(|(_, body)| body.contains("completed"))
+        })
+    };
+    // From these jobs the nodes learn that the runners keep no connection.
+    for number in 0..6 {
+        if !fleet.submit(&path(number), &job.to_string()) {
+            return Err("a first job was not accepted".to_owned());
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    if !(0..6).all(|number| is_completed(&fleet, number)) {
+        return Err("a first job did not complete".to_owned());
+    }
+    thread::sleep(Duration::from_millis(1000));
+    let alpha = || {
+        fleet
+            .runners
+            .iter()
+            .filter(|runner| runner.service == "alpha")
+    };
+    if has_trouble {
+        let used = alpha().find(|runner| record.runs().iter().any(|run| run.runner == runner.id));
+        let used = used.ok_or("no runner was used")?.clone();
+        used.hold_next_start(Duration::from_millis(7000));
+    }
+    if !fleet.submit(&path(6), &job.to_string()) {
+        return Err("the job was not accepted".to_owned());
+    }
+    if !is_completed(&fleet, 6) {
+        return Err("the job did not complete".to_owned());
+    }
+    // With the next job on the runner, the end of the one before is taken note of.
+    if !fleet.submit(&path(7), &job.to_string()) || !is_completed(&fleet, 7) {
+        return Err("the next job did not complete".to_owned());
+    }
+    thread::sleep(Duration::from_millis(500));
+    if has_trouble {
+        let task = format!("{}.0.0.0", &path(6)[6..]);
+        let run = record.runs().into_iter().find(|run| run.task == task);
+        let run = run.ok_or("the task did not run")?;
+        let runner = alpha().find(|runner| runner.id == run.runner);
+        runner
+            .ok_or("the runner is not known")?
+            .crash(Duration::from_millis(1000));
+    }
+    thread::sleep(Duration::from_secs(6));
+    Ok(record.twice())
+}
--- a/review/rig-3/src/http.rs
+++ b/review/rig-3/src/http.rs
@@ -17,6 +17,7 @@
     time::Duration, //
 };
 
+#[derive(Clone)]
 pub struct Request {
     pub method: String,
     /// Path without the query.
@@ -66,6 +67,8 @@
 pub enum Reply {
     /// Status and JSON body.
     Json(u16, String),
+    /// The same, after which the server closes the connection.
+    Last(u16, String),
     /// The connection is closed without an answer.
     Close,
 }
@@ -88,17 +91,19 @@
     let _ = stream.set_nodelay(true);
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
-        let Reply::Json(status, body) = handler(&request) else {
-            return;
+        let (status, body, connection) = match handler(&request) {
+            Reply::Json(status, body) => (status, body, "keep-alive"),
+            Reply::Last(status, body) => (status, body, "close"),
+            Reply::Close => return,
         };
         let head = format!(
-            "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+            "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\nconnection: {connection}\r\ncontent-length: {}\r\n\r\n",
             body.len()
         );
         let mut writer = stream;
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(body.as_bytes());
-        if writer.write_all(&bytes).is_err() {
+        if writer.write_all(&bytes).is_err() || connection == "close" {
             return;
         }
     }
--- a/review/rig-3/src/main.rs
+++ b/review/rig-3/src/main.rs
@@ -100,7 +100,8 @@
         let is_it = |run: &&mut RunRecord| {
             run.runner == runner && run.task == task && run.attempt == attempt
         };
-        if let Some(run) = runs.iter_mut().find(is_it) {
+        // The latest: a runner that comes back may run the same again.
+        if let Some(run) = runs.iter_mut().rev().find(is_it) {
             change(run);
         }
     }
--- a/review/rig-3/src/runner.rs
+++ b/review/rig-3/src/runner.rs
@@ -53,6 +53,12 @@
     over: Vec<(String, u64)>,
     is_cut: bool,
     is_gone: bool,
+    /// Whether the process is down after a crash.
+    is_down: bool,
+    /// Whether each connection is closed after its answer.
+    closes: bool,
+    /// Time for which the next start is held up on its way.
+    held_start: Option<Duration>,
 }
 
 /// One life of a runner.
@@ -62,8 +68,8 @@
     zone: String,
     cpu: u64,
     labels: Vec<String>,
-    begin: Instant,
-    born: u64,
+    /// Start of the present process on the steady clock, and in Unix milliseconds.
+    process: Mutex<(Instant, u64)>,
     state: Mutex<State>,
     changed: Condvar,
     record: Arc<Record>,
@@ -79,17 +85,13 @@
         store: &Arc<Store>,
         record: &Arc<Record>,
     ) -> Arc<Self> {
-        let born = SystemTime::now()
-            .duration_since(SystemTime::UNIX_EPOCH)
-            .unwrap();
         let runner = Arc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
             cpu,
             labels: vec!["a".to_owned(), format!("rack-{zone}")],
-            begin: Instant::now(),
-            born: born.as_millis() as u64,
+            process: Mutex::new((Instant::now(), unix_ms())),
             state: Mutex::default(),
             changed: Condvar::new(),
             record: record.clone(),
@@ -108,10 +110,12 @@
                     return;
                 }
                 // A runner that is cut off from the system still reaches the store.
-                store.put(
-                    &format!("servers/{}", beating.id),
-                    beating.report(sequence).as_bytes(),
-                );
+                if !beating.state.lock().unwrap().is_down {
+                    store.put(
+                        &format!("servers/{}", beating.id),
+                        beating.report(sequence).as_bytes(),
+                    );
+                }
                 thread::sleep(HEARTBEAT);
             }
         });
@@ -126,7 +130,7 @@
             .expect("set at the start")
             .to_string();
         json!({"service": self.service, "address": address, "zone": self.zone, "version": "v1",
-            "slots": 8, "state": "ready", "coldRemainingMs": 0, "born": self.born,
+            "slots": 8, "state": "ready", "coldRemainingMs": 0, "born": self.process.lock().unwrap().1,
             "capacity": {"cpu": self.cpu, "memMb": 65536, "gpu": 0}, "labels": self.labels,
             "clockMs": self.clock_ms(), "sequence": sequence})
         .to_string()
@@ -149,13 +153,50 @@
         self.changed.notify_all();
     }
 
+    /// Crashes, and starts again under the same id after a while: it holds and knows
+    /// nothing of before.
+    pub fn crash(self: &Arc<Self>, down: Duration) {
+        self.record.note(format!("crash  {}", self.id));
+        {
+            let mut state = self.state.lock().unwrap();
+            for run in std::mem::take(&mut state.running) {
+                self.record.ended(&self.id, &run.task, run.attempt, "lost");
+            }
+            *state = State {
+                is_down: true,
+                closes: state.closes,
+                ..State::default()
+            };
+            self.changed.notify_all();
+        }
+        let runner = self.clone();
+        thread::spawn(move || {
+            thread::sleep(down);
+            *runner.process.lock().unwrap() = (Instant::now(), unix_ms());
+            runner.state.lock().unwrap().is_down = false;
+            runner.record.note(format!("again  {} is back", runner.id));
+        });
+    }
+
+    /// Closes each connection after its answer from now on.
+    pub fn set_closes(&self) {
+        self.state.lock().unwrap().closes = true;
+    }
+
+    /// Holds up the next start on its way for a time. It gets no answer, and is then
+    /// carried out by the process that the runner has at that time.
+    pub fn hold_next_start(&self, time: Duration) {
+        self.state.lock().unwrap().held_start = Some(time);
+    }
+
     /// Starts the next runner on the same machine.
     pub fn successor(&self, id: &str, store: &Arc<Store>) -> Arc<Self> {
         Self::start(id, &self.service, &self.zone, self.cpu, store, &self.record)
     }
 
     fn clock_ms(&self) -> u64 {
-        self.begin.elapsed().as_millis() as u64 + 1000
+        let begin = self.process.lock().unwrap().0;
+        begin.elapsed().as_millis() as u64 + 1000
     }
 
     /// Cuts the runner off from the system, or ends that. What it runs goes on.
@@ -176,20 +217,54 @@
         while state.is_cut && !state.is_gone {
             state = self.changed.wait(state).unwrap();
         }
-        was_cut || state.is_gone
+        was_cut || state.is_gone || state.is_down
     }
 
-    fn serve(&self, request: &Request) -> Reply {
+    fn serve(self: &Arc<Self>, request: &Request) -> Reply {
+        if request.path == "/run-start" {
+            let held = self.state.lock().unwrap().held_start.take();
+            if let Some(time) = held {
+                return self.hold_up(request, time);
+            }
+        }
         if self.is_lost() {
             return Reply::Close;
         }
+        let process = *self.process.lock().unwrap();
         let (status, mut body) = self.answer(request);
-        if self.is_lost() {
+        let is_other = process != *self.process.lock().unwrap();
+        if self.is_lost() || is_other {
             return Reply::Close;
         }
         body["clockMs"] = json!(self.clock_ms());
-        body["born"] = json!(self.born);
-        Reply::Json(status, body.to_string())
+        body["born"] = json!(process.1);
+        if self.state.lock().unwrap().closes {
+            Reply::Last(status, body.to_string())
+        } else {
+            Reply::Json(status, body.to_string())
+        }
+    }
+
+    fn hold_up(self: &Arc<Self>, request: &Request, time: Duration) -> Reply {
+        self.record
+            .note(format!("a start for {} is held up", self.id));
+        let (runner, held) = (self.clone(), request.clone());
+        thread::spawn(move || {
+            thread::sleep(time);
+            let id = &runner.id;
+            if runner.is_lost() {
+                runner.record.note(format!("the start for {id} is lost"));
+                return;
+            }
+            runner.record.note(format!("the start arrives at {id}"));
+            let (status, body) = runner.answer(&held);
+            runner
+                .record
+                .note(format!("{id} answers it {status} {body}"));
+        });
+        // The caller gives up before.
+        thread::sleep(Duration::from_secs(2));
+        Reply::Close
     }
 
     fn answer(&self, request: &Request) -> (u16, Value) {
@@ -281,7 +356,12 @@
         let until = Instant::now() + wait;
         loop {
             let left = until.saturating_duration_since(Instant::now());
-            if !state.finished.is_empty() || left.is_zero() || state.is_cut || state.is_gone {
+            if !state.finished.is_empty()
+                || left.is_zero()
+                || state.is_cut
+                || state.is_gone
+                || state.is_down
+            {
                 break;
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
@@ -335,3 +415,8 @@
         }
     }
 }
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis() as u64)
+}
