--- a/review/rig-3/src/cases.rs
+++ b/review/rig-3/src/cases.rs
@@ -33,29 +33,30 @@
         "odd-key" => odd_key(has_trouble, record),
         "vacated" => vacated(has_trouble, record),
         "next-life" => next_life(has_trouble, record),
+        "renamed" => renamed(has_trouble, record),
         _ => Err(format!("no case {case}")),
     }
 }
 
 /// Returns a configuration whose queue `/work/` is run by a service.
 fn configuration(version: u64, service: &str) -> String {
-    configuration_with(version, Some(service))
+    configuration_with(version, Some(("r-work", service)))
 }
 
-/// Returns a configuration whose queue `/work/` is run by a service, or is not there.
-fn configuration_with(version: u64, service: Option<&str>) -> String {
+/// Returns a configuration whose queue `/work/` has a name and a service, or is not there.
+fn configuration_with(version: u64, queue: Option<(&str, &str)>) -> String {
     let pool = |name: &str| {
         json!({"name": name, "healthPath": "/healthz", "maxConnections": 64, "protocol": "h1",
             "tls": false, "coldStartS": 0.0, "coldPerS": 0.0, "enforcesLimits": false,
             "standby": false})
     };
-    let route = |service: &str| {
-        json!({"name": "r-work", "host": HOST, "pathPrefix": "/work/",
+    let route = |(name, service): (&str, &str)| {
+        json!({"name": name, "host": HOST, "pathPrefix": "/work/",
             "kind": "non_idempotent", "timeoutMs": 3000, "targetCompletionMs": 600,
             "priority": 0, "service": service, "maxAttempts": 4, "slackFactor": 1.6,
             "anonymous": false})
     };
-    let routes: Vec<_> = service.into_iter().map(route).collect();
+    let routes: Vec<_> = queue.into_iter().map(route).collect();
     json!({"version": version,
         "routes": routes,
         "services": [pool("alpha"), pool("beta")],
@@ -149,7 +150,8 @@
 }
 
 /// Another writer leaves an entry beside those of the runners: one that cannot be read, or
-/// with `ODD=service` one of a service that no configuration names.
+/// with `ODD=service` one of a service that no configuration names. With `ODD=token` there
+/// is no such entry; the list of machines has two pages, and the token has a space.
 fn odd_key(has_trouble: bool, record: &Arc<Record>) -> Outcome {
     let mut fleet = Fleet::start(record, &runners(), &ZONES, &configuration(1, "alpha"));
     if !fleet.wait_until_ready() {
@@ -178,6 +180,8 @@
         let key = "servers/i-old-1\n";
         fleet.store.put(key, report.to_string().as_bytes());
         record.note(format!("another writer: {key:?}, of service gamma"));
+    } else if has_trouble && way == "token" {
+        fleet.cloud.set_page_token("after m-i-alpha-3");
     } else if has_trouble {
         let key = "servers/copy of i-alpha-1";
         fleet.store.put(key, &vec![0xff; 900_000]);
@@ -359,3 +363,57 @@
     thread::sleep(Duration::from_secs(6));
     Ok(record.twice())
 }
+
+/// A version of the configuration gives the route of a queue another name and changes
+/// nothing else, while the first step of a job runs.
+fn renamed(has_trouble: bool, record: &Arc<Record>) -> Outcome {
+    let mut fleet = Fleet::start(record, &runners(), &ZONES, &configuration(1, "alpha"));
+    if !fleet.wait_until_ready() {
+        return Err("the nodes do not serve".to_owned());
+    }
+    let step = |after: &[u32]| json!({"count": 2, "cpu": 1000, "memMb": 256, "estimatedMs": 2000, "after": after});
+    let job = json!({"spec": "work 2000", "steps": [step(&[]), step(&[0])]});
+    let path = "/work/00000000000e0001";
+    if !fleet.submit(path, &job.to_string()) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let runs = |fleet: &Fleet| {
+        fleet
+            .runners
+            .iter()
+            .map(|runner| runner.runs())
+            .sum::<usize>()
+    };
+    if !fleet.wait(Duration::from_secs(5), |fleet| runs(fleet) == 2) {
+        return Err("the first step did not start".to_owned());
+    }
+    if has_trouble {
+        let changed = configuration_with(2, Some(("r-work-2", "alpha")));
+        fleet.store.put("op/config", changed.as_bytes());
+        record.note("operator: version 2, the route has another name");
+    }
+    thread::sleep(Duration::from_millis(2500));
+    // A job that is handed in under the new version shows that there is room.
+    let other = "/work/00000000000e0002";
+    if !fleet.submit(other, &job.to_string()) {
+        return Err("the second job was not accepted".to_owned());
+    }
+    let begin = Instant::now();
+    while begin.elapsed() < Duration::from_secs(20) {
+        thread::sleep(Duration::from_millis(1000));
+        fleet.restart_ended();
+        fleet.client(1, "GET", path, "");
+    }
+    let is_completed = |path: &str| {
+        let answer = fleet.client(1, "GET", path, "");
+        answer.is_some_and(|(_, body)| body.contains("completed"))
+    };
+    if !is_completed(other) {
+        return Err("the second job did not complete".to_owned());
+    }
+    let mut found = Vec::new();
+    if !is_completed(path) && runs(&fleet) == 0 {
+        found.push("LOST: the second step has not begun 20 s later, all is idle".to_owned());
+    }
+    Ok(found)
+}
--- a/review/rig-3/src/cloud.rs
+++ b/review/rig-3/src/cloud.rs
@@ -44,6 +44,8 @@
 pub struct Cloud {
     machines: Mutex<Vec<Machine>>,
     is_down: AtomicBool,
+    /// Token of the second page of the list; the list has one page without it.
+    page_token: Mutex<Option<String>>,
     store: Arc<Store>,
     record: Arc<Record>,
 }
@@ -60,6 +62,7 @@
         Arc::new(Self {
             machines: Mutex::new(runners.iter().map(machine).collect()),
             is_down: AtomicBool::new(false),
+            page_token: Mutex::default(),
             store: store.clone(),
             record: record.clone(),
         })
@@ -71,6 +74,13 @@
         self.is_down.store(is_down, Ordering::SeqCst);
     }
 
+    /// Divides the list into two pages.
+    pub fn set_page_token(&self, token: &str) {
+        self.record
+            .note(format!("cloud  the second page is {token:?}"));
+        *self.page_token.lock().unwrap() = Some(token.to_owned());
+    }
+
     pub fn answer(self: &Arc<Self>, request: &Request) -> Reply {
         if self.is_down.load(Ordering::SeqCst) {
             while self.is_down.load(Ordering::SeqCst) {
@@ -79,14 +89,14 @@
             return Reply::Close;
         }
         let (status, body) = match (request.method.as_str(), request.path.as_str()) {
-            ("GET", "/machines") => (200, self.list()),
+            ("GET", "/machines") => (200, self.list(request)),
             ("POST", "/machine-upkeep") => self.upkeep(request),
             _ => (400, json!({})),
         };
         Reply::Json(status, body.to_string())
     }
 
-    fn list(&self) -> Value {
+    fn list(&self, request: &Request) -> Value {
         let machines = self.machines.lock().unwrap();
         let entry = |machine: &Machine| {
             let mut entry = machine.runner.machine(&machine.name);
@@ -97,7 +107,13 @@
             entry
         };
         let machines: Vec<Value> = machines.iter().map(entry).collect();
-        json!({"machines": machines, "nextToken": null})
+        let token = self.page_token.lock().unwrap().clone();
+        let (first, rest) = machines.split_at(machines.len() / 2);
+        match (token, request.query("pageToken")) {
+            (None, _) => json!({"machines": machines, "nextToken": null}),
+            (Some(token), None) => json!({"machines": first, "nextToken": token}),
+            (Some(_), Some(_)) => json!({"machines": rest, "nextToken": null}),
+        }
     }
 
     fn upkeep(self: &Arc<Self>, request: &Request) -> (u16, Value) {
