Read on after a page of the store without a readable value

Symptom: a list ends early when none of the values of a page is valid Base64, and all workers, jobs or instances on the pages after it count as gone.

Cause: the next page began after the last item that could be decoded. Of a page without any there was none, which was taken for the end of the list.

Change: a page carries the key of its last item, read or not. An instance that relays the call for another one passes it on; earlier versions do not send it, and the last item counts for them as before.

Evidence: page_without_a_readable_value fails without the change (an empty list in place of one entry).

--- a/crates/dotterelsill_node/src/relay/messages.rs
+++ b/crates/dotterelsill_node/src/relay/messages.rs
@@ -70,7 +70,12 @@
 }
 
 pub(super) fn page_of(response: RelayResponse) -> Page {
+    // Instances of earlier versions do not send the key.
+    let last = response.items.last().map(|item| item.key.clone());
     Page {
+        last_key: Some(response.last_key)
+            .filter(|key| !key.is_empty())
+            .or(last),
         items: response.items.into_iter().map(from_stored_item).collect(),
         has_more: response.has_more,
         revision: response.revision,
--- a/crates/dotterelsill_node/src/relay/serve.rs
+++ b/crates/dotterelsill_node/src/relay/serve.rs
@@ -43,6 +43,7 @@
             respond(page, |page| RelayResponse {
                 items: page.items.into_iter().map(to_stored_item).collect(),
                 has_more: page.has_more,
+                last_key: page.last_key.unwrap_or_default(),
                 revision: page.revision,
                 ..RelayResponse::default()
             })
--- a/crates/dotterelsill_store/src/operations.rs
+++ b/crates/dotterelsill_store/src/operations.rs
@@ -71,6 +71,9 @@
 pub struct Page {
     /// Items, sorted by key.
     pub items: Vec<Item>,
+    /// Key after which the next page begins: the last one of this page, whose item is not
+    /// among `items` if its value cannot be read. `None` if the page is empty.
+    pub last_key: Option<String>,
     /// Whether more items follow.
     pub has_more: bool,
     /// Revision of the store when the page was read.
@@ -201,11 +204,9 @@
         loop {
             let page = (self.range)(prefix, after, staleness).await?;
             let revision = *revision.get_or_insert(page.revision);
-            let last = page.items.last().map(|item| item.key.clone());
-            let has_more = page.has_more;
             handle(page.items);
-            match last {
-                Some(last) if has_more => after = last,
+            match page.last_key {
+                Some(last) if page.has_more => after = last,
                 _ => return Ok(revision),
             }
         }
