Accept peers at addresses with a scope

Symptom: a record of a peer, or of the scheduler, in the store with an address like [fe80::1%3]:80 ends each process that reads it.

Cause: it parses as a socket address, but the authority of a URI has no scope, and the origin of the calls to the peer is built from it with a panic on failure.

Change: the origin leaves the scope out; the connection is made to the full address.

--- a/crates/dotterelsill_rpc/src/channel.rs
+++ b/crates/dotterelsill_rpc/src/channel.rs
@@ -192,12 +192,16 @@
 ///
 /// # Panics
 ///
-/// Never panics: a socket address is a valid authority.
-pub fn origin(address: SocketAddr) -> http::Uri {
+/// Never panics: a socket address without the scope of an IPv6 address is a valid
+/// authority.
+pub fn origin(mut address: SocketAddr) -> http::Uri {
+    if let SocketAddr::V6(address) = &mut address {
+        address.set_scope_id(0);
+    }
     http::Uri::builder()
         .scheme("http")
         .authority(address.to_string())
         .path_and_query("/")
         .build()
-        .expect("a socket address is a valid authority")
+        .expect("a socket address without a scope is a valid authority")
 }
