--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -283,7 +283,8 @@
         // The worker's clock has advanced by at least this much, so the lease is
         // never longer than requested.
         let min_passed = passed - passed / SLOW_CLOCK_DIVISOR;
-        let until_ms = clock.worker_ms + (min_passed + lease).as_millis() as u64;
+        let lasts_ms = (min_passed + lease).as_millis() as u64;
+        let until_ms = clock.worker_ms.saturating_add(lasts_ms);
         self.granted_until_ms = self.granted_until_ms.max(until_ms);
         Some(self.granted_until_ms)
     }
@@ -292,7 +293,7 @@
     /// `longest` from the last clock reading.
     pub(crate) fn note_foreign_lease(&mut self, longest: Duration) {
         if let Some(clock) = self.clock {
-            let until_ms = clock.worker_ms + longest.as_millis() as u64;
+            let until_ms = clock.worker_ms.saturating_add(longest.as_millis() as u64);
             self.foreign_until_ms = self.foreign_until_ms.max(until_ms);
         }
     }
--- a/crates/dotterelsill_jobs/tests/unreadable_rows.rs
+++ b/crates/dotterelsill_jobs/tests/unreadable_rows.rs
@@ -141,3 +141,20 @@
     scheduler.replan();
     assert_eq!(starts(&scheduler.plan(ms(5000))), [(task(1, 0, 1), key)]);
 }
+
+/// Guards against a scheduler that ends, or takes a lease for one that has ended, because of
+/// a clock reading near the largest number.
+#[test]
+fn largest_clock_reading_ends_no_lease() {
+    let mut scheduler = scheduler(7, ms(1000));
+    let key = add_worker(&mut scheduler, 0, ms(1000));
+    let status = WorkerStatus {
+        worker_ms: u64::MAX - 1,
+        running: vec![running(task(9, 0, 0), 1, 10)],
+        ..status_at(ms(1100))
+    };
+    scheduler.on_worker_status(key, &status, ms(1100));
+    assert_eq!(scheduler.lease_end(key, true, ms(1200)), Some(u64::MAX));
+    scheduler.expire_leases(ms(1200));
+    assert!(scheduler.is_busy(key));
+}
