Keep unread workers in the record of those that may run tasks

Cause: a worker leaves the record once its instance was ordered to leave and nothing is booked there. The second scheduler had not read the worker, so nothing was; it took the worker out, and the third one did not wait for it.

Change: bookings count only of a worker that was read. Of one on which an earlier scheduler may have started tasks, nobody knows what runs until its status is read or its end is shown. Nothing waits for longer than it does for any unread worker.

--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -264,10 +264,16 @@
         self.may_grant = false;
     }
 
+    /// Returns whether an earlier scheduler may have started tasks on the worker that are
+    /// not booked, because no status was read. Its leases may have ended since.
+    pub(crate) fn may_have_unseen_runs(&self) -> bool {
+        self.is_expected && !self.life.is_known && !self.life.has_ended()
+    }
+
     /// Returns whether the worker has no runs and will not get any, because its
     /// instance is leaving.
     pub(crate) fn is_vacated(&self) -> bool {
-        self.is_terminating && self.booked.is_empty()
+        self.is_terminating && self.booked.is_empty() && !self.may_have_unseen_runs()
     }
 
     /// Returns the entry for the stored record of workers that may run tasks.
