Extend no lease of a worker that has left the record

Symptom: a worker that left the record as idle, because its instance was ordered to leave, and then lists a run of an earlier scheduler, has its lease extended although the next scheduler does not know of it.

Cause: the permission to extend leases was given with the record and never taken back.

Change: with each record that is stored, only its workers keep the permission. One that turns out to run something is stored again before its lease is extended.

--- a/crates/dotterelsill_jobs/src/granted.rs
+++ b/crates/dotterelsill_jobs/src/granted.rs
@@ -81,9 +81,12 @@
     }
 
     /// Handles the storage of the record; its workers may be granted leases from
-    /// now on.
+    /// now on, and no others.
     pub fn on_granted_stored(&mut self, granted: &[GrantedWorker]) {
         self.granted_stored = granted.iter().map(|worker| worker.id.clone()).collect();
+        for worker in self.workers.values_mut() {
+            worker.may_grant &= self.granted_stored.contains(&worker.report.id);
+        }
         for granted in granted {
             let key = self.by_id.get(&granted.id);
             if let Some(worker) = key.and_then(|key| self.workers.get_mut(key)) {
--- a/crates/dotterelsill_jobs/tests/unread_workers.rs
+++ b/crates/dotterelsill_jobs/tests/unread_workers.rs
@@ -113,3 +113,32 @@
     let mut next = elected(9, &job);
     assert_eq!(starts(&next.plan(ms(1100))), []);
 }
+
+/// Guards against a lease of a worker that has left the record because it was idle, and then
+/// lists a run.
+#[test]
+fn worker_that_left_the_record_gets_no_lease() {
+    let job = record("urgent", 7, vec![step(1, 1000)]);
+    let mut scheduler = elected(8, &job);
+    let key = scheduler.unread_workers().next().expect("one is unread");
+    scheduler.on_worker_status(key, &status_at(ms(1100)), ms(1100));
+    scheduler.configure(common::configuration(), wave(&[0]));
+    scheduler.on_instances(list(), ms(1200), ms(1200));
+    let orders: Vec<String> = (1300..6600)
+        .step_by(100)
+        .flat_map(|at| ordered(&mut scheduler, at))
+        .collect();
+    assert_eq!(orders, ["i0"]);
+    assert!(scheduler.has_granted_change() && !is_granted(&scheduler, 0));
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    let before = scheduler.lease_end(key, true, ms(6700));
+    assert_eq!(scheduler.lease_end(key, true, ms(7700)), before);
+    let status = WorkerStatus {
+        running: vec![running(task(1, 0, 0), 5, 10)],
+        ..status_at(ms(7800))
+    };
+    scheduler.on_worker_status(key, &status, ms(7800));
+    assert_eq!(scheduler.lease_end(key, true, ms(7900)), before);
+    assert!(scheduler.has_granted_change() && is_granted(&scheduler, 0));
+}
