Drain no instance of an unread worker as if it were idle

Symptom: from 2.5 s after its election a scheduler chooses the instances of workers that it has not read first for a wave, as nothing is booked there. Their maintenance may end running tasks while idle instances are left, and long-running ones beyond their disruption budget.

Change: such an instance is drained after the others. While it may run long-running tasks with a budget it is not drained until the worker was read or its lease has certainly ended. Other waves do not wait.

--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -511,6 +511,16 @@
         resources
     }
 
+    /// Returns whether a long-running task with a disruption budget waits.
+    pub(crate) fn has_waiting_budgeted(&self) -> bool {
+        self.occurrences.values().any(|occurrence| {
+            let mut steps = self.spec.steps.iter().zip(&occurrence.steps);
+            steps.any(|(step, state)| {
+                step.is_lasting && step.may_miss.is_some() && state.tasks.has_waiting()
+            })
+        })
+    }
+
     /// Cancels the job if it is still open.
     pub(crate) fn cancel(&mut self) {
         if self.is_open() {
--- a/crates/dotterelsill_jobs/src/waves/selection.rs
+++ b/crates/dotterelsill_jobs/src/waves/selection.rs
@@ -170,12 +170,16 @@
         (all * MAX_UNAVAILABLE_PERCENT / 100).max(1)
     }
 
-    /// Returns the cost of ending the runs of an instance.
+    /// Returns the cost of ending the runs of an instance. It is the highest if an earlier
+    /// scheduler may have started any that were not seen.
     pub(super) fn eviction_cost(&self, name: &str) -> (bool, usize, u64) {
         let Some(key) = self.worker_of(name) else {
             return (false, 0, 0);
         };
         let worker = &self.workers[&key];
+        if worker.may_have_unseen_runs() {
+            return (true, usize::MAX, u64::MAX);
+        }
         let lasting = worker.booked.values().filter(|run| run.is_lasting).count();
         (true, lasting, worker.used.cpu_milli)
     }
@@ -183,8 +187,12 @@
     /// Returns whether an instance may be drained. While stops of an earlier scheduler
     /// may still end long-running tasks that appear to be available, no other
     /// long-running tasks are ended; the instance must be known to run none. Tasks that
-    /// its orders to instances may end do not count as available.
+    /// its orders to instances may end do not count as available. An instance whose
+    /// status was not read may run long-running tasks that have a disruption budget.
     pub(super) fn may_drain(&self, name: &str, now: Duration) -> bool {
+        if self.may_run_budgeted_unseen(name, now) {
+            return false;
+        }
         if now >= self.earlier_stops_until() {
             return true;
         }
@@ -195,4 +203,19 @@
         self.worker_of(name)
             .is_some_and(|key| self.workers[&key].life.is_known && self.lasting_on(key).is_empty())
     }
+
+    /// Returns whether an earlier scheduler may have started long-running tasks with a
+    /// disruption budget on an instance, and no status has shown them.
+    fn may_run_budgeted_unseen(&self, name: &str, now: Duration) -> bool {
+        let worker = self.worker_of(name).map(|key| &self.workers[&key]);
+        let Some(worker) = worker.filter(|worker| self.may_run_unseen(worker, now)) else {
+            return false;
+        };
+        self.jobs.values().any(|job| {
+            job.is_open()
+                && job.is_restored
+                && job.may_run_on(&worker.report.data_centre)
+                && job.has_waiting_budgeted()
+        })
+    }
 }
--- a/crates/dotterelsill_jobs/tests/unread_workers.rs
+++ b/crates/dotterelsill_jobs/tests/unread_workers.rs
@@ -142,3 +142,35 @@
     assert_eq!(scheduler.lease_end(key, true, ms(7900)), before);
     assert!(scheduler.has_granted_change() && is_granted(&scheduler, 0));
 }
+
+/// Returns when the maintenance of the unread worker's instance is ordered.
+fn ordered_at(scheduler: &mut Scheduler) -> Option<u64> {
+    let mut times = (1300..9000).step_by(100);
+    times.find(|&at| ordered(scheduler, at).contains(&"i0".to_owned()))
+}
+
+/// Guards against a wave that takes an unread worker for an idle one: it may run tasks whose
+/// disruption budget the wave would exceed. Without such tasks the wave does not wait.
+#[test]
+fn instance_of_an_unread_worker_may_run_budgeted_tasks() {
+    for (step, waits) in [(lasting(1), true), (step(1, 1000), false)] {
+        let mut scheduler = elected(8, &record("urgent", 7, vec![step]));
+        scheduler.configure(common::configuration(), wave(&[0]));
+        scheduler.on_instances(list(), ms(1200), ms(1200));
+        let at = ordered_at(&mut scheduler).expect("the wave goes on");
+        // The leases of the earlier scheduler have certainly ended at 6600 ms.
+        assert_eq!(at >= 6600, waits, "{at} ms");
+    }
+}
+
+/// Guards against a wave that ends the runs of an unread worker while it could maintain an
+/// idle one.
+#[test]
+fn instance_of_an_unread_worker_is_drained_last() {
+    let mut scheduler = elected(8, &record("urgent", 7, vec![step(1, 1000)]));
+    scheduler.on_instances(list(), ms(3700), ms(3700));
+    scheduler.configure(common::configuration(), wave(&[0, 1]));
+    let mut times = (3800..9000).step_by(100);
+    let first = times.find_map(|at| ordered(&mut scheduler, at).pop());
+    assert_eq!(first.as_deref(), Some("i1"));
+}
