Wait for unread workers of the pools in which a job was started

Cause: which unread workers a restored job waits for was asked of the pool that its queue has now. Nothing that was stored told where its tasks were started.

Change: a job's record holds the pool for which it was accepted. Tasks start in another pool only once the progress record names it; jobs without room there ask for no write. All checks (plans, copies, acknowledgements of copies, waves, ended jobs' usage, the explanation) go by these pools. A worker that is registered for another pool or data centre while it may run tasks has an unknown place, which matches all jobs. Jobs that were accepted for the present pool do not wait for workers of the earlier one.

--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -21,6 +21,7 @@
         JobOccurrence,
         Placed, //
     },
+    worker::Place,
     Resources,
     Scheduler,
     StepId, //
@@ -131,12 +132,18 @@
         let Some(queue) = self.configuration.queue(&job.spec.queue) else {
             return format!("queue {}, which is not configured", job.spec.queue);
         };
-        let unread_data_centres = self.unread_data_centres(&queue.pool, now);
-        if job.waits_for_unread_workers(&unread_data_centres) {
+        let unread_places = self.unread_places(now);
+        if job.waits_for_unread_workers(&unread_places) {
+            let places = unread_places.iter().filter(|place| job.may_run_at(place));
+            let places: Vec<String> = places.map(Place::to_string).collect();
             return format!(
-                "the lists of workers in {unread_data_centres:?}, which may run its tasks"
+                "the lists of workers in {}, which may run its tasks",
+                places.join(", ")
             );
         }
+        if !job.may_start_in(&queue.pool) {
+            return format!("the store, to note that it may run in pool {}", queue.pool);
+        }
         let is_paused = |task: &Task| task.not_before > now;
         let mut waiting = state.tasks.iter().filter(|task| task.is_waiting());
         if waiting.all(is_paused) {
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -11,7 +11,10 @@
         GivenUpReason, //
     },
     granted::MAX_ORDER_DELAY,
-    worker::Worker,
+    worker::{
+        Place,
+        Worker, //
+    },
     Acknowledgement,
     JobId,
     ProcessedEnds,
@@ -36,7 +39,7 @@
             if !worker.on_started(report.started_unix_ms, None, longest, now) {
                 return (key, false);
             }
-            worker.report = report;
+            worker.set_report(report);
             worker.is_listed = true;
             return (key, is_moved);
         }
@@ -356,17 +359,22 @@
         }
     }
 
-    /// Returns the data centres in which workers of a pool may have active runs of
-    /// an earlier scheduler, because their status was not read. An empty name
-    /// stands for a worker in an unknown data centre.
-    pub(crate) fn unread_data_centres(&self, pool: &str, now: Duration) -> BTreeSet<String> {
-        let is_unread = |worker: &&crate::worker::Worker| {
+    /// Returns the places of workers that may have active runs of an earlier scheduler,
+    /// because their status was not read.
+    pub(crate) fn unread_places(&self, now: Duration) -> BTreeSet<Place> {
+        let workers = self.workers.values();
+        let unread = workers.filter(|worker| self.may_run_unseen(worker, now));
+        unread.map(Worker::place_of_starts).collect()
+    }
+
+    /// Returns the number of workers of a pool, or of an unknown one, that may have active
+    /// runs of an earlier scheduler.
+    pub(crate) fn unread_workers_of(&self, pool: &str, now: Duration) -> usize {
+        let unread = self.workers.values().filter(|worker| {
             let is_of_pool = worker.report.pool.is_empty() || worker.report.pool == pool;
             is_of_pool && self.may_run_unseen(worker, now)
-        };
-        let data_centre = |worker: &crate::worker::Worker| worker.report.data_centre.clone();
-        let unread_data_centres = self.workers.values().filter(is_unread);
-        unread_data_centres.map(data_centre).collect()
+        });
+        unread.count()
     }
 
     pub(crate) fn workspace_of(&self, id: JobId) -> Option<String> {
--- a/crates/dotterelsill_jobs/src/held_back.rs
+++ b/crates/dotterelsill_jobs/src/held_back.rs
@@ -106,7 +106,7 @@
         now: Duration,
     ) -> Vec<StepId> {
         let usable = self.candidates_of(pool, now);
-        let unread_data_centres = self.unread_data_centres(pool, now);
+        let unread_places = self.unread_places(now);
         let mut starved = Vec::new();
         for &id in self.ready.get(pool).into_iter().flatten() {
             let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
@@ -123,7 +123,7 @@
             let workspace = job.spec.workspace.as_deref();
             if step.is_lasting
                 && tasks.iter().any(is_long)
-                && !job.waits_for_unread_workers(&unread_data_centres)
+                && !job.waits_for_unread_workers(&unread_places)
                 && self.is_within_cap(workspace, &step.counted_resources())
                 && self.reservable_workers(job, id, usable.list(), now) == 0
             {
@@ -214,12 +214,8 @@
 
     fn held_back_in(&self, pool: &str, now: Duration) -> Vec<HeldBack> {
         let usable = self.candidates_of(pool, now);
-        let unread_data_centres = self.unread_data_centres(pool, now);
-        let unread = self.workers.values().filter(|worker| {
-            let is_of_pool = worker.report.pool.is_empty() || worker.report.pool == pool;
-            is_of_pool && self.may_run_unseen(worker, now)
-        });
-        let unread_workers = unread.count();
+        let unread_places = self.unread_places(now);
+        let unread_workers = self.unread_workers_of(pool, now);
         let mut held: BTreeMap<HoldReason, HeldBack> = BTreeMap::new();
         for id in self.ready.get(pool).into_iter().flatten() {
             let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
@@ -236,7 +232,7 @@
                 HoldReason::UnknownQueue
             } else if usable.list().is_empty() {
                 HoldReason::NoWorker
-            } else if job.waits_for_unread_workers(&unread_data_centres) {
+            } else if job.waits_for_unread_workers(&unread_places) {
                 HoldReason::UnreadWorkers
             } else if !usable.may_fit(&resources) {
                 HoldReason::NoRoom
--- a/crates/dotterelsill_jobs/src/home.rs
+++ b/crates/dotterelsill_jobs/src/home.rs
@@ -32,10 +32,16 @@
 }
 
 impl Scheduler {
+    /// Returns the pool of a new job; `None` while its queue is not configured.
+    pub fn pool_of(&self, record: &JobRecord) -> Option<String> {
+        let queue = self.configuration.queue(&record.queue)?;
+        Some(queue.pool.clone())
+    }
+
     /// Returns the home of a new job: the data centre with the most free processor
     /// time. Returns `None` if no worker of the pool accepts tasks.
     pub fn choose_home(&mut self, record: &JobRecord, now: Duration) -> Option<String> {
-        let pool = self.configuration.queue(&record.queue)?.pool.clone();
+        let pool = self.pool_of(record)?;
         let is_valid = |free: &FreeCpu| now < free.counted_at + COUNT_LIFETIME;
         if !self.free_cpu.get(&pool).is_some_and(is_valid) {
             let free = FreeCpu {
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -26,6 +26,7 @@
     run_times::RunSpeed,
     spec::FORMAT,
     tasks::Tasks,
+    worker::Place,
     JobId,
     JobSpec,
     Resources,
@@ -161,6 +162,9 @@
     /// Number of the progress change that spread the job beyond its home data
     /// centre.
     spread_change: Option<u64>,
+    /// Further pools in which tasks may be started, each with the number of the progress
+    /// change that added it.
+    later_pools: Vec<(String, u64)>,
     /// Opened occurrences that are not completed, and completed ones that still have
     /// runs.
     pub(crate) occurrences: BTreeMap<u32, Occurrence>,
@@ -198,6 +202,7 @@
             has_begun: false,
             is_restored: spec.accepted_token != token,
             spread_change: None,
+            later_pools: Vec::new(),
             occurrences: BTreeMap::new(),
             done_occurrences: DoneOccurrences::default(),
             next_occurrence: 0,
@@ -461,25 +466,40 @@
         }
     }
 
-    /// Returns whether an earlier scheduler may have started tasks in a data centre; an
-    /// empty name stands for an unknown one.
-    pub(crate) fn may_run_on(&self, data_centre: &str) -> bool {
-        let is_home = |home| data_centre.is_empty() || home == data_centre;
-        self.bound_to().is_none_or(is_home)
+    /// Returns whether tasks may be started in a pool: after a failover the next scheduler
+    /// looks for runs only in the stored ones, whatever pool the queue has then.
+    pub(crate) fn may_start_in(&self, pool: &str) -> bool {
+        let is_stored = |later: &(String, u64)| later.0 == pool && later.1 <= self.stored_changes;
+        let is_first = |first: &String| first == pool;
+        self.spec.pool.as_ref().is_none_or(is_first) || self.later_pools.iter().any(is_stored)
+    }
+
+    /// Allows tasks to start in another pool as soon as this is stored; returns whether this
+    /// is a change.
+    pub(crate) fn add_pool(&mut self, pool: &str) -> bool {
+        if self.may_start_in(pool) || self.later_pools.iter().any(|later| later.0 == pool) {
+            return false;
+        }
+        self.changes += 1;
+        self.later_pools.push((pool.to_owned(), self.changes));
+        true
+    }
+
+    /// Returns whether an earlier scheduler may have started tasks at a place.
+    pub(crate) fn may_run_at(&self, place: &Place) -> bool {
+        let is_in = |own: &str, other: &str| other.is_empty() || own == other;
+        let is_of_pool = |first: &String| {
+            let mut later = self.later_pools.iter();
+            is_in(first, &place.pool) || later.any(|later| is_in(&later.0, &place.pool))
+        };
+        let is_home = |home| is_in(home, &place.data_centre);
+        self.spec.pool.as_ref().is_none_or(is_of_pool) && self.bound_to().is_none_or(is_home)
     }
 
     /// Returns whether a run started by an earlier scheduler may still be active on
-    /// a worker whose status was not read yet. Such workers are in
-    /// `unread_data_centres`; an empty name stands for a worker in an unknown data
-    /// centre.
-    pub(crate) fn waits_for_unread_workers(&self, unread_data_centres: &BTreeSet<String>) -> bool {
-        self.is_restored
-            && match self.bound_to() {
-                Some(home) => {
-                    unread_data_centres.contains(home) || unread_data_centres.contains("")
-                }
-                None => !unread_data_centres.is_empty(),
-            }
+    /// a worker whose status was not read yet, given the places of these workers.
+    pub(crate) fn waits_for_unread_workers(&self, unread_places: &BTreeSet<Place>) -> bool {
+        self.is_restored && unread_places.iter().any(|place| self.may_run_at(place))
     }
 
     /// Allows tasks to run outside the home data centre as soon as this is stored;
@@ -493,10 +513,11 @@
         true
     }
 
-    /// Returns whether the job waits until its spread is stored.
+    /// Returns whether the job waits until its spread or a further pool is stored.
     pub(crate) fn is_spreading(&self) -> bool {
-        self.spread_change
-            .is_some_and(|change| change > self.stored_changes)
+        let later_pools = self.later_pools.iter().map(|later| later.1);
+        let mut changes = self.spread_change.into_iter().chain(later_pools);
+        changes.any(|change| change > self.stored_changes)
     }
 
     /// Returns the resources of all waiting tasks of the opened occurrences, which an
@@ -531,8 +552,10 @@
 
     /// Returns the progress record to store.
     pub(crate) fn progress(&self) -> ProgressRecord {
-        let mut steps = Vec::new();
+        let (mut steps, mut later_pools) = (Vec::new(), Vec::new());
         if self.is_open() {
+            let pools = self.later_pools.iter();
+            later_pools.extend(pools.map(|later| later.0.clone()));
             for (&occurrence, state) in &self.occurrences {
                 if self.done_occurrences.contains(occurrence) {
                     continue;
@@ -550,6 +573,7 @@
             done_occurrences,
             done_below,
             is_spread: self.spread_change.is_some(),
+            later_pools,
             // The job does not know its workers by their identifiers.
             unended: Vec::new(),
             workspace: String::new(),
@@ -560,6 +584,8 @@
     pub(crate) fn restore(&mut self, record: &ProgressRecord, revision: u64) {
         self.progress_revision = revision;
         self.spread_change = record.is_spread.then_some(0);
+        let later_pools = record.later_pools.iter();
+        self.later_pools = later_pools.map(|pool| (pool.clone(), 0)).collect();
         self.done_occurrences =
             DoneOccurrences::from_record(record.done_below, &record.done_occurrences);
         for progress in &record.steps {
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -26,7 +26,10 @@
     rank::Rank,
     run_times::RunSpeed,
     shortage::JobOccurrence,
-    worker::BookedRun,
+    worker::{
+        BookedRun,
+        Place, //
+    },
     Order,
     Resources,
     RunState,
@@ -95,9 +98,9 @@
         if ranks.is_empty() {
             return;
         }
-        let unread_data_centres = self.unread_data_centres(pool, now);
+        let unread_places = self.unread_places(now);
         for rank in ranks {
-            self.plan_step(rank.step, &mut candidates, &unread_data_centres, now);
+            self.plan_step(rank.step, pool, &mut candidates, &unread_places, now);
         }
     }
 
@@ -155,8 +158,9 @@
     fn plan_step(
         &mut self,
         id: StepId,
+        pool: &str,
         candidates: &mut Candidates,
-        unread_data_centres: &BTreeSet<String>,
+        unread_places: &BTreeSet<Place>,
         now: Duration,
     ) {
         // The plan may have failed the job at another of its steps.
@@ -169,7 +173,7 @@
             return;
         }
         let bound_to = job.bound_to().map(str::to_owned);
-        if job.waits_for_unread_workers(unread_data_centres) {
+        if job.waits_for_unread_workers(unread_places) {
             return;
         }
         let max_attempts = self.max_attempts(&job.spec.queue);
@@ -194,6 +198,10 @@
         if waiting.is_empty() {
             return;
         }
+        if !job.may_start_in(pool) {
+            self.add_pool(id, pool, waiting.len(), candidates, now);
+            return;
+        }
         if step.is_gang {
             if waiting.len() == state.tasks.len() {
                 self.plan_gang(id, candidates, bound_to.as_deref(), now);
@@ -251,6 +259,42 @@
         log_started(started, 0);
     }
 
+    /// Notes that tasks of a job may start in another pool, if one of them fits there, and
+    /// keeps room for them until that is stored.
+    fn add_pool(
+        &mut self,
+        id: StepId,
+        pool: &str,
+        waiting: usize,
+        candidates: &mut Candidates,
+        now: Duration,
+    ) {
+        let job = &self.jobs[&id.job];
+        let tickets = self.valid_tickets(id, now);
+        let request = PlacementRequest::of(job, id, tickets.as_ref());
+        let resources = request.resources;
+        let mut kept = 0;
+        while kept < waiting {
+            let worker = |key| self.workers.get(&key);
+            let Some(chosen) = choose_worker(candidates.list(), worker, &request) else {
+                break;
+            };
+            candidates.take(chosen, &resources);
+            kept += 1;
+        }
+        if kept == 0 {
+            return;
+        }
+        if self
+            .jobs
+            .get_mut(&id.job)
+            .is_some_and(|job| job.add_pool(pool))
+        {
+            log::info!(job:% = id.job, pool; "job_gets_another_pool");
+            self.mark_dirty(id.job);
+        }
+    }
+
     /// Spreads the job beyond its home if the task fits elsewhere.
     fn spread_if_useful(
         &mut self,
--- a/crates/dotterelsill_jobs/src/run_times/copies.rs
+++ b/crates/dotterelsill_jobs/src/run_times/copies.rs
@@ -147,11 +147,7 @@
             return true;
         }
         // An earlier scheduler may have ordered a copy on a worker that was not read.
-        let queue = self.configuration.queue(&job.spec.queue);
-        job.is_restored
-            && queue.is_some_and(|queue| {
-                job.waits_for_unread_workers(&self.unread_data_centres(&queue.pool, now))
-            })
+        job.is_restored && job.waits_for_unread_workers(&self.unread_places(now))
     }
 }
 
--- a/crates/dotterelsill_jobs/src/run_times/stragglers.rs
+++ b/crates/dotterelsill_jobs/src/run_times/stragglers.rs
@@ -158,12 +158,14 @@
         }
         let mut budget = CopyBudget::new(capacity_milli, slow_runs.copied_milli);
         let mut stragglers = slow_runs.stragglers;
-        let unread_data_centres = self.unread_data_centres(pool, now);
+        let unread_places = self.unread_places(now);
         stragglers.sort_by_key(|straggler| (Reverse(straggler.left), straggler.task));
         for straggler in &stragglers {
             let job = self.jobs.get(&straggler.task.step.job);
             // An unread worker may have another run of the task.
-            if job.is_none_or(|job| job.waits_for_unread_workers(&unread_data_centres)) {
+            if job.is_none_or(|job| {
+                job.waits_for_unread_workers(&unread_places) || !job.may_start_in(pool)
+            }) {
                 continue;
             }
             if straggler.may_copy && is_worth_a_copy(straggler) {
@@ -246,7 +248,7 @@
 
     /// Returns whether a step of a pool waits for room, so that nothing is left for copies.
     fn has_work_for_room(&self, pool: &str, now: Duration) -> bool {
-        let unread_data_centres = self.unread_data_centres(pool, now);
+        let unread_places = self.unread_places(now);
         let steps = self.ready.get(pool);
         steps.into_iter().flatten().any(|id| {
             let Some(job) = self.jobs.get(&id.job).filter(|job| job.is_open()) else {
@@ -260,7 +262,7 @@
             let resources = job.spec.steps[id.step as usize].counted_resources();
             tasks.has_waiting()
                 && tasks.iter().any(may_start)
-                && !job.waits_for_unread_workers(&unread_data_centres)
+                && !job.waits_for_unread_workers(&unread_places)
                 && self.is_within_cap(job.spec.workspace.as_deref(), &resources)
         })
     }
--- a/crates/dotterelsill_jobs/src/shortage/pool.rs
+++ b/crates/dotterelsill_jobs/src/shortage/pool.rs
@@ -135,8 +135,7 @@
                 InstanceAction::Maintain { .. } => None,
             }
         });
-        ordered.any(|destination| destination == pool)
-            || !self.unread_data_centres(pool, now).is_empty()
+        ordered.any(|destination| destination == pool) || self.unread_workers_of(pool, now) > 0
     }
 
     /// Replaces the classes of a pool's jobs, and counts the deferred jobs.
--- a/crates/dotterelsill_jobs/src/spec.rs
+++ b/crates/dotterelsill_jobs/src/spec.rs
@@ -149,6 +149,8 @@
     /// Data centre to which the tasks are bound until the job is spread; `None` for
     /// any.
     pub home: Option<String>,
+    /// Pool in which tasks may be started without a note in the progress; `None` for any.
+    pub pool: Option<String>,
     /// Fencing token of the scheduler that accepted the job.
     pub accepted_token: u64,
     /// Time of acceptance, since the Unix epoch.
@@ -225,6 +227,7 @@
             steps: record.steps.iter().map(Step::from).collect(),
             schedule,
             home: (!record.home.is_empty()).then(|| record.home.clone()),
+            pool: (!record.pool.is_empty()).then(|| record.pool.clone()),
             accepted_token: record.accepted_token,
             accepted_unix: Duration::from_millis(record.accepted_unix_ms),
         })
--- a/crates/dotterelsill_jobs/src/unended.rs
+++ b/crates/dotterelsill_jobs/src/unended.rs
@@ -55,7 +55,7 @@
             let mut resources = Resources::default();
             let booked = worker.booked_of_job(id);
             booked.for_each(|booked| resources.add(&booked.resources));
-            if job.may_run_on(&worker.report.data_centre)
+            if job.may_run_at(&worker.place_of_starts())
                 && self.may_run_unseen(worker, self.planned_at)
             {
                 resources.add(&unseen);
--- a/crates/dotterelsill_jobs/src/waves/selection.rs
+++ b/crates/dotterelsill_jobs/src/waves/selection.rs
@@ -214,7 +214,7 @@
         self.jobs.values().any(|job| {
             job.is_open()
                 && job.is_restored
-                && job.may_run_on(&worker.report.data_centre)
+                && job.may_run_at(&worker.place_of_starts())
                 && job.has_waiting_budgeted()
         })
     }
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     time::Duration, //
 };
 
@@ -40,6 +41,24 @@
     pub is_draining: bool,
 }
 
+/// Pool and data centre of a worker. An empty name stands for an unknown one.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Place {
+    pub(crate) pool: String,
+    pub(crate) data_centre: String,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let or_unknown = |name: &str| match name {
+            "" => "an unknown one".to_owned(),
+            name => name.to_owned(),
+        };
+        let (pool, data_centre) = (or_unknown(&self.pool), or_unknown(&self.data_centre));
+        write!(f, "pool {pool} and data centre {data_centre}")
+    }
+}
+
 /// A run that occupies resources on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct BookedRun {
@@ -108,6 +127,9 @@
     pub(crate) may_grant: bool,
     /// Whether an earlier scheduler may have started tasks on the worker.
     pub(crate) is_expected: bool,
+    /// Whether the worker has changed its pool or data centre since tasks may have been
+    /// started on it.
+    has_changed_place: bool,
     /// Whether a start of an earlier scheduler may reach any life of the worker.
     pub(crate) has_unbound_starts: bool,
 }
@@ -131,6 +153,7 @@
             is_terminating: false,
             may_grant: false,
             is_expected: false,
+            has_changed_place: false,
             has_unbound_starts: false,
         }
     }
@@ -276,13 +299,45 @@
         self.is_terminating && self.booked.is_empty() && !self.may_have_unseen_runs()
     }
 
+    /// Replaces the registration.
+    pub(crate) fn set_report(&mut self, report: WorkerReport) {
+        let is_same_place =
+            self.report.pool == report.pool && self.report.data_centre == report.data_centre;
+        if !is_same_place && (self.may_grant || self.is_expected) {
+            log::warn!(
+                worker = report.id, pool = report.pool, data_centre = report.data_centre,
+                earlier_pool = self.report.pool, earlier_data_centre = self.report.data_centre;
+                "worker_changed_place"
+            );
+            self.has_changed_place = true;
+            // The stored record names the earlier place alone.
+            self.may_grant = false;
+        }
+        self.report = report;
+    }
+
+    /// Returns where tasks on the worker may have been started.
+    pub(crate) fn place_of_starts(&self) -> Place {
+        if self.has_changed_place {
+            return Place {
+                pool: String::new(),
+                data_centre: String::new(),
+            };
+        }
+        Place {
+            pool: self.report.pool.clone(),
+            data_centre: self.report.data_centre.clone(),
+        }
+    }
+
     /// Returns the entry for the stored record of workers that may run tasks.
     pub(crate) fn granted_record(&self) -> GrantedWorker {
+        let Place { pool, data_centre } = self.place_of_starts();
         GrantedWorker {
             id: self.report.id.clone(),
             address: self.report.address.clone(),
-            pool: self.report.pool.clone(),
-            data_centre: self.report.data_centre.clone(),
+            pool,
+            data_centre,
             closes_connections: !self.life.keeps_connections,
         }
     }
--- a/crates/dotterelsill_jobs/tests/ended_jobs.rs
+++ b/crates/dotterelsill_jobs/tests/ended_jobs.rs
@@ -34,6 +34,7 @@
     done_below: 0,
     unended: Vec::new(),
     workspace: String::new(),
+    later_pools: Vec::new(),
 };
 
 /// Guards against a job that ended under an earlier scheduler and is not known, runs again
--- a/crates/dotterelsill_jobs/tests/unread_workers.rs
+++ b/crates/dotterelsill_jobs/tests/unread_workers.rs
@@ -17,9 +17,12 @@
     starts,
     status_at,
     step,
-    task, //
+    submit,
+    task,
+    with_queue, //
 };
 use dotterelsill_jobs::{
+    Configuration,
     Instance,
     InstanceState,
     JobId,
@@ -27,13 +30,20 @@
     OperatorRequests,
     Scheduler,
     Wave,
+    WorkerKey,
+    WorkerReport,
     WorkerStatus, //
 };
 use dotterelsill_proto::jobs::{
     GrantedWorker,
-    JobRecord, //
+    JobRecord,
+    ProgressRecord, //
 };
 
+/// Time at which the leases that the scheduler before [`elected`] has granted have certainly
+/// ended, in milliseconds.
+const EARLIER_LEASES_END: u64 = 6600;
+
 fn granted(index: usize) -> GrantedWorker {
     let worker = report(index, "dc");
     GrantedWorker {
@@ -158,8 +168,7 @@
         scheduler.configure(common::configuration(), wave(&[0]));
         scheduler.on_instances(list(), ms(1200), ms(1200));
         let at = ordered_at(&mut scheduler).expect("the wave goes on");
-        // The leases of the earlier scheduler have certainly ended at 6600 ms.
-        assert_eq!(at >= 6600, waits, "{at} ms");
+        assert_eq!(at >= EARLIER_LEASES_END, waits, "{at} ms");
     }
 }
 
@@ -174,3 +183,162 @@
     let first = times.find_map(|at| ordered(&mut scheduler, at).pop());
     assert_eq!(first.as_deref(), Some("i1"));
 }
+
+/// Returns a configuration in which the queues `urgent` and `patient` have another pool.
+fn repointed() -> Arc<Configuration> {
+    let mut configuration = Configuration::clone(&common::configuration());
+    for name in ["urgent", "patient"] {
+        configuration.queues = with_queue(&configuration.queues, name, |queue| {
+            queue.pool = "other".to_owned();
+        });
+    }
+    Arc::new(configuration)
+}
+
+fn report_of_other_pool(index: usize) -> WorkerReport {
+    WorkerReport {
+        pool: "other".to_owned(),
+        ..report(index, "dc")
+    }
+}
+
+/// Adds a worker of another pool, which was read.
+fn add_worker_of_other_pool(scheduler: &mut Scheduler, index: usize) -> WorkerKey {
+    let (key, _) = scheduler.on_report(report_of_other_pool(index), ms(1030));
+    let granted = scheduler.granted();
+    scheduler.on_granted_stored(&granted);
+    scheduler.on_worker_status(key, &status_at(ms(1030)), ms(1030));
+    key
+}
+
+fn accepted_in(pool: &str) -> JobRecord {
+    JobRecord {
+        pool: pool.to_owned(),
+        ..record("urgent", 7, vec![step(1, 1000)])
+    }
+}
+
+/// Stores all changes; returns the last record.
+fn store(scheduler: &mut Scheduler) -> Option<ProgressRecord> {
+    let mut last = None;
+    for change in scheduler.take_changes(10) {
+        scheduler.on_stored(change.job, change.number, change.expected_revision + 1);
+        last = Some(change.record);
+    }
+    last
+}
+
+/// Plans and stores all changes every 50 ms; returns when tasks start, and on which worker.
+fn first_start(scheduler: &mut Scheduler, until: u64) -> Option<(u64, WorkerKey)> {
+    (1100..until).step_by(50).find_map(|at| {
+        scheduler.expire_leases(ms(at));
+        scheduler.replan();
+        let started = starts(&scheduler.plan(ms(at)));
+        store(scheduler);
+        started.first().map(|start| (at, start.1))
+    })
+}
+
+/// Guards against a task that runs twice because its queue has another pool now: an earlier
+/// scheduler may have started it on an unread worker of the pool that the queue had. Jobs
+/// that were accepted for the present pool do not wait for that worker.
+#[test]
+fn unread_worker_of_the_pool_that_the_queue_had() {
+    for (pool, expected) in [
+        ("work", EARLIER_LEASES_END),
+        // Stored by a version that did not note the pool.
+        ("", EARLIER_LEASES_END),
+        ("other", 1100),
+    ] {
+        let mut scheduler = elected(8, &accepted_in(pool));
+        scheduler.configure(repointed(), Arc::default());
+        let key = add_worker_of_other_pool(&mut scheduler, 2);
+        let (at, worker) = first_start(&mut scheduler, 9000).expect("the task starts");
+        assert_eq!(worker, key);
+        assert!(
+            (expected..expected + 200).contains(&at),
+            "{pool:?}: {at} ms"
+        );
+    }
+}
+
+/// Guards against a task that runs twice because its queue was not configured, or had
+/// another pool, when an earlier scheduler took over: the pools stay with the job.
+#[test]
+fn pool_of_a_job_is_stored_before_a_task_starts_there() {
+    let mut scheduler = common::scheduler(7, ms(1000));
+    scheduler.configure(repointed(), Arc::default());
+    let key = add_worker_of_other_pool(&mut scheduler, 0);
+    submit(&mut scheduler, 1, &accepted_in("work"), ms(1040));
+    assert_eq!(starts(&scheduler.plan(ms(1050))), []);
+    let progress = store(&mut scheduler).expect("the pool is stored");
+    assert_eq!(starts(&scheduler.plan(ms(1060))), [(task(1, 0, 0), key)]);
+    // The next one does not read the worker in which the task runs.
+    let mut next = Scheduler::new(8, limits(), ms(1000));
+    next.configure(common::configuration(), Arc::default());
+    next.restore_granted_worker(
+        &GrantedWorker {
+            pool: "other".to_owned(),
+            ..granted(0)
+        },
+        ms(1000),
+    );
+    next.restore(
+        JobId(1),
+        &accepted_in("work"),
+        Some((&progress, 5)),
+        ms(1000),
+    )
+    .expect("the record is valid");
+    next.open_due_jobs(ms(1000));
+    add_worker(&mut next, 1, ms(1020));
+    let (at, _) = first_start(&mut next, 9000).expect("the task starts");
+    assert!(at >= EARLIER_LEASES_END, "{at} ms");
+}
+
+/// Guards against starts of one job that wait, once its queue has another pool, for the
+/// store to note that pool for jobs which have no room there.
+#[test]
+fn pool_is_stored_for_jobs_with_room() {
+    let mut scheduler = common::scheduler(7, ms(1000));
+    scheduler.configure(repointed(), Arc::default());
+    add_worker_of_other_pool(&mut scheduler, 0);
+    for id in 1..=20 {
+        submit(&mut scheduler, id, &accepted_in("work"), ms(1040));
+    }
+    scheduler.plan(ms(1050));
+    // The worker has room for four tasks.
+    assert_eq!(scheduler.take_changes(100).len(), 4);
+}
+
+/// Guards against a task that runs twice because the worker that runs it is registered for
+/// another pool or data centre now.
+#[test]
+fn unread_worker_that_changed_its_place() {
+    let data_centre = WorkerReport {
+        data_centre: "dc-2".to_owned(),
+        ..report(0, "dc")
+    };
+    for registered in [report_of_other_pool(0), data_centre] {
+        let job = JobRecord {
+            home: "dc".to_owned(),
+            ..accepted_in("work")
+        };
+        let mut scheduler = elected(8, &job);
+        scheduler.on_report(registered.clone(), ms(1040));
+        let (at, _) = first_start(&mut scheduler, 9000).expect("the task starts");
+        assert!(at >= EARLIER_LEASES_END, "{registered:?}: {at} ms");
+    }
+}
+
+/// Guards against a record that names the new place alone of a worker which may run tasks.
+#[test]
+fn worker_that_changes_its_place_has_an_unknown_one() {
+    let mut scheduler = common::scheduler(7, ms(1000));
+    add_worker(&mut scheduler, 0, ms(1000));
+    assert!(!scheduler.has_granted_change());
+    scheduler.on_report(report_of_other_pool(0), ms(1100));
+    assert!(scheduler.has_granted_change());
+    let granted = scheduler.granted();
+    assert_eq!((&*granted[0].pool, &*granted[0].data_centre), ("", ""));
+}
