Settle late starts with each later life, also after their runs have ended

The first try of its start had no answer, the repetition was carried out, and the first try reached the next life of the worker, which closes each connection.

Cause: once a repetition was answered, the first try was forgotten. No later life was told to refuse it, neither after the end of the run nor when the run was given up with its life. After a takeover, a start of the earlier scheduler counted as fenced off once the present life had seen the new token, which the next life has not.

Each later life of its worker is told to stop the run, from the moment the worker is silent; the worker is polled until then. A confirmed run that the next life does not list is settled by a stop before its task starts elsewhere. Ends of such runs, and of restored tasks while starts of an earlier scheduler may arrive, are acknowledged once none can.

--- a/crates/dotterelsill_jobs/src/changes.rs
+++ b/crates/dotterelsill_jobs/src/changes.rs
@@ -198,7 +198,10 @@
                 break;
             }
             let is_early = |task| self.has_unsettled_start(task, self.planned_at);
-            if !worker.life.may_acknowledge(end.number) || end.copied.is_some_and(is_early) {
+            if !worker.life.may_acknowledge(end.number)
+                || end.copied.is_some_and(is_early)
+                || self.may_begin_again(worker, &end)
+            {
                 break;
             }
             let Some(worker) = self.workers.get_mut(&key) else {
--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -50,6 +50,14 @@
         let (task, attempt) = (end.task, end.attempt);
         if let Some(worker) = self.workers.get_mut(&key) {
             if let Some(booked) = worker.release(task, attempt) {
+                if let Some(until) = booked.unbound_until.filter(|until| now < *until) {
+                    // The life that lists the end refuses the start.
+                    let settled_at = match end.given_up {
+                        None => now,
+                        Some(_) => booked.confirmed_at.unwrap_or_default(),
+                    };
+                    worker.late_starts.add(task, attempt, until, settled_at);
+                }
                 let workspace = self.workspace_of(task.step.job);
                 self.subtract_usage(workspace, &booked.resources);
             }
@@ -360,6 +368,10 @@
         }
         match order {
             Order::Start { .. } => {
+                if !may_come_late && answer != Answer::Unclear {
+                    // The only try was answered.
+                    self.bind_start(key, task, attempt);
+                }
                 let refuses = matches!(answer, Answer::NoRoom | Answer::Unhealthy | Answer::Ticket);
                 if answer == Answer::Unclear {
                     self.note_refusal(key, task, attempt, answer, now);
@@ -376,6 +388,9 @@
             Order::Stop { .. } => {
                 let settles = matches!(answer, Answer::Done | Answer::Old);
                 self.confirm(key, task, attempt, settles.then_some(now));
+                if let Some(worker) = self.workers.get_mut(&key).filter(|_| settles) {
+                    worker.late_starts.on_stopped(task, attempt, now);
+                }
                 // A worker that refuses the stop as unhealthy keeps running the
                 // task.
                 !settles && answer != Answer::Fenced
@@ -438,6 +453,15 @@
         }
     }
 
+    /// Records that no try of a start is under way any more.
+    pub(crate) fn bind_start(&mut self, key: WorkerKey, task: TaskId, attempt: u64) {
+        let worker = self.workers.get_mut(&key);
+        let booked = worker.and_then(|worker| worker.booked.get_mut(&task));
+        if let Some(booked) = booked.filter(|booked| booked.attempt == attempt) {
+            booked.unbound_until = None;
+        }
+    }
+
     fn confirm(&mut self, key: WorkerKey, task: TaskId, attempt: u64, at: Option<Duration>) {
         let worker = self.workers.get_mut(&key);
         let booked = worker.and_then(|worker| worker.booked.get_mut(&task));
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -41,6 +41,7 @@
             }
             worker.set_report(report);
             worker.is_listed = true;
+            self.settle_late_starts(key);
             return (key, is_moved);
         }
         let key = self.new_worker(report, now);
@@ -200,12 +201,14 @@
             .is_some_and(|worker| !worker.life.pending_ends.is_empty())
     }
 
-    /// Returns whether a worker has something to report: runs, or ends that are not
-    /// acknowledged.
+    /// Returns whether a worker has something to report: runs, ends that are not
+    /// acknowledged, or a new life that must refuse a late start.
     pub fn is_busy(&self, key: WorkerKey) -> bool {
-        self.workers
-            .get(&key)
-            .is_some_and(|worker| !worker.booked.is_empty() || !worker.life.pending_ends.is_empty())
+        self.workers.get(&key).is_some_and(|worker| {
+            !worker.booked.is_empty()
+                || !worker.life.pending_ends.is_empty()
+                || worker.may_have_late_starts()
+        })
     }
 
     /// Returns whether a worker's status must be read before it gets tasks, because
@@ -248,6 +251,7 @@
             if !was_silent {
                 let age_ms = now.saturating_sub(worker.answered_at).as_millis() as u64;
                 log::warn!(worker = worker.report.id, age_ms; "worker_silent");
+                self.settle_late_starts(key);
             }
         }
     }
@@ -256,6 +260,7 @@
     /// workers that are gone. Returns the keys of the removed workers.
     pub fn expire_leases(&mut self, now: Duration) -> Vec<WorkerKey> {
         self.late_orders.retain(|_, (_, until)| now < *until);
+        self.expire_late_starts(now);
         let lapsed: Vec<WorkerKey> = self
             .workers
             .iter()
@@ -336,7 +341,8 @@
         worker.life.is_known = false;
         self.needs_plan = true;
         let mut booked = worker.booked.values();
-        if booked.any(|booked| booked.may_reach_later_life(now)) {
+        let has_late_run = booked.any(|booked| booked.may_reach_later_life(now));
+        if has_late_run || !worker.late_starts.is_empty() {
             let late = (worker.granted_record(), now + MAX_ORDER_DELAY);
             self.late_orders.insert(worker.report.id.clone(), late);
         }
--- a/crates/dotterelsill_jobs/src/granted.rs
+++ b/crates/dotterelsill_jobs/src/granted.rs
@@ -47,6 +47,7 @@
                 worker.has_unbound_starts = true;
                 let late_until = self.started_at + MAX_ORDER_DELAY;
                 worker.unknown_until = worker.unknown_until.max(late_until);
+                self.earlier_starts_until = late_until;
             }
         }
         Some(key)
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -29,6 +29,7 @@
 mod job;
 mod job_life;
 mod job_memory;
+mod late_starts;
 mod life;
 mod may_send;
 mod moves;
--- a/crates/dotterelsill_jobs/src/life.rs
+++ b/crates/dotterelsill_jobs/src/life.rs
@@ -69,6 +69,9 @@
     /// Task that is done, if it may have copies. The end is acknowledged once no start of
     /// another run can be carried out any more.
     pub(crate) copied: Option<TaskId>,
+    /// Task and attempt of the run. The end is acknowledged once no later life can carry out
+    /// its start any more.
+    pub(crate) run: (TaskId, u64),
 }
 
 /// What the scheduler knows of one life.
--- a/crates/dotterelsill_jobs/src/may_send.rs
+++ b/crates/dotterelsill_jobs/src/may_send.rs
@@ -36,7 +36,11 @@
             .filter(|booked| booked.attempt == attempt);
         match order {
             Order::Start { .. } => booked.is_some_and(|booked| !booked.is_stopping),
-            Order::Stop { .. } => booked.is_some() || worker.booked.contains_key(&task),
+            Order::Stop { .. } => {
+                booked.is_some()
+                    || worker.booked.contains_key(&task)
+                    || worker.late_starts.contains(task, attempt)
+            }
             Order::Pace { percent, .. } => {
                 booked.is_some_and(|booked| booked.pace_percent == *percent)
             }
@@ -84,6 +88,7 @@
             self.stop(key, *task, *attempt);
             self.stop_rest_of_gang(*task, *attempt);
         } else {
+            self.bind_start(key, *task, *attempt);
             self.lapse_start(key, *task, *attempt, GivenUpReason::StartWithdrawn, now);
         }
         false
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -131,6 +131,9 @@
     pub(crate) restored_waves: BTreeMap<u64, (Duration, Vec<String>)>,
     /// Workers in the stored record of workers that may run tasks.
     pub(crate) granted_stored: BTreeSet<String>,
+    /// Time until which starts of an earlier scheduler may be carried out by a later life of
+    /// a worker than the one that this scheduler has read; zero if there are none.
+    pub(crate) earlier_starts_until: Duration,
     /// Ended workers whose outstanding orders may still be executed by a new
     /// incarnation with the same identifier, and until when.
     pub(crate) late_orders: BTreeMap<String, (GrantedWorker, Duration)>,
@@ -207,6 +210,7 @@
             waves: BTreeMap::new(),
             restored_waves: BTreeMap::new(),
             granted_stored: BTreeSet::new(),
+            earlier_starts_until: Duration::ZERO,
             late_orders: BTreeMap::new(),
             ordered_at: BTreeMap::new(),
             held_until: BTreeMap::new(),
@@ -253,7 +257,7 @@
     /// any tasks.
     pub(crate) fn may_run_unseen(&self, worker: &Worker, now: Duration) -> bool {
         worker.is_expected
-            && !worker.life.is_known
+            && worker.is_unread()
             && (now < worker.unknown_until || !self.has_authority)
     }
 
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -9,6 +9,7 @@
 use dotterelsill_proto::jobs::GrantedWorker;
 
 use crate::{
+    late_starts::LateStarts,
     life::{
         Life,
         LIST_LAG, //
@@ -80,15 +81,16 @@
     pub(crate) life_since: Duration,
     /// Whether the start may be sent only with authority.
     pub(crate) needs_authority: bool,
-    /// Time until which a later life may carry out the start, if it was sent over a
-    /// connection that is not known to lead to the present one.
+    /// Time until which a later life may carry out a try of the start that was not answered,
+    /// if it was sent over a connection that is not known to lead to the present one.
     pub(crate) unbound_until: Option<Duration>,
 }
 
 impl BookedRun {
-    /// Returns whether a later life of the worker may still carry out the start.
+    /// Returns whether a later life of the worker may still carry out the start, also one
+    /// that the present life has confirmed: an earlier try may be under way.
     pub(crate) fn may_reach_later_life(&self, now: Duration) -> bool {
-        self.confirmed_at.is_none() && self.unbound_until.is_some_and(|until| now < until)
+        self.unbound_until.is_some_and(|until| now < until)
     }
 }
 
@@ -132,6 +134,8 @@
     has_changed_place: bool,
     /// Whether a start of an earlier scheduler may reach any life of the worker.
     pub(crate) has_unbound_starts: bool,
+    /// Starts of runs that a later life may still carry out.
+    pub(crate) late_starts: LateStarts,
 }
 
 impl Worker {
@@ -155,6 +159,7 @@
             is_expected: false,
             has_changed_place: false,
             has_unbound_starts: false,
+            late_starts: LateStarts::default(),
         }
     }
 
@@ -224,6 +229,12 @@
         self.silent_since.is_some()
     }
 
+    /// Returns the time of the first call that was not answered and after which no status
+    /// was read.
+    pub(crate) fn silent_since(&self) -> Option<Duration> {
+        self.silent_since
+    }
+
     /// Records that a call was not answered.
     pub(crate) fn on_silence(&mut self, now: Duration) {
         self.silent_since.get_or_insert(now);
@@ -274,7 +285,7 @@
     pub(crate) fn is_gone(&self, now: Duration) -> bool {
         let may_begin_runs =
             self.has_unbound_starts && !self.life.is_known && now < self.unknown_until;
-        !self.is_listed && self.booked.is_empty() && !may_begin_runs
+        !self.is_listed && self.booked.is_empty() && self.late_starts.is_empty() && !may_begin_runs
     }
 
     /// Resumes use of the worker after an order that would have ended it was not
@@ -290,13 +301,22 @@
     /// Returns whether an earlier scheduler may have started tasks on the worker that are
     /// not booked, because no status was read. Its leases may have ended since.
     pub(crate) fn may_have_unseen_runs(&self) -> bool {
-        self.is_expected && !self.life.is_known && !self.life.has_ended()
+        self.is_expected && self.is_unread() && !self.life.has_ended()
+    }
+
+    /// Returns whether the present life may run what no status has shown: none was read, or
+    /// the next life may be there, which carries out late starts of an earlier scheduler.
+    pub(crate) fn is_unread(&self) -> bool {
+        !self.life.is_known || self.has_unbound_starts && self.is_silent()
     }
 
     /// Returns whether the worker has no runs and will not get any, because its
     /// instance is leaving.
     pub(crate) fn is_vacated(&self) -> bool {
-        self.is_terminating && self.booked.is_empty() && !self.may_have_unseen_runs()
+        self.is_terminating
+            && self.booked.is_empty()
+            && self.late_starts.is_empty()
+            && !self.may_have_unseen_runs()
     }
 
     /// Replaces the registration.
@@ -338,10 +358,18 @@
             address: self.report.address.clone(),
             pool,
             data_centre,
-            closes_connections: !self.life.keeps_connections,
+            closes_connections: !self.life.keeps_connections || self.may_have_late_starts(),
         }
     }
 
+    /// Returns whether a later life may carry out a start that was sent before it began.
+    pub(crate) fn may_have_late_starts(&self) -> bool {
+        let mut booked = self.booked.values();
+        self.has_unbound_starts
+            || !self.late_starts.is_empty()
+            || booked.any(|booked| booked.unbound_until.is_some())
+    }
+
     /// Reserves the resources of a run.
     pub(crate) fn book(&mut self, task: TaskId, booked: BookedRun) {
         self.used.add(&booked.resources);
--- a/crates/dotterelsill_jobs/src/worker_status.rs
+++ b/crates/dotterelsill_jobs/src/worker_status.rs
@@ -10,6 +10,7 @@
         Evidence,
         GivenUpReason, //
     },
+    granted::MAX_ORDER_DELAY,
     job::{
         Job,
         Run, //
@@ -79,6 +80,7 @@
         if status.ended.len() < MAX_LISTED_ENDS && !status.has_unreadable_rows {
             self.end_unlisted_runs(key, status, now);
         }
+        self.settle_late_starts(key);
         self.judge_worker(key, status, now);
         self.acknowledge_stored(key);
         self.pace_fillers(key);
@@ -128,12 +130,14 @@
             now,
         );
         let copied = self.copied_task(end);
+        let run = (end.task, end.attempt);
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.life.on_end_processed(PendingEnd {
                 number: end.number,
                 job: end.task.step.job,
                 change,
                 copied,
+                run,
             });
         }
     }
@@ -198,6 +202,7 @@
             ..booked
         };
         let workspace = self.workspace_of(task.step.job);
+        let late_until = self.started_at + MAX_ORDER_DELAY;
         let Some(worker) = self.workers.get_mut(&key) else {
             return false;
         };
@@ -216,6 +221,11 @@
             "run_adopted"
         );
         let resources = booked.resources;
+        let booked = BookedRun {
+            // An earlier scheduler may have sent the start more than once.
+            unbound_until: worker.has_unbound_starts.then_some(late_until),
+            ..booked
+        };
         worker.life.note_foreign_lease(self.limits.max_lease);
         worker.book(task, booked);
         self.add_usage(workspace, &resources);
@@ -290,13 +300,29 @@
                 .iter()
                 .any(|run| run.task == *task && run.attempt == attempt)
         };
-        let gone: Vec<(TaskId, u64)> = worker
-            .booked
-            .iter()
-            .filter(|(_, booked)| booked.confirmed_at.is_some_and(|at| at < status.sent_at))
-            .filter(|(task, booked)| !is_listed(task, booked.attempt))
-            .map(|(task, booked)| (*task, booked.attempt))
-            .collect();
+        let life_since = worker.life.since;
+        let (mut gone, mut late) = (Vec::new(), Vec::new());
+        for (&task, booked) in &worker.booked {
+            let is_expected = |at: &Duration| *at < status.sent_at;
+            let Some(confirmed_at) = booked.confirmed_at.filter(is_expected) else {
+                continue;
+            };
+            if is_listed(&task, booked.attempt) {
+                continue;
+            }
+            match booked.unbound_until {
+                // A life before this one has confirmed the run.
+                Some(until) if now < until && confirmed_at <= life_since => {
+                    late.push((task, booked.attempt, until, confirmed_at));
+                }
+                _ => gone.push((task, booked.attempt)),
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(&key) {
+            for (task, attempt, until, settled_at) in late {
+                worker.late_starts.add(task, attempt, until, settled_at);
+            }
+        }
         for (task, attempt) in gone {
             log::warn!(task:%, attempt, worker = self.workers[&key].report.id; "run_gone");
             let evidence = Evidence {
