Know the queue of a job by its path

Cause: jobs were tied to their queues by name. A job whose queue's name is gone waits for it, and one whose name is given to another queue follows it there. Callers know a queue by its host and path prefix.

Change: the record of a job holds the path of its queue, and all lookups go by it; the number of pending jobs is asked for by path, too. Records without a path are of the queue with their name, and are completed when they are accepted.

--- a/crates/dotterelsill_cli/src/jobs.rs
+++ b/crates/dotterelsill_cli/src/jobs.rs
@@ -193,7 +193,10 @@
             ))
         }
         JobCommand::Pending(queue) => {
-            let request = PendingRequest { queue: queue.name };
+            let request = PendingRequest {
+                queue: queue.name,
+                ..PendingRequest::default()
+            };
             let response = client.pending(request).await.context(CallSnafu)?;
             outln!("{} jobs have not begun", response.into_inner().pending);
             Ok(ExitCode::SUCCESS)
--- a/crates/dotterelsill_jobs/src/advice.rs
+++ b/crates/dotterelsill_jobs/src/advice.rs
@@ -115,7 +115,7 @@
 
     fn query(&self, id: StepId, now: Duration) -> Option<AdvisorQuery> {
         let job = self.jobs.get(&id.job)?;
-        let queue = self.configuration.queue(&job.spec.queue)?;
+        let queue = self.configuration.queue_of_job(&job.spec)?;
         let advisor = queue.advisor?;
         let known = self.tickets.get(&id);
         if known.is_some_and(|known| now < known.not_before) {
@@ -167,7 +167,7 @@
         now: Duration,
     ) {
         let job = self.jobs.get(&query.step.job);
-        let queue = job.and_then(|job| self.configuration.queue(&job.spec.queue));
+        let queue = job.and_then(|job| self.configuration.queue_of_job(&job.spec));
         let Some(advisor) = queue.and_then(|queue| queue.advisor) else {
             return;
         };
@@ -212,7 +212,7 @@
         now: Duration,
     ) -> Option<BTreeMap<WorkerKey, Arc<str>>> {
         let job = self.jobs.get(&id.job)?;
-        self.configuration.queue(&job.spec.queue)?.advisor?;
+        self.configuration.queue_of_job(&job.spec)?.advisor?;
         let mut valid = BTreeMap::new();
         for (name, ticket) in self.tickets.get(&id).into_iter().flat_map(|t| &t.by_worker) {
             let key = self.by_id.get(name);
--- a/crates/dotterelsill_jobs/src/configuration.rs
+++ b/crates/dotterelsill_jobs/src/configuration.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     Advisor,
+    JobSpec,
     Resources, //
 };
 
@@ -40,19 +41,29 @@
     pub advisor: Option<Advisor>,
 }
 
-/// The queues of a configuration, indexed by name and by host.
+impl Queue {
+    /// Returns the path by which callers know the queue: its host and path prefix. It stays
+    /// the same when the queue gets another name.
+    pub fn path(&self) -> String {
+        format!("{}{}", self.host, self.path_prefix)
+    }
+}
+
+/// The queues of a configuration, indexed by name, path and host.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Queues {
     list: Vec<Queue>,
     by_name: HashMap<String, usize>,
+    by_path: HashMap<String, usize>,
     by_host: HashMap<String, Vec<usize>>,
 }
 
 impl Queues {
-    /// Adds a queue. If two queues have the same name, lookups find the first.
+    /// Adds a queue. If two queues have the same name or path, lookups find the first.
     pub fn push(&mut self, queue: Queue) {
         let number = self.list.len();
         self.by_name.entry(queue.name.clone()).or_insert(number);
+        self.by_path.entry(queue.path()).or_insert(number);
         let of_host = self.by_host.entry(queue.host.clone()).or_default();
         of_host.push(number);
         self.list.push(queue);
@@ -161,6 +172,27 @@
         self.queues.list.get(number)
     }
 
+    /// Returns the queue with the given path.
+    pub fn queue_at(&self, path: &str) -> Option<&Queue> {
+        let number = *self.queues.by_path.get(path)?;
+        self.queues.list.get(number)
+    }
+
+    /// Returns the queue of a job. Its name does not count unless its path is not known:
+    /// another queue may have that name now.
+    pub(crate) fn queue_of_job(&self, spec: &JobSpec) -> Option<&Queue> {
+        self.queue_by(&spec.queue, &spec.queue_path)
+    }
+
+    /// Returns the queue with a path, or with a name if the path is empty.
+    pub(crate) fn queue_by(&self, name: &str, path: &str) -> Option<&Queue> {
+        if path.is_empty() {
+            self.queue(name)
+        } else {
+            self.queue_at(path)
+        }
+    }
+
     /// Returns the queue for a request: of the queues of the host, the one with the
     /// longest matching path prefix.
     pub fn queue_of(&self, host: &str, path: &str) -> Option<&Queue> {
--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -13,6 +13,7 @@
         RunState, //
     },
     Answer,
+    JobSpec,
     Order,
     RunOutcome,
     Scheduler,
@@ -65,7 +66,7 @@
         let Some(job) = self.jobs.get(&task.step.job) else {
             return 0;
         };
-        let max_attempts = self.max_attempts(&job.spec.queue);
+        let max_attempts = self.max_attempts(&job.spec);
         if task.step.step as usize >= job.spec.steps.len() {
             return 0;
         }
@@ -332,8 +333,8 @@
     /// Returns how often a task of a queue may fail. While the queue is not configured
     /// the number is unknown; no task is started, and the next plan after that checks
     /// it.
-    pub(crate) fn max_attempts(&self, queue: &str) -> u32 {
-        let queue = self.configuration.queue(queue);
+    pub(crate) fn max_attempts(&self, spec: &JobSpec) -> u32 {
+        let queue = self.configuration.queue_of_job(spec);
         queue.map_or(u32::MAX, |queue| queue.max_attempts.max(1))
     }
 
--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -48,7 +48,7 @@
                 "not stored yet"
             },
         );
-        let queue = self.configuration.queue(&job.spec.queue);
+        let queue = self.configuration.queue_of_job(&job.spec);
         let shortage = queue.and_then(|queue| self.shortage.get(&queue.pool));
         for step in steps_of(job) {
             let id = JobOccurrence::of(step);
@@ -129,8 +129,8 @@
         if !job.is_ready(id) {
             return format!("the steps {:?}", step.after);
         }
-        let Some(queue) = self.configuration.queue(&job.spec.queue) else {
-            return format!("queue {}, which is not configured", job.spec.queue);
+        let Some(queue) = self.configuration.queue_of_job(&job.spec) else {
+            return format!("queue {}, which is not configured", job.spec.queue_key());
         };
         let unread_places = self.unread_places(now);
         if job.waits_for_unread_workers(&unread_places) {
--- a/crates/dotterelsill_jobs/src/held_back.rs
+++ b/crates/dotterelsill_jobs/src/held_back.rs
@@ -181,7 +181,7 @@
             .min()
             .filter(|_| step.is_lasting)?;
         let resources = step.counted_resources();
-        let queue = self.configuration.queue(&job.spec.queue);
+        let queue = self.configuration.queue_of_job(&job.spec);
         let pool = queue.map_or("", |queue| queue.pool.as_str());
         let usable = self.candidates_of(pool, now);
         let cordoned_with_room = self.workers.values().filter(|worker| {
--- a/crates/dotterelsill_jobs/src/home.rs
+++ b/crates/dotterelsill_jobs/src/home.rs
@@ -32,16 +32,25 @@
 }
 
 impl Scheduler {
-    /// Returns the pool of a new job; `None` while its queue is not configured.
-    pub fn pool_of(&self, record: &JobRecord) -> Option<String> {
-        let queue = self.configuration.queue(&record.queue)?;
-        Some(queue.pool.clone())
+    /// Sets the pool in the record of a new job, and the path of its queue if only the name
+    /// is given. Neither is set while the queue is not configured.
+    pub fn complete_queue(&self, record: &mut JobRecord) {
+        let queue = self
+            .configuration
+            .queue_by(&record.queue, &record.queue_path);
+        if let Some(queue) = queue {
+            record.pool.clone_from(&queue.pool);
+            record.queue_path = queue.path();
+        }
     }
 
     /// Returns the home of a new job: the data centre with the most free processor
     /// time. Returns `None` if no worker of the pool accepts tasks.
     pub fn choose_home(&mut self, record: &JobRecord, now: Duration) -> Option<String> {
-        let pool = self.pool_of(record)?;
+        let queue = self
+            .configuration
+            .queue_by(&record.queue, &record.queue_path)?;
+        let pool = queue.pool.clone();
         let is_valid = |free: &FreeCpu| now < free.counted_at + COUNT_LIFETIME;
         if !self.free_cpu.get(&pool).is_some_and(is_valid) {
             let free = FreeCpu {
--- a/crates/dotterelsill_jobs/src/job_life.rs
+++ b/crates/dotterelsill_jobs/src/job_life.rs
@@ -80,7 +80,7 @@
     /// Adds a job that is stored.
     pub fn submit(&mut self, id: JobId, spec: JobSpec, now: Duration, unix: Duration) {
         if !self.has_job(id) {
-            if let Some(queue) = self.configuration.queue(&spec.queue) {
+            if let Some(queue) = self.configuration.queue_of_job(&spec) {
                 let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
                 arrivals.note(&spec, now);
                 let recent = self.recent.entry(queue.pool.clone()).or_default();
@@ -99,8 +99,8 @@
     fn add(&mut self, job: Job, now: Duration) {
         let id = job.id;
         if job.is_open() {
-            if let Some(queue) = self.configuration.queue(&job.spec.queue) {
-                let sizes = self.sizes.entry(queue.name.clone()).or_default();
+            if let Some(queue) = self.configuration.queue_of_job(&job.spec) {
+                let sizes = self.sizes.entry(queue.path()).or_default();
                 sizes.note(&job.spec);
             }
             let workspace = job.spec.workspace.as_deref().unwrap_or_default();
@@ -202,7 +202,7 @@
         for step in steps_of(job) {
             if let Some(ready) = self
                 .configuration
-                .queue(&job.spec.queue)
+                .queue_of_job(&job.spec)
                 .and_then(|queue| self.ready.get_mut(&queue.pool))
             {
                 ready.remove(&step);
@@ -250,13 +250,24 @@
         })
     }
 
-    /// Returns the number of jobs of a queue that have not begun. One that is cancelled
-    /// counts until that is stored: otherwise it goes on under the next scheduler.
-    pub fn pending(&self, queue: &str) -> u64 {
+    /// Returns the number of jobs of a queue that have not begun, given its path. One that is
+    /// cancelled counts until that is stored: otherwise it goes on under the next scheduler.
+    pub fn pending(&self, queue_path: &str) -> u64 {
         let is_waiting = |job: &Job| job.is_open() || job.stored_changes < job.changes;
-        let is_pending = |job: &&Job| !job.has_begun && job.spec.queue == queue && is_waiting(job);
+        let is_pending =
+            |job: &&Job| !job.has_begun && self.is_on(&job.spec, queue_path) && is_waiting(job);
         self.jobs.values().filter(is_pending).count() as u64
     }
+
+    /// Returns whether a job is of the queue with a path. Of a job whose path was not stored
+    /// the queue is the one that has its name.
+    fn is_on(&self, spec: &JobSpec, queue_path: &str) -> bool {
+        if !spec.queue_path.is_empty() || spec.queue == queue_path {
+            return spec.queue_key() == queue_path;
+        }
+        let queue = self.configuration.queue(&spec.queue);
+        queue.is_some_and(|queue| queue.path() == queue_path)
+    }
 }
 
 /// Returns the steps of all opened occurrences.
--- a/crates/dotterelsill_jobs/src/job_memory.rs
+++ b/crates/dotterelsill_jobs/src/job_memory.rs
@@ -66,7 +66,8 @@
         let strings = step.required_label.len() + step.near_rack.len() + step.image.len();
         STEP_BYTES + (4 * step.after.len() + strings) as u64
     });
-    let strings = record.spec.len() + record.queue.len() + record.workspace.len();
+    let strings =
+        record.spec.len() + record.queue.len() + record.queue_path.len() + record.workspace.len();
     JOB_BYTES + strings as u64 + steps.sum::<u64>()
 }
 
@@ -77,7 +78,11 @@
         let strings = length(&step.required_label) + length(&step.near_rack) + step.image.len();
         STEP_BYTES + (4 * step.after.len() + strings) as u64
     });
-    let strings = spec.payload.len() + spec.queue.len() + length(&spec.workspace);
+    let strings = spec.payload.len()
+        + spec.queue.len()
+        + spec.queue_path.len()
+        + length(&spec.pool)
+        + length(&spec.workspace);
     JOB_BYTES + strings as u64 + steps.sum::<u64>()
 }
 
--- a/crates/dotterelsill_jobs/src/may_send.rs
+++ b/crates/dotterelsill_jobs/src/may_send.rs
@@ -120,7 +120,7 @@
         let Some(job) = self.jobs.get(&task.step.job) else {
             return Some("job_unknown");
         };
-        let queue = self.configuration.queue(&job.spec.queue);
+        let queue = self.configuration.queue_of_job(&job.spec);
         let Some(queue) = queue.filter(|queue| queue.pool == worker.report.pool) else {
             return Some("queue_without_pool");
         };
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -130,7 +130,7 @@
             if !state.tasks.has_waiting() {
                 return false;
             }
-            match configuration.queue(&job.spec.queue) {
+            match configuration.queue_of_job(&job.spec) {
                 Some(queue) if queue.pool == pool => {
                     let spec = &job.spec.steps[step.step as usize];
                     // Room is held back for long-running tasks that do not fit.
@@ -176,7 +176,7 @@
         if job.waits_for_unread_workers(unread_places) {
             return;
         }
-        let max_attempts = self.max_attempts(&job.spec.queue);
+        let max_attempts = self.max_attempts(&job.spec);
         let job = self.jobs.get_mut(&id.job);
         if job.is_some_and(|job| job.fail_if_exhausted(id, max_attempts)) {
             self.end_job(id.job, now);
@@ -531,7 +531,7 @@
             );
         }
         self.add_usage(spec.workspace.clone(), &resources);
-        if let Some(queue) = self.configuration.queue(&spec.queue) {
+        if let Some(queue) = self.configuration.queue_of_job(&spec) {
             let pool = queue.pool.clone();
             self.note_start(&pool, step);
         }
--- a/crates/dotterelsill_jobs/src/run_times/slow_workers.rs
+++ b/crates/dotterelsill_jobs/src/run_times/slow_workers.rs
@@ -114,7 +114,7 @@
             if !is_measured(step) {
                 continue;
             }
-            let queue = &job.spec.queue;
+            let queue = job.spec.queue_key();
             let expected = self.run_times.expected(queue, &step.image, step.estimated);
             let Some(run) = self.run_mut(key, task, listed.attempt) else {
                 continue;
@@ -161,7 +161,7 @@
         let Some(step) = step.filter(|step| is_measured(step)) else {
             return;
         };
-        let (queue, image, estimated) = (&job.spec.queue, &step.image, step.estimated);
+        let (queue, image, estimated) = (job.spec.queue_key(), &step.image, step.estimated);
         let expected = self.run_times.expected(queue, image, estimated);
         if let (Some(worker), Some(verdict)) = (
             self.workers.get_mut(&key),
@@ -199,7 +199,7 @@
     pub(crate) fn expected_run_time(&self, job: &Job, task: TaskId) -> Option<Duration> {
         let step = job.spec.steps.get(task.step.step as usize)?;
         let expected = || {
-            let (queue, image) = (&job.spec.queue, &step.image);
+            let (queue, image) = (job.spec.queue_key(), &step.image);
             self.run_times.expected(queue, image, step.estimated)
         };
         is_measured(step).then(expected)
--- a/crates/dotterelsill_jobs/src/run_times/stragglers.rs
+++ b/crates/dotterelsill_jobs/src/run_times/stragglers.rs
@@ -180,7 +180,7 @@
     /// or has no pool.
     fn standing(&self, task: TaskId, now: Duration) -> Option<(String, Standing)> {
         let job = self.jobs.get(&task.step.job).filter(|job| job.is_open())?;
-        let queue = self.configuration.queue(&job.spec.queue)?;
+        let queue = self.configuration.queue_of_job(&job.spec)?;
         let step = &job.spec.steps[task.step.step as usize];
         let occurrence = job.occurrences.get(&task.step.occurrence)?;
         let tasks = &occurrence.steps[task.step.step as usize].tasks;
--- a/crates/dotterelsill_jobs/src/scheduler.rs
+++ b/crates/dotterelsill_jobs/src/scheduler.rs
@@ -309,7 +309,7 @@
         if !job.is_open() || !job.is_ready(step) {
             return;
         }
-        let Some(queue) = self.configuration.queue(&job.spec.queue) else {
+        let Some(queue) = self.configuration.queue_of_job(&job.spec) else {
             // The queue was removed from the configuration or is not in it yet.
             // These steps are checked again with the next configuration.
             self.ready.entry(String::new()).or_default().insert(step);
--- a/crates/dotterelsill_jobs/src/shortage/views.rs
+++ b/crates/dotterelsill_jobs/src/shortage/views.rs
@@ -116,7 +116,7 @@
             .flat_map(move |recent| recent.recent(now))
             .filter_map(move |id| {
                 let job = self.jobs.get(&id)?;
-                let queue = self.configuration.queue(&job.spec.queue)?;
+                let queue = self.configuration.queue_of_job(&job.spec)?;
                 // The job may have ended, which drops its critical paths.
                 let objective = objective_of(&job.spec.critical_paths(), queue);
                 if queue.pool != pool || objective.is_zero() {
@@ -151,7 +151,7 @@
     }
 
     fn value_of(&self, job: &Job, queue: &Queue) -> f64 {
-        let sizes = self.sizes.get(&queue.name);
+        let sizes = self.sizes.get(&queue.path());
         sizes.map_or(1.0, |sizes| sizes.value_of(&job.spec))
     }
 
@@ -165,7 +165,7 @@
         running_part: f64,
         capacity: &Resources,
     ) -> Option<WaitingJob<'a>> {
-        let queue = self.configuration.queue(&job.spec.queue)?;
+        let queue = self.configuration.queue_of_job(&job.spec)?;
         let objective = objective_of(&job.critical_paths, queue);
         if queue.pool != pool || objective.is_zero() {
             return None;
--- a/crates/dotterelsill_jobs/src/spec.rs
+++ b/crates/dotterelsill_jobs/src/spec.rs
@@ -135,8 +135,11 @@
 /// An accepted job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobSpec {
-    /// Name of the queue that the job was submitted to.
+    /// Name that the queue had when the job was submitted to it. It may be that of another
+    /// queue now.
     pub queue: String,
+    /// Path of the queue; empty for a job that an earlier version has stored.
+    pub queue_path: String,
     /// Workspace that owns the API key of the submission; `None` for a submission
     /// without a key.
     pub workspace: Option<String>,
@@ -172,6 +175,11 @@
         Self::try_from(record)
     }
 
+    /// Returns what identifies the queue, whatever its name is now.
+    pub fn queue_key(&self) -> &str {
+        queue_key(&self.queue, &self.queue_path)
+    }
+
     /// Returns the number of occurrences, 1 for a job without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.count)
@@ -193,6 +201,16 @@
     }
 }
 
+/// Returns what identifies the queue of a job, given its name and path: the path, or the
+/// name if a version stored the job that did not note the path.
+pub(crate) fn queue_key<'a>(name: &'a str, path: &'a str) -> &'a str {
+    if path.is_empty() {
+        name
+    } else {
+        path
+    }
+}
+
 impl TryFrom<&jobs::JobRecord> for JobSpec {
     type Error = SpecError;
 
@@ -222,6 +240,7 @@
         });
         Ok(Self {
             queue: record.queue.clone(),
+            queue_path: record.queue_path.clone(),
             workspace: (!record.workspace.is_empty()).then(|| record.workspace.clone()),
             payload: record.spec.as_str().into(),
             steps: record.steps.iter().map(Step::from).collect(),
--- a/crates/dotterelsill_jobs/src/submissions.rs
+++ b/crates/dotterelsill_jobs/src/submissions.rs
@@ -7,7 +7,10 @@
 
 use dotterelsill_proto::jobs::JobRecord;
 
-use crate::JobId;
+use crate::{
+    spec::queue_key,
+    JobId, //
+};
 
 /// A submitted job that must be stored. `W` notifies a caller of the outcome.
 #[derive(Debug)]
@@ -44,7 +47,8 @@
 /// A job that is being stored.
 #[derive(Debug)]
 struct Taken {
-    queue: String,
+    /// What identifies the job's queue.
+    queue_key: String,
     /// Whether the job is in the store's intake.
     is_in_intake: bool,
 }
@@ -79,7 +83,7 @@
         let taken: Vec<Submission<W>> = self.waiting.drain(..count).collect();
         for submission in &taken {
             let job = Taken {
-                queue: submission.record.queue.clone(),
+                queue_key: key_of(&submission.record).to_owned(),
                 is_in_intake: submission.is_from_intake,
             };
             self.taken.insert(submission.id, job);
@@ -141,18 +145,21 @@
         }
     }
 
-    /// Returns the number of jobs of a queue that are waiting or being stored and may be
-    /// accepted already: an instance stored them in the intake, or a transaction that
+    /// Returns the number of jobs of a queue, given its path, that are waiting or being stored
+    /// and may be accepted already: an instance stored them in the intake, or a transaction that
     /// contains them may have taken effect, so that an instance that finds a job stored
     /// accepts it.
-    pub fn accepted_on(&self, queue: &str) -> usize {
+    pub fn accepted_on(&self, queue_path: &str) -> usize {
         let waiting = self.waiting.iter().filter(|submission| {
             // A job that was handed in again while it is being stored counts once.
             !self.taken.contains_key(&submission.id)
                 && (submission.is_from_intake || submission.may_be_stored)
-                && submission.record.queue == queue
+                && key_of(&submission.record) == queue_path
         });
-        let taken = self.taken.values().filter(|taken| taken.queue == queue);
+        let taken = self
+            .taken
+            .values()
+            .filter(|taken| taken.queue_key == queue_path);
         waiting.count() + taken.count()
     }
 
@@ -167,6 +174,10 @@
     }
 }
 
+fn key_of(record: &JobRecord) -> &str {
+    queue_key(&record.queue, &record.queue_path)
+}
+
 fn merge<W>(into: &mut Submission<W>, other: Submission<W>) {
     into.waiting.extend(other.waiting);
     into.is_from_intake |= other.is_from_intake;
--- a/crates/dotterelsill_node/src/callers.rs
+++ b/crates/dotterelsill_node/src/callers.rs
@@ -218,6 +218,7 @@
         Err(error) => return text_response(StatusCode::BAD_REQUEST, error.to_string()),
     };
     authorized.queue.name.clone_into(&mut record.queue);
+    record.queue_path = authorized.queue.path();
     record.workspace = authorized.workspace.unwrap_or_default().to_owned();
     if let Err(error) = JobSpec::from_submission(&record) {
         return text_response(StatusCode::BAD_REQUEST, error.to_string());
@@ -321,7 +322,7 @@
 }
 
 async fn pending(service: &CallerService, queue: &Queue, limit: Duration) -> Response<Full<Bytes>> {
-    match service.link.pending(&queue.name, limit).await {
+    match service.link.pending(queue, limit).await {
         Some(pending) => json_response(StatusCode::OK, platform::pending_body(pending)),
         None => unavailable("the number of waiting jobs is not known"),
     }
--- a/crates/dotterelsill_node/src/leader_link.rs
+++ b/crates/dotterelsill_node/src/leader_link.rs
@@ -15,7 +15,8 @@
 use dotterelsill_jobs::{
     JobId,
     JobState,
-    PendingCount, //
+    PendingCount,
+    Queue, //
 };
 use dotterelsill_proto::jobs::{
     scheduler_client::SchedulerClient,
@@ -166,14 +167,16 @@
     }
 
     /// Queries how many jobs of a queue have not started; `None` if that is not known.
-    pub(crate) async fn pending(&self, queue: &str, limit: Duration) -> Option<u64> {
+    pub(crate) async fn pending(&self, queue: &Queue, limit: Duration) -> Option<u64> {
+        let request = PendingRequest {
+            queue: queue.name.clone(),
+            queue_path: queue.path(),
+        };
+        let queue = queue.name.as_str();
         if let Some(leadership) = self.leadership.load_full() {
-            return requests::pending(&leadership, queue).map(|count| count.jobs);
+            return requests::pending(&leadership, &request).map(|count| count.jobs);
         }
         let mut client = self.client()?;
-        let request = PendingRequest {
-            queue: queue.to_owned(),
-        };
         let sent_at = clock::now();
         match self.await_response(limit, client.pending(request)).await {
             Ok(response) if response.outcome() == Outcome::Done => {
--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -208,10 +208,10 @@
         self.authority.is_valid(clock::now())
     }
 
-    /// Sets the fencing token, the pool and the home data centre in the record of a new job.
+    /// Sets the fencing token, the queue's pool and the home data centre in the record of a new job.
     pub(crate) fn complete_record(&self, record: &mut JobRecord) {
         record.accepted_token = self.token;
-        record.pool = self.scheduler().pool_of(record).unwrap_or_default();
+        self.scheduler().complete_queue(record);
         // Lasting tasks get no home: they are spread, so that an outage hits few of them.
         if record.steps.iter().all(|step| !step.is_lasting) {
             let home = self.scheduler().choose_home(record, clock::now());
--- a/crates/dotterelsill_node/src/peer_service.rs
+++ b/crates/dotterelsill_node/src/peer_service.rs
@@ -126,9 +126,9 @@
         &self,
         request: Request<PendingRequest>,
     ) -> Result<Response<PendingResponse>, Status> {
-        let queue = request.into_inner().queue;
+        let request = request.into_inner();
         let leadership = self.leadership.load_full();
-        let count = leadership.and_then(|leadership| requests::pending(&leadership, &queue));
+        let count = leadership.and_then(|leadership| requests::pending(&leadership, &request));
         let response = match count {
             Some(count) => PendingResponse {
                 outcome: Outcome::Done.into(),
--- a/crates/dotterelsill_node/src/requests.rs
+++ b/crates/dotterelsill_node/src/requests.rs
@@ -10,11 +10,13 @@
 use dotterelsill_jobs::{
     JobId,
     JobState,
-    PendingCount, //
+    PendingCount,
+    Queue, //
 };
 use dotterelsill_proto::jobs::{
     JobRecord,
-    Outcome, //
+    Outcome,
+    PendingRequest, //
 };
 use futures_lite::FutureExt as _;
 
@@ -128,12 +130,18 @@
 
 /// Returns how many jobs of a queue have not started; `None` while accepted jobs may be
 /// missing.
-pub(crate) fn pending(leadership: &Leadership, queue: &str) -> Option<PendingCount> {
+pub(crate) fn pending(leadership: &Leadership, request: &PendingRequest) -> Option<PendingCount> {
+    let mut queue_path = request.queue_path.clone();
+    if queue_path.is_empty() {
+        let view = leadership.operators.view();
+        let queue = view.configuration.queue(&request.queue);
+        queue_path = queue.map_or_else(|| request.queue.clone(), Queue::path);
+    }
     let reads = *leadership.intake_reads();
     // A job leaves the submissions once the scheduler knows it, so counting them first
     // cannot miss it.
-    let accepted = leadership.submissions.lock().accepted_on(queue) as u64;
-    let jobs = accepted + leadership.scheduler().pending(queue);
+    let accepted = leadership.submissions.lock().accepted_on(&queue_path) as u64;
+    let jobs = accepted + leadership.scheduler().pending(&queue_path);
     match reads.count(jobs, leadership.is_valid(), clock::now()) {
         Ok(count) => Some(count),
         Err(reason) => {
