--- a/crates/dotterelsill_jobs/src/ends.rs
+++ b/crates/dotterelsill_jobs/src/ends.rs
@@ -13,6 +13,7 @@
         RunState, //
     },
     Answer,
+    JobSpec,
     Order,
     RunOutcome,
     Scheduler,
@@ -50,6 +51,14 @@
         let (task, attempt) = (end.task, end.attempt);
         if let Some(worker) = self.workers.get_mut(&key) {
             if let Some(booked) = worker.release(task, attempt) {
+                if let Some(until) = booked.unbound_until.filter(|until| now < *until) {
+                    // The life that lists the end refuses the start.
+                    let settled_at = match end.given_up {
+                        None => now,
+                        Some(_) => booked.confirmed_at.unwrap_or_default(),
+                    };
+                    worker.late_starts.add(task, attempt, until, settled_at);
+                }
                 let workspace = self.workspace_of(task.step.job);
                 self.subtract_usage(workspace, &booked.resources);
             }
@@ -57,7 +66,7 @@
         let Some(job) = self.jobs.get(&task.step.job) else {
             return 0;
         };
-        let max_attempts = self.max_attempts(&job.spec.queue);
+        let max_attempts = self.max_attempts(&job.spec);
         if task.step.step as usize >= job.spec.steps.len() {
             return 0;
         }
@@ -324,8 +333,8 @@
     /// Returns how often a task of a queue may fail. While the queue is not configured
     /// the number is unknown; no task is started, and the next plan after that checks
     /// it.
-    pub(crate) fn max_attempts(&self, queue: &str) -> u32 {
-        let queue = self.configuration.queue(queue);
+    pub(crate) fn max_attempts(&self, spec: &JobSpec) -> u32 {
+        let queue = self.configuration.queue_of_job(spec);
         queue.map_or(u32::MAX, |queue| queue.max_attempts.max(1))
     }
 
@@ -360,6 +369,10 @@
         }
         match order {
             Order::Start { .. } => {
+                if !may_come_late && answer != Answer::Unclear {
+                    // The only try was answered.
+                    self.bind_start(key, task, attempt);
+                }
                 let refuses = matches!(answer, Answer::NoRoom | Answer::Unhealthy | Answer::Ticket);
                 if answer == Answer::Unclear {
                     self.note_refusal(key, task, attempt, answer, now);
@@ -376,6 +389,9 @@
             Order::Stop { .. } => {
                 let settles = matches!(answer, Answer::Done | Answer::Old);
                 self.confirm(key, task, attempt, settles.then_some(now));
+                if let Some(worker) = self.workers.get_mut(&key).filter(|_| settles) {
+                    worker.late_starts.on_stopped(task, attempt, now);
+                }
                 // A worker that refuses the stop as unhealthy keeps running the
                 // task.
                 !settles && answer != Answer::Fenced
@@ -438,6 +454,15 @@
         }
     }
 
+    /// Records that no try of a start is under way any more.
+    pub(crate) fn bind_start(&mut self, key: WorkerKey, task: TaskId, attempt: u64) {
+        let worker = self.workers.get_mut(&key);
+        let booked = worker.and_then(|worker| worker.booked.get_mut(&task));
+        if let Some(booked) = booked.filter(|booked| booked.attempt == attempt) {
+            booked.unbound_until = None;
+        }
+    }
+
     fn confirm(&mut self, key: WorkerKey, task: TaskId, attempt: u64, at: Option<Duration>) {
         let worker = self.workers.get_mut(&key);
         let booked = worker.and_then(|worker| worker.booked.get_mut(&task));
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -11,7 +11,10 @@
         GivenUpReason, //
     },
     granted::MAX_ORDER_DELAY,
-    worker::Worker,
+    worker::{
+        Place,
+        Worker, //
+    },
     Acknowledgement,
     JobId,
     ProcessedEnds,
@@ -36,8 +39,9 @@
             if !worker.on_started(report.started_unix_ms, None, longest, now) {
                 return (key, false);
             }
-            worker.report = report;
+            worker.set_report(report);
             worker.is_listed = true;
+            self.settle_late_starts(key);
             return (key, is_moved);
         }
         let key = self.new_worker(report, now);
@@ -197,12 +201,14 @@
             .is_some_and(|worker| !worker.life.pending_ends.is_empty())
     }
 
-    /// Returns whether a worker has something to report: runs, or ends that are not
-    /// acknowledged.
+    /// Returns whether a worker has something to report: runs, ends that are not
+    /// acknowledged, or a new life that must refuse a late start.
     pub fn is_busy(&self, key: WorkerKey) -> bool {
-        self.workers
-            .get(&key)
-            .is_some_and(|worker| !worker.booked.is_empty() || !worker.life.pending_ends.is_empty())
+        self.workers.get(&key).is_some_and(|worker| {
+            !worker.booked.is_empty()
+                || !worker.life.pending_ends.is_empty()
+                || worker.may_have_late_starts()
+        })
     }
 
     /// Returns whether a worker's status must be read before it gets tasks, because
@@ -245,6 +251,7 @@
             if !was_silent {
                 let age_ms = now.saturating_sub(worker.answered_at).as_millis() as u64;
                 log::warn!(worker = worker.report.id, age_ms; "worker_silent");
+                self.settle_late_starts(key);
             }
         }
     }
@@ -253,6 +260,7 @@
     /// workers that are gone. Returns the keys of the removed workers.
     pub fn expire_leases(&mut self, now: Duration) -> Vec<WorkerKey> {
         self.late_orders.retain(|_, (_, until)| now < *until);
+        self.expire_late_starts(now);
         let lapsed: Vec<WorkerKey> = self
             .workers
             .iter()
@@ -333,7 +341,8 @@
         worker.life.is_known = false;
         self.needs_plan = true;
         let mut booked = worker.booked.values();
-        if booked.any(|booked| booked.may_reach_later_life(now)) {
+        let has_late_run = booked.any(|booked| booked.may_reach_later_life(now));
+        if has_late_run || !worker.late_starts.is_empty() {
             let late = (worker.granted_record(), now + MAX_ORDER_DELAY);
             self.late_orders.insert(worker.report.id.clone(), late);
         }
@@ -356,17 +365,22 @@
         }
     }
 
-    /// Returns the data centres in which workers of a pool may have active runs of
-    /// an earlier scheduler, because their status was not read. An empty name
-    /// stands for a worker in an unknown data centre.
-    pub(crate) fn unread_data_centres(&self, pool: &str, now: Duration) -> BTreeSet<String> {
-        let is_unread = |worker: &&crate::worker::Worker| {
+    /// Returns the places of workers that may have active runs of an earlier scheduler,
+    /// because their status was not read.
+    pub(crate) fn unread_places(&self, now: Duration) -> BTreeSet<Place> {
+        let workers = self.workers.values();
+        let unread = workers.filter(|worker| self.may_run_unseen(worker, now));
+        unread.map(Worker::place_of_starts).collect()
+    }
+
+    /// Returns the number of workers of a pool, or of an unknown one, that may have active
+    /// runs of an earlier scheduler.
+    pub(crate) fn unread_workers_of(&self, pool: &str, now: Duration) -> usize {
+        let unread = self.workers.values().filter(|worker| {
             let is_of_pool = worker.report.pool.is_empty() || worker.report.pool == pool;
             is_of_pool && self.may_run_unseen(worker, now)
-        };
-        let data_centre = |worker: &crate::worker::Worker| worker.report.data_centre.clone();
-        let unread_data_centres = self.workers.values().filter(is_unread);
-        unread_data_centres.map(data_centre).collect()
+        });
+        unread.count()
     }
 
     pub(crate) fn workspace_of(&self, id: JobId) -> Option<String> {
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -2,12 +2,14 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     time::Duration, //
 };
 
 use dotterelsill_proto::jobs::GrantedWorker;
 
 use crate::{
+    late_starts::LateStarts,
     life::{
         Life,
         LIST_LAG, //
@@ -40,6 +42,24 @@
     pub is_draining: bool,
 }
 
+/// Pool and data centre of a worker. An empty name stands for an unknown one.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Place {
+    pub(crate) pool: String,
+    pub(crate) data_centre: String,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let or_unknown = |name: &str| match name {
+            "" => "an unknown one".to_owned(),
+            name => name.to_owned(),
+        };
+        let (pool, data_centre) = (or_unknown(&self.pool), or_unknown(&self.data_centre));
+        write!(f, "pool {pool} and data centre {data_centre}")
+    }
+}
+
 /// A run that occupies resources on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct BookedRun {
@@ -61,15 +81,16 @@
     pub(crate) life_since: Duration,
     /// Whether the start may be sent only with authority.
     pub(crate) needs_authority: bool,
-    /// Time until which a later life may carry out the start, if it was sent over a
-    /// connection that is not known to lead to the present one.
+    /// Time until which a later life may carry out a try of the start that was not answered,
+    /// if it was sent over a connection that is not known to lead to the present one.
     pub(crate) unbound_until: Option<Duration>,
 }
 
 impl BookedRun {
-    /// Returns whether a later life of the worker may still carry out the start.
+    /// Returns whether a later life of the worker may still carry out the start, also one
+    /// that the present life has confirmed: an earlier try may be under way.
     pub(crate) fn may_reach_later_life(&self, now: Duration) -> bool {
-        self.confirmed_at.is_none() && self.unbound_until.is_some_and(|until| now < until)
+        self.unbound_until.is_some_and(|until| now < until)
     }
 }
 
@@ -108,8 +129,13 @@
     pub(crate) may_grant: bool,
     /// Whether an earlier scheduler may have started tasks on the worker.
     pub(crate) is_expected: bool,
+    /// Whether the worker has changed its pool or data centre since tasks may have been
+    /// started on it.
+    has_changed_place: bool,
     /// Whether a start of an earlier scheduler may reach any life of the worker.
     pub(crate) has_unbound_starts: bool,
+    /// Starts of runs that a later life may still carry out.
+    pub(crate) late_starts: LateStarts,
 }
 
 impl Worker {
@@ -131,7 +157,9 @@
             is_terminating: false,
             may_grant: false,
             is_expected: false,
+            has_changed_place: false,
             has_unbound_starts: false,
+            late_starts: LateStarts::default(),
         }
     }
 
@@ -201,6 +229,12 @@
         self.silent_since.is_some()
     }
 
+    /// Returns the time of the first call that was not answered and after which no status
+    /// was read.
+    pub(crate) fn silent_since(&self) -> Option<Duration> {
+        self.silent_since
+    }
+
     /// Records that a call was not answered.
     pub(crate) fn on_silence(&mut self, now: Duration) {
         self.silent_since.get_or_insert(now);
@@ -251,7 +285,7 @@
     pub(crate) fn is_gone(&self, now: Duration) -> bool {
         let may_begin_runs =
             self.has_unbound_starts && !self.life.is_known && now < self.unknown_until;
-        !self.is_listed && self.booked.is_empty() && !may_begin_runs
+        !self.is_listed && self.booked.is_empty() && self.late_starts.is_empty() && !may_begin_runs
     }
 
     /// Resumes use of the worker after an order that would have ended it was not
@@ -264,23 +298,78 @@
         self.may_grant = false;
     }
 
+    /// Returns whether an earlier scheduler may have started tasks on the worker that are
+    /// not booked, because no status was read. Its leases may have ended since.
+    pub(crate) fn may_have_unseen_runs(&self) -> bool {
+        self.is_expected && self.is_unread() && !self.life.has_ended()
+    }
+
+    /// Returns whether the present life may run what no status has shown: none was read, or
+    /// the next life may be there, which carries out late starts of an earlier scheduler.
+    pub(crate) fn is_unread(&self) -> bool {
+        !self.life.is_known || self.has_unbound_starts && self.is_silent()
+    }
+
     /// Returns whether the worker has no runs and will not get any, because its
     /// instance is leaving.
     pub(crate) fn is_vacated(&self) -> bool {
-        self.is_terminating && self.booked.is_empty()
+        self.is_terminating
+            && self.booked.is_empty()
+            && self.late_starts.is_empty()
+            && !self.may_have_unseen_runs()
+    }
+
+    /// Replaces the registration.
+    pub(crate) fn set_report(&mut self, report: WorkerReport) {
+        let is_same_place =
+            self.report.pool == report.pool && self.report.data_centre == report.data_centre;
+        if !is_same_place && (self.may_grant || self.is_expected) {
+            log::warn!(
+                worker = report.id, pool = report.pool, data_centre = report.data_centre,
+                earlier_pool = self.report.pool, earlier_data_centre = self.report.data_centre;
+                "worker_changed_place"
+            );
+            self.has_changed_place = true;
+            // The stored record names the earlier place alone.
+            self.may_grant = false;
+        }
+        self.report = report;
+    }
+
+    /// Returns where tasks on the worker may have been started.
+    pub(crate) fn place_of_starts(&self) -> Place {
+        if self.has_changed_place {
+            return Place {
+                pool: String::new(),
+                data_centre: String::new(),
+            };
+        }
+        Place {
+            pool: self.report.pool.clone(),
+            data_centre: self.report.data_centre.clone(),
+        }
     }
 
     /// Returns the entry for the stored record of workers that may run tasks.
     pub(crate) fn granted_record(&self) -> GrantedWorker {
+        let Place { pool, data_centre } = self.place_of_starts();
         GrantedWorker {
             id: self.report.id.clone(),
             address: self.report.address.clone(),
-            pool: self.report.pool.clone(),
-            data_centre: self.report.data_centre.clone(),
-            closes_connections: !self.life.keeps_connections,
+            pool,
+            data_centre,
+            closes_connections: !self.life.keeps_connections || self.may_have_late_starts(),
         }
     }
 
+    /// Returns whether a later life may carry out a start that was sent before it began.
+    pub(crate) fn may_have_late_starts(&self) -> bool {
+        let mut booked = self.booked.values();
+        self.has_unbound_starts
+            || !self.late_starts.is_empty()
+            || booked.any(|booked| booked.unbound_until.is_some())
+    }
+
     /// Reserves the resources of a run.
     pub(crate) fn book(&mut self, task: TaskId, booked: BookedRun) {
         self.used.add(&booked.resources);
