Add a randomized soak of the daemons

Change: a seeded soak on the stand-in of the daemon tests. The tests play two seeds; SOAK_SEEDS plays more by hand.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,7 +28,9 @@
 
 # These tests measure times and give daemons shares of a core, which assumes optimised
 # builds and a machine that does nothing else. Those of small instances take half a
-# minute each. With this seed, schedulers that fall behind leave accepted jobs undone.
+# minute each. With this seed, schedulers that fall behind leave accepted jobs undone. The
+# soak plays two seeds of half a minute.
 cargo build --release -p dotterelsill_node -p dotterelsill_cli --bins --quiet
-DOTTERELSILL_TEST_SEED=2 cargo test --release -p dotterelsill_platform --test daemon --quiet -- \
-    small_instances:: bounds:: --test-threads 1 "${skip[@]}"
+DOTTERELSILL_TEST_SEED=2 SOAK_SEEDS=2 \
+    cargo test --release -p dotterelsill_platform --test daemon --quiet -- \
+    small_instances:: bounds:: soak:: --test-threads 1 "${skip[@]}"
