--- a/crates/dotterelsill_node/src/leadership.rs
+++ b/crates/dotterelsill_node/src/leadership.rs
@@ -208,7 +208,8 @@
         self.authority.is_valid(clock::now())
     }
 
-    /// Sets the fencing token, the queue's pool and the home data centre in the record of a new job.
+    /// Sets the fencing token, the queue's path and pool, and the home data centre in the
+    /// record of a new job.
     pub(crate) fn complete_record(&self, record: &mut JobRecord) {
         record.accepted_token = self.token;
         self.scheduler().complete_queue(record);
