Ask once a plan which places have unread workers, without copies

Cause: since restored jobs wait for unread workers of their own pools, the places of all unread workers were collected anew for each pool of a plan, with two copied names for each worker, and each waiting step compared itself with all of them. The final record of a job that may leave runs copied the place of every worker before it asked whether that worker is unread.

Change: the places are kept as pools with their data centres and collected once a plan, with a copy of each name once; a job looks its pools up. The record asks for unread workers first.

--- a/crates/dotterelsill_jobs/src/explain.rs
+++ b/crates/dotterelsill_jobs/src/explain.rs
@@ -21,7 +21,6 @@
         JobOccurrence,
         Placed, //
     },
-    worker::Place,
     Resources,
     Scheduler,
     StepId, //
@@ -134,12 +133,7 @@
         };
         let unread_places = self.unread_places(now);
         if job.waits_for_unread_workers(&unread_places) {
-            let places = unread_places.iter().filter(|place| job.may_run_at(place));
-            let places: Vec<String> = places.map(Place::to_string).collect();
-            return format!(
-                "the lists of workers in {}, which may run its tasks",
-                places.join(", ")
-            );
+            return format!("the lists of workers of {unread_places}, which may run its tasks");
         }
         if !job.may_start_in(&queue.pool) {
             return format!("the store, to note that it may run in pool {}", queue.pool);
--- a/crates/dotterelsill_jobs/src/fleet.rs
+++ b/crates/dotterelsill_jobs/src/fleet.rs
@@ -1,9 +1,6 @@
 //! Registration of workers, their leases, and their end.
 
-use std::{
-    collections::BTreeSet,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use crate::{
     given_up::{
@@ -11,10 +8,8 @@
         GivenUpReason, //
     },
     granted::MAX_ORDER_DELAY,
-    worker::{
-        Place,
-        Worker, //
-    },
+    unread_places::UnreadPlaces,
+    worker::Worker,
     Acknowledgement,
     JobId,
     ProcessedEnds,
@@ -367,10 +362,12 @@
 
     /// Returns the places of workers that may have active runs of an earlier scheduler,
     /// because their status was not read.
-    pub(crate) fn unread_places(&self, now: Duration) -> BTreeSet<Place> {
+    pub(crate) fn unread_places(&self, now: Duration) -> UnreadPlaces {
+        let mut places = UnreadPlaces::default();
         let workers = self.workers.values();
         let unread = workers.filter(|worker| self.may_run_unseen(worker, now));
-        unread.map(Worker::place_of_starts).collect()
+        unread.for_each(|worker| places.add(worker));
+        places
     }
 
     /// Returns the number of workers of a pool, or of an unknown one, that may have active
--- a/crates/dotterelsill_jobs/src/job.rs
+++ b/crates/dotterelsill_jobs/src/job.rs
@@ -26,7 +26,7 @@
     run_times::RunSpeed,
     spec::FORMAT,
     tasks::Tasks,
-    worker::Place,
+    unread_places::UnreadPlaces,
     JobId,
     JobSpec,
     Resources,
@@ -485,21 +485,22 @@
         true
     }
 
-    /// Returns whether an earlier scheduler may have started tasks at a place.
-    pub(crate) fn may_run_at(&self, place: &Place) -> bool {
-        let is_in = |own: &str, other: &str| other.is_empty() || own == other;
-        let is_of_pool = |first: &String| {
-            let mut later = self.later_pools.iter();
-            is_in(first, &place.pool) || later.any(|later| is_in(&later.0, &place.pool))
+    /// Returns whether an earlier scheduler may have started tasks at one of the places,
+    /// whatever pool the queue has now.
+    pub(crate) fn may_run_at(&self, places: &UnreadPlaces) -> bool {
+        let home = self.bound_to();
+        let Some(first) = &self.spec.pool else {
+            return places.has_any(home);
         };
-        let is_home = |home| is_in(home, &place.data_centre);
-        self.spec.pool.as_ref().is_none_or(is_of_pool) && self.bound_to().is_none_or(is_home)
+        let later = self.later_pools.iter().map(|later| &later.0);
+        let mut pools = std::iter::once(first).chain(later);
+        pools.any(|pool| places.has_in(pool, home))
     }
 
     /// Returns whether a run started by an earlier scheduler may still be active on
     /// a worker whose status was not read yet, given the places of these workers.
-    pub(crate) fn waits_for_unread_workers(&self, unread_places: &BTreeSet<Place>) -> bool {
-        self.is_restored && unread_places.iter().any(|place| self.may_run_at(place))
+    pub(crate) fn waits_for_unread_workers(&self, unread_places: &UnreadPlaces) -> bool {
+        self.is_restored && !unread_places.is_empty() && self.may_run_at(unread_places)
     }
 
     /// Allows tasks to run outside the home data centre as soon as this is stored;
--- a/crates/dotterelsill_jobs/src/lib.rs
+++ b/crates/dotterelsill_jobs/src/lib.rs
@@ -48,6 +48,7 @@
 mod submissions;
 mod tasks;
 mod unended;
+mod unread_places;
 mod validity;
 mod waves;
 mod worker;
--- a/crates/dotterelsill_jobs/src/plan.rs
+++ b/crates/dotterelsill_jobs/src/plan.rs
@@ -3,7 +3,6 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet,
         HashMap, //
     },
     sync::Arc,
@@ -26,10 +25,8 @@
     rank::Rank,
     run_times::RunSpeed,
     shortage::JobOccurrence,
-    worker::{
-        BookedRun,
-        Place, //
-    },
+    unread_places::UnreadPlaces,
+    worker::BookedRun,
     Order,
     Resources,
     RunState,
@@ -53,11 +50,12 @@
                 unseen.add(&resources);
             }
             let pools = self.waiting_pools();
+            let unread_places = self.unread_places(now);
             self.end_shortages(&pools, now);
             for pool in pools {
                 let candidates = self.candidates_of(&pool, now);
                 if !candidates.list().is_empty() {
-                    self.plan_pool(&pool, candidates, now);
+                    self.plan_pool(&pool, candidates, &unread_places, now);
                 }
             }
         }
@@ -90,7 +88,13 @@
         Candidates::new(usable.collect())
     }
 
-    fn plan_pool(&mut self, pool: &str, mut candidates: Candidates, now: Duration) {
+    fn plan_pool(
+        &mut self,
+        pool: &str,
+        mut candidates: Candidates,
+        unread_places: &UnreadPlaces,
+        now: Duration,
+    ) {
         if self.divides_jobs {
             self.divide_pool(pool, &candidates, now);
         }
@@ -98,9 +102,8 @@
         if ranks.is_empty() {
             return;
         }
-        let unread_places = self.unread_places(now);
         for rank in ranks {
-            self.plan_step(rank.step, pool, &mut candidates, &unread_places, now);
+            self.plan_step(rank.step, pool, &mut candidates, unread_places, now);
         }
     }
 
@@ -160,7 +163,7 @@
         id: StepId,
         pool: &str,
         candidates: &mut Candidates,
-        unread_places: &BTreeSet<Place>,
+        unread_places: &UnreadPlaces,
         now: Duration,
     ) {
         // The plan may have failed the job at another of its steps.
--- a/crates/dotterelsill_jobs/src/unended.rs
+++ b/crates/dotterelsill_jobs/src/unended.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     job::Job,
+    unread_places::UnreadPlaces,
     worker::Worker,
     JobId,
     Resources,
@@ -55,8 +56,8 @@
             let mut resources = Resources::default();
             let booked = worker.booked_of_job(id);
             booked.for_each(|booked| resources.add(&booked.resources));
-            if job.may_run_at(&worker.place_of_starts())
-                && self.may_run_unseen(worker, self.planned_at)
+            if self.may_run_unseen(worker, self.planned_at)
+                && job.may_run_at(&UnreadPlaces::of(worker))
             {
                 resources.add(&unseen);
             }
--- a/crates/dotterelsill_jobs/src/waves/selection.rs
+++ b/crates/dotterelsill_jobs/src/waves/selection.rs
@@ -12,6 +12,7 @@
 };
 use crate::{
     instance_orders::KnownInstance,
+    unread_places::UnreadPlaces,
     InstanceState,
     Scheduler, //
 };
@@ -211,11 +212,9 @@
         let Some(worker) = worker.filter(|worker| self.may_run_unseen(worker, now)) else {
             return false;
         };
+        let place = UnreadPlaces::of(worker);
         self.jobs.values().any(|job| {
-            job.is_open()
-                && job.is_restored
-                && job.may_run_at(&worker.place_of_starts())
-                && job.has_waiting_budgeted()
+            job.is_open() && job.is_restored && job.may_run_at(&place) && job.has_waiting_budgeted()
         })
     }
 }
--- a/crates/dotterelsill_jobs/src/worker.rs
+++ b/crates/dotterelsill_jobs/src/worker.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeMap,
-    fmt,
     time::Duration, //
 };
 
@@ -42,24 +41,6 @@
     pub is_draining: bool,
 }
 
-/// Pool and data centre of a worker. An empty name stands for an unknown one.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) struct Place {
-    pub(crate) pool: String,
-    pub(crate) data_centre: String,
-}
-
-impl fmt::Display for Place {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let or_unknown = |name: &str| match name {
-            "" => "an unknown one".to_owned(),
-            name => name.to_owned(),
-        };
-        let (pool, data_centre) = (or_unknown(&self.pool), or_unknown(&self.data_centre));
-        write!(f, "pool {pool} and data centre {data_centre}")
-    }
-}
-
 /// A run that occupies resources on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct BookedRun {
@@ -336,28 +317,23 @@
         self.report = report;
     }
 
-    /// Returns where tasks on the worker may have been started.
-    pub(crate) fn place_of_starts(&self) -> Place {
+    /// Returns the pool and the data centre in which tasks on the worker may have been
+    /// started; empty names stand for unknown ones.
+    pub(crate) fn place_of_starts(&self) -> (&str, &str) {
         if self.has_changed_place {
-            return Place {
-                pool: String::new(),
-                data_centre: String::new(),
-            };
-        }
-        Place {
-            pool: self.report.pool.clone(),
-            data_centre: self.report.data_centre.clone(),
+            return ("", "");
         }
+        (&self.report.pool, &self.report.data_centre)
     }
 
     /// Returns the entry for the stored record of workers that may run tasks.
     pub(crate) fn granted_record(&self) -> GrantedWorker {
-        let Place { pool, data_centre } = self.place_of_starts();
+        let (pool, data_centre) = self.place_of_starts();
         GrantedWorker {
             id: self.report.id.clone(),
             address: self.report.address.clone(),
-            pool,
-            data_centre,
+            pool: pool.to_owned(),
+            data_centre: data_centre.to_owned(),
             closes_connections: !self.life.keeps_connections || self.may_have_late_starts(),
         }
     }
